--- /dev/null
+++ b/crates/egretgate-core/src/error.rs
@@ -0,0 +1,221 @@
+//! The closed list of error kinds and the table from kind to answer.
+
+use std::fmt;
+use std::time::Duration;
+
+/// Result of a decision that may end in an [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Whether the request was run by an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ran {
+    /// Proven not run.
+    No,
+    /// Run, in whole or in part.
+    Yes,
+    /// Dispatched, with no proof either way.
+    Unknown,
+}
+
+impl Ran {
+    /// Returns the word used in answers and logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::No => "no",
+            Self::Yes => "yes",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Every way in which a request, change or order can fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum ErrorKind {
+    /// The request is malformed.
+    BadRequest,
+    /// The body or a frame is over its limit.
+    TooLarge,
+    /// The request did not arrive in whole within the time allowed.
+    SlowRequest,
+    /// No declared team matches the credentials.
+    UnknownTeam,
+    /// The tier is not declared or not open to the team.
+    UnknownTier,
+    /// No declared route matches.
+    UnknownRoute,
+    /// No declared route serves the model.
+    UnknownModel,
+    /// The idempotency key was used with another body.
+    KeyReused,
+    /// Queues are full and the request's tier is the lowest held.
+    Overloaded,
+    /// The team is over its own limit.
+    TeamLimit,
+    /// The request can't finish by its deadline.
+    DeadlineHopeless,
+    /// The deadline passed while the request waited.
+    DeadlinePassed,
+    /// No upstream serves the route now.
+    NoUpstream,
+    /// The request is quarantined because upstreams died while running it.
+    Quarantined,
+    /// The platform's log can't be reached, and the request needs it.
+    LogOutage,
+    /// The process is shutting down.
+    Stopping,
+    /// The process has not read enough shared state to serve.
+    NotReady,
+    /// The upstream answered with an error before any output.
+    UpstreamError,
+    /// The answer was cut after the request was started.
+    AnswerCut,
+    /// The request was dispatched and its outcome can't be learned.
+    OutcomeUnknown,
+    /// The caller went away.
+    CallerGone,
+    /// The change names another revision than the current one.
+    Conflict,
+    /// The change or order carries an older lease's number.
+    Fenced,
+    /// The declaration is invalid.
+    InvalidDeclaration,
+    /// The operator or process did not prove its identity.
+    Unauthenticated,
+    /// A fault of this program.
+    Internal,
+}
+
+/// What a caller is told for an [`ErrorKind`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Stable code in the error's body.
+    pub code: &'static str,
+    /// Whether the request was run; an [`Error`] may carry a weaker statement.
+    pub ran: Ran,
+    /// True if a later try may succeed, so that `Retry-After` is sent.
+    pub retry: bool,
+}
+
+impl Answer {
+    const fn new(status: u16, code: &'static str, ran: Ran, retry: bool) -> Self {
+        Self { status, code, ran, retry }
+    }
+}
+
+impl ErrorKind {
+    /// Every kind, for tables and metrics.
+    pub const ALL: [Self; 26] = [
+        Self::BadRequest,
+        Self::TooLarge,
+        Self::SlowRequest,
+        Self::UnknownTeam,
+        Self::UnknownTier,
+        Self::UnknownRoute,
+        Self::UnknownModel,
+        Self::KeyReused,
+        Self::Overloaded,
+        Self::TeamLimit,
+        Self::DeadlineHopeless,
+        Self::DeadlinePassed,
+        Self::NoUpstream,
+        Self::Quarantined,
+        Self::LogOutage,
+        Self::Stopping,
+        Self::NotReady,
+        Self::UpstreamError,
+        Self::AnswerCut,
+        Self::OutcomeUnknown,
+        Self::CallerGone,
+        Self::Conflict,
+        Self::Fenced,
+        Self::InvalidDeclaration,
+        Self::Unauthenticated,
+        Self::Internal,
+    ];
+
+    /// Returns what a caller is told for this kind.
+    pub const fn answer(self) -> Answer {
+        match self {
+            Self::BadRequest => Answer::new(400, "bad_request", Ran::No, false),
+            Self::TooLarge => Answer::new(413, "too_large", Ran::No, false),
+            Self::SlowRequest => Answer::new(408, "slow_request", Ran::No, false),
+            Self::UnknownTeam => Answer::new(401, "unknown_team", Ran::No, false),
+            Self::UnknownTier => Answer::new(400, "unknown_tier", Ran::No, false),
+            Self::UnknownRoute => Answer::new(404, "unknown_route", Ran::No, false),
+            Self::UnknownModel => Answer::new(404, "unknown_model", Ran::No, false),
+            Self::KeyReused => Answer::new(422, "key_reused", Ran::No, false),
+            Self::Overloaded => Answer::new(429, "overloaded", Ran::No, true),
+            Self::TeamLimit => Answer::new(429, "team_limit", Ran::No, true),
+            Self::DeadlineHopeless => Answer::new(503, "deadline_hopeless", Ran::No, true),
+            Self::DeadlinePassed => Answer::new(504, "deadline_passed", Ran::No, true),
+            Self::NoUpstream => Answer::new(503, "no_upstream", Ran::No, true),
+            Self::Quarantined => Answer::new(422, "quarantined", Ran::No, false),
+            Self::LogOutage => Answer::new(503, "log_outage", Ran::No, true),
+            Self::Stopping => Answer::new(503, "stopping", Ran::No, true),
+            Self::NotReady => Answer::new(503, "not_ready", Ran::No, true),
+            Self::UpstreamError => Answer::new(502, "upstream_error", Ran::Yes, false),
+            Self::AnswerCut => Answer::new(502, "answer_cut", Ran::Yes, false),
+            Self::OutcomeUnknown => Answer::new(504, "outcome_unknown", Ran::Unknown, false),
+            Self::CallerGone => Answer::new(499, "caller_gone", Ran::Unknown, false),
+            Self::Conflict => Answer::new(409, "conflict", Ran::No, false),
+            Self::Fenced => Answer::new(409, "fenced", Ran::No, false),
+            Self::InvalidDeclaration => Answer::new(422, "invalid_declaration", Ran::No, false),
+            Self::Unauthenticated => Answer::new(401, "unauthenticated", Ran::No, false),
+            Self::Internal => Answer::new(500, "internal", Ran::Unknown, false),
+        }
+    }
+
+    /// Returns the stable code of this kind.
+    pub const fn code(self) -> &'static str {
+        self.answer().code
+    }
+
+    /// Returns the kind with the given code.
+    pub fn from_code(code: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|kind| kind.code() == code)
+    }
+}
+
+/// A failure with its kind, a plain statement and, for refusals, when to come back.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Error {
+    /// Kind of failure.
+    pub kind: ErrorKind,
+    /// Whether the request was run, as far as is proven.
+    pub ran: Ran,
+    /// Plain statement for a person. Holds no prompt text and no key.
+    pub detail: String,
+    /// Time after which another try is welcome.
+    pub after: Option<Duration>,
+}
+
+impl Error {
+    /// Returns an error of `kind` with the table's statement on whether it ran.
+    pub fn new(kind: ErrorKind, detail: impl Into<String>) -> Self {
+        Self { kind, ran: kind.answer().ran, detail: detail.into(), after: None }
+    }
+
+    /// Sets when another try is welcome.
+    #[must_use]
+    pub fn after(mut self, after: Duration) -> Self {
+        self.after = Some(after);
+        self
+    }
+
+    /// Sets whether the request was run.
+    #[must_use]
+    pub fn ran(mut self, ran: Ran) -> Self {
+        self.ran = ran;
+        self
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.kind.code(), self.detail)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/egretgate-core/src/lib.rs
@@ -0,0 +1,22 @@
+//! Every decision of egretgate, as pure functions and state machines.
+//!
+//! Nothing here opens a socket, reads a clock or draws a random number: time and randomness are
+//! arguments, so each decision is tested without I/O.
+//!
+//! ```
+//! use egretgate_core::{ErrorKind, Ran};
+//!
+//! let answer = ErrorKind::Overloaded.answer();
+//! assert_eq!(answer.status, 429);
+//! assert_eq!(answer.ran, Ran::No);
+//! ```
+
+pub mod declaration;
+mod error;
+mod ids;
+
+pub use error::{Answer, Error, ErrorKind, Ran, Result};
+pub use ids::{
+    Digest, Fence, Incarnation, InstanceId, MAX_TIERS, Offset, OperatorId, PlaceId, Revision,
+    RouteId, ServiceId, TeamId, Ticket, Tier, UpstreamId, VersionId,
+};
