--- /dev/null
+++ b/crates/egretgate-core/src/burn.rs
@@ -0,0 +1,1 @@
+//! Service-level burn: good and bad requests against objectives.
--- /dev/null
+++ b/crates/egretgate-core/src/check.rs
@@ -0,0 +1,1 @@
+//! Validation of declarations.
--- /dev/null
+++ b/crates/egretgate-core/src/choice.rs
@@ -0,0 +1,1 @@
+//! Choice of an upstream.
--- /dev/null
+++ b/crates/egretgate-core/src/diff.rs
@@ -0,0 +1,1 @@
+//! Differences between declarations.
--- /dev/null
+++ b/crates/egretgate-core/src/fold.rs
@@ -0,0 +1,1 @@
+//! The deterministic fold from log records to shared state.
--- /dev/null
+++ b/crates/egretgate-core/src/lease.rs
@@ -0,0 +1,1 @@
+//! Leases by log order and monotonic clocks.
--- a/crates/egretgate-core/src/lib.rs
+++ b/crates/egretgate-core/src/lib.rs
@@ -11,9 +11,25 @@
 //! assert_eq!(answer.ran, Ran::No);
 //! ```
 
+pub mod burn;
+pub mod check;
+pub mod choice;
 pub mod declaration;
+pub mod diff;
 mod error;
+pub mod fold;
+pub mod gate;
 mod ids;
+pub mod intent;
+pub mod lease;
+pub mod limit;
+pub mod membership;
+pub mod moves;
+pub mod poison;
+pub mod queue;
+pub mod record;
+pub mod reply;
+pub mod retry;
 
 pub use error::{Answer, Error, ErrorKind, Ran, Result};
 pub use ids::{
--- /dev/null
+++ b/crates/egretgate-core/src/limit.rs
@@ -0,0 +1,1 @@
+//! Learned concurrency limits in requests and tokens.
--- /dev/null
+++ b/crates/egretgate-core/src/membership.rs
@@ -0,0 +1,1 @@
+//! Which upstreams are live, leaving or suspected.
--- /dev/null
+++ b/crates/egretgate-core/src/moves.rs
@@ -0,0 +1,1 @@
+//! Version moves: shares, evidence and verdicts.
--- /dev/null
+++ b/crates/egretgate-core/src/poison.rs
@@ -0,0 +1,1 @@
+//! Quarantine of requests that kill upstreams.
--- /dev/null
+++ b/crates/egretgate-core/src/queue.rs
@@ -0,0 +1,1 @@
+//! Admission queue of a side process.
--- /dev/null
+++ b/crates/egretgate-core/src/record.rs
@@ -0,0 +1,1 @@
+//! Records of the log.
--- /dev/null
+++ b/crates/egretgate-core/src/reply.rs
@@ -0,0 +1,1 @@
+//! Assembly of an answer from chunks.
--- /dev/null
+++ b/crates/egretgate-core/src/retry.rs
@@ -0,0 +1,1 @@
+//! Retry budget and the time to come back.
