feat(settings): one table of flags and variables for both binaries

Each row holds flag, unit, help, default and parser; the variable follows from the flag. All faults are told at once; secrets are never shown.

--- /dev/null
+++ b/crates/egretgate-settings/src/fault.rs
@@ -0,0 +1,46 @@
+//! Faults of settings.
+
+use std::fmt;
+
+/// Result of reading settings.
+pub type Result<T> = std::result::Result<T, Faults>;
+
+/// One fault of one setting.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Flag or variable at fault, as the operator wrote it.
+    pub setting: String,
+    /// What is wrong. Holds no secret.
+    pub what: String,
+}
+
+/// Every fault found in one reading; never empty.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Faults(pub Vec<Fault>);
+
+impl Fault {
+    /// Returns a fault of the named setting.
+    pub fn new(setting: impl Into<String>, what: impl Into<String>) -> Self {
+        Self { setting: setting.into(), what: what.into() }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.setting, self.what)
+    }
+}
+
+impl fmt::Display for Faults {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, fault) in self.0.iter().enumerate() {
+            if index > 0 {
+                writeln!(f)?;
+            }
+            write!(f, "{fault}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Faults {}
--- /dev/null
+++ b/crates/egretgate-settings/src/lib.rs
@@ -0,0 +1,23 @@
+//! Settings of both binaries, read from flags and environment variables.
+//!
+//! Each setting is one row of a [`Table`]: its flag, unit, help, default and parser. The variable
+//! follows from the flag, so that neither exists without the other. Flags go before variables.
+//! Every fault is told at once.
+//!
+//! ```
+//! use egretgate_settings::{Read, entry};
+//!
+//! let read = entry::read(["--help".into()], []).unwrap();
+//! assert!(matches!(read, Read::Help(text) if text.contains("--caller-address")));
+//! ```
+
+pub mod entry;
+mod fault;
+mod rule;
+pub mod side;
+mod table;
+pub mod value;
+
+pub use fault::{Fault, Faults, Result};
+pub use table::{Fallback, Read, Setting, Table};
+pub use value::{Engine, Secret};
--- /dev/null
+++ b/crates/egretgate-settings/src/table.rs
@@ -0,0 +1,331 @@
+//! Table of settings and how it is read.
+
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::fmt::Write as _;
+
+use lexopt::Arg;
+
+use crate::fault::{Fault, Faults, Result};
+use crate::value;
+
+/// What holds when neither flag nor variable is given.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fallback {
+    /// The value must be given.
+    Required,
+    /// The setting stays unset.
+    Unset,
+    /// This text is parsed.
+    Value(&'static str),
+}
+
+/// One setting of a program whose settings have type `T`.
+#[derive(Debug)]
+pub struct Setting<T: 'static> {
+    /// Flag without its dashes; the variable follows from it.
+    pub flag: &'static str,
+    /// Unit or form of the value, for help.
+    pub unit: &'static str,
+    /// What the setting does: one sentence.
+    pub help: &'static str,
+    /// What holds when it is not given.
+    pub fallback: Fallback,
+    /// True if the value is never shown.
+    pub secret: bool,
+    /// True if the flag may be repeated and the variable holds a list split at commas.
+    pub plural: bool,
+    /// Parses one value into the settings.
+    pub set: fn(&mut T, &str) -> value::Result<()>,
+    /// Shows the values that are set. Secrets show nothing of themselves.
+    pub show: fn(&T) -> Vec<String>,
+}
+
+/// The settings of one command.
+#[derive(Debug)]
+pub struct Table<T: 'static> {
+    /// Command line up to the flags.
+    pub usage: &'static str,
+    /// First part of each variable, with its underscore.
+    pub prefix: &'static str,
+    /// Flags of other commands of the same program, whose variables are passed over.
+    pub others: &'static [&'static str],
+    /// The settings, in the order of help.
+    pub settings: &'static [Setting<T>],
+}
+
+/// What was asked for on the command line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Read<T> {
+    /// Run with these settings.
+    Settings(T),
+    /// Print this text and end.
+    Help(String),
+}
+
+/// Values given for one setting and the name under which they were given.
+struct Given {
+    name: String,
+    values: Vec<String>,
+}
+
+impl<T> Setting<T> {
+    /// Returns a required setting with one value that may be shown.
+    pub const fn new(
+        flag: &'static str,
+        unit: &'static str,
+        help: &'static str,
+        set: fn(&mut T, &str) -> value::Result<()>,
+        show: fn(&T) -> Vec<String>,
+    ) -> Self {
+        let fallback = Fallback::Required;
+        Self { flag, unit, help, fallback, secret: false, plural: false, set, show }
+    }
+
+    /// Sets the text that is parsed if the setting is not given.
+    #[must_use]
+    pub const fn default(mut self, text: &'static str) -> Self {
+        self.fallback = Fallback::Value(text);
+        self
+    }
+
+    /// Lets the setting stay unset.
+    #[must_use]
+    pub const fn optional(mut self) -> Self {
+        self.fallback = Fallback::Unset;
+        self
+    }
+
+    /// Hides the value wherever settings are shown.
+    #[must_use]
+    pub const fn secret(mut self) -> Self {
+        self.secret = true;
+        self
+    }
+
+    /// Lets the flag be repeated and the variable hold a list.
+    #[must_use]
+    pub const fn plural(mut self) -> Self {
+        self.plural = true;
+        self
+    }
+
+    /// Returns the variable of this setting.
+    pub fn variable(&self, prefix: &str) -> String {
+        variable(prefix, self.flag)
+    }
+
+    fn given(&self, name: String, raw: &str) -> Given {
+        let values = if self.plural {
+            raw.split(',').map(|part| part.trim().to_owned()).collect()
+        } else {
+            vec![raw.to_owned()]
+        };
+        Given { name, values }
+    }
+}
+
+impl<T> Table<T> {
+    /// Reads flags from `args` and variables from `vars` into `settings`.
+    ///
+    /// # Errors
+    ///
+    /// Returns every fault found: unknown, doubled and missing settings and malformed values.
+    pub fn read(
+        &self,
+        mut settings: T,
+        args: impl IntoIterator<Item = OsString>,
+        vars: impl IntoIterator<Item = (OsString, OsString)>,
+    ) -> Result<Read<T>> {
+        let mut faults = Vec::new();
+        let Some(flags) = self.flags(args, &mut faults) else {
+            return Ok(Read::Help(self.help()));
+        };
+        let vars = self.variables(vars, &mut faults);
+        for setting in self.settings {
+            self.resolve(setting, &mut settings, &flags, &vars, &mut faults);
+        }
+        if faults.is_empty() { Ok(Read::Settings(settings)) } else { Err(Faults(faults)) }
+    }
+
+    /// Returns the help text: usage, then each setting with unit, variable and default.
+    pub fn help(&self) -> String {
+        let mut out = format!("Usage: {}\n\nFlags go before variables.\n", self.usage);
+        for setting in self.settings {
+            let _ = writeln!(out, "\n  --{} {}", setting.flag, setting.unit);
+            let _ = writeln!(out, "      {}", setting.help);
+            let _ = writeln!(out, "      [variable: {}] {}", self.name(setting), note(setting));
+        }
+        out.push_str("\n  --help\n      Prints this text.\n");
+        out
+    }
+
+    /// Returns the settings as a Markdown table, for the operators' page.
+    pub fn markdown(&self) -> String {
+        let mut out = String::from("| flag | variable | unit | default | meaning |\n");
+        out.push_str("| --- | --- | --- | --- | --- |\n");
+        for setting in self.settings {
+            let default = match setting.fallback {
+                Fallback::Required => "required".to_owned(),
+                Fallback::Unset => "none".to_owned(),
+                Fallback::Value(text) => format!("`{text}`"),
+            };
+            let repeat = if setting.plural { " May be repeated." } else { "" };
+            let _ = writeln!(
+                out,
+                "| `--{}` | `{}` | {} | {default} | {}{repeat} |",
+                setting.flag,
+                self.name(setting),
+                setting.unit,
+                setting.help
+            );
+        }
+        out
+    }
+
+    /// Returns one `flag=value` line for each setting; a secret shows only that it is set.
+    pub fn show(&self, settings: &T) -> String {
+        let mut out = String::new();
+        for setting in self.settings {
+            let values = (setting.show)(settings);
+            let text = match (setting.secret, values.is_empty()) {
+                (_, true) => "(none)".to_owned(),
+                (true, false) => "(set, not shown)".to_owned(),
+                (false, false) => values.join(","),
+            };
+            let _ = writeln!(out, "{}={text}", setting.flag);
+        }
+        out
+    }
+
+    fn name(&self, setting: &Setting<T>) -> String {
+        setting.variable(self.prefix)
+    }
+
+    /// Returns the values of each flag, or `None` if help was asked for.
+    fn flags(
+        &self,
+        args: impl IntoIterator<Item = OsString>,
+        faults: &mut Vec<Fault>,
+    ) -> Option<BTreeMap<&'static str, Vec<String>>> {
+        let mut found: BTreeMap<&'static str, Vec<String>> = BTreeMap::new();
+        let mut parser = lexopt::Parser::from_args(args);
+        loop {
+            let flag = match parser.next() {
+                Ok(None) => return Some(found),
+                Ok(Some(Arg::Long("help") | Arg::Short('h'))) => return None,
+                Ok(Some(Arg::Long(flag))) => flag.to_owned(),
+                Ok(Some(Arg::Short(flag))) => {
+                    faults.push(Fault::new(format!("-{flag}"), "no such flag"));
+                    continue;
+                }
+                Ok(Some(Arg::Value(_))) => {
+                    faults.push(Fault::new("arguments", "a value stands without a flag"));
+                    continue;
+                }
+                Err(error) => {
+                    faults.push(Fault::new("arguments", error.to_string()));
+                    continue;
+                }
+            };
+            let Some(setting) = self.settings.iter().find(|setting| setting.flag == flag) else {
+                faults.push(Fault::new(format!("--{flag}"), "no such flag"));
+                // Consumes the unknown flag's value, so that it isn't told as a second fault.
+                drop_value(&mut parser);
+                continue;
+            };
+            match parser.value().map(OsString::into_string) {
+                Ok(Ok(text)) => found.entry(setting.flag).or_default().push(text),
+                Ok(Err(_)) => faults.push(Fault::new(format!("--{flag}"), "not valid Unicode")),
+                Err(_) => faults.push(Fault::new(format!("--{flag}"), "a value is missing")),
+            }
+        }
+    }
+
+    /// Returns the variables with this table's prefix.
+    fn variables(
+        &self,
+        vars: impl IntoIterator<Item = (OsString, OsString)>,
+        faults: &mut Vec<Fault>,
+    ) -> BTreeMap<String, String> {
+        let mut found = BTreeMap::new();
+        for (name, text) in vars {
+            let Ok(name) = name.into_string() else { continue };
+            if !name.starts_with(self.prefix) {
+                continue;
+            }
+            if !self.settings.iter().any(|setting| self.name(setting) == name) {
+                if !self.others.iter().any(|flag| variable(self.prefix, flag) == name) {
+                    faults.push(Fault::new(name, "no such variable"));
+                }
+                continue;
+            }
+            match text.into_string() {
+                Ok(text) => drop(found.insert(name, text)),
+                Err(_) => faults.push(Fault::new(name, "not valid Unicode")),
+            }
+        }
+        found
+    }
+
+    /// Sets one setting from its flag, else its variable, else its default.
+    fn resolve(
+        &self,
+        setting: &Setting<T>,
+        settings: &mut T,
+        flags: &BTreeMap<&'static str, Vec<String>>,
+        vars: &BTreeMap<String, String>,
+        faults: &mut Vec<Fault>,
+    ) {
+        let flag = format!("--{}", setting.flag);
+        let variable = self.name(setting);
+        let given = if let Some(values) = flags.get(setting.flag) {
+            Given { name: flag.clone(), values: values.clone() }
+        } else if let Some(text) = vars.get(&variable) {
+            setting.given(variable.clone(), text)
+        } else {
+            match setting.fallback {
+                Fallback::Value(text) => setting.given(flag.clone(), text),
+                Fallback::Unset => return,
+                Fallback::Required => {
+                    let what = format!("required; give the flag or {variable}");
+                    return faults.push(Fault::new(flag, what));
+                }
+            }
+        };
+        if given.values.len() > 1 && !setting.plural {
+            return faults.push(Fault::new(given.name, "given more than once"));
+        }
+        for text in &given.values {
+            if let Err(what) = (setting.set)(settings, text) {
+                faults.push(Fault::new(given.name.clone(), what));
+            }
+        }
+    }
+}
+
+/// Returns the variable that belongs to `flag`.
+fn variable(prefix: &str, flag: &str) -> String {
+    format!("{prefix}{}", flag.replace('-', "_").to_ascii_uppercase())
+}
+
+fn note<T>(setting: &Setting<T>) -> String {
+    let fallback = match setting.fallback {
+        Fallback::Required => "[required]".to_owned(),
+        Fallback::Unset => "[default: none]".to_owned(),
+        Fallback::Value(text) => format!("[default: {text}]"),
+    };
+    if setting.plural {
+        return format!("{fallback} [may be repeated; the variable is split at commas]");
+    }
+    fallback
+}
+
+fn drop_value(parser: &mut lexopt::Parser) {
+    if parser.optional_value().is_some() {
+        return;
+    }
+    if let Ok(mut rest) = parser.raw_args() {
+        rest.next_if(|arg| !arg.to_string_lossy().starts_with('-'));
+    }
+}
