--- a/crates/egretgate-core/src/check.rs
+++ b/crates/egretgate-core/src/check.rs
@@ -1,1 +1,82 @@
 //! Validation of declarations.
+//!
+//! ```
+//! use egretgate_core::check;
+//!
+//! let faults = check::parse("[teams.mills]\ntier = \"urgent\"\n").unwrap_err();
+//! assert_eq!(faults[0].at("x.toml"), "x.toml:2: teams.mills.tier: no tier `urgent` is declared");
+//! ```
+
+mod file;
+mod rules;
+
+use std::fmt;
+
+pub use file::parse;
+pub use rules::{faults, name_fault};
+
+/// Result of reading a declaration file.
+pub type Result<T> = std::result::Result<T, Vec<Fault>>;
+
+/// Largest declaration file, in bytes.
+pub const MAX_FILE_BYTES: usize = 4 << 20;
+/// Longest name or model, in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
+/// Longest path prefix, in bytes.
+pub const MAX_PATH_BYTES: usize = 256;
+/// Most teams.
+pub const MAX_TEAMS: usize = 16_384;
+/// Most services.
+pub const MAX_SERVICES: usize = 256;
+/// Most routes.
+pub const MAX_ROUTES: usize = 4_096;
+/// Most keys of a team.
+pub const MAX_KEYS: usize = 16;
+/// Highest queue length and concurrency of a service, in requests.
+pub const MAX_REQUESTS: u32 = 65_536;
+/// Highest weight of a team.
+pub const MAX_WEIGHT: u32 = 10_000;
+/// Longest time of a tier, in milliseconds.
+pub const MAX_TIME_MS: u64 = 86_400_000;
+/// Longest time for which idempotency keys are kept, in seconds.
+pub const MAX_WINDOW_S: u64 = 30 * 86_400;
+
+/// One fault of a declaration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Fault {
+    /// Section, item and field at fault, as far as they are known.
+    pub path: Vec<String>,
+    /// Line in the file, from 1; `None` if the declaration did not come from a file.
+    pub line: Option<usize>,
+    /// What is wrong, in words for the operator.
+    pub what: String,
+}
+
+impl Fault {
+    pub(crate) fn new(path: &[&str], what: impl Into<String>) -> Self {
+        let path = path.iter().map(|&part| part.to_owned()).collect();
+        Self { path, line: None, what: what.into() }
+    }
+
+    /// Returns the path joined by dots, such as `teams.mills.tier`; `file` if it is empty.
+    pub fn field(&self) -> String {
+        if self.path.is_empty() {
+            return "file".to_owned();
+        }
+        self.path.join(".")
+    }
+
+    /// Returns the fault as one line that names the file, the line in it and the field.
+    pub fn at(&self, file: &str) -> String {
+        match self.line {
+            Some(line) => format!("{file}:{line}: {self}"),
+            None => format!("{file}: {self}"),
+        }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field(), self.what)
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/src/check/file.rs
@@ -0,0 +1,121 @@
+//! Reading of a declaration file, with the line and field of each fault.
+
+use std::collections::BTreeMap;
+use std::ops::Range;
+
+use serde::Deserialize;
+use toml::Spanned;
+use toml::de::{DeTable, DeValue, ValueDeserializer};
+
+use super::{Fault, MAX_FILE_BYTES, Result, faults};
+use crate::declaration::Declarations;
+use crate::diff::Section;
+
+/// Reads a declaration file in TOML and checks it.
+///
+/// # Errors
+///
+/// Returns every fault with its line and field. Rules that span items are checked only once
+/// every item can be read, so that one fault is not told twice.
+pub fn parse(text: &str) -> Result<Declarations> {
+    if text.len() > MAX_FILE_BYTES {
+        let what = format!("{} bytes; a file has at most {MAX_FILE_BYTES}", text.len());
+        return Err(vec![Fault { line: Some(1), ..Fault::new(&[], what) }]);
+    }
+    let (table, errors) = DeTable::parse_recoverable(text);
+    let ends = text.match_indices('\n').map(|(offset, _)| offset).collect();
+    let mut file = File { ends, table: table.get_ref(), faults: Vec::new() };
+    for error in errors {
+        file.push(Vec::new(), error.span(), error.message());
+    }
+    if !file.faults.is_empty() {
+        return Err(file.faults);
+    }
+    let declarations = file.declarations();
+    if file.faults.is_empty() {
+        let found = faults(&declarations);
+        file.faults = found.into_iter().map(|fault| file.place(fault)).collect();
+    }
+    if file.faults.is_empty() { Ok(declarations) } else { Err(file.faults) }
+}
+
+struct File<'a> {
+    /// Offset of each line's end, in bytes and in order.
+    ends: Vec<usize>,
+    table: &'a DeTable<'a>,
+    faults: Vec<Fault>,
+}
+
+impl<'a> File<'a> {
+    fn declarations(&mut self) -> Declarations {
+        for (key, _) in self.table {
+            if Section::from_name(key.get_ref()).is_none() {
+                let what = "unknown section; expected tiers, services, teams or routes";
+                self.push(vec![key.get_ref().to_string()], Some(key.span()), what);
+            }
+        }
+        Declarations {
+            tiers: self.section(Section::Tiers),
+            teams: self.section(Section::Teams),
+            services: self.section(Section::Services),
+            routes: self.section(Section::Routes),
+        }
+    }
+
+    fn section<T: Deserialize<'a>>(&mut self, section: Section) -> BTreeMap<String, T> {
+        let Some(value) = self.table.get(section.as_str()) else { return BTreeMap::new() };
+        let Some(items) = value.get_ref().as_table() else {
+            let what = format!("expected tables such as [{section}.name]");
+            self.push(vec![section.to_string()], Some(value.span()), &what);
+            return BTreeMap::new();
+        };
+        let mut found = BTreeMap::new();
+        for (key, value) in items {
+            match T::deserialize(ValueDeserializer::from(value.clone())) {
+                Ok(spec) => drop(found.insert(key.get_ref().to_string(), spec)),
+                Err(error) => {
+                    let mut path = vec![section.to_string(), key.get_ref().to_string()];
+                    let span = error.span().unwrap_or_else(|| key.span());
+                    path.extend(field_at(value.get_ref(), &span));
+                    self.push(path, Some(span), error.message());
+                }
+            }
+        }
+        found
+    }
+
+    fn push(&mut self, path: Vec<String>, span: Option<Range<usize>>, what: &str) {
+        let line = span.map(|span| self.line(span.start));
+        self.faults.push(Fault { path, line, what: what.to_owned() });
+    }
+
+    /// Returns `fault` with the line of the deepest part of its path that stands in the file.
+    fn place(&self, mut fault: Fault) -> Fault {
+        let mut line = 1;
+        let mut table = Some(self.table);
+        for part in &fault.path {
+            let Some((key, value)) = table.and_then(|table| table.get_key_value(part.as_str()))
+            else {
+                break;
+            };
+            line = self.line(key.span().start);
+            table = value.get_ref().as_table();
+        }
+        fault.line = Some(line);
+        fault
+    }
+
+    fn line(&self, offset: usize) -> usize {
+        self.ends.partition_point(|&end| end < offset) + 1
+    }
+}
+
+/// Returns the key of `value` whose key or value holds the start of `span`.
+fn field_at(value: &DeValue<'_>, span: &Range<usize>) -> Option<String> {
+    let holds = |range: Range<usize>| range.contains(&span.start);
+    value
+        .as_table()?
+        .iter()
+        .find(|(key, value): &(&Spanned<_>, _)| holds(key.span()) || holds(value.span()))
+        .map(|(key, _)| key.get_ref().to_string())
+}
--- /dev/null
+++ b/crates/egretgate-core/src/check/rules.rs
@@ -0,0 +1,267 @@
+//! Rules that declarations keep, apart from their form in a file.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+
+use super::{
+    Fault, MAX_KEYS, MAX_NAME_BYTES, MAX_PATH_BYTES, MAX_REQUESTS, MAX_ROUTES, MAX_SERVICES,
+    MAX_TEAMS, MAX_TIME_MS, MAX_WEIGHT, MAX_WINDOW_S,
+};
+use crate::declaration::{
+    Declarations, Outage, RouteSpec, ServiceKind, ServiceSpec, TeamSpec, TierSpec,
+};
+use crate::ids::MAX_TIERS;
+
+/// Length of a BLAKE3 hash in hexadecimal digits.
+const KEY_DIGITS: usize = 64;
+
+/// Returns every fault of `declarations`; empty if they may be applied.
+pub fn faults(declarations: &Declarations) -> Vec<Fault> {
+    let mut check = Check { declarations, faults: Vec::new() };
+    check.sizes();
+    check.tiers();
+    check.services();
+    check.teams();
+    check.routes();
+    check.faults
+}
+
+/// Returns what is wrong with a name: it has 1 to [`MAX_NAME_BYTES`] letters, digits, `-`, `_`
+/// or `.`, in ASCII.
+pub fn name_fault(name: &str) -> Option<String> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if name.is_empty() {
+        Some("a name can't be empty".to_owned())
+    } else if name.len() > MAX_NAME_BYTES {
+        Some(format!("a name has at most {MAX_NAME_BYTES} bytes"))
+    } else if !name.chars().all(allowed) {
+        Some("a name holds only letters, digits, '-', '_' and '.'".to_owned())
+    } else {
+        None
+    }
+}
+
+struct Check<'a> {
+    declarations: &'a Declarations,
+    faults: Vec<Fault>,
+}
+
+impl<'a> Check<'a> {
+    fn fault(&mut self, path: &[&str], what: impl Into<String>) {
+        self.faults.push(Fault::new(path, what));
+    }
+
+    fn name(&mut self, section: &str, name: &str) {
+        if let Some(what) = name_fault(name) {
+            self.fault(&[section, name], what);
+        }
+    }
+
+    fn range<T: PartialOrd + std::fmt::Display>(
+        &mut self,
+        path: &[&str],
+        value: T,
+        range: RangeInclusive<T>,
+    ) {
+        if !range.contains(&value) {
+            let (low, high) = range.into_inner();
+            self.fault(path, format!("{value} is not in {low}..={high}"));
+        }
+    }
+
+    fn sizes(&mut self) {
+        let sizes = [
+            ("tiers", self.declarations.tiers.len(), MAX_TIERS),
+            ("teams", self.declarations.teams.len(), MAX_TEAMS),
+            ("services", self.declarations.services.len(), MAX_SERVICES),
+            ("routes", self.declarations.routes.len(), MAX_ROUTES),
+        ];
+        for (section, size, most) in sizes {
+            if size > most {
+                self.fault(&[section], format!("{size} are declared, at most {most} may be"));
+            }
+        }
+    }
+
+    fn tiers(&mut self) {
+        let mut ranks = BTreeMap::new();
+        for (name, tier) in &self.declarations.tiers {
+            self.tier(name, tier);
+            if let Some(other) = ranks.insert(tier.rank, name) {
+                let what = format!("rank {} is taken by tier `{other}`", tier.rank);
+                self.fault(&["tiers", name, "rank"], what);
+            }
+        }
+    }
+
+    fn tier(&mut self, name: &str, tier: &TierSpec) {
+        self.name("tiers", name);
+        let field = |field| ["tiers", name, field];
+        if usize::from(tier.rank) >= MAX_TIERS {
+            let what = format!("rank {} is not below {MAX_TIERS}", tier.rank);
+            self.fault(&field("rank"), what);
+        }
+        if !(tier.objective > 0.0 && tier.objective < 1.0) {
+            let what = format!("{} is not between 0 and 1, both excluded", tier.objective);
+            self.fault(&field("objective"), what);
+        }
+        self.range(&field("first_token_ms"), tier.first_token_ms, 1..=MAX_TIME_MS);
+        self.range(&field("between_tokens_ms"), tier.between_tokens_ms, 1..=MAX_TIME_MS);
+        self.range(&field("deadline_ms"), tier.deadline_ms, 1..=MAX_TIME_MS);
+    }
+
+    fn services(&mut self) {
+        for (name, service) in &self.declarations.services {
+            self.service(name, service);
+        }
+    }
+
+    fn service(&mut self, name: &str, service: &ServiceSpec) {
+        self.name("services", name);
+        let field = |field| ["services", name, field];
+        if let Some(what) = name_fault(&service.version) {
+            self.fault(&field("version"), what);
+        }
+        self.range(&field("queue"), service.queue, 1..=MAX_REQUESTS);
+        self.range(&field("concurrency"), service.concurrency, 1..=MAX_REQUESTS);
+    }
+
+    fn teams(&mut self) {
+        let mut keys = BTreeMap::new();
+        for (name, team) in &self.declarations.teams {
+            self.team(name, team);
+            for key in &team.keys {
+                // A doubled key would let one team's requests run on another's account.
+                if let Some(other) = keys.insert(key.as_str(), name.as_str()) {
+                    let what = format!("a key is also a key of team `{other}`");
+                    self.fault(&["teams", name, "keys"], what);
+                }
+            }
+        }
+    }
+
+    fn team(&mut self, name: &str, team: &TeamSpec) {
+        self.name("teams", name);
+        let field = |field| ["teams", name, field];
+        self.declared_tier(&field("tier"), &team.tier);
+        for (index, tier) in team.tiers.iter().enumerate() {
+            self.declared_tier(&field("tiers"), tier);
+            if team.tiers[..index].contains(tier) {
+                self.fault(&field("tiers"), format!("tier `{tier}` is named twice"));
+            }
+        }
+        if !team.tiers.is_empty() && !team.tiers.contains(&team.tier) {
+            let what = format!("`{}`, the tier of requests that name none, is missing", team.tier);
+            self.fault(&field("tiers"), what);
+        }
+        if team.keys.len() > MAX_KEYS {
+            self.fault(&field("keys"), format!("a team has at most {MAX_KEYS} keys"));
+        }
+        if team.keys.iter().any(|key| !is_hash(key)) {
+            let what = format!("a key is a BLAKE3 hash: {KEY_DIGITS} lower-case hex digits");
+            self.fault(&field("keys"), what);
+        }
+        self.range(&field("weight"), team.weight, 1..=MAX_WEIGHT);
+    }
+
+    fn declared_tier(&mut self, path: &[&str], tier: &str) {
+        if !self.declarations.tiers.contains_key(tier) {
+            self.fault(path, format!("no tier `{tier}` is declared"));
+        }
+    }
+
+    fn routes(&mut self) {
+        let mut models = BTreeMap::new();
+        let mut paths = BTreeMap::new();
+        for (name, route) in &self.declarations.routes {
+            self.route(name, route);
+            self.unique(name, "model", route.model.as_deref(), &mut models);
+            self.unique(name, "path", route.path.as_deref(), &mut paths);
+        }
+    }
+
+    fn unique(
+        &mut self,
+        name: &'a str,
+        field: &str,
+        value: Option<&'a str>,
+        seen: &mut BTreeMap<&'a str, &'a str>,
+    ) {
+        let Some(value) = value else { return };
+        if let Some(other) = seen.insert(value, name) {
+            let what = format!("`{value}` already selects route `{other}`");
+            self.fault(&["routes", name, field], what);
+        }
+    }
+
+    fn route(&mut self, name: &str, route: &RouteSpec) {
+        self.name("routes", name);
+        let field = |field| ["routes", name, field];
+        let service = self.declarations.services.get(&route.service);
+        if service.is_none() {
+            self.fault(&field("service"), format!("no service `{}` is declared", route.service));
+        }
+        if let Some(model) = &route.model {
+            self.model(&field("model"), model);
+        }
+        if let Some(path) = &route.path {
+            self.path(&field("path"), path);
+        }
+        match (&route.model, &route.path) {
+            (Some(_), Some(_)) => {
+                self.fault(&field("path"), "a route has a model or a path, not both");
+            }
+            (None, None) => self.fault(&field("model"), "a route needs a model or a path"),
+            (Some(_), None) | (None, Some(_)) => {}
+        }
+        if let Some(service) = service {
+            self.kind(name, route, service.kind);
+        }
+        if route.outage == Outage::Memory && !route.once {
+            self.fault(&field("outage"), "only a route with `once = true` has calls to remember");
+        }
+        self.range(&field("window_s"), route.window_s, 1..=MAX_WINDOW_S);
+    }
+
+    fn kind(&mut self, name: &str, route: &RouteSpec, kind: ServiceKind) {
+        let field = |field| ["routes", name, field];
+        match kind {
+            ServiceKind::Engine if route.path.is_some() => {
+                self.fault(&field("path"), "a route to engines is selected by a model");
+            }
+            ServiceKind::Plain if route.model.is_some() => {
+                self.fault(&field("model"), "a route to a plain service is selected by a path");
+            }
+            ServiceKind::Engine | ServiceKind::Plain => {}
+        }
+        if kind == ServiceKind::Engine && route.once {
+            self.fault(&field("once"), "only a route to a plain service may set it");
+        }
+    }
+
+    fn model(&mut self, path: &[&str], model: &str) {
+        if model.is_empty() || !model.bytes().all(|byte| byte.is_ascii_graphic()) {
+            self.fault(path, "a model holds only visible ASCII characters");
+        }
+        if model.len() > MAX_NAME_BYTES {
+            self.fault(path, format!("a model has at most {MAX_NAME_BYTES} bytes"));
+        }
+    }
+
+    fn path(&mut self, path: &[&str], prefix: &str) {
+        let visible = prefix.bytes().all(|byte| byte.is_ascii_graphic());
+        if !prefix.starts_with('/') || !visible || prefix.contains(['?', '#']) {
+            self.fault(path, "a path starts with '/' and holds neither space, '?' nor '#'");
+        }
+        if prefix.contains("//") || prefix.split('/').any(|part| part == "." || part == "..") {
+            self.fault(path, "a path holds no empty, '.' or '..' segment");
+        }
+        if prefix.len() > MAX_PATH_BYTES {
+            self.fault(path, format!("a path has at most {MAX_PATH_BYTES} bytes"));
+        }
+    }
+}
+
+fn is_hash(key: &str) -> bool {
+    key.len() == KEY_DIGITS && key.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'))
+}
--- a/crates/egretgate-settings/src/value.rs
+++ b/crates/egretgate-settings/src/value.rs
@@ -5,14 +5,11 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use egretgate_core::VersionId;
+use egretgate_core::{VersionId, check};
 
 /// Result of parsing one value; the error says what is wrong without repeating the value.
 pub type Result<T> = std::result::Result<T, String>;
 
-/// Longest name of an instance, place, service or version, in bytes.
-pub const MAX_NAME_BYTES: usize = 128;
-
 /// Shortest token, in bytes.
 pub const MIN_TOKEN_BYTES: usize = 16;
 
@@ -77,18 +74,11 @@
     })
 }
 
-/// Parses a name: letters, digits, `-`, `_` and `.`, at most [`MAX_NAME_BYTES`].
+/// Parses a name, which follows the rule of declared names.
 pub fn name(text: &str) -> Result<String> {
-    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
-    match text {
-        "" => Err("a name can't be empty".to_owned()),
-        _ if text.len() > MAX_NAME_BYTES => {
-            Err(format!("a name has at most {MAX_NAME_BYTES} bytes"))
-        }
-        _ if !text.chars().all(allowed) => {
-            Err("a name holds only letters, digits, '-', '_' and '.'".to_owned())
-        }
-        _ => Ok(text.to_owned()),
+    match check::name_fault(text) {
+        Some(what) => Err(what),
+        None => Ok(text.to_owned()),
     }
 }
 
