--- /dev/null
+++ b/crates/egretgate-operator/src/auth.rs
@@ -0,0 +1,53 @@
+//! Proof of identity by a shared token.
+
+use std::fmt;
+
+use egretgate_core::{Error, ErrorKind};
+use subtle::ConstantTimeEq;
+use tonic::service::Interceptor;
+use tonic::{Request, Status};
+
+use crate::status;
+
+/// Metadata that carries the token.
+pub(crate) const METADATA: &str = "authorization";
+/// What stands before the token.
+pub(crate) const SCHEME: &str = "Bearer ";
+
+/// Refuses calls that don't show the token.
+#[derive(Clone)]
+pub(crate) struct Auth {
+    token: Option<String>,
+}
+
+impl Auth {
+    /// Returns a check for `token`; without one every call passes.
+    pub(crate) const fn new(token: Option<String>) -> Self {
+        Self { token }
+    }
+
+    /// Compares in a time that depends on the lengths only.
+    fn accepts(&self, shown: Option<&[u8]>) -> bool {
+        let Some(token) = &self.token else { return true };
+        let shown = shown.and_then(|value| value.strip_prefix(SCHEME.as_bytes()));
+        shown.is_some_and(|shown| shown.ct_eq(token.as_bytes()).into())
+    }
+}
+
+impl Interceptor for Auth {
+    fn call(&mut self, request: Request<()>) -> Result<Request<()>, Status> {
+        let shown =
+            request.metadata().get(METADATA).map(tonic::metadata::MetadataValue::as_encoded_bytes);
+        if self.accepts(shown) {
+            return Ok(request);
+        }
+        let detail = "the operator token is missing or wrong";
+        Err(status::from_error(&Error::new(ErrorKind::Unauthenticated, detail)))
+    }
+}
+
+impl fmt::Debug for Auth {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Auth").field("required", &self.token.is_some()).finish()
+    }
+}
--- /dev/null
+++ b/crates/egretgate-operator/src/author.rs
@@ -0,0 +1,36 @@
+//! Who asks for a change, and why.
+
+use egretgate_core::{Error, ErrorKind, Result};
+
+use crate::proto::Author;
+
+/// Longest name of an operator, in bytes.
+pub const MAX_OPERATOR_BYTES: usize = 128;
+/// Longest reason, in bytes.
+pub const MAX_REASON_BYTES: usize = 4 << 10;
+
+/// Checks that a change names its operator and its reason.
+///
+/// # Errors
+///
+/// Returns [`ErrorKind::BadRequest`] if either is missing, too long or holds control characters.
+pub fn check_author(author: Option<&Author>) -> Result<()> {
+    let Some(author) = author else {
+        return Err(Error::new(ErrorKind::BadRequest, "a change must name its operator"));
+    };
+    check("operator", &author.operator, MAX_OPERATOR_BYTES)?;
+    check("reason", &author.reason, MAX_REASON_BYTES)
+}
+
+fn check(field: &str, text: &str, limit: usize) -> Result<()> {
+    let what = if text.trim().is_empty() {
+        format!("a change must name its {field}")
+    } else if text.len() > limit {
+        format!("the {field} has more than {limit} bytes")
+    } else if text.chars().any(char::is_control) {
+        format!("the {field} holds control characters")
+    } else {
+        return Ok(());
+    };
+    Err(Error::new(ErrorKind::BadRequest, what))
+}
