feat(burn): counts by tier and team, merge, burn report with alerts

Sparse buckets of one and ten minutes over 6 hours; rows of several processes merge by sum. Alerts follow the multi-window burn alerts of the SRE Workbook.

--- /dev/null
+++ b/crates/egretgate-core/src/burn/report.rs
@@ -0,0 +1,114 @@
+//! Report of burn by tier and by team.
+
+use serde::Serialize;
+
+use super::{Count, Row, WINDOWS};
+use crate::ids::TeamId;
+
+/// Burn at which the fast alert fires: 2% of a 30-day budget in an hour.
+const FAST_BURN: f64 = 14.4;
+/// Burn at which the slow alert fires: 5% of a 30-day budget in 6 hours.
+const SLOW_BURN: f64 = 6.0;
+
+/// Positions in [`WINDOWS`].
+const FIVE_MINUTES: usize = 0;
+const HALF_HOUR: usize = 1;
+const HOUR: usize = 2;
+const SIX_HOURS: usize = 3;
+
+/// An alert on burn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Alert {
+    /// Over 14.4 in both the last hour and the last 5 minutes.
+    Fast,
+    /// Over 6 in both the last 6 hours and the last 30 minutes.
+    Slow,
+}
+
+/// Burn of one tier, or of one team in it.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Line {
+    /// Name of the tier.
+    pub tier: String,
+    /// Name of the team; `None` for the tier as a whole.
+    pub team: Option<TeamId>,
+    /// Share of requests that must be good.
+    pub objective: f64,
+    /// Good requests of the longest window.
+    pub good: u64,
+    /// Bad requests of the longest window.
+    pub bad: u64,
+    /// Share of the longest window's error budget that is left; negative if it is overdrawn.
+    pub left: f64,
+    /// Burn over [`WINDOWS`], shortest first.
+    pub burn: [f64; WINDOWS.len()],
+    /// Alert that fires, if any.
+    pub alert: Option<Alert>,
+}
+
+/// Burn by tier and by team.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Report {
+    /// Lengths of the windows, in seconds.
+    pub windows_s: [u64; WINDOWS.len()],
+    /// One line for each tier, by name.
+    pub tiers: Vec<Line>,
+    /// One line for each team in each tier, by tier and team.
+    pub teams: Vec<Line>,
+}
+
+impl Alert {
+    /// Returns the word used in reports.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Fast => "fast",
+            Self::Slow => "slow",
+        }
+    }
+
+    fn of(burn: &[f64; WINDOWS.len()]) -> Option<Self> {
+        if burn[HOUR] > FAST_BURN && burn[FIVE_MINUTES] > FAST_BURN {
+            Some(Self::Fast)
+        } else if burn[SIX_HOURS] > SLOW_BURN && burn[HALF_HOUR] > SLOW_BURN {
+            Some(Self::Slow)
+        } else {
+            None
+        }
+    }
+}
+
+/// Returns the report on `rows`, which stand in the order that [`super::merge`] gives them.
+pub fn report(rows: &[Row]) -> Report {
+    let teams = rows.iter().map(|row| line(row, Some(row.team.clone()))).collect();
+    let tiers = rows.chunk_by(|a, b| a.tier == b.tier).map(sum).map(|row| line(&row, None));
+    let windows_s = WINDOWS.map(|window| window.as_secs());
+    Report { windows_s, tiers: tiers.collect(), teams }
+}
+
+/// Returns the sum of rows of one tier.
+fn sum(rows: &[Row]) -> Row {
+    let mut sum = Row { counts: Default::default(), ..rows[0].clone() };
+    for row in rows {
+        sum.objective = sum.objective.max(row.objective);
+        for (sum, count) in sum.counts.iter_mut().zip(row.counts) {
+            sum.add(count);
+        }
+    }
+    sum
+}
+
+fn line(row: &Row, team: Option<TeamId>) -> Line {
+    let burn = row.counts.map(|count| count.burn(row.objective));
+    let Count { good, bad } = row.counts[SIX_HOURS];
+    Line {
+        tier: row.tier.clone(),
+        team,
+        objective: row.objective,
+        good,
+        bad,
+        left: 1.0 - burn[SIX_HOURS],
+        burn,
+        alert: Alert::of(&burn),
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/src/burn/series.rs
@@ -0,0 +1,107 @@
+//! Counts of one tier and team in buckets of two lengths.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use super::{Count, WINDOWS};
+
+/// Length of a fine bucket.
+const FINE: Duration = Duration::from_mins(1);
+/// Length of a coarse bucket, in minutes.
+pub(super) const COARSE_MINUTES: u32 = 10;
+/// Minutes that are kept in fine buckets.
+const FINE_MINUTES: u32 = 60;
+/// Coarse buckets that are kept.
+const COARSE_BUCKETS: u32 = 36;
+
+/// Requests of one bucket. 32 bits hold a bucket of ten minutes at over 7 million a second.
+#[derive(Debug, Clone, Copy)]
+struct Bucket {
+    /// Position in time, in units of the bucket's length.
+    index: u32,
+    good: u32,
+    bad: u32,
+}
+
+/// Counts of one tier and team.
+///
+/// Invariants: indexes rise strictly in each list; no fine bucket is older than [`FINE_MINUTES`]
+/// and no coarse one older than [`COARSE_BUCKETS`] at the last record, so that the size is
+/// bounded.
+#[derive(Debug, Default)]
+pub(super) struct Series {
+    fine: VecDeque<Bucket>,
+    coarse: VecDeque<Bucket>,
+}
+
+/// Returns the number of whole minutes from `start` to `now`.
+pub(super) fn minute(start: Instant, now: Instant) -> u32 {
+    let passed = now.saturating_duration_since(start).as_secs() / FINE.as_secs();
+    u32::try_from(passed).unwrap_or(u32::MAX)
+}
+
+impl Series {
+    /// Counts one request that ended in `minute`; a minute before the last one counts as that.
+    pub(super) fn record(&mut self, minute: u32, good: bool) {
+        self.expire(minute);
+        add(&mut self.fine, Bucket { index: minute, good: good.into(), bad: (!good).into() });
+    }
+
+    /// Moves buckets on to `minute` and returns true if any is left.
+    pub(super) fn expire(&mut self, minute: u32) -> bool {
+        while let Some(bucket) = self.fine.front().copied() {
+            if bucket.index + FINE_MINUTES > minute {
+                break;
+            }
+            self.fine.pop_front();
+            add(&mut self.coarse, Bucket { index: bucket.index / COARSE_MINUTES, ..bucket });
+        }
+        let now = minute / COARSE_MINUTES;
+        while self.coarse.front().is_some_and(|bucket| bucket.index + COARSE_BUCKETS <= now) {
+            self.coarse.pop_front();
+        }
+        !(self.fine.is_empty() && self.coarse.is_empty())
+    }
+
+    /// Returns the counts over [`WINDOWS`] up to `minute`, the current bucket included.
+    pub(super) fn counts(&self, minute: u32) -> [Count; WINDOWS.len()] {
+        WINDOWS.map(|window| self.count(minute, (window.as_secs() / FINE.as_secs()) as u32))
+    }
+
+    fn count(&self, minute: u32, window: u32) -> Count {
+        let in_coarse = |index: u32| index + window / COARSE_MINUTES > minute / COARSE_MINUTES;
+        let mut sum = Count::default();
+        for bucket in &self.fine {
+            let within = if window <= FINE_MINUTES {
+                bucket.index + window > minute
+            } else {
+                in_coarse(bucket.index / COARSE_MINUTES)
+            };
+            if within {
+                sum.add(bucket.count());
+            }
+        }
+        if window > FINE_MINUTES {
+            let live = self.coarse.iter().filter(|bucket| in_coarse(bucket.index));
+            live.for_each(|bucket| sum.add(bucket.count()));
+        }
+        sum
+    }
+}
+
+impl Bucket {
+    fn count(self) -> Count {
+        Count { good: self.good.into(), bad: self.bad.into() }
+    }
+}
+
+/// Adds a bucket to the last one of its index, or after it.
+fn add(buckets: &mut VecDeque<Bucket>, bucket: Bucket) {
+    match buckets.back_mut() {
+        Some(last) if last.index >= bucket.index => {
+            last.good = last.good.saturating_add(bucket.good);
+            last.bad = last.bad.saturating_add(bucket.bad);
+        }
+        _ => buckets.push_back(bucket),
+    }
+}
--- a/crates/egretgate-operator/src/convert.rs
+++ b/crates/egretgate-operator/src/convert.rs
@@ -1,5 +1,8 @@
 //! Declared items between the schema and the core.
 
+use std::time::Duration;
+
+use egretgate_core::burn::{Count, Row, WINDOWS};
 use egretgate_core::declaration::{
     Fencing, Outage, RouteSpec, ServiceKind, ServiceSpec, TeamSpec, TierSpec,
 };
@@ -185,6 +188,34 @@
     }
 }
 
+impl From<Row> for proto::BurnRow {
+    fn from(row: Row) -> Self {
+        let count = |(window, count): (&Duration, Count)| proto::BurnCount {
+            window_s: window.as_secs(),
+            good: count.good,
+            bad: count.bad,
+        };
+        let counts = WINDOWS.iter().zip(row.counts).map(count).collect();
+        Self { tier: row.tier, team: row.team, objective: row.objective, counts }
+    }
+}
+
+impl TryFrom<proto::BurnRow> for Row {
+    type Error = Error;
+
+    fn try_from(row: proto::BurnRow) -> Result<Self> {
+        let windows = row.counts.iter().map(|count| count.window_s);
+        if !windows.eq(WINDOWS.iter().map(Duration::as_secs)) {
+            return Err(invalid("counts", "has windows of another version of the program"));
+        }
+        let mut counts = [Count::default(); WINDOWS.len()];
+        for (slot, count) in counts.iter_mut().zip(&row.counts) {
+            *slot = Count { good: count.good, bad: count.bad };
+        }
+        Ok(Self { tier: row.tier, team: row.team, objective: row.objective, counts })
+    }
+}
+
 fn invalid(what: &str, fault: &str) -> Error {
     Error::new(ErrorKind::InvalidDeclaration, format!("`{what}` {fault}"))
 }
