feat(caller): HTTP server for callers and administration pages

Cause: the whole path needs an HTTP face first. Change: salvo server with limits on body, head time and connections; errors in the OpenAI shape with kind, ran and Retry-After; a cut event stream ends in an error event and any other cut body in a broken connection.

--- /dev/null
+++ b/crates/egretgate-caller/src/answer.rs
@@ -0,0 +1,61 @@
+//! Answers in the OpenAI error shape.
+
+use bytes::Bytes;
+use egretgate_core::Error;
+use salvo::Response;
+use salvo::http::{HeaderName, HeaderValue, StatusCode, header};
+use serde::Serialize;
+
+/// Header that says whether a failed request was run.
+const RAN_HEADER: HeaderName = HeaderName::from_static("x-egret-ran");
+
+#[derive(Debug, Serialize)]
+struct ErrorBody<'a> {
+    error: ErrorFields<'a>,
+}
+
+#[derive(Debug, Serialize)]
+struct ErrorFields<'a> {
+    message: &'a str,
+    r#type: &'a str,
+    code: &'a str,
+    ran: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+/// Returns the JSON body that tells a caller of `error`.
+pub fn error_body(error: &Error) -> Bytes {
+    let answer = error.kind.answer();
+    let class = if answer.status < 500 { "invalid_request_error" } else { "server_error" };
+    let fields = ErrorFields {
+        message: &error.detail,
+        r#type: class,
+        code: answer.code,
+        ran: error.ran.as_str(),
+        retry_after_ms: error.after.map(|after| after.as_millis() as u64),
+    };
+    serde_json::to_vec(&ErrorBody { error: fields }).unwrap_or_default().into()
+}
+
+/// Returns the server-sent event that tells a caller that a stream was cut by `error`.
+pub fn error_event(error: &Error) -> Bytes {
+    let mut event = b"data: ".to_vec();
+    event.extend_from_slice(&error_body(error));
+    event.extend_from_slice(b"\n\n");
+    event.into()
+}
+
+/// Writes `error` as the whole response.
+pub(crate) fn write_error(error: &Error, response: &mut Response) {
+    let answer = error.kind.answer();
+    response.status_code(StatusCode::from_u16(answer.status).unwrap_or_default());
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(RAN_HEADER, HeaderValue::from_static(error.ran.as_str()));
+    if answer.retry {
+        let seconds = error.after.map_or(1, |after| after.as_millis().div_ceil(1000) as u64);
+        headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds.max(1)));
+    }
+    let _ = response.write_body(error_body(error));
+}
--- /dev/null
+++ b/crates/egretgate-caller/src/call.rs
@@ -0,0 +1,100 @@
+//! Messages between the HTTP server and the entry's tasks.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use egretgate_core::Error;
+use tokio::sync::{mpsc, oneshot};
+
+/// What the HTTP server asks of the entry.
+#[derive(Debug)]
+pub enum Ask {
+    /// Run a request.
+    Call(Box<Call>),
+    /// List the models that can be addressed.
+    Models(oneshot::Sender<Vec<String>>),
+}
+
+/// One request of a caller.
+#[derive(Debug)]
+pub struct Call {
+    /// Who asks.
+    pub credentials: Credentials,
+    /// Tier named by the caller.
+    pub tier: Option<String>,
+    /// What is addressed.
+    pub target: Target,
+    /// HTTP method.
+    pub method: String,
+    /// HTTP path and query.
+    pub path: String,
+    /// Content type of the body.
+    pub content_type: String,
+    /// Body, passed on unchanged.
+    pub body: Bytes,
+    /// True if the caller wants a stream of tokens.
+    pub stream: bool,
+    /// Estimated prompt length, in tokens.
+    pub prompt: u32,
+    /// Longest answer that the caller allows, in tokens.
+    pub output: Option<u32>,
+    /// Hash of the start of the prompt, for prefix affinity.
+    pub prefix: u64,
+    /// Idempotency key.
+    pub key: Option<String>,
+    /// Time that the caller allows.
+    pub deadline: Option<Duration>,
+    /// Where the answer goes. Closed when the caller is gone.
+    pub reply: mpsc::Sender<Reply>,
+}
+
+/// Who asks.
+#[derive(Clone, Default)]
+pub struct Credentials {
+    /// Bearer key. Never logged.
+    pub key: Option<String>,
+    /// Team named by a header.
+    pub team: Option<String>,
+}
+
+/// What a request addresses.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Target {
+    /// A model engine's route, by model name.
+    Model(String),
+    /// A plain service's route, by path.
+    Path(String),
+}
+
+/// Part of an answer, in order: [`Reply::Head`], any [`Reply::Data`], then [`Reply::End`]; or
+/// [`Reply::Failed`] at any place.
+#[derive(Debug)]
+pub enum Reply {
+    /// Start of the answer.
+    Head(Head),
+    /// Bytes of the answer.
+    Data(Bytes),
+    /// The answer is whole.
+    End,
+    /// The request failed, or its answer was cut.
+    Failed(Error),
+}
+
+/// Start of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Head {
+    /// HTTP status of the upstream.
+    pub status: u16,
+    /// Content type of the answer.
+    pub content_type: String,
+    /// Name of the request.
+    pub ticket: String,
+    /// Idempotency key in force, whether the caller's or minted.
+    pub key: Option<String>,
+}
+
+impl std::fmt::Debug for Credentials {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Credentials").field("team", &self.team).finish_non_exhaustive()
+    }
+}
--- a/crates/egretgate-caller/src/lib.rs
+++ b/crates/egretgate-caller/src/lib.rs
@@ -1,1 +1,25 @@
-//! Stub.
+//! HTTP towards callers: OpenAI-compatible completions, plain calls and the administration pages.
+//!
+//! The server turns each HTTP request into a [`Call`] and sends it to the entry's tasks; the
+//! answer comes back as [`Reply`] messages. Nothing is decided here.
+//!
+//! ```
+//! use egretgate_caller::Prompt;
+//!
+//! let body = br#"{"model":"forecast","prompt":"a season brief","max_tokens":64}"#;
+//! let prompt = Prompt::parse(body).expect("valid body");
+//! assert_eq!(prompt.model, "forecast");
+//! assert_eq!(prompt.output, Some(64));
+//! ```
+
+mod admin;
+mod answer;
+mod call;
+mod prompt;
+mod server;
+
+pub use admin::{AdminServer, Health};
+pub use answer::{error_body, error_event};
+pub use call::{Ask, Call, Credentials, Head, Reply, Target};
+pub use prompt::Prompt;
+pub use server::{CallerServer, Limits};
--- /dev/null
+++ b/crates/egretgate-caller/src/prompt.rs
@@ -0,0 +1,74 @@
+//! What the scheduler needs to know of a completion request's body.
+
+use egretgate_core::{Error, ErrorKind, Result};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Bytes of a prompt's start that decide its prefix affinity.
+const PREFIX_BYTES: usize = 256;
+/// Mean bytes of prompt text per token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// The scheduling view of a completion request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Prompt {
+    /// Model that the caller addresses.
+    pub model: String,
+    /// True if the caller wants a stream of tokens.
+    pub stream: bool,
+    /// Estimated prompt length, in tokens.
+    pub tokens: u32,
+    /// Longest answer that the caller allows, in tokens.
+    pub output: Option<u32>,
+    /// Hash of the prompt's start.
+    pub prefix: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Body<'a> {
+    model: String,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(borrow, default)]
+    prompt: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    messages: Option<&'a RawValue>,
+}
+
+impl Prompt {
+    /// Reads a completion or chat completion body.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::BadRequest`] if the body is not JSON of that shape. The error holds no part
+    /// of the body.
+    pub fn parse(body: &[u8]) -> Result<Self> {
+        let body: Body<'_> = serde_json::from_slice(body).map_err(|error| bad_json(&error))?;
+        let text = body.messages.or(body.prompt).map(RawValue::get);
+        let Some(text) = text else {
+            return Err(Error::new(ErrorKind::BadRequest, "neither messages nor prompt is given"));
+        };
+        let start = &text.as_bytes()[..text.len().min(PREFIX_BYTES)];
+        Ok(Self {
+            model: body.model,
+            stream: body.stream,
+            tokens: (text.len() / BYTES_PER_TOKEN).max(1) as u32,
+            output: body.max_completion_tokens.or(body.max_tokens),
+            prefix: xxh3_64(start),
+        })
+    }
+}
+
+fn bad_json(error: &serde_json::Error) -> Error {
+    let what = match error.classify() {
+        serde_json::error::Category::Data => "a field has the wrong type or is missing",
+        _ => "the body is not valid JSON",
+    };
+    let detail = format!("{what}, at line {} column {}", error.line(), error.column());
+    Error::new(ErrorKind::BadRequest, detail)
+}
--- /dev/null
+++ b/crates/egretgate-caller/src/server.rs
@@ -0,0 +1,283 @@
+//! The HTTP server that callers reach.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Bytes;
+use egretgate_core::{Error, ErrorKind, Result};
+use futures::stream;
+use salvo::conn::TcpListener;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::fuse::FuseConfig;
+use salvo::http::{HeaderMap, HeaderValue, ParseError, ResBody, StatusCode, header};
+use salvo::server::ServerHandle;
+use salvo::{Depot, FlowCtrl, Handler, Listener, Request, Response, Router, Server, async_trait};
+use serde::Serialize;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::answer::{error_event, write_error};
+use crate::call::{Ask, Call, Credentials, Head, Reply, Target};
+use crate::prompt::Prompt;
+
+/// Parts of an answer that may wait for a slow caller.
+const REPLY_DEPTH: usize = 64;
+const TEAM_HEADER: &str = "x-egret-team";
+const TIER_HEADER: &str = "x-egret-tier";
+const DEADLINE_HEADER: &str = "x-egret-deadline-ms";
+const KEY_HEADER: &str = "idempotency-key";
+const TICKET_HEADER: &str = "x-request-id";
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// Bounds on what a caller may use.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Largest body, in bytes.
+    pub body: usize,
+    /// Most concurrent connections.
+    pub connections: usize,
+    /// Longest time for a request's head, and again for its body.
+    pub receive: Duration,
+}
+
+/// A bound server for callers.
+pub struct CallerServer {
+    server: Server<TcpAcceptor>,
+    router: Router,
+    address: std::net::SocketAddr,
+}
+
+impl CallerServer {
+    /// Binds `address` and passes each request to `asks`.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the operating system when binding.
+    pub async fn bind(
+        address: std::net::SocketAddr,
+        limits: Limits,
+        asks: mpsc::Sender<Ask>,
+    ) -> io::Result<Self> {
+        let acceptor = TcpListener::new(address).try_bind().await.map_err(io::Error::other)?;
+        let address = acceptor.local_addr()?;
+        let fuse = FuseConfig::default().with_http1_header_timeout(limits.receive);
+        let server = Server::new(acceptor).fuse_config(fuse).max_connections(limits.connections);
+        let router = Router::new()
+            .push(Router::with_path("v1/models").get(Models { asks: asks.clone() }))
+            .push(Router::with_path("{**rest}").goal(Calls { asks, limits }));
+        Ok(Self { server, router, address })
+    }
+
+    /// Returns the bound address.
+    pub const fn address(&self) -> std::net::SocketAddr {
+        self.address
+    }
+
+    /// Returns the handle that stops the server.
+    pub fn handle(&self) -> ServerHandle {
+        self.server.handle()
+    }
+
+    /// Serves until stopped by the handle.
+    ///
+    /// # Errors
+    ///
+    /// Any error of the listening socket.
+    pub async fn serve(self) -> io::Result<()> {
+        self.server.try_serve(self.router).await
+    }
+}
+
+struct Models {
+    asks: mpsc::Sender<Ask>,
+}
+
+#[derive(Debug, Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<Model>,
+}
+
+#[derive(Debug, Serialize)]
+struct Model {
+    id: String,
+    object: &'static str,
+    owned_by: &'static str,
+}
+
+#[async_trait]
+impl Handler for Models {
+    async fn handle(
+        &self,
+        _request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        let (sender, receiver) = oneshot::channel();
+        let sent = self.asks.send(Ask::Models(sender)).await;
+        match (sent, receiver.await) {
+            (Ok(()), Ok(names)) => write_models(names, response),
+            _ => write_error(&stopping(), response),
+        }
+    }
+}
+
+fn write_models(names: Vec<String>, response: &mut Response) {
+    let data =
+        names.into_iter().map(|id| Model { id, object: "model", owned_by: "egretgate" }).collect();
+    let list = ModelList { object: "list", data };
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let _ = response.write_body(serde_json::to_vec(&list).unwrap_or_default());
+}
+
+struct Calls {
+    asks: mpsc::Sender<Ask>,
+    limits: Limits,
+}
+
+#[async_trait]
+impl Handler for Calls {
+    async fn handle(
+        &self,
+        request: &mut Request,
+        _depot: &mut Depot,
+        response: &mut Response,
+        _flow: &mut FlowCtrl,
+    ) {
+        if let Err(error) = self.run(request, response).await {
+            write_error(&error, response);
+        }
+    }
+}
+
+impl Calls {
+    async fn run(&self, request: &mut Request, response: &mut Response) -> Result<()> {
+        let body = self.read_body(request).await?;
+        let (reply, mut replies) = mpsc::channel(REPLY_DEPTH);
+        let call = build_call(request, body, reply)?;
+        self.asks.send(Ask::Call(Box::new(call))).await.map_err(|_| stopping())?;
+        match replies.recv().await {
+            Some(Reply::Head(head)) => {
+                write_head(&head, response);
+                response.replace_body(body_stream(replies, head.content_type));
+                Ok(())
+            }
+            Some(Reply::Failed(error)) => Err(error),
+            Some(Reply::Data(_) | Reply::End) | None => {
+                Err(Error::new(ErrorKind::Internal, "the request's task ended without an answer"))
+            }
+        }
+    }
+
+    async fn read_body(&self, request: &mut Request) -> Result<Bytes> {
+        let payload = request.payload_with_max_size(self.limits.body);
+        match tokio::time::timeout(self.limits.receive, payload).await {
+            Ok(Ok(body)) => Ok(body.clone()),
+            Ok(Err(ParseError::PayloadTooLarge)) => {
+                let detail = format!("the body is over {} bytes", self.limits.body);
+                Err(Error::new(ErrorKind::TooLarge, detail))
+            }
+            Ok(Err(_)) => Err(Error::new(ErrorKind::BadRequest, "the body was cut")),
+            Err(_) => Err(Error::new(ErrorKind::SlowRequest, "the body did not arrive in time")),
+        }
+    }
+}
+
+fn build_call(request: &Request, body: Bytes, reply: mpsc::Sender<Reply>) -> Result<Call> {
+    let headers = request.headers();
+    let path = request.uri().path();
+    let full = request.uri().path_and_query().map_or(path, |full| full.as_str());
+    let mut call = Call {
+        credentials: credentials(headers),
+        tier: text(headers, TIER_HEADER)?,
+        target: Target::Path(path.to_owned()),
+        method: request.method().as_str().to_owned(),
+        path: full.to_owned(),
+        content_type: text(headers, "content-type")?.unwrap_or_default(),
+        body,
+        stream: false,
+        prompt: 0,
+        output: None,
+        prefix: 0,
+        key: text(headers, KEY_HEADER)?,
+        deadline: deadline(headers)?,
+        reply,
+    };
+    if matches!(path, "/v1/completions" | "/v1/chat/completions") {
+        let prompt = Prompt::parse(&call.body)?;
+        call.target = Target::Model(prompt.model);
+        call.stream = prompt.stream;
+        call.prompt = prompt.tokens;
+        call.output = prompt.output;
+        call.prefix = prompt.prefix;
+    }
+    Ok(call)
+}
+
+fn credentials(headers: &HeaderMap) -> Credentials {
+    let key = headers
+        .get(header::AUTHORIZATION)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.strip_prefix("Bearer "))
+        .map(str::to_owned);
+    let team = headers.get(TEAM_HEADER).and_then(|value| value.to_str().ok()).map(str::to_owned);
+    Credentials { key, team }
+}
+
+fn text(headers: &HeaderMap, name: &'static str) -> Result<Option<String>> {
+    let Some(value) = headers.get(name) else { return Ok(None) };
+    match value.to_str() {
+        Ok(value) => Ok(Some(value.to_owned())),
+        Err(_) => Err(Error::new(ErrorKind::BadRequest, format!("header {name} is not text"))),
+    }
+}
+
+fn deadline(headers: &HeaderMap) -> Result<Option<Duration>> {
+    let Some(value) = text(headers, DEADLINE_HEADER)? else { return Ok(None) };
+    match value.parse::<u64>() {
+        Ok(ms) if ms > 0 => Ok(Some(Duration::from_millis(ms))),
+        _ => {
+            let detail = format!("header {DEADLINE_HEADER} is not a positive number");
+            Err(Error::new(ErrorKind::BadRequest, detail))
+        }
+    }
+}
+
+fn write_head(head: &Head, response: &mut Response) {
+    response.status_code(StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY));
+    let headers = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(&head.content_type) {
+        headers.insert(header::CONTENT_TYPE, value);
+    }
+    if let Ok(value) = HeaderValue::from_str(&head.ticket) {
+        headers.insert(TICKET_HEADER, value);
+    }
+    if let Some(Ok(value)) = head.key.as_deref().map(HeaderValue::from_str) {
+        headers.insert(KEY_HEADER, value);
+    }
+}
+
+/// Streams the rest of an answer. A cut event stream ends in an error event; any other cut body
+/// ends in a broken connection, so that it can't be taken for whole.
+fn body_stream(replies: mpsc::Receiver<Reply>, content_type: String) -> ResBody {
+    let events = content_type.starts_with(EVENT_STREAM);
+    let parts = stream::unfold(Some(replies), move |replies| async move {
+        let mut replies = replies?;
+        match replies.recv().await {
+            Some(Reply::Data(data)) => Some((Ok(data), Some(replies))),
+            Some(Reply::End) => None,
+            Some(Reply::Failed(error)) if events => Some((Ok(error_event(&error)), None)),
+            Some(Reply::Failed(error)) => Some((Err(io::Error::other(error)), None)),
+            Some(Reply::Head(_)) | None => {
+                Some((Err(io::Error::other("the answer was cut")), None))
+            }
+        }
+    });
+    ResBody::stream(parts)
+}
+
+fn stopping() -> Error {
+    Error::new(ErrorKind::Stopping, "the entry is shutting down")
+}
