--- /dev/null
+++ b/crates/egretgate-core/src/directory.rs
@@ -0,0 +1,180 @@
+//! Index over declarations: from a caller's words to a team, tier, route and service.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::declaration::{Declarations, Outage, RouteSpec, ServiceKind, TierSpec};
+use crate::error::{Error, ErrorKind, Result};
+use crate::ids::{RouteId, ServiceId, TeamId, Tier, VersionId};
+
+/// An index over [`Declarations`], rebuilt at each accepted change.
+#[derive(Debug, Clone, Default)]
+pub struct Directory {
+    declared: Declarations,
+    /// Team by hash of a bearer key. Every value names a declared team.
+    keys: HashMap<String, TeamId>,
+    /// Route by model. Every value names a declared route.
+    models: HashMap<String, RouteId>,
+    /// Path prefixes, longest first.
+    paths: Vec<PathRoute>,
+}
+
+#[derive(Debug, Clone)]
+struct PathRoute {
+    prefix: String,
+    route: RouteId,
+}
+
+/// How a caller names its team.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Claimed<'a> {
+    /// Lower-case hexadecimal BLAKE3 hash of the bearer key.
+    pub key: Option<&'a str>,
+    /// Team named without a key. Accepted only for teams that declare no keys.
+    pub team: Option<&'a str>,
+    /// Tier named by the caller.
+    pub tier: Option<&'a str>,
+}
+
+/// What a request addresses.
+#[derive(Debug, Clone, Copy)]
+pub enum Address<'a> {
+    /// A model name.
+    Model(&'a str),
+    /// A path.
+    Path(&'a str),
+}
+
+/// How a request is to be treated.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Plan {
+    /// Team that pays.
+    pub team: TeamId,
+    /// Share of the team relative to others.
+    pub weight: u32,
+    /// Most requests of the team in flight per entry; 0 sets no limit.
+    pub in_flight: u32,
+    /// Name of the tier.
+    pub tier_name: String,
+    /// Rank of the tier.
+    pub tier: Tier,
+    /// Objective of the tier.
+    pub objective: TierSpec,
+    /// Route.
+    pub route: RouteId,
+    /// Service behind the route.
+    pub service: ServiceId,
+    /// Kind of the service.
+    pub kind: ServiceKind,
+    /// Version in force when no move is under way.
+    pub version: VersionId,
+    /// True if the call may not be repeated.
+    pub once: bool,
+    /// What happens to such calls while the log is out.
+    pub outage: Outage,
+    /// Time for which idempotency keys are kept.
+    pub window: Duration,
+}
+
+impl Directory {
+    /// Returns the index over `declared`.
+    pub fn new(declared: Declarations) -> Self {
+        let mut keys = HashMap::new();
+        for (name, team) in &declared.teams {
+            for key in &team.keys {
+                keys.insert(key.clone(), name.clone());
+            }
+        }
+        let mut models = HashMap::new();
+        let mut paths = Vec::new();
+        for (name, route) in &declared.routes {
+            if let Some(model) = &route.model {
+                models.insert(model.clone(), name.clone());
+            }
+            if let Some(prefix) = &route.path {
+                paths.push(PathRoute { prefix: prefix.clone(), route: name.clone() });
+            }
+        }
+        paths.sort_by_key(|path| std::cmp::Reverse(path.prefix.len()));
+        Self { declared, keys, models, paths }
+    }
+
+    /// Returns the declarations under the index.
+    pub const fn declared(&self) -> &Declarations {
+        &self.declared
+    }
+
+    /// Returns the models that can be addressed, sorted.
+    pub fn models(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.models.keys().cloned().collect();
+        names.sort_unstable();
+        names
+    }
+
+    /// Resolves a request.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::UnknownTeam`], [`ErrorKind::UnknownTier`], [`ErrorKind::UnknownModel`] or
+    /// [`ErrorKind::UnknownRoute`].
+    pub fn resolve(&self, claimed: Claimed<'_>, address: Address<'_>) -> Result<Plan> {
+        let team_name = self.find_team(claimed)?;
+        let team = &self.declared.teams[team_name];
+        let tier_name = claimed.tier.unwrap_or(&team.tier);
+        let open = tier_name == team.tier || team.tiers.iter().any(|tier| tier == tier_name);
+        let tier = self.declared.tiers.get(tier_name).filter(|_| open);
+        let Some(tier) = tier else {
+            return Err(Error::new(ErrorKind::UnknownTier, "no such tier is open to the team"));
+        };
+        let (route_name, route) = self.find_route(address)?;
+        let Some(service) = self.declared.services.get(&route.service) else {
+            return Err(Error::new(ErrorKind::UnknownRoute, "the route's service is not declared"));
+        };
+        Ok(Plan {
+            team: team_name.clone(),
+            weight: team.weight,
+            in_flight: team.in_flight,
+            tier_name: tier_name.to_owned(),
+            tier: tier.rank,
+            objective: tier.clone(),
+            route: route_name.clone(),
+            service: route.service.clone(),
+            kind: service.kind,
+            version: service.version.clone(),
+            once: route.once,
+            outage: route.outage,
+            window: route.window(),
+        })
+    }
+
+    fn find_team(&self, claimed: Claimed<'_>) -> Result<&TeamId> {
+        let unknown = || Error::new(ErrorKind::UnknownTeam, "no declared team matches");
+        if let Some(key) = claimed.key {
+            return self.keys.get(key).ok_or_else(unknown);
+        }
+        let name = claimed.team.ok_or_else(unknown)?;
+        match self.declared.teams.get_key_value(name) {
+            Some((name, team)) if team.keys.is_empty() => Ok(name),
+            _ => Err(unknown()),
+        }
+    }
+
+    fn find_route(&self, address: Address<'_>) -> Result<(&RouteId, &RouteSpec)> {
+        let name = match address {
+            Address::Model(model) => self
+                .models
+                .get(model)
+                .ok_or_else(|| Error::new(ErrorKind::UnknownModel, "no route serves the model"))?,
+            Address::Path(path) => self
+                .paths
+                .iter()
+                .find(|candidate| path.starts_with(&candidate.prefix))
+                .map(|found| &found.route)
+                .ok_or_else(|| Error::new(ErrorKind::UnknownRoute, "no route has the path"))?,
+        };
+        self.declared
+            .routes
+            .get_key_value(name)
+            .ok_or_else(|| Error::new(ErrorKind::UnknownRoute, "no such route is declared"))
+    }
+}
--- a/crates/egretgate-core/src/lib.rs
+++ b/crates/egretgate-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod choice;
 pub mod declaration;
 pub mod diff;
+pub mod directory;
 mod error;
 pub mod fold;
 pub mod gate;
--- /dev/null
+++ b/crates/egretgate/src/entry/link.rs
@@ -0,0 +1,385 @@
+//! The task that owns one connection to a side process.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use egretgate_core::{ErrorKind, Incarnation, Ticket};
+use egretgate_link::Codec;
+use egretgate_link::message::{
+    Chunk, Credit, Deaths, End, Heartbeat, Hello, Load, Offer, Query, Records, Refused,
+    SnapshotAsk, Standing, TicketId, ToEntry, ToSide, Welcome, Withdraw, to_entry, to_side,
+};
+use futures::{SinkExt, StreamExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use tokio_util::codec::Framed;
+
+use crate::entry::fleet::{FleetMessage, LinkKey};
+
+/// Time allowed for connecting and for the first answer.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Shortest pause between two tries to connect.
+const RECONNECT_MIN: Duration = Duration::from_millis(20);
+/// Longest pause between two tries to connect.
+const RECONNECT_MAX: Duration = Duration::from_secs(2);
+/// Time after a cut within which open requests may still be found again.
+const RECOVERY_WINDOW: Duration = Duration::from_millis(1500);
+/// Pause between two heartbeats of the entry.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+/// Silence after which a connection counts as cut.
+const SILENCE: Duration = Duration::from_secs(6);
+/// Depth of a link's message channel.
+pub(crate) const LINK_DEPTH: usize = 1024;
+/// Chunks that a side process may send ahead of credit.
+pub(crate) const CREDIT_WINDOW: u32 = 64;
+/// Depth of a request's event channel: the credit window and the frames around it.
+pub(crate) const EVENT_DEPTH: usize = CREDIT_WINDOW as usize * 2 + 8;
+
+type Connection = Framed<TcpStream, Codec<ToEntry, ToSide>>;
+
+/// What the entry's tasks ask of a link.
+#[derive(Debug)]
+pub(crate) enum LinkMessage {
+    /// Offer a request; its events go to `events`.
+    Offer { offer: Offer, events: mpsc::Sender<Event> },
+    /// Take a request back, or cancel it.
+    Withdraw(Ticket),
+    /// Allow more chunks.
+    Credit { ticket: Ticket, chunks: u32 },
+    /// The request has ended for its owner.
+    Forget(Ticket),
+    /// Tell the side process of the entry's offset.
+    Heartbeat(Heartbeat),
+    /// Configuration records that the side process asked for.
+    Records(Records),
+    /// Ask for the side process's configuration state.
+    Snapshot,
+    /// Close the link for good.
+    Stop,
+}
+
+/// What a request learns from its link.
+#[derive(Debug)]
+pub(crate) enum Event {
+    /// It waits.
+    Queued,
+    /// It counts as dispatched.
+    Started { version: String },
+    /// Proven not run by this side process.
+    Refused { kind: ErrorKind, after: Option<Duration> },
+    /// Part of the answer.
+    Chunk(Chunk),
+    /// The end of the answer.
+    End(End),
+    /// The connection is gone and nothing more can be learned.
+    Lost,
+}
+
+/// Who the entry is, for the first frame.
+#[derive(Debug, Clone)]
+pub(crate) struct Identity {
+    /// Shared token of the links.
+    pub token: String,
+    /// Life of the entry.
+    pub incarnation: Incarnation,
+    /// Instance name.
+    pub instance: String,
+    /// Place.
+    pub place: String,
+}
+
+/// A link to one side process.
+#[derive(Debug)]
+pub(crate) struct Link {
+    key: LinkKey,
+    address: SocketAddr,
+    identity: Identity,
+    messages: mpsc::Receiver<LinkMessage>,
+    fleet: mpsc::Sender<FleetMessage>,
+    /// Requests offered and not yet forgotten.
+    open: HashMap<Ticket, OpenRequest>,
+    /// Life of the side process on the last connection.
+    peer: Option<Incarnation>,
+    /// When the last connection was cut; `None` while connected or before the first.
+    cut: Option<Instant>,
+}
+
+#[derive(Debug)]
+struct OpenRequest {
+    events: mpsc::Sender<Event>,
+    /// Index of the first chunk not yet received.
+    next: u64,
+}
+
+enum Closed {
+    Cut,
+    Stopped,
+}
+
+impl Link {
+    /// Returns a link to the side process at `address`.
+    pub(crate) fn new(
+        key: LinkKey,
+        address: SocketAddr,
+        identity: Identity,
+        messages: mpsc::Receiver<LinkMessage>,
+        fleet: mpsc::Sender<FleetMessage>,
+    ) -> Self {
+        Self {
+            key,
+            address,
+            identity,
+            messages,
+            fleet,
+            open: HashMap::new(),
+            peer: None,
+            cut: None,
+        }
+    }
+
+    /// Keeps the link up until told to stop.
+    pub(crate) async fn run(mut self) {
+        let mut pause = RECONNECT_MIN;
+        loop {
+            match self.connect().await {
+                Some((connection, welcome)) => {
+                    pause = RECONNECT_MIN;
+                    if matches!(self.serve(connection, welcome).await, Closed::Stopped) {
+                        break;
+                    }
+                    self.cut = Some(Instant::now());
+                    let _ = self.fleet.send(FleetMessage::Down(self.key)).await;
+                }
+                None if self.wait(pause).await => {
+                    pause = (pause * 2).min(RECONNECT_MAX);
+                }
+                None => break,
+            }
+        }
+        self.lose_all();
+    }
+
+    async fn connect(&self) -> Option<(Connection, Welcome)> {
+        let attempt = async {
+            let stream = TcpStream::connect(self.address).await.ok()?;
+            stream.set_nodelay(true).ok()?;
+            let mut connection = Framed::new(stream, Codec::new());
+            let hello = Hello {
+                token: self.identity.token.clone(),
+                incarnation: self.identity.incarnation,
+                instance: self.identity.instance.clone(),
+                place: self.identity.place.clone(),
+            };
+            connection.send(to_side::Body::Hello(hello).into()).await.ok()?;
+            match connection.next().await?.ok()?.body? {
+                to_entry::Body::Welcome(welcome) => Some((connection, welcome)),
+                _ => None,
+            }
+        };
+        timeout(CONNECT_TIMEOUT, attempt).await.ok().flatten()
+    }
+
+    /// Waits before the next try. Returns false if the link is to stop.
+    async fn wait(&mut self, pause: Duration) -> bool {
+        let until = Instant::now() + pause;
+        loop {
+            if self.cut.is_some_and(|cut| cut.elapsed() > RECOVERY_WINDOW) {
+                self.lose_all();
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            tokio::select! {
+                () = sleep(left) => return true,
+                message = self.messages.recv() => match message {
+                    Some(LinkMessage::Stop) | None => return false,
+                    Some(message) => self.handle_unconnected(message),
+                },
+            }
+        }
+    }
+
+    /// An offer that was never written is proven not run.
+    fn handle_unconnected(&mut self, message: LinkMessage) {
+        match message {
+            LinkMessage::Offer { events, .. } => {
+                let event = Event::Refused { kind: ErrorKind::NoUpstream, after: None };
+                let _ = events.try_send(event);
+            }
+            LinkMessage::Forget(ticket) => {
+                self.open.remove(&ticket);
+            }
+            _ => {}
+        }
+    }
+
+    async fn serve(&mut self, mut connection: Connection, welcome: Welcome) -> Closed {
+        if self.recover(&mut connection, welcome.incarnation).await.is_none() {
+            return Closed::Cut;
+        }
+        self.cut = None;
+        let _ = self.fleet.send(FleetMessage::Up { key: self.key, welcome }).await;
+        let mut silence = interval(HEARTBEAT);
+        silence.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut heard = Instant::now();
+        loop {
+            tokio::select! {
+                frame = connection.next() => match frame {
+                    Some(Ok(frame)) => {
+                        heard = Instant::now();
+                        self.handle_frame(frame).await;
+                    }
+                    Some(Err(_)) | None => return Closed::Cut,
+                },
+                message = self.messages.recv() => match message {
+                    Some(LinkMessage::Stop) | None => return Closed::Stopped,
+                    Some(message) => {
+                        if self.handle_message(&mut connection, message).await.is_none() {
+                            return Closed::Cut;
+                        }
+                    }
+                },
+                _ = silence.tick() => {
+                    if heard.elapsed() > SILENCE {
+                        return Closed::Cut;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Asks for the state of each open request. Returns `None` if the connection was cut again.
+    async fn recover(&mut self, connection: &mut Connection, peer: Incarnation) -> Option<()> {
+        if self.peer.is_some_and(|known| known != peer) {
+            self.lose_all();
+        }
+        self.peer = Some(peer);
+        for (ticket, request) in &self.open {
+            let query = Query { ticket: Some((*ticket).into()), next: request.next };
+            connection.feed(to_side::Body::Query(query).into()).await.ok()?;
+        }
+        connection.flush().await.ok()
+    }
+
+    /// Returns `None` if the frame could not be written.
+    async fn handle_message(
+        &mut self,
+        connection: &mut Connection,
+        message: LinkMessage,
+    ) -> Option<()> {
+        let body = match message {
+            LinkMessage::Offer { offer, events } => {
+                let ticket = Ticket::from(offer.ticket.unwrap_or_default());
+                self.open.insert(ticket, OpenRequest { events, next: 0 });
+                to_side::Body::Offer(offer)
+            }
+            LinkMessage::Withdraw(ticket) => {
+                to_side::Body::Withdraw(Withdraw { ticket: Some(ticket.into()) })
+            }
+            LinkMessage::Credit { ticket, chunks } => {
+                to_side::Body::Credit(Credit { ticket: Some(ticket.into()), chunks })
+            }
+            LinkMessage::Forget(ticket) => {
+                self.open.remove(&ticket);
+                return Some(());
+            }
+            LinkMessage::Heartbeat(heartbeat) => to_side::Body::Heartbeat(heartbeat),
+            LinkMessage::Records(records) => to_side::Body::Records(records),
+            LinkMessage::Snapshot => to_side::Body::SnapshotAsk(SnapshotAsk {}),
+            LinkMessage::Stop => return None,
+        };
+        connection.send(body.into()).await.ok()
+    }
+
+    async fn handle_frame(&mut self, frame: ToEntry) {
+        let Some(body) = frame.body else { return };
+        match body {
+            to_entry::Body::Welcome(_) => {}
+            to_entry::Body::Queued(queued) => self.notify(queued.ticket, Event::Queued),
+            to_entry::Body::Started(started) => {
+                self.notify(started.ticket, Event::Started { version: started.version });
+            }
+            to_entry::Body::Refused(refused) => self.handle_refused(refused).await,
+            to_entry::Body::Chunk(chunk) => self.handle_chunk(chunk),
+            to_entry::Body::End(mut end) => {
+                self.report_load(end.load.take()).await;
+                self.notify(end.ticket, Event::End(end));
+            }
+            to_entry::Body::TicketState(state) => self.handle_state(&state),
+            to_entry::Body::Load(load) => self.report_load(Some(load)).await,
+            to_entry::Body::Goodbye(_) => self.tell(FleetMessage::Leaving(self.key)).await,
+            to_entry::Body::Deaths(deaths) => self.handle_deaths(deaths).await,
+            to_entry::Body::RecordsAsk(ask) => {
+                self.tell(FleetMessage::RecordsAsk { key: self.key, from: ask.from }).await;
+            }
+            to_entry::Body::Snapshot(snapshot) => self.handle_snapshot(snapshot.state).await,
+        }
+    }
+
+    async fn handle_refused(&mut self, mut refused: Refused) {
+        self.report_load(refused.load.take()).await;
+        let kind = ErrorKind::from_code(&refused.code).unwrap_or(ErrorKind::Overloaded);
+        let after = (refused.after_ms > 0).then(|| Duration::from_millis(refused.after_ms));
+        self.notify(refused.ticket, Event::Refused { kind, after });
+    }
+
+    fn handle_chunk(&mut self, chunk: Chunk) {
+        let ticket = Ticket::from(chunk.ticket.unwrap_or_default());
+        if let Some(request) = self.open.get_mut(&ticket)
+            && chunk.index == request.next
+        {
+            request.next += 1;
+        }
+        self.notify(chunk.ticket, Event::Chunk(chunk));
+    }
+
+    /// Acts on the answer to a query, unless another life of the side process gave it.
+    fn handle_state(&mut self, state: &egretgate_link::message::TicketState) {
+        if self.peer != Some(state.incarnation) {
+            return self.notify(state.ticket, Event::Lost);
+        }
+        match state.standing() {
+            Standing::Queued | Standing::Running => {}
+            Standing::Unseen | Standing::Refused => {
+                let event = Event::Refused { kind: ErrorKind::NoUpstream, after: None };
+                self.notify(state.ticket, event);
+            }
+            Standing::Ended => self.notify(state.ticket, Event::Lost),
+        }
+    }
+
+    async fn handle_deaths(&self, deaths: Deaths) {
+        self.tell(FleetMessage::Deaths { key: self.key, deaths }).await;
+    }
+
+    async fn handle_snapshot(&self, state: Bytes) {
+        self.tell(FleetMessage::Snapshot { key: self.key, state }).await;
+    }
+
+    async fn report_load(&self, load: Option<Load>) {
+        if let Some(load) = load {
+            self.tell(FleetMessage::Load { key: self.key, load }).await;
+        }
+    }
+
+    async fn tell(&self, message: FleetMessage) {
+        let _ = self.fleet.send(message).await;
+    }
+
+    /// Passes an event on. A request whose channel overflows is lost: its side process sent more
+    /// than it had credit for.
+    fn notify(&mut self, ticket: Option<TicketId>, event: Event) {
+        let ticket = Ticket::from(ticket.unwrap_or_default());
+        let Some(request) = self.open.get(&ticket) else { return };
+        if request.events.try_send(event).is_err() {
+            self.open.remove(&ticket);
+        }
+    }
+
+    fn lose_all(&mut self) {
+        for (_, request) in self.open.drain() {
+            let _ = request.events.try_send(Event::Lost);
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretside/src/conn.rs
@@ -0,0 +1,97 @@
+//! The task that owns one connection from an entry.
+
+use std::time::Duration;
+
+use egretgate_core::Incarnation;
+use egretgate_link::Codec;
+use egretgate_link::message::{Hello, ToEntry, ToSide, Welcome, to_entry, to_side};
+use futures::stream::{SplitSink, SplitStream};
+use futures::{SinkExt, StreamExt};
+use subtle::ConstantTimeEq;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+use crate::desk::DeskMessage;
+
+/// Time allowed for the first frame of a connection.
+const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
+/// Frames that may wait for a connection.
+const FRAME_DEPTH: usize = 1024;
+/// Frames written before a flush.
+const WRITE_BATCH: usize = 64;
+
+type Connection = Framed<TcpStream, Codec<ToSide, ToEntry>>;
+
+/// Serves one connection until it is cut.
+pub(crate) async fn serve(stream: TcpStream, token: String, desk: mpsc::Sender<DeskMessage>) {
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let mut connection = Framed::new(stream, Codec::new());
+    let Some(hello) = read_hello(&mut connection, &token).await else { return };
+    let (frames, outgoing) = mpsc::channel(FRAME_DEPTH);
+    let Some(welcome) = attach(&hello, frames, &desk).await else { return };
+    let (mut sink, stream) = connection.split();
+    if sink.send(to_entry::Body::Welcome(welcome).into()).await.is_ok() {
+        tokio::select! {
+            () = write_frames(sink, outgoing) => {}
+            () = read_frames(stream, hello.incarnation, &desk) => {}
+        }
+    }
+    let _ = desk.send(DeskMessage::Detach(hello.incarnation)).await;
+}
+
+/// Returns the first frame if it is a greeting with the right token.
+async fn read_hello(connection: &mut Connection, token: &str) -> Option<Hello> {
+    let frame = timeout(HELLO_TIMEOUT, connection.next()).await.ok()??.ok()?;
+    match frame.body? {
+        to_side::Body::Hello(hello) => {
+            let same: bool = hello.token.as_bytes().ct_eq(token.as_bytes()).into();
+            same.then_some(hello)
+        }
+        _ => None,
+    }
+}
+
+async fn attach(
+    hello: &Hello,
+    frames: mpsc::Sender<ToEntry>,
+    desk: &mpsc::Sender<DeskMessage>,
+) -> Option<Welcome> {
+    let (reply, welcome) = oneshot::channel();
+    let message = DeskMessage::Attach { entry: hello.incarnation, frames, reply };
+    desk.send(message).await.ok()?;
+    welcome.await.ok()
+}
+
+async fn write_frames(
+    mut sink: SplitSink<Connection, ToEntry>,
+    mut outgoing: mpsc::Receiver<ToEntry>,
+) {
+    let mut batch = Vec::with_capacity(WRITE_BATCH);
+    while outgoing.recv_many(&mut batch, WRITE_BATCH).await > 0 {
+        for frame in batch.drain(..) {
+            if sink.feed(frame).await.is_err() {
+                return;
+            }
+        }
+        if sink.flush().await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read_frames(
+    mut stream: SplitStream<Connection>,
+    entry: Incarnation,
+    desk: &mpsc::Sender<DeskMessage>,
+) {
+    while let Some(Ok(frame)) = stream.next().await {
+        let Some(body) = frame.body else { continue };
+        if desk.send(DeskMessage::Frame { entry, body }).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretside/src/outbox.rs
@@ -0,0 +1,146 @@
+//! Frames of one answer on their way to the entry, kept until the entry has taken them.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use egretgate_core::Ticket;
+use egretgate_link::message::{Chunk, ToEntry, to_entry};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// Time for which an answer is kept while its entry is cut off.
+pub(crate) const CUT_GRACE: Duration = Duration::from_secs(3);
+/// Time allowed for handing one frame to the connection.
+const SEND_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest part of an answer in one frame, in bytes.
+const CHUNK_BYTES: usize = 64 << 10;
+
+/// The sending side of one answer.
+#[derive(Debug)]
+pub(crate) struct Outbox {
+    ticket: Ticket,
+    frames: mpsc::Sender<ToEntry>,
+    /// Chunks sent and not yet credited; the front has index `acked`.
+    history: VecDeque<Bytes>,
+    /// Chunks that the entry has taken. Never above `next`.
+    acked: u64,
+    /// Index of the next chunk.
+    next: u64,
+    /// Chunks that may be outstanding; at least 1.
+    window: u64,
+    /// When the entry's connection was lost; `None` while it is attached.
+    lost: Option<Instant>,
+    status: u16,
+    content_type: String,
+}
+
+impl Outbox {
+    /// Returns an outbox that sends at most `window` chunks ahead of credit.
+    pub(crate) fn new(ticket: Ticket, frames: mpsc::Sender<ToEntry>, window: u32) -> Self {
+        Self {
+            ticket,
+            frames,
+            history: VecDeque::new(),
+            acked: 0,
+            next: 0,
+            window: window.max(1).into(),
+            lost: None,
+            status: 0,
+            content_type: String::new(),
+        }
+    }
+
+    /// Sets what the first chunk tells of the answer.
+    pub(crate) fn set_head(&mut self, status: u16, content_type: String) {
+        self.status = status;
+        self.content_type = content_type;
+    }
+
+    pub(crate) const fn ticket(&self) -> Ticket {
+        self.ticket
+    }
+
+    pub(crate) const fn status(&self) -> u16 {
+        self.status
+    }
+
+    /// Returns the number of chunks so far.
+    pub(crate) const fn chunks(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns whether another chunk may be sent.
+    pub(crate) const fn open(&self) -> bool {
+        self.next - self.acked < self.window
+    }
+
+    /// Returns whether the entry has taken every chunk over a standing connection.
+    pub(crate) const fn settled(&self) -> bool {
+        self.acked == self.next && self.lost.is_none()
+    }
+
+    /// Returns when to give the entry up; `None` while it is attached.
+    pub(crate) fn give_up(&self) -> Option<Instant> {
+        self.lost.map(|lost| lost + CUT_GRACE)
+    }
+
+    /// Drops the chunks that the entry has taken.
+    pub(crate) fn credit(&mut self, chunks: u32) {
+        for _ in 0..chunks {
+            if self.history.pop_front().is_none() {
+                return;
+            }
+            self.acked += 1;
+        }
+    }
+
+    /// Sends again, over another connection, what the entry lacks from chunk `from` on. Returns
+    /// false if that was dropped already.
+    pub(crate) async fn resume(&mut self, frames: mpsc::Sender<ToEntry>, from: u64) -> bool {
+        if from < self.acked || from > self.next {
+            return false;
+        }
+        self.frames = frames;
+        self.lost = None;
+        self.credit((from - self.acked) as u32);
+        let chunks: Vec<Bytes> = self.history.iter().cloned().collect();
+        for (index, data) in (from..).zip(chunks) {
+            self.send_chunk(index, data).await;
+        }
+        true
+    }
+
+    /// Sends `data` in chunks of bounded size.
+    pub(crate) async fn push(&mut self, mut data: Bytes) {
+        while !data.is_empty() {
+            let part = data.split_to(data.len().min(CHUNK_BYTES));
+            let index = self.next;
+            self.next += 1;
+            self.history.push_back(part.clone());
+            self.send_chunk(index, part).await;
+        }
+    }
+
+    /// Sends one frame, or notes that the connection was lost.
+    pub(crate) async fn send(&mut self, body: to_entry::Body) {
+        if self.lost.is_some() {
+            return;
+        }
+        if !matches!(timeout(SEND_TIMEOUT, self.frames.send(body.into())).await, Ok(Ok(()))) {
+            self.lost = Some(Instant::now());
+        }
+    }
+
+    async fn send_chunk(&mut self, index: u64, data: Bytes) {
+        let first = index == 0;
+        let chunk = Chunk {
+            ticket: Some(self.ticket.into()),
+            index,
+            data,
+            status: if first { self.status.into() } else { 0 },
+            content_type: if first { self.content_type.clone() } else { String::new() },
+        };
+        self.send(to_entry::Body::Chunk(chunk)).await;
+    }
+}
--- /dev/null
+++ b/crates/egretside/src/run.rs
@@ -0,0 +1,211 @@
+//! One started request: calls the upstream and streams its answer to the entry.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use egretgate_core::{ErrorKind, Ticket};
+use egretgate_link::message::{End, Load, Offer, Refused, Started, ToEntry, to_entry};
+use tokio::sync::mpsc;
+use tokio::time::{sleep_until, timeout};
+
+use crate::outbox::{CUT_GRACE, Outbox};
+use crate::upstream::{AnswerBody, Failure, Meter, Upstream};
+
+/// Depth of a run's control channel.
+const CONTROL_DEPTH: usize = 64;
+
+/// Orders to a running request.
+#[derive(Debug)]
+pub(crate) enum Control {
+    /// The entry took this many more chunks.
+    Credit(u32),
+    /// The entry came back on another connection and lacks the chunks from `next` on.
+    Resume { frames: mpsc::Sender<ToEntry>, next: u64 },
+    /// The caller is gone: stop the upstream.
+    Cancel,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Finish {
+    /// The upstream gave a whole answer.
+    Whole,
+    /// The upstream answered with a server error.
+    Failed,
+    /// No byte was written to the upstream.
+    NotSent,
+    /// The upstream broke the answer off, or never gave one.
+    Cut,
+    /// Cancelled on request of the entry, or for want of it.
+    Cancelled,
+}
+
+/// What a run measured.
+#[derive(Debug, Clone)]
+pub(crate) struct Report {
+    /// Name of the request.
+    pub ticket: Ticket,
+    /// How it ended.
+    pub finish: Finish,
+    /// Time from dispatch to the first byte of the answer.
+    pub first: Option<Duration>,
+    /// Mean time between tokens of a streamed answer.
+    pub between: Option<Duration>,
+    /// Tokens generated.
+    pub tokens: u32,
+}
+
+/// A request that is being run.
+#[derive(Debug)]
+pub(crate) struct Run {
+    offer: Offer,
+    upstream: Upstream,
+    outbox: Outbox,
+    control: mpsc::Receiver<Control>,
+    finish: Finish,
+}
+
+enum Step {
+    Control(Option<Control>),
+    Data(Option<Result<Bytes, Failure>>),
+    Abandoned,
+}
+
+impl Run {
+    /// Returns a run and the sender that controls it.
+    pub(crate) fn new(
+        ticket: Ticket,
+        offer: Offer,
+        upstream: Upstream,
+        frames: mpsc::Sender<ToEntry>,
+    ) -> (Self, mpsc::Sender<Control>) {
+        let (sender, control) = mpsc::channel(CONTROL_DEPTH);
+        let outbox = Outbox::new(ticket, frames, offer.credit);
+        (Self { offer, upstream, outbox, control, finish: Finish::Cancelled }, sender)
+    }
+
+    /// Calls the upstream and streams its answer. The final frame waits for [`Run::deliver`].
+    pub(crate) async fn run(&mut self) -> Report {
+        let ticket = self.outbox.ticket();
+        let version = self.upstream.version().to_owned();
+        let started = Started { ticket: Some(ticket.into()), version };
+        self.outbox.send(to_entry::Body::Started(started)).await;
+        let mut meter = Meter::new(Instant::now());
+        self.finish = match self.call().await {
+            Ok(answer) => {
+                self.outbox.set_head(answer.status, answer.content_type);
+                self.stream(answer.body, &mut meter).await
+            }
+            Err(failure) => failure.into(),
+        };
+        Report {
+            ticket,
+            finish: self.finish,
+            first: meter.first(),
+            between: meter.between(),
+            tokens: meter.tokens(),
+        }
+    }
+
+    /// Sends the last frame with `load`, and again after a cut, until the entry has all of the
+    /// answer or is given up.
+    pub(crate) async fn deliver(mut self, load: Load) {
+        let last = self.last_frame(load);
+        let deadline = Instant::now() + CUT_GRACE;
+        self.outbox.send(last.clone()).await;
+        while !self.outbox.settled() {
+            let left = deadline.saturating_duration_since(Instant::now());
+            match timeout(left, self.control.recv()).await {
+                Ok(Some(Control::Credit(chunks))) => self.outbox.credit(chunks),
+                Ok(Some(Control::Resume { frames, next })) => {
+                    self.outbox.resume(frames, next).await;
+                    self.outbox.send(last.clone()).await;
+                }
+                Ok(Some(Control::Cancel) | None) | Err(_) => return,
+            }
+        }
+    }
+
+    async fn call(&mut self) -> Result<crate::upstream::Answer, Failure> {
+        let call = self.upstream.call(self.outbox.ticket(), &self.offer);
+        tokio::pin!(call);
+        loop {
+            tokio::select! {
+                answer = &mut call => return answer,
+                control = self.control.recv() => match control {
+                    Some(Control::Credit(chunks)) => self.outbox.credit(chunks),
+                    Some(Control::Resume { frames, next }) => {
+                        self.outbox.resume(frames, next).await;
+                    }
+                    Some(Control::Cancel) | None => return Err(Failure::Cancelled),
+                },
+            }
+        }
+    }
+
+    async fn stream(&mut self, mut body: AnswerBody, meter: &mut Meter) -> Finish {
+        loop {
+            match self.step(&mut body).await {
+                Step::Control(Some(Control::Credit(chunks))) => self.outbox.credit(chunks),
+                Step::Control(Some(Control::Resume { frames, next })) => {
+                    if !self.outbox.resume(frames, next).await {
+                        return Finish::Cancelled;
+                    }
+                }
+                Step::Control(Some(Control::Cancel) | None) | Step::Abandoned => {
+                    return Finish::Cancelled;
+                }
+                Step::Data(Some(Ok(data))) => {
+                    meter.record(&data, Instant::now());
+                    self.outbox.push(data).await;
+                }
+                Step::Data(Some(Err(failure))) => return failure.into(),
+                Step::Data(None) if self.outbox.status() >= 500 => return Finish::Failed,
+                Step::Data(None) => return Finish::Whole,
+            }
+        }
+    }
+
+    async fn step(&mut self, body: &mut AnswerBody) -> Step {
+        let open = self.outbox.open();
+        let give_up = self.outbox.give_up();
+        let abandoned = sleep_until(give_up.unwrap_or_else(Instant::now).into());
+        tokio::select! {
+            control = self.control.recv() => Step::Control(control),
+            data = body.next(), if open => Step::Data(data),
+            () = abandoned, if give_up.is_some() => Step::Abandoned,
+        }
+    }
+
+    fn last_frame(&self, load: Load) -> to_entry::Body {
+        let ticket = Some(self.outbox.ticket().into());
+        let code = match self.finish {
+            Finish::Whole | Finish::Failed => "",
+            Finish::Cut => ErrorKind::AnswerCut.code(),
+            Finish::Cancelled => ErrorKind::CallerGone.code(),
+            Finish::NotSent => {
+                let code = ErrorKind::NoUpstream.code().to_owned();
+                let refused = Refused { ticket, code, after_ms: 0, load: Some(load) };
+                return to_entry::Body::Refused(refused);
+            }
+        };
+        to_entry::Body::End(End {
+            ticket,
+            chunks: self.outbox.chunks(),
+            code: code.to_owned(),
+            tokens: 0,
+            load: Some(load),
+            status: self.outbox.status().into(),
+        })
+    }
+}
+
+impl From<Failure> for Finish {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::NotSent => Self::NotSent,
+            Failure::Cut => Self::Cut,
+            Failure::Cancelled => Self::Cancelled,
+        }
+    }
+}
