--- /dev/null
+++ b/crates/egretside/src/desk.rs
@@ -0,0 +1,399 @@
+//! The task that owns the queue, the limits and every ticket of the side process.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use egretgate_core::declaration::ServiceKind;
+use egretgate_core::limit::Lengths;
+use egretgate_core::queue::{GivenUp, Held, Offered, Queue, QueueOptions, Work};
+use egretgate_core::{
+    Digest, Error, ErrorKind, Incarnation, PlaceId, ServiceId, Ticket, Tier, UpstreamId,
+};
+use egretgate_link::message::{
+    Deaths, Goodbye, Load, Offer, Queued, Refused, Snapshot, Standing, TicketId, TicketState,
+    Welcome, to_entry, to_side,
+};
+use rand_chacha::ChaCha8Rng;
+use slog::{Logger, info, warn};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval, sleep_until};
+
+use crate::engines::{EngineKey, Engines, PROBE_PAUSE, Verdict};
+use crate::entries::{ConnectionId, Entries, Peer};
+use crate::feed::Feed;
+use crate::run::{Control, Finish, Report, Run};
+use crate::samples::Samples;
+use crate::standings::Standings;
+
+/// Depth of the desk's message channel.
+pub(crate) const DESK_DEPTH: usize = 4096;
+/// Pause between two rounds of upkeep.
+const TICK: Duration = Duration::from_millis(250);
+/// Time within which a reported death must be in the log, or it is reported to another entry.
+const DEATH_CONFIRM: Duration = Duration::from_secs(2);
+/// Budget of the side process for heartbeats to all entries, in bytes per second.
+const HEARTBEAT_BUDGET: f64 = 2048.0;
+/// Size of a heartbeat on the wire without samples, in bytes.
+const HEARTBEAT_BYTES: f64 = 64.0;
+/// Shortest pause between two heartbeats to one entry.
+const HEARTBEAT_MIN: Duration = Duration::from_millis(500);
+
+/// What the desk is told.
+#[derive(Debug)]
+pub(crate) enum DeskMessage {
+    /// An entry has connected.
+    Attach { entry: Incarnation, peer: Peer, reply: oneshot::Sender<Attached> },
+    /// A connection is gone.
+    Detach { entry: Incarnation, id: ConnectionId },
+    /// A frame of an entry.
+    Frame { entry: Incarnation, body: to_side::Body },
+    /// Times measured while a request runs.
+    Pace { ticket: Ticket, pace: Pace },
+    /// A run has ended; the load goes with its last frame.
+    Ended { report: Report, reply: oneshot::Sender<Load> },
+    /// The last frame of a run was delivered or given up.
+    Delivered,
+    /// A probe has answered.
+    Probed { engine: EngineKey, alive: bool },
+    /// Stop: refuse what waits, finish what runs, then answer.
+    Stop(oneshot::Sender<()>),
+}
+
+/// Times measured while a request runs.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Pace {
+    /// Time from dispatch to the first token.
+    First(Duration),
+    /// Mean time between the latest tokens.
+    Gap(Duration),
+}
+
+/// Answer to [`DeskMessage::Attach`].
+#[derive(Debug)]
+pub(crate) struct Attached {
+    /// Number of the connection.
+    pub id: ConnectionId,
+    /// First frame to the entry.
+    pub welcome: Welcome,
+}
+
+/// Who the side process is.
+#[derive(Debug, Clone)]
+pub(crate) struct Identity {
+    /// Life of the process.
+    pub incarnation: Incarnation,
+    /// Name of the upstream.
+    pub upstream: UpstreamId,
+    /// Place of the upstream.
+    pub place: PlaceId,
+    /// Service that the upstream serves.
+    pub service: ServiceId,
+    /// Kind of the upstream.
+    pub kind: ServiceKind,
+}
+
+/// A waiting request's frame and origin.
+#[derive(Debug)]
+struct Waiting {
+    entry: Incarnation,
+    offer: Offer,
+}
+
+/// A request that runs.
+#[derive(Debug)]
+struct Running {
+    engine: EngineKey,
+    control: mpsc::Sender<Control>,
+    route: String,
+    team: String,
+    tier: Tier,
+    digest: Digest,
+    prompt: u32,
+    estimated: u32,
+    level: u32,
+    version: String,
+}
+
+/// A death that the log has not confirmed yet.
+#[derive(Debug)]
+struct Unconfirmed {
+    deaths: Deaths,
+    since: Instant,
+}
+
+/// State of the desk.
+#[derive(Debug)]
+pub(crate) struct Desk {
+    identity: Identity,
+    engines: Engines,
+    queue: Queue<Waiting>,
+    entries: Entries,
+    running: HashMap<Ticket, Running>,
+    standings: Standings,
+    lengths: Lengths,
+    samples: Samples,
+    feed: Feed,
+    rng: ChaCha8Rng,
+    log: Logger,
+    own: mpsc::Sender<DeskMessage>,
+    deaths: u64,
+    unconfirmed: Vec<Unconfirmed>,
+    /// Runs whose last frame is not settled.
+    delivering: usize,
+    stopping: Option<oneshot::Sender<()>>,
+    stopped: bool,
+    last_beat: Instant,
+}
+
+impl Desk {
+    /// Returns a desk that starts requests on `engines`.
+    pub(crate) fn new(
+        identity: Identity,
+        engines: Engines,
+        queue: QueueOptions,
+        rng: ChaCha8Rng,
+        log: Logger,
+        own: mpsc::Sender<DeskMessage>,
+    ) -> Self {
+        let now = Instant::now();
+        Self {
+            identity,
+            engines,
+            queue: Queue::new(queue, now),
+            entries: Entries::default(),
+            running: HashMap::new(),
+            standings: Standings::default(),
+            lengths: Lengths::default(),
+            samples: Samples::default(),
+            feed: Feed::default(),
+            rng,
+            log,
+            own,
+            deaths: 0,
+            unconfirmed: Vec::new(),
+            delivering: 0,
+            stopping: None,
+            stopped: false,
+            last_beat: now,
+        }
+    }
+
+    /// Handles messages until stopped.
+    pub(crate) async fn run(mut self, mut messages: mpsc::Receiver<DeskMessage>) {
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while !self.stopped {
+            let now = Instant::now();
+            let wake = self.queue.wake(now).unwrap_or(now + TICK);
+            tokio::select! {
+                message = messages.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+                () = sleep_until(wake.into()) => {}
+                _ = tick.tick() => self.tick(),
+            }
+            self.advance();
+        }
+    }
+
+    fn handle(&mut self, message: DeskMessage) {
+        match message {
+            DeskMessage::Attach { entry, peer, reply } => self.attach(entry, peer, reply),
+            DeskMessage::Detach { entry, id } => self.entries.detach(entry, id, Instant::now()),
+            DeskMessage::Frame { entry, body } => self.handle_frame(entry, body),
+            DeskMessage::Pace { ticket, pace } => self.handle_pace(ticket, pace),
+            DeskMessage::Ended { report, reply } => {
+                self.handle_ended(&report);
+                let _ = reply.send(self.load());
+            }
+            DeskMessage::Delivered => self.delivering -= 1,
+            DeskMessage::Probed { engine, alive } => self.handle_probed(engine, alive),
+            DeskMessage::Stop(reply) => self.stop(reply),
+        }
+    }
+
+    fn attach(&mut self, entry: Incarnation, peer: Peer, reply: oneshot::Sender<Attached>) {
+        let id = self.entries.attach(entry, peer);
+        let welcome = Welcome {
+            incarnation: self.identity.incarnation,
+            upstream: self.identity.upstream.clone(),
+            place: self.identity.place.clone(),
+            service: self.identity.service.clone(),
+            versions: self.engines.versions(),
+            load: Some(self.load()),
+        };
+        let _ = reply.send(Attached { id, welcome });
+        if self.stopping.is_some() {
+            self.entries.send(entry, to_entry::Body::Goodbye(Goodbye {}));
+        }
+    }
+
+    fn handle_frame(&mut self, entry: Incarnation, body: to_side::Body) {
+        match body {
+            to_side::Body::Hello(_) => {}
+            to_side::Body::Offer(offer) => self.handle_offer(entry, offer),
+            to_side::Body::Withdraw(withdraw) => self.withdraw(entry, ticket_of(withdraw.ticket)),
+            to_side::Body::Query(query) => self.query(entry, ticket_of(query.ticket), query.next),
+            to_side::Body::Credit(credit) => {
+                self.control(ticket_of(credit.ticket), Control::Credit(credit.chunks));
+            }
+            to_side::Body::Heartbeat(heartbeat) => {
+                let ask = self.feed.heard(&heartbeat, Instant::now());
+                if let Some(ask) = ask {
+                    self.entries.send(entry, to_entry::Body::RecordsAsk(ask));
+                }
+            }
+            to_side::Body::Records(records) => self.feed.take(&records),
+            to_side::Body::SnapshotAsk(_) => {
+                let snapshot = Snapshot { state: self.feed.encode() };
+                self.entries.send(entry, to_entry::Body::Snapshot(snapshot));
+            }
+        }
+    }
+
+    fn handle_offer(&mut self, entry: Incarnation, offer: Offer) {
+        let now = Instant::now();
+        let ticket = ticket_of(offer.ticket);
+        if self.running.contains_key(&ticket) || self.queue.holds(ticket) {
+            return;
+        }
+        if let Some(error) = self.screen(ticket, &offer) {
+            return self.refuse(entry, ticket, &error);
+        }
+        let work = self.work(ticket, &offer, now);
+        let estimate = self.engines.estimate();
+        let waiting = Waiting { entry, offer };
+        match self.queue.offer(work, waiting, now, &estimate, &mut self.rng) {
+            Offered::Queued { displaced } => {
+                self.entries.add_waiting(entry, ticket);
+                for given_up in displaced {
+                    self.give_up(given_up);
+                }
+                if !self.start_next() || self.queue.holds(ticket) {
+                    let queued = Queued { ticket: Some(ticket.into()) };
+                    self.entries.send(entry, to_entry::Body::Queued(queued));
+                }
+            }
+            Offered::Refused { error, .. } => self.refuse(entry, ticket, &error),
+            Offered::Duplicate { .. } => {}
+        }
+    }
+
+    /// Returns why an offer can't be taken at all.
+    fn screen(&self, ticket: Ticket, offer: &Offer) -> Option<Error> {
+        let kind = if self.stopping.is_some() {
+            ErrorKind::Stopping
+        } else if self.standings.get(ticket).is_some() || !self.engines.serves(&offer.version) {
+            ErrorKind::NoUpstream
+        } else if self.feed.is_quarantined(digest_of(offer)) {
+            ErrorKind::Quarantined
+        } else {
+            return None;
+        };
+        Some(Error::new(kind, "refused by the side process"))
+    }
+
+    fn work(&mut self, ticket: Ticket, offer: &Offer, now: Instant) -> Work {
+        let digest = digest_of(offer);
+        let learned = self.lengths.estimate(&offer.route, offer.output_tokens);
+        Work {
+            ticket,
+            team: offer.team.clone(),
+            tier: offer.tier.min(u32::from(Tier::MAX)) as Tier,
+            weight: self.feed.weight(&offer.team),
+            deadline: now + Duration::from_millis(offer.deadline_ms),
+            prompt: offer.prompt_tokens,
+            output: learned,
+            digest,
+            alone: offer.alone || self.feed.is_suspect(digest),
+            version: offer.version.clone(),
+        }
+    }
+
+    fn refuse(&mut self, entry: Incarnation, ticket: Ticket, error: &Error) {
+        self.standings.note(ticket, Standing::Refused);
+        metrics::counter!("egretside_refused_total", "kind" => error.kind.code()).increment(1);
+        let refused = Refused {
+            ticket: Some(ticket.into()),
+            code: error.kind.code().to_owned(),
+            after_ms: error.after.map_or(0, |after| after.as_millis() as u64),
+            load: Some(self.load()),
+        };
+        self.entries.send(entry, to_entry::Body::Refused(refused));
+    }
+
+    fn give_up(&mut self, given_up: GivenUp<Waiting>) {
+        let ticket = given_up.held.work.ticket;
+        let entry = given_up.held.payload.entry;
+        self.entries.remove_waiting(entry, ticket);
+        self.refuse(entry, ticket, &given_up.error);
+    }
+
+    /// Takes a waiting request back, cancels a running one, and bars one that was never seen.
+    fn withdraw(&mut self, entry: Incarnation, ticket: Ticket) {
+        if self.running.contains_key(&ticket) {
+            return self.control(ticket, Control::Cancel);
+        }
+        let held = self.queue.withdraw(ticket);
+        if let Some(held) = &held {
+            self.entries.remove_waiting(held.payload.entry, ticket);
+        }
+        let unseen = self.standings.get(ticket).is_none();
+        if held.is_some() || unseen {
+            let error = Error::new(ErrorKind::CallerGone, "withdrawn");
+            self.refuse(entry, ticket, &error);
+        }
+    }
+
+    fn query(&mut self, entry: Incarnation, ticket: Ticket, next: u64) {
+        let standing = self.stand(ticket);
+        let state = TicketState {
+            ticket: Some(ticket.into()),
+            standing: standing.into(),
+            incarnation: self.identity.incarnation,
+        };
+        if standing == Standing::Unseen {
+            self.standings.note(ticket, Standing::Refused);
+        }
+        self.entries.send(entry, to_entry::Body::TicketState(state));
+        if standing == Standing::Running
+            && let Some(frames) = self.entries.frames(entry).cloned()
+        {
+            self.control(ticket, Control::Resume { frames, next });
+        }
+    }
+
+    fn stand(&self, ticket: Ticket) -> Standing {
+        if self.running.contains_key(&ticket) {
+            Standing::Running
+        } else if self.queue.holds(ticket) {
+            Standing::Queued
+        } else {
+            self.standings.get(ticket).unwrap_or(Standing::Unseen)
+        }
+    }
+
+    fn control(&self, ticket: Ticket, control: Control) {
+        if let Some(running) = self.running.get(&ticket) {
+            let _ = running.control.try_send(control);
+        }
+    }
+
+    fn handle_pace(&mut self, ticket: Ticket, pace: Pace) {
+        let Some(running) = self.running.get(&ticket) else { return };
+        let limit = self.engines.limit(running.engine);
+        match pace {
+            Pace::First(took) => limit.first_token(running.prompt, took, Instant::now()),
+            Pace::Gap(gap) => limit.next_token(gap, Instant::now()),
+        }
+    }
+}
+
+fn ticket_of(id: Option<TicketId>) -> Ticket {
+    id.unwrap_or_default().into()
+}
+
+fn digest_of(offer: &Offer) -> Digest {
+    Digest::from_slice(&offer.digest).unwrap_or_default()
+}
--- a/crates/egretside/src/outbox.rs
+++ b/crates/egretside/src/outbox.rs
@@ -1,13 +1,13 @@
 //! Frames of one answer on their way to the entry, kept until the entry has taken them.
 
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use egretgate_core::Ticket;
 use egretgate_link::message::{Chunk, ToEntry, to_entry};
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 /// Time for which an answer is kept while its entry is cut off.
 pub(crate) const CUT_GRACE: Duration = Duration::from_secs(3);
--- a/crates/egretside/src/run.rs
+++ b/crates/egretside/src/run.rs
@@ -1,15 +1,17 @@
 //! One started request: calls the upstream and streams its answer to the entry.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use egretgate_core::{ErrorKind, Ticket};
+use egretgate_engine::TokenMeter;
+use egretgate_http::Answer;
 use egretgate_link::message::{End, Load, Offer, Refused, Started, ToEntry, to_entry};
 use tokio::sync::mpsc;
-use tokio::time::{sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout};
 
 use crate::outbox::{CUT_GRACE, Outbox};
-use crate::upstream::{AnswerBody, Failure, Meter, Upstream};
+use crate::upstream::{Failure, Upstream};
 
 /// Depth of a run's control channel.
 const CONTROL_DEPTH: usize = 64;
@@ -47,7 +49,9 @@
     pub ticket: Ticket,
     /// How it ended.
     pub finish: Finish,
-    /// Time from dispatch to the first byte of the answer.
+    /// Time from dispatch to the end.
+    pub whole: Duration,
+    /// Time from dispatch to the first token of a streamed answer.
     pub first: Option<Duration>,
     /// Mean time between tokens of a streamed answer.
     pub between: Option<Duration>,
@@ -63,11 +67,12 @@
     outbox: Outbox,
     control: mpsc::Receiver<Control>,
     finish: Finish,
+    tokens: u32,
 }
 
 enum Step {
     Control(Option<Control>),
-    Data(Option<Result<Bytes, Failure>>),
+    Data(Option<egretgate_http::Result<Bytes>>),
     Abandoned,
 }
 
@@ -81,7 +86,7 @@
     ) -> (Self, mpsc::Sender<Control>) {
         let (sender, control) = mpsc::channel(CONTROL_DEPTH);
         let outbox = Outbox::new(ticket, frames, offer.credit);
-        (Self { offer, upstream, outbox, control, finish: Finish::Cancelled }, sender)
+        (Self { offer, upstream, outbox, control, finish: Finish::Cancelled, tokens: 0 }, sender)
     }
 
     /// Calls the upstream and streams its answer. The final frame waits for [`Run::deliver`].
@@ -90,20 +95,23 @@
         let version = self.upstream.version().to_owned();
         let started = Started { ticket: Some(ticket.into()), version };
         self.outbox.send(to_entry::Body::Started(started)).await;
-        let mut meter = Meter::new(Instant::now());
+        let begin = Instant::now();
+        let mut meter = TokenMeter::new();
         self.finish = match self.call().await {
             Ok(answer) => {
-                self.outbox.set_head(answer.status, answer.content_type);
-                self.stream(answer.body, &mut meter).await
+                self.outbox.set_head(answer.status, answer.content_type.clone());
+                self.stream(answer, &mut meter).await
             }
             Err(failure) => failure.into(),
         };
+        self.tokens = meter.tokens();
         Report {
             ticket,
             finish: self.finish,
-            first: meter.first(),
-            between: meter.between(),
-            tokens: meter.tokens(),
+            whole: begin.elapsed(),
+            first: meter.first().map(|first| first.duration_since(begin)),
+            between: meter.mean(),
+            tokens: self.tokens,
         }
     }
 
@@ -126,8 +134,8 @@
         }
     }
 
-    async fn call(&mut self) -> Result<crate::upstream::Answer, Failure> {
-        let call = self.upstream.call(self.outbox.ticket(), &self.offer);
+    async fn call(&mut self) -> Result<Answer, Failure> {
+        let call = self.upstream.clone().call(self.outbox.ticket(), self.offer.clone());
         tokio::pin!(call);
         loop {
             tokio::select! {
@@ -143,9 +151,9 @@
         }
     }
 
-    async fn stream(&mut self, mut body: AnswerBody, meter: &mut Meter) -> Finish {
+    async fn stream(&mut self, mut answer: Answer, meter: &mut TokenMeter) -> Finish {
         loop {
-            match self.step(&mut body).await {
+            match self.step(&mut answer).await {
                 Step::Control(Some(Control::Credit(chunks))) => self.outbox.credit(chunks),
                 Step::Control(Some(Control::Resume { frames, next })) => {
                     if !self.outbox.resume(frames, next).await {
@@ -156,23 +164,23 @@
                     return Finish::Cancelled;
                 }
                 Step::Data(Some(Ok(data))) => {
-                    meter.record(&data, Instant::now());
+                    meter.feed(&data, Instant::now());
                     self.outbox.push(data).await;
                 }
-                Step::Data(Some(Err(failure))) => return failure.into(),
+                Step::Data(Some(Err(error))) => return Failure::from(error).into(),
                 Step::Data(None) if self.outbox.status() >= 500 => return Finish::Failed,
                 Step::Data(None) => return Finish::Whole,
             }
         }
     }
 
-    async fn step(&mut self, body: &mut AnswerBody) -> Step {
+    async fn step(&mut self, answer: &mut Answer) -> Step {
         let open = self.outbox.open();
         let give_up = self.outbox.give_up();
-        let abandoned = sleep_until(give_up.unwrap_or_else(Instant::now).into());
+        let abandoned = sleep_until(give_up.unwrap_or_else(Instant::now));
         tokio::select! {
             control = self.control.recv() => Step::Control(control),
-            data = body.next(), if open => Step::Data(data),
+            data = answer.chunk(), if open => Step::Data(data),
             () = abandoned, if give_up.is_some() => Step::Abandoned,
         }
     }
@@ -193,7 +201,7 @@
             ticket,
             chunks: self.outbox.chunks(),
             code: code.to_owned(),
-            tokens: 0,
+            tokens: self.tokens,
             load: Some(load),
             status: self.outbox.status().into(),
         })
