--- /dev/null
+++ b/crates/egretgate-core/src/limit/length.rs
@@ -0,0 +1,64 @@
+//! Answer length by route.
+
+use std::collections::BTreeMap;
+
+use crate::ids::RouteId;
+
+/// Most routes for which lengths are kept.
+const MAX_ROUTES: usize = 1024;
+/// Largest relative step of an estimate.
+const FIRST_STEP: f64 = 1.0;
+/// Smallest relative step of an estimate, which lets it follow a change.
+const LAST_STEP: f64 = 0.05;
+
+/// Running quantile of one stream of lengths.
+#[derive(Debug, Clone, PartialEq)]
+struct Quantile {
+    /// Natural logarithm of the estimate.
+    value: f64,
+    /// Step of the next correction.
+    step: f64,
+}
+
+/// Running quantile of answer lengths for each route.
+///
+/// Stochastic approximation in the logarithm of the length (Robbins and Monro, 1951; the streaming
+/// form follows Ma, Muthukrishnan and Sandler, "Frugal Streaming for Estimating Quantiles", 2013),
+/// so that each route needs two numbers although lengths differ a hundredfold.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Lengths {
+    /// Share of answers that are no longer than the estimate; in (0, 1).
+    quantile: f64,
+    /// Estimate for a route without any answer, in tokens.
+    initial: u32,
+    routes: BTreeMap<RouteId, Quantile>,
+}
+
+impl Lengths {
+    /// Returns estimates of `quantile`, which are `initial` tokens until answers are seen.
+    pub fn new(quantile: f64, initial: u32) -> Self {
+        Self { quantile: quantile.clamp(0.01, 0.99), initial, routes: BTreeMap::new() }
+    }
+
+    /// Notes the length of an answer, in tokens.
+    pub fn observe(&mut self, route: &str, tokens: u32) {
+        let seen = f64::from(tokens.max(1)).ln();
+        if let Some(entry) = self.routes.get_mut(route) {
+            let side = if seen <= entry.value { self.quantile - 1.0 } else { self.quantile };
+            entry.value = (entry.value + entry.step * side).max(0.0);
+            entry.step = (entry.step * 0.9).max(LAST_STEP);
+        } else if self.routes.len() < MAX_ROUTES {
+            self.routes.insert(route.to_owned(), Quantile { value: seen, step: FIRST_STEP });
+        }
+    }
+
+    /// Returns the expected length of an answer, in tokens.
+    pub fn predict(&self, route: &str) -> u32 {
+        self.routes.get(route).map_or(self.initial, |entry| entry.value.exp().round() as u32)
+    }
+
+    /// Forgets a route.
+    pub fn forget(&mut self, route: &str) {
+        self.routes.remove(route);
+    }
+}
--- a/crates/egretgate-core/src/queue.rs
+++ b/crates/egretgate-core/src/queue.rs
@@ -1,1 +1,484 @@
 //! Admission queue of a side process.
+//!
+//! Work starts strictly by tier, then fairly among teams by tokens, then by deadline. Work that
+//! can't finish by its deadline is refused before its prefill, and a full queue displaces its
+//! lowest tier, newest first. The queue only decides: the caller starts what [`Queue::next`] hands
+//! out and tells everyone else at once that their work was not run.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::{Duration, Instant};
+
+use rand::Rng;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::error::{Error, ErrorKind};
+use crate::ids::{Digest, MAX_TIERS, TeamId, Ticket, Tier, VersionId};
+use crate::limit::{Estimate, Room};
+use crate::retry::come_back;
+
+mod hold;
+mod lane;
+
+use hold::Hold;
+use lane::Lane;
+
+new_key_type! {
+    /// Key of waiting work.
+    pub struct WorkKey;
+}
+
+/// One request as the queue sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Work {
+    /// Name of the request.
+    pub ticket: Ticket,
+    /// Team that pays for it.
+    pub team: TeamId,
+    /// Rank of its tier; ranks from [`MAX_TIERS`] on count as the last.
+    pub tier: Tier,
+    /// Share of the team relative to others within the tier; 0 counts as 1.
+    pub weight: u32,
+    /// Time by which the answer must be whole.
+    pub deadline: Instant,
+    /// Estimated prompt length, in tokens.
+    pub prompt: u32,
+    /// Estimated answer length, in tokens.
+    pub output: u32,
+    /// Digest for quarantine.
+    pub digest: Digest,
+    /// True for a suspect, which must run with no other beside it.
+    pub alone: bool,
+    /// Version that must run it; empty allows any.
+    pub version: VersionId,
+}
+
+impl Work {
+    /// Returns the tokens that the work is charged with.
+    pub const fn tokens(&self) -> u64 {
+        self.prompt as u64 + self.output as u64
+    }
+
+    fn lane(&self) -> usize {
+        usize::from(self.tier).min(MAX_TIERS - 1)
+    }
+}
+
+/// Bounds of a queue.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QueueOptions {
+    /// Most requests that wait; at least 1.
+    pub capacity: usize,
+    /// Tokens of waiting work from which the queue is full.
+    pub tokens: u64,
+    /// Tokens that a team of weight 1 may start in one round.
+    pub quantum: u32,
+    /// Time for which a suspect lets others of its tier pass before it claims its first turn.
+    pub patience: Duration,
+}
+
+impl Default for QueueOptions {
+    fn default() -> Self {
+        Self {
+            capacity: 256,
+            tokens: u64::MAX,
+            quantum: 2048,
+            patience: Duration::from_millis(250),
+        }
+    }
+}
+
+/// Work with its payload, as it leaves the queue.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Held<T> {
+    /// The work.
+    pub work: Work,
+    /// What the caller stored with it.
+    pub payload: T,
+    /// Time of its offer.
+    pub since: Instant,
+}
+
+/// Work that left the queue without being run.
+#[derive(Debug, Clone, PartialEq)]
+pub struct GivenUp<T> {
+    /// The work.
+    pub held: Held<T>,
+    /// Why, and when to come back.
+    pub error: Error,
+}
+
+/// Answer of [`Queue::offer`].
+#[derive(Debug, Clone, PartialEq)]
+pub enum Offered<T> {
+    /// The work waits.
+    Queued {
+        /// Work of lower tiers that made room, proven not run.
+        displaced: Vec<GivenUp<T>>,
+    },
+    /// The work is not held and was not run.
+    Refused {
+        /// Why, and when to come back.
+        error: Error,
+        /// What came with the offer.
+        payload: T,
+    },
+    /// The ticket already waits; nothing changed.
+    Duplicate {
+        /// What came with the offer.
+        payload: T,
+    },
+}
+
+/// Waiting work with the keys of its index entries.
+#[derive(Debug, Clone)]
+struct Slot<T> {
+    held: Held<T>,
+    /// Position among all offers; orders displacement.
+    sequence: u64,
+    /// Last time at which a start still meets the deadline; the key in `Queue::latest`.
+    latest: Instant,
+}
+
+/// Admission queue with payloads of type `T`.
+#[derive(Debug, Clone)]
+pub struct Queue<T> {
+    options: QueueOptions,
+    held: SlotMap<WorkKey, Slot<T>>,
+    /// Exactly the tickets in `held`.
+    tickets: HashMap<Ticket, WorkKey>,
+    /// One for each tier; together exactly the keys in `held`.
+    lanes: [Lane; MAX_TIERS],
+    /// Exactly the keys in `held`, by the last time at which a start makes sense.
+    latest: BTreeSet<(Instant, WorkKey)>,
+    /// Speed by which `latest` was worked out.
+    pace: Estimate,
+    /// Turn of the most urgent suspect.
+    hold: Hold,
+    sequence: u64,
+    /// Lower bound of every instant in `latest`.
+    epoch: Instant,
+    /// True once [`Queue::drain`] was called; every later offer is refused.
+    closed: bool,
+}
+
+impl<T> Queue<T> {
+    /// Returns an empty queue.
+    pub fn new(options: QueueOptions, now: Instant) -> Self {
+        Self {
+            options: QueueOptions { capacity: options.capacity.max(1), ..options },
+            held: SlotMap::with_key(),
+            tickets: HashMap::new(),
+            lanes: std::array::from_fn(|_| Lane::default()),
+            latest: BTreeSet::new(),
+            pace: Estimate::default(),
+            hold: Hold::new(options.patience),
+            sequence: 0,
+            epoch: now,
+            closed: false,
+        }
+    }
+
+    /// Offers work.
+    ///
+    /// It is refused if it can't finish by its deadline behind the work that starts before it, or
+    /// if the queue is full and holds no lower tier. Otherwise it waits, and a full queue gives up
+    /// its lowest tier, newest first.
+    pub fn offer(
+        &mut self,
+        work: Work,
+        payload: T,
+        now: Instant,
+        estimate: &Estimate,
+        rng: &mut impl Rng,
+    ) -> Offered<T> {
+        if self.tickets.contains_key(&work.ticket) {
+            return Offered::Duplicate { payload };
+        }
+        self.set_pace(estimate);
+        if let Some(error) = self.refusal(&work, now, estimate, rng) {
+            return Offered::Refused { error, payload };
+        }
+        let mut displaced = Vec::new();
+        while self.is_full() {
+            let Some(key) = self.newest_below(work.lane()) else { break };
+            let held = self.remove(key).held;
+            displaced.push(give_up(held, ErrorKind::Overloaded, now, estimate, rng));
+        }
+        self.insert(work, payload, now);
+        Offered::Queued { displaced }
+    }
+
+    /// Hands out the work to start next, if `room` allows a start.
+    pub fn next(&mut self, now: Instant, room: Room) -> Option<Held<T>> {
+        self.next_where(now, room, |_| true)
+    }
+
+    /// Hands out the next work that `accept` allows, as [`Queue::next`] does for all work.
+    ///
+    /// Work of a version that no free engine holds is passed over this way.
+    pub fn next_where(
+        &mut self,
+        now: Instant,
+        room: Room,
+        accept: impl Fn(&Work) -> bool,
+    ) -> Option<Held<T>> {
+        if room.alone || room.requests == 0 {
+            return None;
+        }
+        let suspect = self.suspect(&accept);
+        let regular = self.regular(&accept);
+        if let Some((tier, key)) = suspect {
+            if room.running == 0 {
+                if self.hold.goes_first(tier, regular.map(|(tier, _)| tier)) {
+                    self.hold.started();
+                    return Some(self.remove(key).held);
+                }
+            } else if regular.is_none_or(|(other, _)| other >= tier) {
+                self.hold.claim(now);
+                if self.hold.is_closed(now) {
+                    return None;
+                }
+            }
+        }
+        let (_, key) = regular?;
+        let tokens = self.held[key].held.work.tokens();
+        if room.running > 0 && tokens > room.tokens {
+            return None;
+        }
+        self.hold.passed();
+        Some(self.start(key))
+    }
+
+    /// Gives up the work that can no longer finish by its deadline, even if started now.
+    pub fn expire(
+        &mut self,
+        now: Instant,
+        estimate: &Estimate,
+        rng: &mut impl Rng,
+    ) -> Vec<GivenUp<T>> {
+        self.set_pace(estimate);
+        let mut out = Vec::new();
+        while let Some(&(latest, key)) = self.latest.first() {
+            if latest >= now {
+                break;
+            }
+            let held = self.remove(key).held;
+            let kind = if held.work.deadline <= now {
+                ErrorKind::DeadlinePassed
+            } else {
+                ErrorKind::DeadlineHopeless
+            };
+            out.push(give_up(held, kind, now, estimate, rng));
+        }
+        out
+    }
+
+    /// Returns the next time at which [`Queue::expire`] or [`Queue::next`] may have something to
+    /// do without any other event.
+    pub fn wake(&self, now: Instant) -> Option<Instant> {
+        let expiry = self.latest.first().map(|&(latest, _)| latest);
+        let turn = self.hold.change(now);
+        expiry.into_iter().chain(turn).min()
+    }
+
+    /// Takes work back. What is returned was not run and never will be; `None` proves nothing.
+    pub fn withdraw(&mut self, ticket: Ticket) -> Option<Held<T>> {
+        let key = self.tickets.get(&ticket).copied()?;
+        Some(self.remove(key).held)
+    }
+
+    /// Closes the queue for good and gives up all that waits, most urgent first.
+    pub fn drain(
+        &mut self,
+        now: Instant,
+        estimate: &Estimate,
+        rng: &mut impl Rng,
+    ) -> Vec<GivenUp<T>> {
+        self.closed = true;
+        let keys: Vec<_> = self.lanes.iter().flat_map(Lane::keys).collect();
+        let mut out = Vec::with_capacity(keys.len());
+        for key in keys {
+            let held = self.remove(key).held;
+            out.push(give_up(held, ErrorKind::Stopping, now, estimate, rng));
+        }
+        out
+    }
+
+    /// Charges a team for the difference between the answer's estimated and actual length.
+    ///
+    /// Nothing happens if the team has no work waiting in the tier.
+    pub fn settle(&mut self, tier: Tier, team: &str, estimated: u32, actual: u32) {
+        let lane = usize::from(tier).min(MAX_TIERS - 1);
+        self.lanes[lane].settle(team, i64::from(actual) - i64::from(estimated));
+    }
+
+    /// Returns the rank of the lowest tier that waits.
+    pub fn lowest(&self) -> Option<Tier> {
+        (0..MAX_TIERS).rev().find(|&lane| !self.lanes[lane].is_empty()).map(|lane| lane as Tier)
+    }
+
+    /// Returns the rank from which offers are refused now, or `None` while there is room.
+    pub fn shed(&self) -> Option<Tier> {
+        if self.closed { Some(0) } else { self.lowest().filter(|_| self.is_full()) }
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn len(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Returns true if nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.held.is_empty()
+    }
+
+    /// Returns the tokens of all waiting work.
+    pub fn tokens(&self) -> u64 {
+        self.lanes.iter().map(Lane::tokens).sum()
+    }
+
+    /// Returns the tokens that start before work of `team` with `deadline` offered in `tier`.
+    pub fn ahead(&self, tier: Tier, team: &str, weight: u32, deadline: Instant) -> u64 {
+        let lane = usize::from(tier).min(MAX_TIERS - 1);
+        let higher: u64 = self.lanes[..lane].iter().map(Lane::tokens).sum();
+        let own = self.lanes[lane].ahead(team, weight, deadline, self.options.quantum, |key| {
+            self.held[key].held.work.tokens()
+        });
+        higher + own
+    }
+
+    /// Returns true if the ticket waits.
+    pub fn holds(&self, ticket: Ticket) -> bool {
+        self.tickets.contains_key(&ticket)
+    }
+
+    fn is_full(&self) -> bool {
+        self.held.len() >= self.options.capacity || self.tokens() >= self.options.tokens
+    }
+
+    fn refusal(
+        &self,
+        work: &Work,
+        now: Instant,
+        estimate: &Estimate,
+        rng: &mut impl Rng,
+    ) -> Option<Error> {
+        let ahead = self.ahead(work.tier, &work.team, work.weight, work.deadline);
+        let wait = estimate.wait(ahead);
+        let kind = if self.closed {
+            ErrorKind::Stopping
+        } else if work.deadline <= now {
+            ErrorKind::DeadlinePassed
+        } else if now + wait + estimate.service(work.prompt, work.output) > work.deadline {
+            ErrorKind::DeadlineHopeless
+        } else if self.is_full() && self.newest_below(work.lane()).is_none() {
+            ErrorKind::Overloaded
+        } else {
+            return None;
+        };
+        Some(refuse(kind, wait, rng))
+    }
+
+    fn insert(&mut self, work: Work, payload: T, now: Instant) {
+        let sequence = self.sequence;
+        self.sequence += 1;
+        let latest = self.latest_start(&work);
+        let lane = work.lane();
+        let ticket = work.ticket;
+        let held = Held { work, payload, since: now };
+        let key = self.held.insert(Slot { held, sequence, latest });
+        self.tickets.insert(ticket, key);
+        self.latest.insert((latest, key));
+        self.lanes[lane].insert(key, sequence, &self.held[key].held.work);
+    }
+
+    /// Removes work that is not started.
+    fn remove(&mut self, key: WorkKey) -> Slot<T> {
+        let slot = self.held.remove(key).expect("indexes name only held work");
+        let work = &slot.held.work;
+        self.tickets.remove(&work.ticket);
+        self.latest.remove(&(slot.latest, key));
+        self.lanes[work.lane()].remove(key, slot.sequence, work);
+        if self.lanes.iter().all(|lane| !lane.has_suspects()) {
+            self.hold.clear();
+        }
+        slot
+    }
+
+    /// Removes work that is started, and charges its team.
+    fn start(&mut self, key: WorkKey) -> Held<T> {
+        let work = &self.held[key].held.work;
+        let lane = work.lane();
+        self.lanes[lane].charge(work);
+        self.remove(key).held
+    }
+
+    fn suspect(&self, accept: &impl Fn(&Work) -> bool) -> Option<(usize, WorkKey)> {
+        let held = &self.held;
+        let allowed = |key: WorkKey| accept(&held[key].held.work);
+        self.lanes
+            .iter()
+            .enumerate()
+            .find_map(|(tier, lane)| lane.suspect(&allowed).map(|key| (tier, key)))
+    }
+
+    fn regular(&mut self, accept: &impl Fn(&Work) -> bool) -> Option<(usize, WorkKey)> {
+        let held = &self.held;
+        let cost = |key: WorkKey| {
+            let work = &held[key].held.work;
+            accept(work).then(|| work.tokens())
+        };
+        let quantum = self.options.quantum;
+        self.lanes
+            .iter_mut()
+            .enumerate()
+            .find_map(|(tier, lane)| lane.select(quantum, &cost).map(|key| (tier, key)))
+    }
+
+    /// Returns the newest work of the lowest tier held, if that is below `lane`.
+    fn newest_below(&self, lane: usize) -> Option<WorkKey> {
+        self.lanes[lane + 1..].iter().rev().find_map(Lane::newest)
+    }
+
+    fn latest_start(&self, work: &Work) -> Instant {
+        let service = self.pace.service(work.prompt, work.output);
+        work.deadline.checked_sub(service).unwrap_or(self.epoch)
+    }
+
+    /// Works out anew when each request becomes hopeless, if the speed has changed.
+    fn set_pace(&mut self, estimate: &Estimate) {
+        if self.pace.same_pace(estimate) {
+            return;
+        }
+        self.pace = *estimate;
+        self.latest.clear();
+        let keys: Vec<_> = self.held.keys().collect();
+        for key in keys {
+            let latest = self.latest_start(&self.held[key].held.work);
+            self.held[key].latest = latest;
+            self.latest.insert((latest, key));
+        }
+    }
+}
+
+fn give_up<T>(
+    held: Held<T>,
+    kind: ErrorKind,
+    now: Instant,
+    estimate: &Estimate,
+    rng: &mut impl Rng,
+) -> GivenUp<T> {
+    let waited = now.saturating_duration_since(held.since);
+    let error = refuse(kind, waited.max(estimate.slot), rng);
+    GivenUp { held, error }
+}
+
+fn refuse(kind: ErrorKind, wait: Duration, rng: &mut impl Rng) -> Error {
+    let detail = match kind {
+        ErrorKind::Overloaded => "the queue is full and holds no lower tier",
+        ErrorKind::DeadlineHopeless => "the answer can't be whole by the deadline",
+        ErrorKind::DeadlinePassed => "the deadline has passed",
+        _ => "the side process is stopping",
+    };
+    Error::new(kind, detail).after(come_back(wait, 1.0, rng))
+}
--- /dev/null
+++ b/crates/egretgate-core/src/queue/hold.rs
@@ -0,0 +1,76 @@
+//! The turn of a suspect, which starts only when nothing runs.
+
+use std::time::{Duration, Instant};
+
+/// Decides when starts are held back so that the upstream becomes idle for a suspect.
+///
+/// From the suspect's first missed turn, spans in which others pass alternate with spans in which
+/// nothing of its tier or below starts. Both double in length each time, so the hold in the end
+/// outlasts whatever runs, while others are held back for no more than half of the time. More
+/// urgent work is never held back.
+#[derive(Debug, Clone)]
+pub(super) struct Hold {
+    /// Length of the first span.
+    patience: Duration,
+    /// Time of the first missed turn; `None` while no suspect has missed one.
+    since: Option<Instant>,
+    /// True if the last start was a suspect's, so that others of its tier go first now.
+    yields: bool,
+}
+
+impl Hold {
+    pub(super) fn new(patience: Duration) -> Self {
+        Self { patience: patience.max(Duration::from_millis(1)), since: None, yields: false }
+    }
+
+    /// Returns true if a suspect of tier `suspect` starts before other work of tier `other`, on an
+    /// idle upstream.
+    pub(super) fn goes_first(&self, suspect: usize, other: Option<usize>) -> bool {
+        other.is_none_or(|other| suspect < other || (suspect == other && !self.yields))
+    }
+
+    /// Notes a missed turn.
+    pub(super) fn claim(&mut self, now: Instant) {
+        self.since.get_or_insert(now);
+    }
+
+    /// Notes the start of a suspect.
+    pub(super) fn started(&mut self) {
+        self.since = None;
+        self.yields = true;
+    }
+
+    /// Notes the start of other work.
+    pub(super) fn passed(&mut self) {
+        self.yields = false;
+    }
+
+    /// Forgets the turn, as no suspect waits.
+    pub(super) fn clear(&mut self) {
+        self.since = None;
+    }
+
+    /// Returns true if nothing of the suspect's tier or below may start.
+    pub(super) fn is_closed(&self, now: Instant) -> bool {
+        self.span(now).is_some_and(|(closed, _)| closed)
+    }
+
+    /// Returns the end of the present span.
+    pub(super) fn change(&self, now: Instant) -> Option<Instant> {
+        self.span(now).map(|(_, end)| end)
+    }
+
+    fn span(&self, now: Instant) -> Option<(bool, Instant)> {
+        let mut end = self.since?;
+        let mut length = self.patience;
+        loop {
+            for closed in [false, true] {
+                end += length;
+                if now < end {
+                    return Some((closed, end));
+                }
+            }
+            length *= 2;
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/src/queue/lane.rs
@@ -0,0 +1,232 @@
+//! Waiting work of one tier, fair among teams.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::time::Instant;
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::{Work, WorkKey};
+use crate::ids::TeamId;
+
+new_key_type! {
+    struct TeamKey;
+}
+
+/// Most tokens that a team may owe or be owed from [`Lane::settle`].
+const MAX_DEBT: i64 = 1 << 20;
+
+/// Waiting work of one team in a tier.
+#[derive(Debug, Clone)]
+struct TeamQueue {
+    name: TeamId,
+    /// By deadline, then age. Never empty.
+    work: BTreeMap<(Instant, u64), WorkKey>,
+    /// Tokens of `work`.
+    tokens: u64,
+    /// At least 1.
+    weight: u32,
+    /// Tokens that the team may start now.
+    deficit: i64,
+    /// True if the present visit has added to the deficit.
+    granted: bool,
+}
+
+impl TeamQueue {
+    fn new(name: TeamId) -> Self {
+        Self { name, work: BTreeMap::new(), tokens: 0, weight: 1, deficit: 0, granted: false }
+    }
+
+    const fn grant(&self, quantum: u32) -> i64 {
+        self.weight as i64 * quantum as i64
+    }
+
+    /// Returns the earliest work with a cost, and its cost.
+    fn head(&self, cost: &impl Fn(WorkKey) -> Option<u64>) -> Option<(WorkKey, i64)> {
+        self.work.values().find_map(|&key| cost(key).map(|cost| (key, cost as i64)))
+    }
+}
+
+/// Waiting work of one tier.
+///
+/// Teams take turns by deficit round robin (Shreedhar and Varghese, "Efficient Fair Queueing Using
+/// Deficit Round Robin", SIGCOMM '95), counted in tokens, with a quantum in proportion to the
+/// team's weight.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Lane {
+    /// All work of the tier by age.
+    order: BTreeMap<u64, WorkKey>,
+    teams: SlotMap<TeamKey, TeamQueue>,
+    /// Exactly the names of `teams`.
+    names: HashMap<TeamId, TeamKey>,
+    /// Exactly the keys of `teams`, in the order of their turns.
+    ring: VecDeque<TeamKey>,
+    /// Suspects by deadline, then age; no team queue holds them.
+    suspects: BTreeMap<(Instant, u64), WorkKey>,
+    /// Tokens of `order`.
+    tokens: u64,
+    /// Sum of the weights of `teams`.
+    weights: u64,
+}
+
+impl Lane {
+    pub(super) fn is_empty(&self) -> bool {
+        self.order.is_empty()
+    }
+
+    pub(super) fn has_suspects(&self) -> bool {
+        !self.suspects.is_empty()
+    }
+
+    pub(super) fn tokens(&self) -> u64 {
+        self.tokens
+    }
+
+    pub(super) fn keys(&self) -> impl Iterator<Item = WorkKey> {
+        self.order.values().copied()
+    }
+
+    pub(super) fn newest(&self) -> Option<WorkKey> {
+        self.order.last_key_value().map(|(_, &key)| key)
+    }
+
+    pub(super) fn suspect(&self, accept: &impl Fn(WorkKey) -> bool) -> Option<WorkKey> {
+        self.suspects.values().copied().find(|&key| accept(key))
+    }
+
+    pub(super) fn insert(&mut self, key: WorkKey, sequence: u64, work: &Work) {
+        self.order.insert(sequence, key);
+        self.tokens += work.tokens();
+        if work.alone {
+            self.suspects.insert((work.deadline, sequence), key);
+            return;
+        }
+        let team = self.join(&work.team);
+        let queue = &mut self.teams[team];
+        self.weights -= u64::from(queue.weight);
+        queue.weight = work.weight.max(1);
+        self.weights += u64::from(queue.weight);
+        queue.tokens += work.tokens();
+        queue.work.insert((work.deadline, sequence), key);
+    }
+
+    pub(super) fn remove(&mut self, key: WorkKey, sequence: u64, work: &Work) {
+        let removed = self.order.remove(&sequence);
+        debug_assert_eq!(removed, Some(key));
+        self.tokens -= work.tokens();
+        if work.alone {
+            self.suspects.remove(&(work.deadline, sequence));
+            return;
+        }
+        let team = self.names[&work.team];
+        let queue = &mut self.teams[team];
+        queue.tokens -= work.tokens();
+        queue.work.remove(&(work.deadline, sequence));
+        if queue.work.is_empty() {
+            self.leave(team);
+        }
+    }
+
+    /// Returns the work whose turn it is, among what has a cost.
+    ///
+    /// The turn is kept until [`Lane::charge`], so asking again gives the same team.
+    pub(super) fn select(
+        &mut self,
+        quantum: u32,
+        cost: &impl Fn(WorkKey) -> Option<u64>,
+    ) -> Option<WorkKey> {
+        loop {
+            for _ in 0..self.ring.len() {
+                let queue = &mut self.teams[self.ring[0]];
+                if let Some((key, cost)) = queue.head(cost) {
+                    if !queue.granted {
+                        queue.granted = true;
+                        queue.deficit += queue.grant(quantum);
+                    }
+                    if queue.deficit >= cost {
+                        return Some(key);
+                    }
+                    queue.granted = false;
+                }
+                self.ring.rotate_left(1);
+            }
+            self.skip_rounds(quantum, cost)?;
+        }
+    }
+
+    /// Adds at once the rounds in which no team could start anything; `None` if none ever can.
+    fn skip_rounds(&mut self, quantum: u32, cost: &impl Fn(WorkKey) -> Option<u64>) -> Option<()> {
+        let quantum = quantum.max(1);
+        let needed = |queue: &TeamQueue| {
+            let (_, cost) = queue.head(cost)?;
+            let rounds = (cost - queue.deficit).max(1) as u64;
+            Some(rounds.div_ceil(queue.grant(quantum) as u64))
+        };
+        let skipped = self.teams.values().filter_map(needed).min()? - 1;
+        for queue in self.teams.values_mut() {
+            if queue.head(cost).is_some() {
+                queue.deficit += queue.grant(quantum) * skipped as i64;
+            }
+        }
+        Some(())
+    }
+
+    /// Charges a team for work that starts.
+    pub(super) fn charge(&mut self, work: &Work) {
+        let team = self.names[&work.team];
+        self.teams[team].deficit -= work.tokens() as i64;
+    }
+
+    /// Charges a waiting team for `tokens` more than was estimated.
+    pub(super) fn settle(&mut self, team: &str, tokens: i64) {
+        if let Some(&team) = self.names.get(team) {
+            let deficit = &mut self.teams[team].deficit;
+            *deficit = (*deficit - tokens).clamp(-MAX_DEBT, MAX_DEBT.max(*deficit));
+        }
+    }
+
+    /// Returns the tokens of this tier that start before new work of `team` with `deadline`.
+    ///
+    /// While a team's own `b` tokens start, another one of weight `w` gets at most `b·w` over the
+    /// team's weight and a quantum in proportion to its weight.
+    pub(super) fn ahead(
+        &self,
+        team: &str,
+        weight: u32,
+        deadline: Instant,
+        quantum: u32,
+        cost: impl Fn(WorkKey) -> u64,
+    ) -> u64 {
+        let queue = self.names.get(team).map(|&key| &self.teams[key]);
+        let own = queue.map_or(0, |queue| {
+            let later = queue.work.range((deadline, u64::MAX)..);
+            queue.tokens - later.map(|(_, &key)| cost(key)).sum::<u64>()
+        });
+        let weight = u64::from(weight.max(1));
+        let others = self.weights - queue.map_or(0, |queue| u64::from(queue.weight));
+        let rounds = own.div_ceil(weight) + u64::from(quantum);
+        own + others.saturating_mul(rounds).min(self.tokens - own)
+    }
+
+    fn join(&mut self, name: &TeamId) -> TeamKey {
+        if let Some(&team) = self.names.get(name) {
+            return team;
+        }
+        let team = self.teams.insert(TeamQueue::new(name.clone()));
+        self.weights += 1;
+        self.names.insert(name.clone(), team);
+        self.ring.push_back(team);
+        team
+    }
+
+    /// Forgets a team without work, and with it its deficit.
+    fn leave(&mut self, team: TeamKey) {
+        let queue = self.teams.remove(team).expect("the ring names only known teams");
+        self.weights -= u64::from(queue.weight);
+        self.names.remove(&queue.name);
+        if self.ring.front() == Some(&team) {
+            self.ring.pop_front();
+        } else {
+            self.ring.retain(|&other| other != team);
+        }
+    }
+}
