--- a/crates/egretgate-core/src/limit.rs
+++ b/crates/egretgate-core/src/limit.rs
@@ -84,7 +84,9 @@
 
 impl Estimate {
     /// Longest time that is ever estimated.
-    pub const LONGEST: Duration = Duration::from_secs(86_400);
+    pub const LONGEST: Duration = Duration::from_hours(24);
+    /// Relative change of speed under which waiting work isn't weighed anew.
+    pub const TOLERANCE: f64 = 1.0 / 32.0;
 
     /// Returns the time from start to the end of the answer.
     pub fn service(&self, prompt: u32, output: u32) -> Duration {
@@ -105,12 +107,19 @@
         self.wait(ahead) + self.service(prompt, 0)
     }
 
-    /// Returns true if the time of service is the same as with `other`.
-    pub fn same_pace(&self, other: &Self) -> bool {
-        self.base == other.base && self.prefill == other.prefill && self.between == other.between
+    /// Returns true if the parts of the time of service are within [`Estimate::TOLERANCE`] of
+    /// those of `other`.
+    pub fn is_near(&self, other: &Self) -> bool {
+        is_near(self.base.as_secs_f64(), other.base.as_secs_f64())
+            && is_near(self.prefill, other.prefill)
+            && is_near(self.between, other.between)
     }
 }
 
+fn is_near(one: f64, other: f64) -> bool {
+    (one - other).abs() <= Estimate::TOLERANCE * one.max(other)
+}
+
 fn seconds(value: f64) -> Duration {
     Duration::try_from_secs_f64(value).map_or(Estimate::LONGEST, |time| time.min(Estimate::LONGEST))
 }
@@ -363,10 +372,8 @@
         if samples < MIN_SAMPLES || passed < self.options.window {
             return;
         }
-        if !self.settling {
+        if !std::mem::take(&mut self.settling) {
             self.adjust();
-        } else {
-            self.settling = false;
         }
         self.opened = now;
         self.firsts.reset();
--- a/crates/egretgate-core/src/poison.rs
+++ b/crates/egretgate-core/src/poison.rs
@@ -1,1 +1,223 @@
 //! Quarantine of requests that kill upstreams.
+//!
+//! Each death of an upstream names the digests that were in flight. The first death makes them
+//! suspects, which run alone, so that a second death names its culprit and a completion clears an
+//! innocent. A digest in two deaths is quarantined.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::ids::{Digest, Incarnation};
+
+/// One death of an upstream, by which doubles are recognized.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Death(Digest);
+
+impl Death {
+    /// Returns the death numbered `sequence` in the life `incarnation` of the side process that
+    /// reports deaths of `upstream`.
+    pub fn new(upstream: &str, incarnation: Incarnation, sequence: u64) -> Self {
+        Self(Digest::of(&[
+            upstream.as_bytes(),
+            &incarnation.to_le_bytes(),
+            &sequence.to_le_bytes(),
+        ]))
+    }
+
+    /// Returns the death with the given digest, as read from a snapshot.
+    pub const fn from_digest(digest: Digest) -> Self {
+        Self(digest)
+    }
+
+    /// Returns the digest that stands for the death.
+    pub const fn digest(&self) -> Digest {
+        self.0
+    }
+}
+
+/// What is held against a digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing.
+    Clear,
+    /// One death: it runs alone.
+    Suspect,
+    /// Two deaths: it is refused.
+    Quarantined,
+}
+
+/// One digest in the table, as kept in a snapshot.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Entry {
+    /// Digest of the request.
+    pub digest: Digest,
+    /// First death in which it was in flight.
+    pub first: Death,
+    /// Second death; `None` for a suspect.
+    pub second: Option<Death>,
+    /// Mark of the latest death.
+    pub at: u64,
+}
+
+impl Entry {
+    /// Returns what is held against the digest.
+    pub const fn verdict(&self) -> Verdict {
+        if self.second.is_some() { Verdict::Quarantined } else { Verdict::Suspect }
+    }
+}
+
+/// Bounds of a [`Poison`] table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoisonOptions {
+    /// Most digests held; at least 1.
+    pub capacity: usize,
+    /// Most deaths remembered against doubles.
+    pub deaths: usize,
+    /// Marks after which a suspect is forgotten.
+    pub suspect: u64,
+    /// Marks after which a quarantined digest is forgotten.
+    pub quarantined: u64,
+}
+
+impl Default for PoisonOptions {
+    /// Marks count milliseconds: an hour for suspects, a day for quarantined digests.
+    fn default() -> Self {
+        Self { capacity: 4096, deaths: 1024, suspect: 3_600_000, quarantined: 86_400_000 }
+    }
+}
+
+/// Table of suspected and quarantined digests.
+///
+/// A deterministic fold: the same events in the same order give equal tables everywhere. Marks
+/// are whatever the events carry, such as the time in a record or its offset; the table reads no
+/// clock. Equal tables give equal snapshots through [`Poison::entries`] and [`Poison::deaths`].
+#[derive(Debug, Clone, PartialEq)]
+pub struct Poison {
+    options: PoisonOptions,
+    /// At most `options.capacity`.
+    entries: BTreeMap<Digest, Entry>,
+    /// Deaths counted, oldest first; at most `options.deaths`.
+    deaths: VecDeque<Death>,
+}
+
+impl Poison {
+    /// Returns an empty table.
+    pub fn new(options: PoisonOptions) -> Self {
+        let options = PoisonOptions { capacity: options.capacity.max(1), ..options };
+        Self { options, entries: BTreeMap::new(), deaths: VecDeque::new() }
+    }
+
+    /// Returns the table with the contents of a snapshot.
+    pub fn from_entries(
+        options: PoisonOptions,
+        entries: impl IntoIterator<Item = Entry>,
+        deaths: impl IntoIterator<Item = Death>,
+    ) -> Self {
+        let mut table = Self::new(options);
+        table.entries = entries.into_iter().map(|entry| (entry.digest, entry)).collect();
+        table.deaths = deaths.into_iter().collect();
+        table.evict();
+        table
+    }
+
+    /// Notes a death with the digests in flight; returns those that it quarantined.
+    ///
+    /// A death that was noted before changes nothing.
+    pub fn died(&mut self, death: Death, digests: &[Digest], at: u64) -> Vec<Digest> {
+        if self.deaths.contains(&death) {
+            return Vec::new();
+        }
+        self.expire(at);
+        self.deaths.push_back(death);
+        let mut caught = Vec::new();
+        for &digest in digests {
+            if self.count(digest, death, at) {
+                caught.push(digest);
+            }
+        }
+        self.evict();
+        caught
+    }
+
+    /// Notes that a request completed, which clears a suspect; returns true if it did.
+    ///
+    /// A quarantined digest stays so until an operator lifts it or it expires.
+    pub fn completed(&mut self, digest: Digest) -> bool {
+        let cleared = self.verdict(digest) == Verdict::Suspect;
+        if cleared {
+            self.entries.remove(&digest);
+        }
+        cleared
+    }
+
+    /// Forgets a digest on an operator's word; returns false if it was not held.
+    pub fn lift(&mut self, digest: Digest) -> bool {
+        self.entries.remove(&digest).is_some()
+    }
+
+    /// Forgets what is too old at the mark `at`.
+    pub fn expire(&mut self, at: u64) {
+        let options = self.options;
+        self.entries.retain(|_, entry| {
+            let keep = match entry.verdict() {
+                Verdict::Quarantined => options.quarantined,
+                _ => options.suspect,
+            };
+            at.saturating_sub(entry.at) <= keep
+        });
+    }
+
+    /// Returns what is held against a digest.
+    pub fn verdict(&self, digest: Digest) -> Verdict {
+        self.entries.get(&digest).map_or(Verdict::Clear, Entry::verdict)
+    }
+
+    /// Returns all entries by digest.
+    pub fn entries(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Returns the deaths remembered against doubles, oldest first.
+    pub fn deaths(&self) -> impl Iterator<Item = Death> {
+        self.deaths.iter().copied()
+    }
+
+    /// Returns the number of digests held.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns true if no digest is held.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Counts a death against a digest; returns true if that quarantined it.
+    fn count(&mut self, digest: Digest, death: Death, at: u64) -> bool {
+        let new = Entry { digest, first: death, second: None, at };
+        let entry = self.entries.entry(digest).or_insert(new);
+        entry.at = entry.at.max(at);
+        if entry.first == death || entry.second.is_some() {
+            return false;
+        }
+        entry.second = Some(death);
+        true
+    }
+
+    /// Brings the table within its bounds: suspects go first, then the oldest mark, then the
+    /// lowest digest.
+    fn evict(&mut self) {
+        while self.deaths.len() > self.options.deaths {
+            self.deaths.pop_front();
+        }
+        let excess = self.entries.len().saturating_sub(self.options.capacity);
+        if excess == 0 {
+            return;
+        }
+        let order = |entry: &Entry| (entry.second.is_some(), entry.at, entry.digest);
+        let mut ranked: Vec<_> = self.entries.values().map(order).collect();
+        ranked.sort_unstable();
+        for (.., digest) in &ranked[..excess] {
+            self.entries.remove(digest);
+        }
+    }
+}
--- a/crates/egretgate-core/src/queue.rs
+++ b/crates/egretgate-core/src/queue.rs
@@ -447,7 +447,7 @@
 
     /// Works out anew when each request becomes hopeless, if the speed has changed.
     fn set_pace(&mut self, estimate: &Estimate) {
-        if self.pace.same_pace(estimate) {
+        if self.pace.is_near(estimate) {
             return;
         }
         self.pace = *estimate;
--- a/crates/egretgate-core/src/reply.rs
+++ b/crates/egretgate-core/src/reply.rs
@@ -1,1 +1,199 @@
 //! Assembly of an answer from chunks.
+//!
+//! Chunks carry their index. Late and doubled ones are dropped, crossed ones are joined within a
+//! bounded window, and an answer is whole only if every chunk that its end counts has come.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+use crate::error::{Error, ErrorKind, Result};
+
+/// State of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum State {
+    /// More is to come.
+    Open,
+    /// Every chunk has been handed out.
+    Whole,
+    /// The answer ended in an error.
+    Failed(Error),
+}
+
+/// Puts the chunks of one answer in order.
+#[derive(Debug, Clone)]
+pub struct Assembly {
+    /// Index of the next chunk to hand out.
+    next: u64,
+    /// Chunks that came early, by index; all in `next + 1..next + window`.
+    early: BTreeMap<u64, Bytes>,
+    /// Chunks beyond `next` that may be in flight.
+    window: u64,
+    /// Number of chunks in the whole answer, once the end has come.
+    count: Option<u64>,
+    state: State,
+}
+
+impl Assembly {
+    /// Returns the assembly of an answer of which at most `window` chunks, at least 1, are in
+    /// flight at a time.
+    pub fn new(window: u32) -> Self {
+        Self {
+            next: 0,
+            early: BTreeMap::new(),
+            window: u64::from(window.max(1)),
+            count: None,
+            state: State::Open,
+        }
+    }
+
+    /// Takes a chunk and returns those that are now in order.
+    ///
+    /// A chunk outside the window or beyond the answer's end breaks the sender's credit, and the
+    /// answer fails.
+    pub fn chunk(&mut self, index: u64, data: Bytes) -> Result<Vec<Bytes>> {
+        if self.state != State::Open || index < self.next {
+            return Ok(Vec::new());
+        }
+        if index - self.next >= self.window {
+            return Err(self.fail("a chunk came from outside the window"));
+        }
+        if self.count.is_some_and(|count| index >= count) {
+            return Err(self.fail("a chunk came from beyond the answer's end"));
+        }
+        self.early.entry(index).or_insert(data);
+        Ok(self.release())
+    }
+
+    /// Takes the answer's end: the number of its chunks, or the error in which it ended.
+    ///
+    /// The end may come before the last chunks.
+    pub fn end(&mut self, chunks: u64, error: Option<Error>) -> Result<()> {
+        if self.state != State::Open || self.count == Some(chunks) && error.is_none() {
+            return Ok(());
+        }
+        if let Some(error) = error {
+            self.close(error.clone());
+            return Err(error);
+        }
+        let last = self.early.last_key_value().map_or(self.next, |(&index, _)| index + 1);
+        if chunks < last || self.count.is_some() {
+            return Err(self.fail("the end counts other chunks than came"));
+        }
+        self.count = Some(chunks);
+        self.settle();
+        Ok(())
+    }
+
+    /// Notes that nothing more can come. An answer that is not whole fails.
+    pub fn cut(&mut self) -> Result<()> {
+        if self.state == State::Open {
+            return Err(self.fail("the link was cut before the answer was whole"));
+        }
+        Ok(())
+    }
+
+    /// Returns the state.
+    pub const fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns the index of the next chunk to hand out, from which a stream may be resumed.
+    pub const fn next_index(&self) -> u64 {
+        self.next
+    }
+
+    /// Returns the number of chunks that wait for one before them.
+    pub fn waiting(&self) -> usize {
+        self.early.len()
+    }
+
+    fn release(&mut self) -> Vec<Bytes> {
+        let mut out = Vec::new();
+        while let Some(data) = self.early.remove(&self.next) {
+            out.push(data);
+            self.next += 1;
+        }
+        self.settle();
+        out
+    }
+
+    fn settle(&mut self) {
+        if self.count == Some(self.next) {
+            self.state = State::Whole;
+        }
+    }
+
+    fn fail(&mut self, detail: &str) -> Error {
+        let error = Error::new(ErrorKind::AnswerCut, detail);
+        self.close(error.clone());
+        error
+    }
+
+    fn close(&mut self, error: Error) {
+        self.early.clear();
+        self.state = State::Failed(error);
+    }
+}
+
+/// Credit as the receiver of an answer gives it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Grants {
+    window: u32,
+    /// Chunks consumed whose credit has not been given back; under half of the window.
+    owed: u32,
+}
+
+impl Grants {
+    /// Returns the account of a receiver that buffers at most `window` chunks, at least 1. The
+    /// sender starts with the whole window.
+    pub fn new(window: u32) -> Self {
+        Self { window: window.max(1), owed: 0 }
+    }
+
+    /// Returns the credit that the sender starts with, in chunks.
+    pub const fn window(&self) -> u32 {
+        self.window
+    }
+
+    /// Notes chunks that the caller has taken, and returns the credit to send, if it is worth a
+    /// message.
+    pub fn consumed(&mut self, chunks: u32) -> Option<u32> {
+        self.owed = self.owed.saturating_add(chunks);
+        if self.owed < self.window.div_ceil(2) {
+            return None;
+        }
+        Some(std::mem::take(&mut self.owed))
+    }
+}
+
+/// Credit as the sender of an answer holds it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Credit {
+    chunks: u32,
+}
+
+impl Credit {
+    /// Returns the credit of `chunks` chunks.
+    pub const fn new(chunks: u32) -> Self {
+        Self { chunks }
+    }
+
+    /// Adds credit.
+    pub fn add(&mut self, chunks: u32) {
+        self.chunks = self.chunks.saturating_add(chunks);
+    }
+
+    /// Takes the credit for one chunk; false if it must wait.
+    #[must_use]
+    pub fn take(&mut self) -> bool {
+        let Some(left) = self.chunks.checked_sub(1) else { return false };
+        self.chunks = left;
+        true
+    }
+
+    /// Returns the number of chunks that may be sent.
+    pub const fn left(&self) -> u32 {
+        self.chunks
+    }
+}
--- a/crates/egretgate-core/src/retry.rs
+++ b/crates/egretgate-core/src/retry.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, RngExt};
 
 /// Longest time to come back that is ever named.
-pub const LONGEST: Duration = Duration::from_secs(60);
+pub const LONGEST: Duration = Duration::from_mins(1);
 
 /// Shortest time to come back that is ever named.
 pub const SHORTEST: Duration = Duration::from_millis(50);
