--- a/crates/egretside/src/conn.rs
+++ b/crates/egretside/src/conn.rs
@@ -4,7 +4,7 @@
 
 use egretgate_core::Incarnation;
 use egretgate_link::Codec;
-use egretgate_link::message::{Hello, ToEntry, ToSide, Welcome, to_entry, to_side};
+use egretgate_link::message::{Hello, ToEntry, ToSide, to_entry, to_side};
 use futures::stream::{SplitSink, SplitStream};
 use futures::{SinkExt, StreamExt};
 use subtle::ConstantTimeEq;
@@ -12,8 +12,10 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
+use tokio_util::sync::CancellationToken;
 
-use crate::desk::DeskMessage;
+use crate::desk::{Attached, DeskMessage};
+use crate::entries::Peer;
 
 /// Time allowed for the first frame of a connection.
 const HELLO_TIMEOUT: Duration = Duration::from_secs(2);
@@ -31,16 +33,20 @@
     }
     let mut connection = Framed::new(stream, Codec::new());
     let Some(hello) = read_hello(&mut connection, &token).await else { return };
+    let entry = hello.incarnation;
     let (frames, outgoing) = mpsc::channel(FRAME_DEPTH);
-    let Some(welcome) = attach(&hello, frames, &desk).await else { return };
+    let cut = CancellationToken::new();
+    let peer = Peer { frames, cut: cut.clone() };
+    let Some(attached) = attach(entry, peer, &desk).await else { return };
     let (mut sink, stream) = connection.split();
-    if sink.send(to_entry::Body::Welcome(welcome).into()).await.is_ok() {
+    if sink.send(to_entry::Body::Welcome(attached.welcome).into()).await.is_ok() {
         tokio::select! {
             () = write_frames(sink, outgoing) => {}
-            () = read_frames(stream, hello.incarnation, &desk) => {}
+            () = read_frames(stream, entry, &desk) => {}
+            () = cut.cancelled() => {}
         }
     }
-    let _ = desk.send(DeskMessage::Detach(hello.incarnation)).await;
+    let _ = desk.send(DeskMessage::Detach { entry, id: attached.id }).await;
 }
 
 /// Returns the first frame if it is a greeting with the right token.
@@ -56,14 +62,13 @@
 }
 
 async fn attach(
-    hello: &Hello,
-    frames: mpsc::Sender<ToEntry>,
+    entry: Incarnation,
+    peer: Peer,
     desk: &mpsc::Sender<DeskMessage>,
-) -> Option<Welcome> {
-    let (reply, welcome) = oneshot::channel();
-    let message = DeskMessage::Attach { entry: hello.incarnation, frames, reply };
-    desk.send(message).await.ok()?;
-    welcome.await.ok()
+) -> Option<Attached> {
+    let (reply, attached) = oneshot::channel();
+    desk.send(DeskMessage::Attach { entry, peer, reply }).await.ok()?;
+    attached.await.ok()
 }
 
 async fn write_frames(
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -5,39 +5,37 @@
 
 use egretgate_core::declaration::ServiceKind;
 use egretgate_core::limit::Lengths;
-use egretgate_core::queue::{GivenUp, Held, Offered, Queue, QueueOptions, Work};
+use egretgate_core::queue::{GivenUp, Offered, Queue, QueueOptions, Work};
 use egretgate_core::{
     Digest, Error, ErrorKind, Incarnation, PlaceId, ServiceId, Ticket, Tier, UpstreamId,
 };
 use egretgate_link::message::{
-    Deaths, Goodbye, Load, Offer, Queued, Refused, Snapshot, Standing, TicketId, TicketState,
-    Welcome, to_entry, to_side,
+    Deaths, Goodbye, Load, Offer, Refused, Snapshot, Standing, TicketId, TicketState, Welcome,
+    to_entry, to_side,
 };
 use rand_chacha::ChaCha8Rng;
-use slog::{Logger, info, warn};
+use slog::Logger;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval, sleep_until};
 
-use crate::engines::{EngineKey, Engines, PROBE_PAUSE, Verdict};
+use crate::engines::{EngineKey, Engines};
 use crate::entries::{ConnectionId, Entries, Peer};
 use crate::feed::Feed;
-use crate::run::{Control, Finish, Report, Run};
+use crate::run::{Control, Report};
 use crate::samples::Samples;
 use crate::standings::Standings;
 
+mod life;
+mod upkeep;
+
 /// Depth of the desk's message channel.
 pub(crate) const DESK_DEPTH: usize = 4096;
 /// Pause between two rounds of upkeep.
 const TICK: Duration = Duration::from_millis(250);
-/// Time within which a reported death must be in the log, or it is reported to another entry.
-const DEATH_CONFIRM: Duration = Duration::from_secs(2);
-/// Budget of the side process for heartbeats to all entries, in bytes per second.
-const HEARTBEAT_BUDGET: f64 = 2048.0;
-/// Size of a heartbeat on the wire without samples, in bytes.
-const HEARTBEAT_BYTES: f64 = 64.0;
-/// Shortest pause between two heartbeats to one entry.
-const HEARTBEAT_MIN: Duration = Duration::from_millis(500);
-
+/// Share of answers that are no longer than predicted.
+const LENGTH_QUANTILE: f64 = 0.5;
+/// Predicted answer length of a route that has given none yet, in tokens.
+const LENGTH_INITIAL: u32 = 64;
 /// What the desk is told.
 #[derive(Debug)]
 pub(crate) enum DeskMessage {
@@ -163,7 +161,7 @@
             entries: Entries::default(),
             running: HashMap::new(),
             standings: Standings::default(),
-            lengths: Lengths::default(),
+            lengths: Lengths::new(LENGTH_QUANTILE, LENGTH_INITIAL),
             samples: Samples::default(),
             feed: Feed::default(),
             rng,
@@ -270,10 +268,8 @@
                 for given_up in displaced {
                     self.give_up(given_up);
                 }
-                if !self.start_next() || self.queue.holds(ticket) {
-                    let queued = Queued { ticket: Some(ticket.into()) };
-                    self.entries.send(entry, to_entry::Body::Queued(queued));
-                }
+                self.start_next();
+                self.notify_queued(entry, ticket);
             }
             Offered::Refused { error, .. } => self.refuse(entry, ticket, &error),
             Offered::Duplicate { .. } => {}
@@ -296,7 +292,7 @@
 
     fn work(&mut self, ticket: Ticket, offer: &Offer, now: Instant) -> Work {
         let digest = digest_of(offer);
-        let learned = self.lengths.estimate(&offer.route, offer.output_tokens);
+        let learned = self.lengths.predict(&offer.route).min(offer.output_tokens.max(1));
         Work {
             ticket,
             team: offer.team.clone(),
@@ -341,8 +337,7 @@
         }
         let unseen = self.standings.get(ticket).is_none();
         if held.is_some() || unseen {
-            let error = Error::new(ErrorKind::CallerGone, "withdrawn");
-            self.refuse(entry, ticket, &error);
+            self.refuse(entry, ticket, &upkeep::withdrawn());
         }
     }
 
--- /dev/null
+++ b/crates/egretside/src/desk/life.rs
@@ -0,0 +1,208 @@
+//! From the queue to the end: starting requests, their ends, and deaths of engines.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use egretgate_core::queue::Held;
+use egretgate_core::{ErrorKind, Ticket};
+use egretgate_link::message::{Deaths, Queued, Standing, to_entry};
+use slog::{info, warn};
+use tokio::sync::oneshot;
+
+use crate::desk::{Desk, DeskMessage, Running, Unconfirmed, Waiting};
+use crate::engines::{EngineKey, PROBE_PAUSE, Verdict};
+use crate::run::{Finish, Report, Run};
+
+impl Desk {
+    /// Gives up what can't finish any more and starts what fits.
+    pub(crate) fn advance(&mut self) {
+        let estimate = self.engines.estimate();
+        for given_up in self.queue.expire(Instant::now(), &estimate, &mut self.rng) {
+            self.give_up(given_up);
+        }
+        self.start_next();
+        if self.delivering == 0
+            && self.running.is_empty()
+            && let Some(reply) = self.stopping.take()
+        {
+            self.stopped = true;
+            let _ = reply.send(());
+        }
+    }
+
+    /// Starts waiting work while an engine has room for it.
+    pub(crate) fn start_next(&mut self) {
+        while let Some((engine, held)) = self.take_next() {
+            self.start(engine, held);
+        }
+    }
+
+    fn take_next(&mut self) -> Option<(EngineKey, Held<Waiting>)> {
+        let now = Instant::now();
+        for engine in self.engines.open() {
+            let room = self.engines.room(engine);
+            let engines = &self.engines;
+            let held = self.queue.next_where(now, room, |work| engines.accepts(engine, work));
+            if let Some(held) = held {
+                return Some((engine, held));
+            }
+        }
+        None
+    }
+
+    fn start(&mut self, engine: EngineKey, held: Held<Waiting>) {
+        let Held { work, payload: Waiting { entry, offer }, since } = held;
+        self.entries.remove_waiting(entry, work.ticket);
+        let Some(frames) = self.entries.frames(entry).cloned() else {
+            // Its entry is cut off: put nothing on the engine for nobody.
+            self.standings.note(work.ticket, Standing::Refused);
+            return;
+        };
+        metrics::histogram!("egretside_wait_seconds").record(since.elapsed().as_secs_f64());
+        let level = self.engines.level(engine);
+        self.engines.started(engine, &work);
+        let upstream = self.engines.upstream(engine);
+        let version = upstream.version().clone();
+        let route = offer.route.clone();
+        let (run, control) = Run::new(work.ticket, offer, upstream, frames);
+        let running = Running {
+            engine,
+            control,
+            route,
+            team: work.team,
+            tier: work.tier,
+            digest: work.digest,
+            prompt: work.prompt,
+            estimated: work.output,
+            level,
+            version,
+        };
+        self.running.insert(work.ticket, running);
+        self.delivering += 1;
+        tokio::spawn(drive(run, self.own.clone()));
+    }
+
+    /// Notes the end of a run.
+    pub(crate) fn handle_ended(&mut self, report: &Report) {
+        let Some(running) = self.running.remove(&report.ticket) else { return };
+        let standing = match report.finish {
+            Finish::NotSent => Standing::Refused,
+            _ => Standing::Ended,
+        };
+        self.standings.note(report.ticket, standing);
+        let charged = u64::from(running.prompt) + u64::from(running.estimated);
+        let limit = self.engines.limit(running.engine);
+        if report.finish == Finish::Whole {
+            let actual = u64::from(running.prompt) + u64::from(report.tokens);
+            limit.ended(charged, actual, report.whole);
+            self.lengths.observe(&running.route, report.tokens);
+            self.queue.settle(running.tier, &running.team, running.estimated, report.tokens);
+        } else {
+            limit.dropped(charged);
+        }
+        self.samples.note(&running.route, &running.version, running.level, report);
+        self.log_end(&running, report);
+        let cut = matches!(report.finish, Finish::Cut);
+        let doubted = self.engines.ended(running.engine, report.ticket, cut);
+        let unreachable =
+            report.finish == Finish::NotSent && self.engines.unreachable(running.engine);
+        if doubted || unreachable {
+            self.probe(running.engine, Duration::ZERO);
+        }
+        if report.finish == Finish::Whole {
+            self.feed.clear_suspect(running.digest);
+        }
+    }
+
+    fn log_end(&self, running: &Running, report: &Report) {
+        metrics::counter!("egretside_ended_total", "finish" => report.finish.as_str()).increment(1);
+        info!(self.log, "request ended";
+            "request" => report.ticket.to_string(),
+            "team" => &running.team,
+            "tier" => running.tier,
+            "route" => &running.route,
+            "version" => &running.version,
+            "outcome" => report.finish.as_str(),
+            "tokens" => report.tokens,
+            "ms" => report.whole.as_millis() as u64);
+    }
+
+    /// Asks an engine for a sign of life after `pause`.
+    fn probe(&self, key: EngineKey, pause: Duration) {
+        let upstream = self.engines.upstream(key);
+        let own = self.own.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(pause).await;
+            let alive = upstream.alive().await;
+            let _ = own.send(DeskMessage::Probed { engine: key, alive }).await;
+        });
+    }
+
+    /// Acts on a probe's answer: reports a death, and keeps asking an engine that is down.
+    pub(crate) fn handle_probed(&mut self, key: EngineKey, alive: bool) {
+        match self.engines.probed(key, alive, Instant::now()) {
+            Verdict::Alive => {}
+            Verdict::Back => info!(self.log, "engine is back"),
+            Verdict::StillDown => self.probe(key, PROBE_PAUSE),
+            Verdict::Died { digests, back } => {
+                self.report_death(digests);
+                if !back {
+                    self.probe(key, PROBE_PAUSE);
+                }
+                self.beat();
+            }
+        }
+    }
+
+    fn report_death(&mut self, digests: Vec<egretgate_core::Digest>) {
+        warn!(self.log, "engine died"; "in_flight" => digests.len());
+        metrics::counter!("egretside_deaths_total").increment(1);
+        if digests.is_empty() {
+            return;
+        }
+        self.deaths += 1;
+        let deaths = Deaths {
+            upstream: self.identity.upstream.clone(),
+            sequence: self.deaths,
+            digests: digests.iter().map(|one| Bytes::copy_from_slice(one.as_bytes())).collect(),
+        };
+        self.feed.died(&self.identity, &deaths);
+        let reporter = self.entries.attached().min();
+        if let Some(entry) = reporter {
+            self.entries.send(entry, to_entry::Body::Deaths(deaths.clone()));
+        }
+        self.unconfirmed.push(Unconfirmed { deaths, since: Instant::now() });
+    }
+
+    /// Tells the entry that a request waits, unless it has started already.
+    pub(crate) fn notify_queued(&self, entry: egretgate_core::Incarnation, ticket: Ticket) {
+        if self.queue.holds(ticket) {
+            let queued = Queued { ticket: Some(ticket.into()) };
+            self.entries.send(entry, to_entry::Body::Queued(queued));
+        }
+    }
+
+    /// Refuses everything that waits and answers once the rest has finished.
+    pub(crate) fn stop(&mut self, reply: oneshot::Sender<()>) {
+        let estimate = self.engines.estimate();
+        let goodbye = to_entry::Body::Goodbye(egretgate_link::message::Goodbye {});
+        self.entries.broadcast(&goodbye);
+        for mut given_up in self.queue.drain(Instant::now(), &estimate, &mut self.rng) {
+            given_up.error.kind = ErrorKind::Stopping;
+            self.give_up(given_up);
+        }
+        info!(self.log, "stopping"; "running" => self.running.len());
+        self.stopping = Some(reply);
+    }
+}
+
+/// Runs a request to its end, then delivers its last frame.
+async fn drive(mut run: Run, desk: tokio::sync::mpsc::Sender<DeskMessage>) {
+    let report = run.run(&desk).await;
+    let (reply, load) = oneshot::channel();
+    if desk.send(DeskMessage::Ended { report, reply }).await.is_err() {
+        return;
+    }
+    run.deliver(load.await.unwrap_or_default()).await;
+    let _ = desk.send(DeskMessage::Delivered).await;
+}
--- /dev/null
+++ b/crates/egretside/src/desk/upkeep.rs
@@ -0,0 +1,98 @@
+//! Regular work of the desk: heartbeats, load, and what was lost.
+
+use std::time::{Duration, Instant};
+
+use egretgate_core::{Error, ErrorKind};
+use egretgate_link::message::{Load, Standing, to_entry};
+
+use crate::desk::Desk;
+
+/// Time within which a reported death must be in the log, or it is reported to every entry.
+const DEATH_CONFIRM: Duration = Duration::from_secs(2);
+/// Budget of the side process for heartbeats to all entries, in bytes per second.
+const HEARTBEAT_BUDGET: f64 = 2048.0;
+/// Size of a heartbeat on the wire without samples, in bytes.
+const HEARTBEAT_BYTES: f64 = 64.0;
+/// Shortest pause between two heartbeats to one entry.
+const HEARTBEAT_MIN: Duration = Duration::from_millis(500);
+
+impl Desk {
+    /// Does what is due by time alone.
+    pub(crate) fn tick(&mut self) {
+        let now = Instant::now();
+        for ticket in self.entries.forget_lost(now) {
+            if self.queue.withdraw(ticket).is_some() {
+                self.standings.note(ticket, Standing::Refused);
+            }
+        }
+        self.confirm_deaths(now);
+        if now.duration_since(self.last_beat) >= heartbeat_pause(self.entries.len()) {
+            self.beat();
+        }
+        self.gauge();
+    }
+
+    /// Sends the load to every entry.
+    pub(crate) fn beat(&mut self) {
+        self.last_beat = Instant::now();
+        let mut load = self.load();
+        load.samples = self.samples.frames();
+        self.entries.broadcast(&to_entry::Body::Load(load));
+    }
+
+    /// Returns the load at this moment, without samples.
+    pub(crate) fn load(&self) -> Load {
+        let estimate = self.engines.estimate();
+        let waiting = self.queue.tokens();
+        Load {
+            queued: self.queue.len() as u32,
+            running: self.engines.running(),
+            limit: self.engines.limit_total(),
+            waiting_tokens: waiting,
+            first_us: micros(estimate.first(waiting, 0)),
+            between_us: (estimate.between * 1e6) as u64,
+            lowest: self.queue.lowest().map_or(0, |tier| u32::from(tier) + 1),
+            shed: self.queue.shed().map_or(0, |tier| u32::from(tier) + 1),
+            offset: self.feed.offset(),
+            digest: self.feed.digest(),
+            samples: Vec::new(),
+            healthy: self.engines.healthy(),
+        }
+    }
+
+    /// Reports a death to every entry if the log has not confirmed it in time.
+    fn confirm_deaths(&mut self, now: Instant) {
+        let feed = &self.feed;
+        let identity = &self.identity;
+        self.unconfirmed.retain(|one| !feed.knows_death(identity, &one.deaths));
+        for one in &mut self.unconfirmed {
+            if now.duration_since(one.since) >= DEATH_CONFIRM {
+                one.since = now;
+                self.entries.broadcast(&to_entry::Body::Deaths(one.deaths.clone()));
+            }
+        }
+    }
+
+    fn gauge(&self) {
+        metrics::gauge!("egretside_queued").set(self.queue.len() as f64);
+        metrics::gauge!("egretside_running").set(f64::from(self.engines.running()));
+        metrics::gauge!("egretside_limit").set(f64::from(self.engines.limit_total()));
+        metrics::gauge!("egretside_entries").set(self.entries.len() as f64);
+        metrics::gauge!("egretside_config_offset").set(self.feed.offset() as f64);
+    }
+}
+
+/// Returns the pause between heartbeats that keeps `entries` receivers within the budget.
+fn heartbeat_pause(entries: usize) -> Duration {
+    let pause = Duration::from_secs_f64(entries as f64 * HEARTBEAT_BYTES / HEARTBEAT_BUDGET);
+    pause.max(HEARTBEAT_MIN)
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Returns the refusal of a request that its entry took back.
+pub(crate) fn withdrawn() -> Error {
+    Error::new(ErrorKind::CallerGone, "withdrawn")
+}
--- a/crates/egretside/src/run.rs
+++ b/crates/egretside/src/run.rs
@@ -4,15 +4,18 @@
 
 use bytes::Bytes;
 use egretgate_core::{ErrorKind, Ticket};
-use egretgate_engine::TokenMeter;
+use egretgate_engine::{Fed, TokenMeter};
 use egretgate_http::Answer;
 use egretgate_link::message::{End, Load, Offer, Refused, Started, ToEntry, to_entry};
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout};
 
+use crate::desk::{DeskMessage, Pace};
 use crate::outbox::{CUT_GRACE, Outbox};
 use crate::upstream::{Failure, Upstream};
 
+/// Pause between two reports of the time between tokens.
+const PACE_PAUSE: Duration = Duration::from_millis(100);
 /// Depth of a run's control channel.
 const CONTROL_DEPTH: usize = 64;
 
@@ -90,7 +93,7 @@
     }
 
     /// Calls the upstream and streams its answer. The final frame waits for [`Run::deliver`].
-    pub(crate) async fn run(&mut self) -> Report {
+    pub(crate) async fn run(&mut self, desk: &mpsc::Sender<DeskMessage>) -> Report {
         let ticket = self.outbox.ticket();
         let version = self.upstream.version().to_owned();
         let started = Started { ticket: Some(ticket.into()), version };
@@ -100,7 +103,8 @@
         self.finish = match self.call().await {
             Ok(answer) => {
                 self.outbox.set_head(answer.status, answer.content_type.clone());
-                self.stream(answer, &mut meter).await
+                let mut watch = Watch::new(ticket, begin, desk.clone());
+                self.stream(answer, &mut meter, &mut watch).await
             }
             Err(failure) => failure.into(),
         };
@@ -151,7 +155,7 @@
         }
     }
 
-    async fn stream(&mut self, mut answer: Answer, meter: &mut TokenMeter) -> Finish {
+    async fn stream(&mut self, mut answer: Answer, meter: &mut TokenMeter, watch: &mut Watch) -> Finish {
         loop {
             match self.step(&mut answer).await {
                 Step::Control(Some(Control::Credit(chunks))) => self.outbox.credit(chunks),
@@ -164,7 +168,7 @@
                     return Finish::Cancelled;
                 }
                 Step::Data(Some(Ok(data))) => {
-                    meter.feed(&data, Instant::now());
+                    watch.note(meter.feed(&data, Instant::now()), Instant::now());
                     self.outbox.push(data).await;
                 }
                 Step::Data(Some(Err(error))) => return Failure::from(error).into(),
@@ -208,6 +212,60 @@
     }
 }
 
+impl Finish {
+    /// Returns the word used in logs and metrics.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Failed => "failed",
+            Self::NotSent => "not_sent",
+            Self::Cut => "cut",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// Passes the times of a stream on to the desk while it runs.
+#[derive(Debug)]
+struct Watch {
+    ticket: Ticket,
+    begin: Instant,
+    desk: mpsc::Sender<DeskMessage>,
+    first: bool,
+    /// Tokens and time since the last report.
+    tokens: u32,
+    since: Instant,
+}
+
+impl Watch {
+    fn new(ticket: Ticket, begin: Instant, desk: mpsc::Sender<DeskMessage>) -> Self {
+        Self { ticket, begin, desk, first: true, tokens: 0, since: begin }
+    }
+
+    fn note(&mut self, fed: Fed, now: Instant) {
+        if fed.tokens == 0 {
+            return;
+        }
+        if self.first {
+            self.first = false;
+            self.since = now;
+            return self.tell(Pace::First(now.duration_since(self.begin)));
+        }
+        self.tokens += fed.tokens;
+        let passed = now.duration_since(self.since);
+        if passed >= PACE_PAUSE {
+            self.tell(Pace::Gap(passed / self.tokens));
+            self.tokens = 0;
+            self.since = now;
+        }
+    }
+
+    /// Drops the report if the desk is behind: a measurement is not worth waiting for.
+    fn tell(&self, pace: Pace) {
+        let _ = self.desk.try_send(DeskMessage::Pace { ticket: self.ticket, pace });
+    }
+}
+
 impl From<Failure> for Finish {
     fn from(failure: Failure) -> Self {
         match failure {
