--- /dev/null
+++ b/crates/egretgate-core/src/choice/fleet.rs
@@ -0,0 +1,595 @@
+//! The upstreams that one entry knows, indexed by service, version and place.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::ops::Bound;
+use std::time::{Duration, Instant};
+
+use rand::{Rng, RngExt};
+use slotmap::SlotMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::view::Prior;
+use super::{Ask, Flight, Policy, Report, Upstream, UpstreamKey, View};
+use crate::ids::{PlaceId, ServiceId, VersionId};
+
+/// Points of one upstream on the hash ring of its group.
+const POINTS: u64 = 16;
+/// Upstreams looked at along the ring before affinity is given up.
+const RING_STEPS: usize = 4;
+/// Random candidates from the own place.
+const NEAR_SAMPLES: usize = 4;
+/// Random candidates from other places.
+const FAR_SAMPLES: usize = 2;
+/// Views that a Prequal-style decision looks at.
+const PROBES: usize = 6;
+/// Tries to find a random eligible upstream before a scan.
+const RANDOM_TRIES: usize = 8;
+/// Load of an upstream over the mean of its group up to which affinity holds: 1 + epsilon.
+const OVERLOAD: f64 = 1.5;
+/// Part of the prompt that affinity is expected to save.
+const EXPECTED_HIT: f64 = 0.75;
+/// Predicted gain below which a request stays in its own place, in seconds.
+const SPILL_MARGIN: f64 = 0.02;
+/// Added to the prediction of an upstream that says it would refuse, in seconds.
+const SHED_PENALTY: f64 = 60.0;
+/// One-way latency to a place of which none was set.
+const DEFAULT_LATENCY: Duration = Duration::from_millis(1);
+/// Excluded upstreams beyond which a scan looks them up in a set.
+const SMALL_EXCLUDED: usize = 16;
+
+slotmap::new_key_type! {
+    struct GroupKey;
+}
+
+/// Upstreams of one service and version in one place.
+#[derive(Debug, Default)]
+struct Group {
+    place: PlaceId,
+    members: Vec<UpstreamKey>,
+    /// Hash ring: point to upstream.
+    ring: BTreeMap<u64, UpstreamKey>,
+    /// Sum of the members' own outstanding work, in weighted tokens.
+    work: u64,
+    /// Sum of the members' capacity, in tokens per second.
+    capacity: u64,
+    /// Sum of the members' slots.
+    slots: u64,
+    /// Sum of the requests of others in the members' last reports.
+    others: u64,
+}
+
+/// Groups of one service and version, one for each place.
+#[derive(Debug, Default)]
+struct Pool {
+    groups: Vec<GroupKey>,
+    places: HashMap<PlaceId, usize>,
+}
+
+/// What a member adds to the sums of its groups.
+#[derive(Debug, Clone, Copy, Default)]
+struct Part {
+    work: u64,
+    capacity: u64,
+    slots: u64,
+    others: u64,
+}
+
+#[derive(Debug)]
+struct Member {
+    view: View,
+    groups: Vec<GroupKey>,
+    /// What the groups' sums hold for this member.
+    part: Part,
+}
+
+/// The upstreams that one entry knows.
+///
+/// ```
+/// use std::time::Instant;
+///
+/// use egretgate_core::choice::{Ask, Fleet, Policy, Upstream};
+/// use rand::SeedableRng;
+///
+/// let mut fleet = Fleet::new(Policy::Affinity);
+/// let key = fleet.insert(Upstream {
+///     id: "forecast-1".into(),
+///     place: "olinda".into(),
+///     service: "forecast-llm".into(),
+///     versions: vec!["v1".into()],
+/// });
+/// let ask = Ask {
+///     service: "forecast-llm",
+///     version: None,
+///     tier: 0,
+///     prompt: 200,
+///     output: 50,
+///     prefix: 7,
+///     place: "olinda",
+///     excluded: &[],
+/// };
+/// let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+/// assert_eq!(fleet.choose(&ask, Instant::now(), &mut rng), Some(key));
+/// ```
+#[derive(Debug, Default)]
+pub struct Fleet {
+    policy: Policy,
+    members: SlotMap<UpstreamKey, Member>,
+    groups: SlotMap<GroupKey, Group>,
+    /// Pools by service, then by version; the empty version stands for any.
+    pools: HashMap<ServiceId, HashMap<VersionId, Pool>>,
+    /// One-way latency to other places.
+    latencies: HashMap<PlaceId, Duration>,
+}
+
+impl Fleet {
+    /// Returns an empty fleet that chooses by `policy`.
+    pub fn new(policy: Policy) -> Self {
+        Self { policy, ..Self::default() }
+    }
+
+    /// Sets the one-way latency to a place.
+    pub fn set_latency(&mut self, place: &str, latency: Duration) {
+        self.latencies.insert(place.to_owned(), latency);
+    }
+
+    /// Adds an upstream at full weight.
+    pub fn insert(&mut self, upstream: Upstream) -> UpstreamKey {
+        let member =
+            Member { view: View::new(upstream), groups: Vec::new(), part: Part::default() };
+        let key = self.members.insert(member);
+        self.join(key);
+        key
+    }
+
+    /// Forgets an upstream; true if it was known.
+    pub fn remove(&mut self, key: UpstreamKey) -> bool {
+        self.part(key);
+        self.members.remove(key).is_some()
+    }
+
+    /// Returns the view of an upstream.
+    pub fn view(&self, key: UpstreamKey) -> Option<&View> {
+        self.members.get(key).map(|member| &member.view)
+    }
+
+    /// Returns every upstream with its view.
+    pub fn iter(&self) -> impl Iterator<Item = (UpstreamKey, &View)> {
+        self.members.iter().map(|(key, member)| (key, &member.view))
+    }
+
+    /// Returns the number of upstreams known.
+    pub fn len(&self) -> usize {
+        self.members.len()
+    }
+
+    /// Returns true if no upstream is known.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    /// Replaces the versions that an upstream holds.
+    pub fn set_versions(&mut self, key: UpstreamKey, versions: Vec<VersionId>) {
+        self.part(key);
+        let Some(member) = self.members.get_mut(key) else { return };
+        member.view.upstream.versions = versions;
+        self.join(key);
+    }
+
+    /// Sets the share of its full load that an upstream may take, in 0..=1; 0 excludes it.
+    pub fn set_weight(&mut self, key: UpstreamKey, weight: f64) {
+        let Some(member) = self.members.get_mut(key) else { return };
+        member.view.weight = weight.clamp(0.0, 1.0);
+        self.refresh(key);
+    }
+
+    /// Takes in a report of a side process.
+    pub fn report(&mut self, key: UpstreamKey, report: Report, now: Instant) {
+        let Some(member) = self.members.get_mut(key) else { return };
+        member.view.set_report(report, now);
+        self.refresh(key);
+    }
+
+    /// Counts a request as in flight from its offer on.
+    pub fn begin(&mut self, key: UpstreamKey, ask: &Ask<'_>, now: Instant) -> Flight {
+        let work = Flight::weigh(ask);
+        let prior = self.prior_of(key);
+        let mut flight =
+            Flight { work, prompt: ask.prompt, predicted: 0.0, begun: now, first: None };
+        let Some(member) = self.members.get_mut(key) else { return flight };
+        flight.predicted = member.view.predict(ask, prior, 0.0, now);
+        member.view.flights += 1;
+        member.view.work += work;
+        self.refresh(key);
+        flight
+    }
+
+    /// Takes in the first token of a request; later calls for it do nothing.
+    pub fn first(&mut self, key: UpstreamKey, flight: &mut Flight, now: Instant) {
+        if flight.first.is_some() {
+            return;
+        }
+        flight.first = Some(now);
+        let Some(member) = self.members.get_mut(key) else { return };
+        member.view.observe_first(flight, now);
+    }
+
+    /// Ends a request, however it ended, after `tokens` generated tokens.
+    pub fn end(&mut self, key: UpstreamKey, flight: Flight, tokens: u32, now: Instant) {
+        let Some(member) = self.members.get_mut(key) else { return };
+        member.view.flights = member.view.flights.saturating_sub(1);
+        member.view.work = member.view.work.saturating_sub(flight.work);
+        if let Some(first) = flight.first {
+            member.view.observe_stream(tokens, now.saturating_duration_since(first));
+        }
+        self.refresh(key);
+    }
+
+    /// Chooses an upstream, or `None` if none is eligible that is not excluded.
+    pub fn choose<R: Rng + ?Sized>(
+        &self,
+        ask: &Ask<'_>,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<UpstreamKey> {
+        let pool = self.pool(ask)?;
+        let chosen = match self.policy {
+            Policy::Random => None,
+            Policy::LeastInFlight => self.least(pool, ask, rng),
+            Policy::TwoChoices => self.two(pool, ask, rng),
+            Policy::Prequal => self.prequal(pool, ask, now, rng),
+            Policy::Affinity => self.affinity(pool, ask, now, rng),
+        };
+        chosen.or_else(|| self.random(pool, ask, rng)).or_else(|| self.scan(pool, ask, rng))
+    }
+
+    fn pool(&self, ask: &Ask<'_>) -> Option<&Pool> {
+        self.pools.get(ask.service)?.get(ask.version.unwrap_or_default())
+    }
+
+    /// Returns the view if the request may go there.
+    fn allowed(&self, key: UpstreamKey, ask: &Ask<'_>) -> Option<&View> {
+        let view = &self.members.get(key)?.view;
+        (view.eligible() && !ask.excluded.contains(&key)).then_some(view)
+    }
+
+    /// Draws a member of a group, or `None` if the one drawn may not take the request now.
+    fn draw<R: Rng + ?Sized>(
+        &self,
+        group: &Group,
+        ask: &Ask<'_>,
+        rng: &mut R,
+    ) -> Option<UpstreamKey> {
+        if group.members.is_empty() {
+            return None;
+        }
+        let key = group.members[rng.random_range(0..group.members.len())];
+        let view = self.allowed(key, ask)?;
+        admitted(view, rng).then_some(key)
+    }
+
+    /// Draws a member of a pool, each with the same probability.
+    fn draw_any<R: Rng + ?Sized>(
+        &self,
+        pool: &Pool,
+        ask: &Ask<'_>,
+        rng: &mut R,
+    ) -> Option<UpstreamKey> {
+        let total: usize = pool.groups.iter().map(|&key| self.groups[key].members.len()).sum();
+        if total == 0 {
+            return None;
+        }
+        let mut index = rng.random_range(0..total);
+        for &key in &pool.groups {
+            let members = &self.groups[key].members;
+            if let Some(&chosen) = members.get(index) {
+                let view = self.allowed(chosen, ask)?;
+                return admitted(view, rng).then_some(chosen);
+            }
+            index -= members.len();
+        }
+        None
+    }
+
+    fn random<R: Rng + ?Sized>(
+        &self,
+        pool: &Pool,
+        ask: &Ask<'_>,
+        rng: &mut R,
+    ) -> Option<UpstreamKey> {
+        (0..RANDOM_TRIES).find_map(|_| self.draw_any(pool, ask, rng))
+    }
+
+    /// Finds any eligible member, the own place first, from a random start in each group.
+    fn scan<R: Rng + ?Sized>(
+        &self,
+        pool: &Pool,
+        ask: &Ask<'_>,
+        rng: &mut R,
+    ) -> Option<UpstreamKey> {
+        let many = ask.excluded.len() > SMALL_EXCLUDED;
+        let set: HashSet<UpstreamKey> =
+            if many { ask.excluded.iter().copied().collect() } else { HashSet::default() };
+        let free = |key: UpstreamKey| {
+            let excluded = if many { set.contains(&key) } else { ask.excluded.contains(&key) };
+            !excluded && self.members[key].view.eligible()
+        };
+        let own = pool.places.get(ask.place).map(|&index| pool.groups[index]);
+        let others = pool.groups.iter().copied().filter(|&key| Some(key) != own);
+        own.into_iter().chain(others).find_map(|group| {
+            let members = &self.groups[group].members;
+            if members.is_empty() {
+                return None;
+            }
+            let start = rng.random_range(0..members.len());
+            let (head, tail) = members.split_at(start);
+            tail.iter().chain(head).copied().find(|&key| free(key))
+        })
+    }
+
+    fn least<R: Rng + ?Sized>(
+        &self,
+        pool: &Pool,
+        ask: &Ask<'_>,
+        rng: &mut R,
+    ) -> Option<UpstreamKey> {
+        let mut best: Option<(u32, u32, UpstreamKey)> = None;
+        for &group in &pool.groups {
+            for &key in &self.groups[group].members {
+                let Some(view) = self.allowed(key, ask) else { continue };
+                if !admitted(view, rng) {
+                    continue;
+                }
+                if best.is_some_and(|(flights, ..)| view.flights > flights) {
+                    continue;
+                }
+                let entry = (view.flights, rng.random::<u32>(), key);
+                if best.is_none_or(|least| entry < least) {
+                    best = Some(entry);
+                }
+            }
+        }
+        best.map(|(_, _, key)| key)
+    }
+
+    fn two<R: Rng + ?Sized>(&self, pool: &Pool, ask: &Ask<'_>, rng: &mut R) -> Option<UpstreamKey> {
+        let first = self.draw_any(pool, ask, rng);
+        let second = self.draw_any(pool, ask, rng);
+        let (Some(first), Some(second)) = (first, second) else { return first.or(second) };
+        let flights = |key: UpstreamKey| self.members[key].view.flights;
+        Some(if flights(second) < flights(first) { second } else { first })
+    }
+
+    /// Chooses the least latency among the cold, or the fewest in flight if all are hot.
+    fn prequal<R: Rng + ?Sized>(
+        &self,
+        pool: &Pool,
+        ask: &Ask<'_>,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<UpstreamKey> {
+        let mut probes = [None; PROBES];
+        for probe in &mut probes {
+            *probe = self.draw_any(pool, ask, rng);
+        }
+        let views = || probes.iter().flatten().map(|&key| (key, &self.members[key].view));
+        // The hot ones lie above the 5/6 quantile of requests in flight among the probes.
+        let hottest = views().map(|(_, view)| view.in_flight()).max()?;
+        let coldest = views().map(|(_, view)| view.in_flight()).min()?;
+        if hottest == coldest {
+            return least_by(views(), |view| latency(view, now));
+        }
+        let cold = views().filter(|(_, view)| view.in_flight() < hottest);
+        least_by(cold, |view| latency(view, now))
+    }
+
+    fn affinity<R: Rng + ?Sized>(
+        &self,
+        pool: &Pool,
+        ask: &Ask<'_>,
+        now: Instant,
+        rng: &mut R,
+    ) -> Option<UpstreamKey> {
+        let mut best: Option<(f64, UpstreamKey)> = None;
+        let mut offer = |key: UpstreamKey, score: f64| {
+            if best.is_none_or(|(least, _)| score < least) {
+                best = Some((score, key));
+            }
+        };
+        let own = pool.places.get(ask.place).copied();
+        if let Some(index) = own {
+            let group = &self.groups[pool.groups[index]];
+            if let Some(key) = self.on_ring(group, ask, rng) {
+                offer(key, self.score(key, group, ask, EXPECTED_HIT, now));
+            }
+            for _ in 0..NEAR_SAMPLES {
+                let Some(key) = self.draw(group, ask, rng) else { continue };
+                offer(key, self.score(key, group, ask, 0.0, now));
+            }
+        }
+        let near = own.is_some_and(|index| !self.groups[pool.groups[index]].members.is_empty());
+        let samples = if near { FAR_SAMPLES } else { NEAR_SAMPLES + FAR_SAMPLES };
+        for _ in 0..samples {
+            let index = rng.random_range(0..pool.groups.len());
+            if Some(index) == own {
+                continue;
+            }
+            let group = &self.groups[pool.groups[index]];
+            let Some(key) = self.draw(group, ask, rng) else { continue };
+            offer(key, self.score(key, group, ask, 0.0, now) + self.distance(group));
+        }
+        best.map(|(_, key)| key)
+    }
+
+    /// Returns the first member along the ring that may take the request under the load bound.
+    fn on_ring<R: Rng + ?Sized>(
+        &self,
+        group: &Group,
+        ask: &Ask<'_>,
+        rng: &mut R,
+    ) -> Option<UpstreamKey> {
+        let after = group.ring.range((Bound::Included(ask.prefix), Bound::Unbounded));
+        let around = after.chain(group.ring.iter()).map(|(_, &key)| key);
+        let mut last = None;
+        let mut steps = 0;
+        for key in around {
+            if last == Some(key) {
+                continue;
+            }
+            last = Some(key);
+            steps += 1;
+            if steps > RING_STEPS {
+                return None;
+            }
+            let Some(view) = self.allowed(key, ask) else { continue };
+            if self.bounded(key, group, ask) && admitted(view, rng) {
+                return Some(key);
+            }
+        }
+        None
+    }
+
+    /// Returns true if the request keeps the member within its share of the group's work.
+    fn bounded(&self, key: UpstreamKey, group: &Group, ask: &Ask<'_>) -> bool {
+        let work = Flight::weigh(ask);
+        let member = &self.members[key];
+        let total = (group.work + work) as f64;
+        let share = member.part.capacity as f64 / group.capacity.max(1) as f64;
+        let most = (OVERLOAD * total * share).max(work as f64);
+        (member.view.work + work) as f64 <= most
+    }
+
+    /// Returns the predicted seconds to first token, with what weighs against the member.
+    fn score(&self, key: UpstreamKey, group: &Group, ask: &Ask<'_>, hit: f64, now: Instant) -> f64 {
+        let view = &self.members[key].view;
+        let predicted = view.predict(ask, group.prior(), hit, now) + view.excess(now);
+        let shed = if view.sheds(ask.tier, now) { SHED_PENALTY } else { 0.0 };
+        predicted + shed
+    }
+
+    /// Returns what weighs against another place, in seconds.
+    fn distance(&self, group: &Group) -> f64 {
+        let latency = self.latencies.get(&group.place).copied().unwrap_or(DEFAULT_LATENCY);
+        2.0 * latency.as_secs_f64() + SPILL_MARGIN
+    }
+
+    fn prior_of(&self, key: UpstreamKey) -> Prior {
+        let Some(member) = self.members.get(key) else { return Prior::default() };
+        let Some(&group) = member.groups.first() else { return Prior::default() };
+        self.groups[group].prior()
+    }
+
+    /// Enters a member into its groups.
+    fn join(&mut self, key: UpstreamKey) {
+        let Some(member) = self.members.get(key) else { return };
+        let upstream = member.view.upstream.clone();
+        let any = std::iter::once(VersionId::new());
+        let mut joined = Vec::new();
+        for version in any.chain(upstream.versions) {
+            let versions = self.pools.entry(upstream.service.clone()).or_default();
+            let pool = versions.entry(version).or_default();
+            let group = pool.group(&upstream.place, &mut self.groups);
+            self.groups[group].join(key, &upstream.id);
+            joined.push(group);
+        }
+        self.members[key].groups = joined;
+        self.refresh(key);
+    }
+
+    /// Takes a member out of its groups.
+    fn part(&mut self, key: UpstreamKey) {
+        let Some(member) = self.members.get_mut(key) else { return };
+        let part = std::mem::take(&mut member.part);
+        for group in std::mem::take(&mut member.groups) {
+            self.groups[group].subtract(part);
+            self.groups[group].leave(key, &member.view.upstream.id);
+        }
+    }
+
+    /// Brings the sums of a member's groups up to date.
+    fn refresh(&mut self, key: UpstreamKey) {
+        let Some(member) = self.members.get_mut(key) else { return };
+        let old = std::mem::replace(&mut member.part, Part::of(&member.view));
+        for &group in &member.groups {
+            self.groups[group].subtract(old);
+            self.groups[group].add(member.part);
+        }
+    }
+}
+
+impl Pool {
+    /// Returns the group of a place, made if there is none.
+    fn group(&mut self, place: &str, groups: &mut SlotMap<GroupKey, Group>) -> GroupKey {
+        if let Some(&index) = self.places.get(place) {
+            return self.groups[index];
+        }
+        let key = groups.insert(Group { place: place.to_owned(), ..Group::default() });
+        self.places.insert(place.to_owned(), self.groups.len());
+        self.groups.push(key);
+        key
+    }
+}
+
+impl Group {
+    fn join(&mut self, key: UpstreamKey, id: &str) {
+        self.members.push(key);
+        for point in 0..POINTS {
+            self.ring.entry(xxh3_64_with_seed(id.as_bytes(), point)).or_insert(key);
+        }
+    }
+
+    fn leave(&mut self, key: UpstreamKey, id: &str) {
+        self.members.retain(|&member| member != key);
+        for point in 0..POINTS {
+            let hash = xxh3_64_with_seed(id.as_bytes(), point);
+            if self.ring.get(&hash) == Some(&key) {
+                self.ring.remove(&hash);
+            }
+        }
+    }
+
+    fn add(&mut self, part: Part) {
+        self.work += part.work;
+        self.capacity += part.capacity;
+        self.slots += part.slots;
+        self.others += part.others;
+    }
+
+    fn subtract(&mut self, part: Part) {
+        self.work -= part.work;
+        self.capacity -= part.capacity;
+        self.slots -= part.slots;
+        self.others -= part.others;
+    }
+
+    fn prior(&self) -> Prior {
+        Prior { others: self.others as f64 / self.slots.max(1) as f64 }
+    }
+}
+
+impl Part {
+    fn of(view: &View) -> Self {
+        let slots = u64::from(view.slots());
+        let capacity = if view.eligible() { view.rate() * slots as f64 * view.weight } else { 0.0 };
+        Self { work: view.work, capacity: capacity as u64, slots, others: u64::from(view.others()) }
+    }
+}
+
+/// Draws whether an upstream in slow start takes a request.
+fn admitted<R: Rng + ?Sized>(view: &View, rng: &mut R) -> bool {
+    view.weight >= 1.0 || rng.random::<f64>() < view.weight
+}
+
+/// Returns the latency that a Prequal-style decision compares, in seconds.
+fn latency(view: &View, now: Instant) -> f64 {
+    view.report.first.as_secs_f64().max(view.excess(now))
+}
+
+fn least_by<'a>(
+    views: impl Iterator<Item = (UpstreamKey, &'a View)>,
+    cost: impl Fn(&View) -> f64,
+) -> Option<UpstreamKey> {
+    views
+        .map(|(key, view)| (cost(view), key))
+        .min_by(|a, b| a.0.total_cmp(&b.0))
+        .map(|(_, key)| key)
+}
--- /dev/null
+++ b/crates/egretgate-core/src/choice/view.rs
@@ -0,0 +1,226 @@
+//! What one entry knows of one upstream.
+
+use std::time::{Duration, Instant};
+
+use super::{Ask, Report, Upstream};
+
+/// Age at which a report weighs half as much as a fresh one.
+const HALF_AGE: Duration = Duration::from_secs(1);
+/// Time after which a measured excess over the prediction counts half.
+const HALF_EXCESS: Duration = Duration::from_secs(5);
+/// Weight of a new observation in the moving averages.
+const GAIN: f64 = 0.2;
+/// Weight of an observation above the moving lower bound of prefill time.
+const RISE: f64 = 0.02;
+/// Slots of an upstream that has reported no limit.
+const DEFAULT_SLOTS: u32 = 8;
+/// Tokens per second of one stream before anything was measured.
+const DEFAULT_RATE: f64 = 30.0;
+/// Seconds of prefill per prompt token before anything was measured.
+const DEFAULT_PREFILL: f64 = 0.000_2;
+/// Own streams measured before they go before the reported speed.
+const TRUSTED: u32 = 3;
+/// Prompt tokens that weigh as much as one generated token.
+const PROMPT_WEIGHT: u64 = 16;
+
+/// One request of the entry at an upstream, from offer to end.
+#[derive(Debug, Clone)]
+pub struct Flight {
+    /// Outstanding tokens that it adds to the upstream, weighted.
+    pub(super) work: u64,
+    /// Prompt length in tokens.
+    pub(super) prompt: u32,
+    /// Time to first token predicted from reports and own work, without the measured excess.
+    pub(super) predicted: f64,
+    /// Time of the offer.
+    pub(super) begun: Instant,
+    /// Time of the first token.
+    pub(super) first: Option<Instant>,
+}
+
+/// What one entry knows of one upstream.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// Name, place, service and versions.
+    pub upstream: Upstream,
+    /// Share of its full load that it may take, in 0..=1; 0 excludes it.
+    pub(super) weight: f64,
+    /// Last report.
+    pub(super) report: Report,
+    /// When the last report arrived.
+    reported: Option<Instant>,
+    /// Own requests in flight when the last report arrived; the report counts them too.
+    base: u32,
+    /// Own requests in flight.
+    pub(super) flights: u32,
+    /// Own outstanding tokens, weighted.
+    pub(super) work: u64,
+    /// Measured tokens per second of one stream.
+    rate: f64,
+    /// Streams from which `rate` was measured.
+    measured: u32,
+    /// Moving lower bound of seconds to first token per prompt token.
+    prefill: f64,
+    /// Average of measured minus predicted time to first token, in seconds; at least 0.
+    excess: f64,
+    /// When `excess` was last renewed.
+    renewed: Option<Instant>,
+}
+
+/// Averages of a group, which stand in for what an old report no longer says.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Prior {
+    /// Requests of others per slot.
+    pub(super) others: f64,
+}
+
+impl Flight {
+    /// Returns the weighted tokens of a request.
+    pub(super) fn weigh(ask: &Ask<'_>) -> u64 {
+        u64::from(ask.output) + u64::from(ask.prompt) / PROMPT_WEIGHT + 1
+    }
+}
+
+impl View {
+    /// Returns the view of an upstream of which nothing else is known.
+    pub(super) fn new(upstream: Upstream) -> Self {
+        Self {
+            upstream,
+            weight: 1.0,
+            report: Report { healthy: true, ..Report::default() },
+            reported: None,
+            base: 0,
+            flights: 0,
+            work: 0,
+            rate: DEFAULT_RATE,
+            measured: 0,
+            prefill: DEFAULT_PREFILL,
+            excess: 0.0,
+            renewed: None,
+        }
+    }
+
+    /// Returns the last report.
+    pub fn report(&self) -> &Report {
+        &self.report
+    }
+
+    /// Returns the own requests in flight.
+    pub fn flights(&self) -> u32 {
+        self.flights
+    }
+
+    /// Returns the share of full load that the upstream may take.
+    pub fn weight(&self) -> f64 {
+        self.weight
+    }
+
+    /// Returns true if the upstream may be offered requests at all.
+    pub(super) fn eligible(&self) -> bool {
+        self.weight > 0.0 && self.report.healthy
+    }
+
+    /// Returns the requests that it may run at once.
+    pub(super) fn slots(&self) -> u32 {
+        if self.report.limit == 0 { DEFAULT_SLOTS } else { self.report.limit }
+    }
+
+    /// Returns the tokens per second of one stream.
+    pub fn rate(&self) -> f64 {
+        if self.measured < TRUSTED && !self.report.between.is_zero() {
+            return 1.0 / self.report.between.as_secs_f64();
+        }
+        self.rate
+    }
+
+    /// Returns the requests of others that the last report counted.
+    pub(super) fn others(&self) -> u32 {
+        (self.report.queued + self.report.running).saturating_sub(self.base)
+    }
+
+    /// Returns the requests in flight as the server counts them, or as this entry does if more.
+    pub(super) fn in_flight(&self) -> u32 {
+        self.flights.max(self.report.queued + self.report.running)
+    }
+
+    /// Replaces the report.
+    pub(super) fn set_report(&mut self, report: Report, now: Instant) {
+        self.report = report;
+        self.reported = Some(now);
+        self.base = self.flights;
+    }
+
+    /// Returns the weight of the last report at `now`, in 0..=1.
+    fn freshness(&self, now: Instant) -> f64 {
+        let Some(at) = self.reported else { return 0.0 };
+        halve(now.saturating_duration_since(at), HALF_AGE)
+    }
+
+    /// Predicts the seconds to the first token from the last report and own work.
+    ///
+    /// `hit` is the part of the prompt whose cache entries are expected to be there, in 0..=1.
+    pub(super) fn predict(&self, ask: &Ask<'_>, prior: Prior, hit: f64, now: Instant) -> f64 {
+        let fresh = self.freshness(now);
+        let slots = f64::from(self.slots());
+        let others = fresh * f64::from(self.others()) + (1.0 - fresh) * prior.others * slots;
+        let load = f64::from(self.flights) + others;
+        let waiting = (load + 1.0 - slots).max(0.0);
+        let length = self.length(ask);
+        let wait = waiting * length / (slots * self.rate());
+        let prefill = f64::from(ask.prompt) * self.prefill * (1.0 - hit);
+        let crowding = prefill * (load / slots);
+        let modelled = wait + prefill + crowding;
+        modelled.max(fresh * self.report.first.as_secs_f64())
+    }
+
+    /// Returns the time by which own observations exceed predictions, in seconds.
+    pub(super) fn excess(&self, now: Instant) -> f64 {
+        let Some(at) = self.renewed else { return 0.0 };
+        self.excess * halve(now.saturating_duration_since(at), HALF_EXCESS)
+    }
+
+    /// Returns true if the last report, at its age, says that `tier` would be refused.
+    pub(super) fn sheds(&self, tier: u8, now: Instant) -> bool {
+        let refused = self.report.shed.is_some_and(|shed| shed <= tier);
+        let displaces = self.report.lowest.is_some_and(|lowest| lowest > tier);
+        refused && !displaces && self.freshness(now) > 0.25
+    }
+
+    /// Returns the mean outstanding tokens of an own request here.
+    fn length(&self, ask: &Ask<'_>) -> f64 {
+        if self.flights == 0 {
+            return f64::from(ask.output);
+        }
+        self.work as f64 / f64::from(self.flights)
+    }
+
+    /// Takes in the time to the first token of an own request.
+    pub(super) fn observe_first(&mut self, flight: &Flight, now: Instant) {
+        let seconds = now.saturating_duration_since(flight.begun).as_secs_f64();
+        let over = (seconds - flight.predicted).max(0.0);
+        let before = self.excess(now);
+        self.excess = before + GAIN * (over - before);
+        self.renewed = Some(now);
+        if flight.prompt > 0 {
+            let unit = seconds / f64::from(flight.prompt);
+            let gain = if unit < self.prefill { GAIN } else { RISE };
+            self.prefill += gain * (unit.min(self.prefill * 4.0) - self.prefill);
+        }
+    }
+
+    /// Takes in the speed of an own stream that ended.
+    pub(super) fn observe_stream(&mut self, tokens: u32, lasted: Duration) {
+        if tokens < 2 || lasted.is_zero() {
+            return;
+        }
+        let rate = f64::from(tokens - 1) / lasted.as_secs_f64();
+        let gain = if self.measured == 0 { 1.0 } else { GAIN };
+        self.rate += gain * (rate - self.rate);
+        self.measured = self.measured.saturating_add(1);
+    }
+}
+
+/// Returns a weight that falls with age: 1 at none, one half at `half`.
+fn halve(age: Duration, half: Duration) -> f64 {
+    1.0 / (1.0 + age.as_secs_f64() / half.as_secs_f64())
+}
--- a/crates/egretgate-core/src/gate.rs
+++ b/crates/egretgate-core/src/gate.rs
@@ -1,1 +1,204 @@
 //! Per-tier gates at an entry, raised and lowered from what side processes publish.
+//!
+//! Each side process publishes the lowest tier that waits in its queue and the tier from which it
+//! refuses (the admission level of DAGOR, `SoCC` '18). From these an entry decides whether a tier
+//! may be offered at once, where it may still be tried, or that it must be refused.
+//!
+//! Two promises hold at the moment of a refusal, for every upstream that could have run the
+//! request. Either the upstream itself refused it, and sent no sign of room since; or, for tiers
+//! that do not probe, the last signal that arrived from it says that it neither admits the tier
+//! nor holds a lower one. A lower tier may therefore wait there only if it was admitted after
+//! that signal or refusal was sent: the error lasts as long as a signal travels, and at most
+//! [`Gate::FRESH`] if signals are lost, since an older one counts as unknown and is probed.
+
+use std::time::{Duration, Instant};
+
+use rand::{Rng, RngExt};
+use slotmap::SecondaryMap;
+
+use crate::choice::UpstreamKey;
+use crate::ids::{MAX_TIERS, Tier};
+
+/// What a side process publishes about its queue.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Signal {
+    /// Lowest tier held in the queue.
+    pub lowest: Option<Tier>,
+    /// Tier from which new requests are refused.
+    pub shed: Option<Tier>,
+}
+
+/// An upstream that refused the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Attempt {
+    /// The upstream.
+    pub key: UpstreamKey,
+    /// When its refusal arrived.
+    pub at: Instant,
+}
+
+/// What an entry may do with a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// Any upstream may be offered the request.
+    Offer,
+    /// Only these may still take it, most likely first. Never empty.
+    Probe(Vec<UpstreamKey>),
+    /// None may take it: answer now, with a time to come back.
+    Refuse {
+        /// Time after which another try is welcome, spread over callers.
+        after: Duration,
+    },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    signal: Signal,
+    at: Instant,
+}
+
+/// How likely an upstream is to take a request; the lesser is the likelier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Chance {
+    /// Its last signal says that it admits the tier.
+    Admits,
+    /// It holds a lower tier that it would displace, the lowest first.
+    Displaces(std::cmp::Reverse<Tier>),
+    /// Nothing fresh is known.
+    Unknown,
+    /// It refuses, as far as is known, but the tier probes all.
+    Full,
+}
+
+/// The gates of one service at one entry.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    /// Tiers of a lower rank than this ask every upstream before they are refused.
+    probing: Tier,
+    signals: SecondaryMap<UpstreamKey, Heard>,
+    /// Upstreams whose last signal admits each tier.
+    admitting: [u32; MAX_TIERS],
+    /// When this entry last refused each tier.
+    refused: [Option<Instant>; MAX_TIERS],
+}
+
+impl Signal {
+    /// Returns true if the side process admits `tier` without displacing anything.
+    pub fn admits(self, tier: Tier) -> bool {
+        self.shed.is_none_or(|shed| tier < shed)
+    }
+
+    /// Returns true if a lower tier waits that `tier` would displace.
+    pub fn displaces(self, tier: Tier) -> bool {
+        self.lowest.is_some_and(|lowest| lowest > tier)
+    }
+}
+
+impl Gate {
+    /// Age at which a signal counts as unknown.
+    pub const FRESH: Duration = Duration::from_secs(2);
+    /// Shortest time to come back that a refusal of rank 0 names.
+    pub const AFTER: Duration = Duration::from_millis(500);
+
+    /// Returns the gates of a service; tiers below rank `probing` ask every upstream.
+    pub fn new(probing: Tier) -> Self {
+        Self {
+            probing,
+            signals: SecondaryMap::new(),
+            admitting: [0; MAX_TIERS],
+            refused: [None; MAX_TIERS],
+        }
+    }
+
+    /// Takes in what a side process published.
+    pub fn hear(&mut self, key: UpstreamKey, signal: Signal, now: Instant) {
+        let old = self.signals.insert(key, Heard { signal, at: now });
+        self.count(old.map(|heard| heard.signal), Some(signal));
+    }
+
+    /// Forgets an upstream that left.
+    pub fn forget(&mut self, key: UpstreamKey) {
+        let old = self.signals.remove(key);
+        self.count(old.map(|heard| heard.signal), None);
+    }
+
+    /// Decides on a request of `tier` that the upstreams in `tried` refused.
+    ///
+    /// `candidates` are the upstreams that could run it; they are looked at only once the request
+    /// was refused somewhere, or while a higher tier is being refused or no upstream admits it.
+    pub fn decide<R: Rng + ?Sized>(
+        &mut self,
+        tier: Tier,
+        tried: &[Attempt],
+        candidates: impl IntoIterator<Item = UpstreamKey>,
+        now: Instant,
+        rng: &mut R,
+    ) -> Verdict {
+        let closed = self.closed(tier);
+        let heard = self.admitting[rank(tier)] > 0 || self.signals.is_empty();
+        if tried.is_empty() && closed.is_none() && heard {
+            return Verdict::Offer;
+        }
+        let mut left: Vec<(Chance, UpstreamKey)> = candidates
+            .into_iter()
+            .filter_map(|key| Some((self.chance(key, tier, tried, closed, now)?, key)))
+            .collect();
+        if left.is_empty() {
+            self.refused[rank(tier)] = Some(now);
+            return Verdict::Refuse { after: spread(tier, rng) };
+        }
+        left.sort_by_key(|&(chance, _)| chance);
+        Verdict::Probe(left.into_iter().map(|(_, key)| key).collect())
+    }
+
+    /// Returns when a higher tier was last refused here, which closes the gate of `tier`.
+    fn closed(&self, tier: Tier) -> Option<Instant> {
+        self.refused[..rank(tier)].iter().flatten().max().copied()
+    }
+
+    /// Returns how likely `key` is to take the request, or `None` if it must not be asked.
+    fn chance(
+        &self,
+        key: UpstreamKey,
+        tier: Tier,
+        tried: &[Attempt],
+        closed: Option<Instant>,
+        now: Instant,
+    ) -> Option<Chance> {
+        let heard = self.signals.get(key);
+        let refused = tried.iter().filter(|attempt| attempt.key == key).map(|a| a.at).max();
+        // Only a signal from after these moments shows room that nobody was denied.
+        let since = refused.max(closed);
+        let Some(heard) = heard.filter(|heard| now - heard.at <= Self::FRESH) else {
+            return since.is_none().then_some(Chance::Unknown);
+        };
+        let newer = since.is_none_or(|since| heard.at > since);
+        if newer && heard.signal.admits(tier) {
+            return Some(Chance::Admits);
+        }
+        if newer && heard.signal.displaces(tier) {
+            return Some(Chance::Displaces(std::cmp::Reverse(heard.signal.lowest?)));
+        }
+        let probes = tier < self.probing && refused.is_none() && closed.is_none();
+        probes.then_some(Chance::Full)
+    }
+
+    fn count(&mut self, old: Option<Signal>, new: Option<Signal>) {
+        for (tier, count) in self.admitting.iter_mut().enumerate() {
+            let admits = |signal: Option<Signal>| signal.is_some_and(|s| s.admits(tier as Tier));
+            *count += u32::from(admits(new));
+            *count -= u32::from(admits(old));
+        }
+    }
+}
+
+/// Returns the index of a tier.
+fn rank(tier: Tier) -> usize {
+    usize::from(tier).min(MAX_TIERS - 1)
+}
+
+/// Returns a time to come back, spread over callers and longer for lower tiers.
+fn spread<R: Rng + ?Sized>(tier: Tier, rng: &mut R) -> Duration {
+    let base = Gate::AFTER * (u32::from(tier) + 1);
+    base.mul_f64(1.0 + rng.random::<f64>())
+}
--- a/crates/egretgate-core/src/moves.rs
+++ b/crates/egretgate-core/src/moves.rs
@@ -1,1 +1,130 @@
 //! Version moves: shares, evidence and verdicts.
+//!
+//! A move shifts the traffic of some routes from one version of a service to another by a set
+//! time. [`Controller::decide`] is a function of the move, the recorded [`Progress`] and the
+//! cumulative [`Evidence`], so any holder of the move's lease continues where another died. Until
+//! the new version is proven on every route at every load level that the old one meets, its share
+//! stays at or below [`Move::CAUTION`].
+
+mod controller;
+mod evidence;
+mod interval;
+mod load;
+mod local;
+mod split;
+
+use std::time::{Duration, SystemTime};
+
+use crate::ids::{RouteId, ServiceId, VersionId};
+
+pub use controller::{Controller, Decision, Finding, Reason};
+pub use evidence::{Cell, Counts, Evidence, Metric};
+pub use interval::Interval;
+pub use load::{LoadPlan, may_unload};
+pub use local::{LocalStop, Outcome, Stop};
+pub use split::{Quota, Split, pick_version};
+
+/// Parts per million: the unit of shares.
+pub type Ppm = u32;
+
+/// All of the traffic.
+pub const WHOLE: Ppm = 1_000_000;
+
+/// How much worse than the old version the new one may be, as differences of shares of requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Budget {
+    /// Share of requests that fail.
+    pub errors: f64,
+    /// Share of requests with a slow first token.
+    pub first: f64,
+    /// Share of requests with slow tokens.
+    pub between: f64,
+    /// Requests of the new version per route that each step needs.
+    pub samples: u64,
+    /// Shortest time at each step.
+    pub dwell: Duration,
+}
+
+/// Bound on the new version's traffic in absolute numbers, until it is proven.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cap {
+    /// Requests in flight over all entries.
+    InFlight(u32),
+    /// Requests per second over all entries.
+    PerSecond(u32),
+}
+
+/// The shift of routes' traffic from one version to another by a set time.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Move {
+    /// Service whose version changes.
+    pub service: ServiceId,
+    /// Routes whose traffic moves.
+    pub routes: Vec<RouteId>,
+    /// Version that serves today.
+    pub from: VersionId,
+    /// Version that is to serve.
+    pub to: VersionId,
+    /// Shares in rising order, the last of them [`WHOLE`]. A share may stand more than once.
+    pub steps: Vec<Ppm>,
+    /// Bound in absolute numbers until the version is proven.
+    pub cap: Cap,
+    /// How much worse the new version may be.
+    pub budget: Budget,
+    /// When the operator started the move.
+    pub begin: SystemTime,
+    /// When the move is done or taken back.
+    pub end: SystemTime,
+}
+
+/// The step that the log records as reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// Index into [`Move::steps`].
+    pub step: usize,
+    /// When the step was recorded.
+    pub since: SystemTime,
+}
+
+impl Default for Budget {
+    fn default() -> Self {
+        Self {
+            errors: 0.02,
+            first: 0.05,
+            between: 0.05,
+            samples: 200,
+            dwell: Duration::from_mins(1),
+        }
+    }
+}
+
+impl Move {
+    /// Largest share of a version that is not proven.
+    pub const CAUTION: Ppm = 50_000;
+    /// Shares of a move that names none.
+    pub const STEPS: [Ppm; 6] = [2_000, 10_000, 50_000, 250_000, 500_000, WHOLE];
+
+    /// Returns the share at a step.
+    pub fn share(&self, step: usize) -> Ppm {
+        self.steps.get(step).or(self.steps.last()).copied().unwrap_or(0).min(WHOLE)
+    }
+
+    /// Returns when the share may first go over [`Move::CAUTION`]: halfway to the end, so that a
+    /// fault that shows late still meets a small share.
+    pub fn soaked(&self) -> SystemTime {
+        let whole = self.end.duration_since(self.begin).unwrap_or_default();
+        self.begin + whole / 2
+    }
+}
+
+impl Progress {
+    /// Returns the progress of a move that starts at `now`.
+    pub const fn new(now: SystemTime) -> Self {
+        Self { step: 0, since: now }
+    }
+
+    /// Returns the progress after `step` was recorded at `now`.
+    pub const fn at(step: usize, now: SystemTime) -> Self {
+        Self { step, since: now }
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/src/moves/evidence.rs
@@ -0,0 +1,189 @@
+//! Cumulative counters of both versions, merged over processes.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::Stop;
+use crate::ids::{Incarnation, RouteId, VersionId};
+
+/// One version on one route at one load level.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Cell {
+    /// Route.
+    pub route: RouteId,
+    /// Version.
+    pub version: VersionId,
+    /// Load level when the request started; 0 is the lightest.
+    pub level: u32,
+}
+
+/// Cumulative counters of a cell.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests ended. Not below any of the others.
+    pub total: u64,
+    /// Requests that failed.
+    pub errors: u64,
+    /// Requests with a slow first token.
+    pub slow_first: u64,
+    /// Requests with slow tokens.
+    pub slow_between: u64,
+}
+
+/// What is compared between versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Metric {
+    /// Requests that fail.
+    Errors,
+    /// Requests with a slow first token.
+    First,
+    /// Requests with slow tokens.
+    Between,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Process {
+    counts: BTreeMap<Cell, Counts>,
+    /// Counters when the current step began.
+    mark: BTreeMap<Cell, Counts>,
+    stop: Option<Stop>,
+}
+
+/// Cumulative counters by process; a process's later ones replace its earlier ones.
+#[derive(Debug, Clone, Default)]
+pub struct Evidence {
+    processes: HashMap<Incarnation, Process>,
+}
+
+impl Metric {
+    /// Every metric.
+    pub const ALL: [Self; 3] = [Self::Errors, Self::First, Self::Between];
+
+    /// Returns the name used in records.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Errors => "errors",
+            Self::First => "first-token",
+            Self::Between => "between-tokens",
+        }
+    }
+}
+
+impl Cell {
+    /// Returns a cell.
+    pub fn new(route: impl Into<RouteId>, version: impl Into<VersionId>, level: u32) -> Self {
+        Self { route: route.into(), version: version.into(), level }
+    }
+}
+
+impl Counts {
+    /// Returns how many requests a metric counts against the version.
+    pub const fn hits(self, metric: Metric) -> u64 {
+        match metric {
+            Metric::Errors => self.errors,
+            Metric::First => self.slow_first,
+            Metric::Between => self.slow_between,
+        }
+    }
+
+    /// Returns the share of requests that a metric counts; 0 without requests.
+    pub fn share(self, metric: Metric) -> f64 {
+        self.hits(metric) as f64 / self.total.max(1) as f64
+    }
+
+    /// Counts one request that ended.
+    pub fn record(&mut self, error: bool, slow_first: bool, slow_between: bool) {
+        self.total += 1;
+        self.errors += u64::from(error);
+        self.slow_first += u64::from(slow_first);
+        self.slow_between += u64::from(slow_between);
+    }
+
+    /// Adds the counters of another process or cell.
+    pub fn add(&mut self, other: Self) {
+        self.total += other.total;
+        self.errors += other.errors;
+        self.slow_first += other.slow_first;
+        self.slow_between += other.slow_between;
+    }
+
+    /// Returns the greater of each counter.
+    fn max(self, other: Self) -> Self {
+        Self {
+            total: self.total.max(other.total),
+            errors: self.errors.max(other.errors),
+            slow_first: self.slow_first.max(other.slow_first),
+            slow_between: self.slow_between.max(other.slow_between),
+        }
+    }
+
+    fn since(self, mark: Self) -> Self {
+        Self {
+            total: self.total.saturating_sub(mark.total),
+            errors: self.errors.saturating_sub(mark.errors),
+            slow_first: self.slow_first.saturating_sub(mark.slow_first),
+            slow_between: self.slow_between.saturating_sub(mark.slow_between),
+        }
+    }
+}
+
+impl Evidence {
+    /// Takes in the cumulative counters that a process reported; older ones change nothing.
+    pub fn merge(&mut self, process: Incarnation, cell: Cell, counts: Counts) {
+        let held = self.processes.entry(process).or_default().counts.entry(cell).or_default();
+        *held = held.max(counts);
+    }
+
+    /// Takes in that a process stopped the new version by itself.
+    pub fn stop(&mut self, process: Incarnation, stop: Stop) {
+        self.processes.entry(process).or_default().stop.get_or_insert(stop);
+    }
+
+    /// Takes in everything that another holder knows.
+    pub fn absorb(&mut self, other: &Self) {
+        for (&process, from) in &other.processes {
+            for (cell, &counts) in &from.counts {
+                self.merge(process, cell.clone(), counts);
+            }
+            if let Some(stop) = from.stop {
+                self.stop(process, stop);
+            }
+        }
+    }
+
+    /// Starts a new window, to be called when a step is recorded.
+    pub fn mark(&mut self) {
+        for process in self.processes.values_mut() {
+            process.mark.clone_from(&process.counts);
+        }
+    }
+
+    /// Returns the first stop that any process reported.
+    pub fn stopped(&self) -> Option<Stop> {
+        self.processes.values().filter_map(|process| process.stop).min()
+    }
+
+    /// Returns the counters summed over processes, since the move began.
+    pub fn totals(&self) -> BTreeMap<Cell, Counts> {
+        self.sum(|_| None)
+    }
+
+    /// Returns the counters summed over processes, since the last [`Evidence::mark`].
+    pub fn window(&self) -> BTreeMap<Cell, Counts> {
+        self.sum(|process| Some(&process.mark))
+    }
+
+    fn sum(
+        &self,
+        mark: impl Fn(&Process) -> Option<&BTreeMap<Cell, Counts>>,
+    ) -> BTreeMap<Cell, Counts> {
+        let mut sums: BTreeMap<Cell, Counts> = BTreeMap::new();
+        for process in self.processes.values() {
+            for (cell, &counts) in &process.counts {
+                let from = mark(process).and_then(|mark| mark.get(cell)).copied();
+                let counts = counts.since(from.unwrap_or_default());
+                sums.entry(cell.clone()).or_default().add(counts);
+            }
+        }
+        sums
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/src/moves/interval.rs
@@ -0,0 +1,66 @@
+//! Confidence intervals of a share that hold at all times at once.
+
+/// Halvings of the search for a bound.
+const HALVINGS: u32 = 40;
+
+/// Bounds of a share, valid over every number of observations at once.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Interval {
+    /// Lower bound.
+    pub low: f64,
+    /// Upper bound.
+    pub high: f64,
+}
+
+impl Interval {
+    /// Returns the bounds after `hits` among `total` independent requests.
+    ///
+    /// With probability of at least `1 - alpha` the true share lies within the bounds after each
+    /// request, so that one may look and stop at any time. It is the beta-binomial mixture of
+    /// Robbins (Annals of Mathematical Statistics, 1970) with a uniform mixing density, whose
+    /// evidence against a share `p` is `1 / ((n + 1) C(n, k) p^k (1 - p)^(n - k))`, with the
+    /// binomial coefficient replaced by Stirling's upper bound `sqrt(n / (2 pi k (n - k)))
+    /// exp(n H(k / n))`, which only widens the interval. The same mixtures underlie the mSPRT of
+    /// Johari et al. (KDD '17), which approximates by a normal distribution instead.
+    pub fn new(hits: u64, total: u64, alpha: f64) -> Self {
+        if total == 0 {
+            return Self { low: 0.0, high: 1.0 };
+        }
+        let n = total as f64;
+        let mean = hits.min(total) as f64 / n;
+        let radius = radius(hits.min(total), total, alpha) / n;
+        Self { low: bound(mean, 0.0, radius), high: bound(mean, 1.0, radius) }
+    }
+}
+
+/// Returns the bound on the divergence, times the number of observations.
+fn radius(hits: u64, total: u64, alpha: f64) -> f64 {
+    let (k, n) = (hits as f64, total as f64);
+    let misses = n - k;
+    let stirling = if hits == 0 || hits == total {
+        0.0
+    } else {
+        0.5 * (n / (2.0 * std::f64::consts::PI * k * misses)).ln()
+    };
+    (n + 1.0).ln() + stirling - alpha.ln()
+}
+
+/// Returns the share between `mean` and `edge` at which the divergence from `mean` is `radius`.
+fn bound(mean: f64, edge: f64, radius: f64) -> f64 {
+    let (mut inside, mut outside) = (mean, edge);
+    for _ in 0..HALVINGS {
+        let middle = f64::midpoint(inside, outside);
+        if divergence(mean, middle) <= radius {
+            inside = middle;
+        } else {
+            outside = middle;
+        }
+    }
+    outside
+}
+
+/// Returns the Kullback-Leibler divergence of a coin of share `q` from one of share `p`.
+fn divergence(p: f64, q: f64) -> f64 {
+    let term = |a: f64, b: f64| if a > 0.0 { a * (a / b).ln() } else { 0.0 };
+    term(p, q) + term(1.0 - p, 1.0 - q)
+}
--- /dev/null
+++ b/crates/egretgate-core/src/moves/load.rs
@@ -0,0 +1,78 @@
+//! The order in which upstreams load a version, within the weight store's rate.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use crate::ids::UpstreamId;
+
+/// Time before a load that failed is tried again.
+const RETRY: Duration = Duration::from_secs(30);
+
+/// Paces the loads of one version.
+#[derive(Debug, Clone)]
+pub struct LoadPlan {
+    /// Upstreams still to load, with the time before which they must not.
+    waiting: VecDeque<(UpstreamId, Option<Instant>)>,
+    /// Upstreams that load now. At most `most`.
+    loading: Vec<UpstreamId>,
+    /// Loads at once.
+    most: usize,
+    /// Time between the starts of two loads: the weights' size over the store's rate.
+    pace: Duration,
+    /// Earliest start of the next load.
+    next: Option<Instant>,
+}
+
+impl LoadPlan {
+    /// Returns a plan for weights of `size` bytes from a store of `rate` bytes per second, with
+    /// at most `most` loads at once.
+    pub fn new(
+        upstreams: impl IntoIterator<Item = UpstreamId>,
+        size: u64,
+        rate: u64,
+        most: usize,
+    ) -> Self {
+        Self {
+            waiting: upstreams.into_iter().map(|id| (id, None)).collect(),
+            loading: Vec::new(),
+            most: most.max(1),
+            pace: Duration::from_secs_f64(size as f64 / rate.max(1) as f64),
+            next: None,
+        }
+    }
+
+    /// Returns the upstream whose load is to start now.
+    pub fn start(&mut self, now: Instant) -> Option<UpstreamId> {
+        if self.loading.len() >= self.most || self.next.is_some_and(|next| now < next) {
+            return None;
+        }
+        let ready = |(_, after): &(UpstreamId, Option<Instant>)| after.is_none_or(|at| at <= now);
+        let index = self.waiting.iter().position(ready)?;
+        let (id, _) = self.waiting.remove(index)?;
+        self.loading.push(id.clone());
+        self.next = Some(now + self.pace);
+        Some(id)
+    }
+
+    /// Counts a load as done.
+    pub fn loaded(&mut self, id: &str) {
+        self.loading.retain(|loading| loading != id);
+    }
+
+    /// Puts a load that failed back at the end.
+    pub fn failed(&mut self, id: &str, now: Instant) {
+        self.loading.retain(|loading| loading != id);
+        self.waiting.push_back((id.to_owned(), Some(now + RETRY)));
+    }
+
+    /// Returns true once every upstream has loaded.
+    pub fn is_done(&self) -> bool {
+        self.waiting.is_empty() && self.loading.is_empty()
+    }
+}
+
+/// Returns true if an upstream may unload a version: it gets no new requests there and its last
+/// stream has ended.
+pub const fn may_unload(serving: bool, queued: u64, streams: u64) -> bool {
+    !serving && queued == 0 && streams == 0
+}
--- /dev/null
+++ b/crates/egretgate-core/src/moves/split.rs
@@ -0,0 +1,152 @@
+//! The version that an entry gives a request.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{Cap, Move, Ppm, Progress, WHOLE};
+use crate::ids::{Ticket, VersionId};
+
+/// Length of the cycle in which a small share is concentrated into one burst.
+const CYCLE: Duration = Duration::from_mins(1);
+
+/// How the traffic of one route is split between two versions.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Split {
+    /// Version that serves the rest.
+    pub from: VersionId,
+    /// Version that gets the share.
+    pub to: VersionId,
+    /// Mean share of the new version.
+    pub share: Ppm,
+    /// Share during a burst; never below `share`.
+    pub burst: Ppm,
+    /// Bound in absolute numbers for this entry; `None` once the version is proven.
+    pub cap: Option<Cap>,
+    /// Seed of the hash, so that moves do not pick the same requests.
+    pub seed: u64,
+}
+
+/// What one entry has given the new version on one route.
+#[derive(Debug, Clone, Default)]
+pub struct Quota {
+    /// Requests of the route since the move began.
+    seen: u64,
+    /// Requests of those given to the new version. At most `share * seen` while unproven.
+    sent: u64,
+    /// Requests in flight on the new version.
+    flights: u32,
+    /// Start of the current second.
+    second: Option<Instant>,
+    /// Requests given to the new version in it.
+    in_second: u32,
+}
+
+impl Split {
+    /// Returns the split of a move at its recorded step, for one of `entries` entries.
+    ///
+    /// `hosts` of the service's `upstreams` run the new version. A share too small to load them
+    /// like the others is sent in bursts at `hosts / upstreams`, so that faults under load show
+    /// while the mean share stays small.
+    pub fn new(plan: &Move, progress: Progress, hosts: u32, upstreams: u32, entries: u32) -> Self {
+        let share = plan.share(progress.step);
+        let cautious = share <= Move::CAUTION;
+        let level = u64::from(WHOLE) * u64::from(hosts) / u64::from(upstreams.max(1));
+        let burst = if cautious { (level as Ppm).clamp(share, WHOLE) } else { share };
+        Self {
+            from: plan.from.clone(),
+            to: plan.to.clone(),
+            share,
+            burst,
+            cap: cautious.then(|| plan.cap.divide(entries)),
+            seed: xxh3_64_with_seed(plan.to.as_bytes(), plan.steps.len() as u64),
+        }
+    }
+
+    /// Returns true while the burst of the cycle is under way.
+    fn bursting(&self, now: SystemTime) -> bool {
+        let since = now.duration_since(UNIX_EPOCH).unwrap_or_default();
+        let phase = since.as_millis() % CYCLE.as_millis();
+        let lasts = CYCLE.as_millis() * u128::from(self.share) / u128::from(self.burst.max(1));
+        // The burst ends the cycle, so that the share for it has been earned before.
+        phase >= CYCLE.as_millis() - lasts
+    }
+}
+
+impl Cap {
+    /// Returns the part of one of `entries` entries, at least 1.
+    pub fn divide(self, entries: u32) -> Self {
+        match self {
+            Self::InFlight(most) => Self::InFlight((most / entries.max(1)).max(1)),
+            Self::PerSecond(most) => Self::PerSecond((most / entries.max(1)).max(1)),
+        }
+    }
+}
+
+impl Quota {
+    /// Counts the end of a request of the new version.
+    pub fn end(&mut self) {
+        self.flights = self.flights.saturating_sub(1);
+    }
+
+    /// Returns the requests given to the new version.
+    pub const fn sent(&self) -> u64 {
+        self.sent
+    }
+
+    /// Returns the requests of the route.
+    pub const fn seen(&self) -> u64 {
+        self.seen
+    }
+
+    /// Returns true if one more request stays within the share and the cap.
+    fn allows(&mut self, split: &Split, now: Instant) -> bool {
+        let Some(cap) = split.cap else { return true };
+        let earned = u128::from(self.seen) * u128::from(split.share) / u128::from(WHOLE);
+        if u128::from(self.sent) >= earned {
+            return false;
+        }
+        match cap {
+            Cap::InFlight(most) => self.flights < most,
+            Cap::PerSecond(most) => {
+                self.turn(now);
+                self.in_second < most
+            }
+        }
+    }
+
+    /// Starts the next second if the current one is over.
+    fn turn(&mut self, now: Instant) {
+        let over = self.second.is_none_or(|at| now - at >= Duration::from_secs(1));
+        if over {
+            self.second = Some(now);
+            self.in_second = 0;
+        }
+    }
+}
+
+/// Returns the version for a request, by a stable hash of its ticket within share and cap.
+///
+/// Counts the request, so it is called once for each; a request keeps its version. The caller
+/// reports the end of those given to the new version by [`Quota::end`].
+pub fn pick_version<'a>(
+    split: &'a Split,
+    ticket: Ticket,
+    quota: &mut Quota,
+    now: Instant,
+    wall: SystemTime,
+) -> &'a VersionId {
+    quota.seen += 1;
+    let mut bytes = [0; 16];
+    bytes[..8].copy_from_slice(&ticket.entry.to_le_bytes());
+    bytes[8..].copy_from_slice(&ticket.sequence.to_le_bytes());
+    let point = xxh3_64_with_seed(&bytes, split.seed) % u64::from(WHOLE);
+    let chosen = point < u64::from(split.burst) && split.bursting(wall);
+    if !chosen || !quota.allows(split, now) {
+        return &split.from;
+    }
+    quota.sent += 1;
+    quota.flights += 1;
+    quota.in_second += 1;
+    &split.to
+}
