--- a/crates/egretgate-core/src/limit.rs
+++ b/crates/egretgate-core/src/limit.rs
@@ -33,7 +33,7 @@
 const BINDING: f64 = 0.8;
 /// Increase in one step after the slow start, as a share of the limit.
 const STEP: f64 = 1.0 / 32.0;
-/// Samples that a decision needs.
+/// Samples of one kind that a decision needs.
 const MIN_SAMPLES: u64 = 20;
 /// Share of each new measurement in the running means.
 const SHARE: f64 = 0.05;
@@ -367,40 +367,45 @@
     }
 
     fn decide(&mut self, now: Instant) {
-        let samples = self.firsts.len() + self.gaps.len();
         let passed = now.saturating_duration_since(self.opened);
-        if samples < MIN_SAMPLES || passed < self.options.window {
+        if passed < self.options.window {
             return;
         }
+        let scores = [judge(&mut self.firsts), judge(&mut self.gaps)];
+        let Some(score) = scores.into_iter().flatten().reduce(f64::max) else { return };
         if !std::mem::take(&mut self.settling) {
-            self.adjust();
+            self.adjust(score);
         }
         self.opened = now;
-        self.firsts.reset();
-        self.gaps.reset();
         self.requests.restart_peak();
         self.tokens.restart_peak();
         self.unloaded = self.unloaded.map(|least| least * DRIFT);
     }
 
-    fn adjust(&mut self) {
-        let score = worst(&self.firsts).max(worst(&self.gaps));
-        if score > 1.0 {
+    fn adjust(&mut self, score: f64) {
+        if score < CALM {
+            self.requests.raise(self.fast);
+            self.tokens.raise(self.fast);
+        } else if score > 1.0 {
             let factor = (1.0 - BETA * (score - 1.0)).clamp(MAX_CUT, MIN_CUT);
             self.requests.cut(factor);
             self.tokens.cut(factor);
             self.fast = false;
             self.settling = true;
-        } else if score < CALM {
-            self.requests.raise(self.fast);
-            self.tokens.raise(self.fast);
+            self.firsts.reset();
+            self.gaps.reset();
         }
     }
 }
 
-/// Returns the score of a histogram at the quantile that the target names.
-fn worst(scores: &Histogram<u32>) -> f64 {
-    scores.value_at_quantile(QUANTILE) as f64 / SCALE
+/// Takes the score at the quantile that the target names, once there are samples enough.
+fn judge(scores: &mut Histogram<u32>) -> Option<f64> {
+    if scores.len() < MIN_SAMPLES {
+        return None;
+    }
+    let score = scores.value_at_quantile(QUANTILE) as f64 / SCALE;
+    scores.reset();
+    Some(score)
 }
 
 fn scaled(score: f64) -> u64 {
--- a/crates/egretgate-core/src/membership.rs
+++ b/crates/egretgate-core/src/membership.rs
@@ -4,7 +4,7 @@
 //! which lags. Whichever comes first takes an upstream out of the choice; only silence for long,
 //! with no sign that its whole place was cut off, counts as its death.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use crate::ids::{Incarnation, PlaceId, UpstreamId};
@@ -61,7 +61,8 @@
     pub interval: Duration,
     /// Suspicion level from which an upstream takes no work.
     pub suspect: f64,
-    /// Suspicion level from which it counts as dead; above `suspect`.
+    /// Suspicion level from which it counts as dead. Over four times `suspect`, so that a whole
+    /// place is suspected before any of its upstreams counts as dead.
     pub dead: f64,
     /// Longest time between the silences of a cut place.
     pub window: Duration,
@@ -69,7 +70,7 @@
     pub ramp: Duration,
     /// Weight at the start of the ramp, in (0, 1].
     pub floor: f64,
-    /// Time after which a dead upstream is forgotten.
+    /// Time after which a dead or unreachable upstream is forgotten.
     pub forget: Duration,
 }
 
@@ -78,7 +79,7 @@
         Self {
             interval: Duration::from_millis(500),
             suspect: 1.5,
-            dead: 5.0,
+            dead: 7.0,
             window: Duration::from_secs(5),
             ramp: Duration::from_secs(10),
             floor: 0.1,
@@ -92,6 +93,8 @@
 struct Member {
     place: PlaceId,
     incarnation: Incarnation,
+    /// Life before this one, whose late frames count for nothing.
+    former: Option<Incarnation>,
     standing: Standing,
     suspicion: Suspicion,
     /// Time at which it last joined; the ramp starts here.
@@ -102,8 +105,6 @@
     goodbye: bool,
     /// True while the instance list says that it leaves.
     listed_leaving: bool,
-    /// True while the link is cut.
-    cut: bool,
 }
 
 /// View of all upstreams.
@@ -111,14 +112,14 @@
 pub struct Membership {
     options: MembershipOptions,
     members: BTreeMap<UpstreamId, Member>,
-    /// Places that count as cut, with the time at which they were found so.
-    cuts: BTreeMap<PlaceId, Instant>,
+    /// Places that count as cut.
+    cuts: BTreeSet<PlaceId>,
 }
 
 impl Membership {
     /// Returns an empty view.
     pub fn new(options: MembershipOptions) -> Self {
-        Self { options, members: BTreeMap::new(), cuts: BTreeMap::new() }
+        Self { options, members: BTreeMap::new(), cuts: BTreeSet::new() }
     }
 
     /// Notes a heartbeat or any other frame from an upstream's side process.
@@ -130,17 +131,18 @@
         now: Instant,
     ) -> Vec<Change> {
         let mut changes = Vec::new();
-        if self.cuts.remove(place).is_some() {
-            changes.push(Change::PlaceBack(place.to_owned()));
-        }
         let Some(member) = self.members.get_mut(upstream) else {
             let member = Member::new(place, incarnation, now, &self.options);
             self.members.insert(upstream.to_owned(), member);
             changes.push(Change::Joined(upstream.to_owned()));
             return changes;
         };
+        if member.former == Some(incarnation) {
+            return changes;
+        }
         if member.incarnation != incarnation {
-            *member = Member::new(place, incarnation, now, &self.options);
+            let former = Some(member.incarnation);
+            *member = Member { former, ..Member::new(place, incarnation, now, &self.options) };
             changes.push(Change::Joined(upstream.to_owned()));
             return changes;
         }
@@ -157,16 +159,15 @@
     }
 
     /// Notes that an upstream leaves, by its own word; no new work from here on.
-    pub fn goodbye(&mut self, upstream: &str) -> Vec<Change> {
-        let Some(member) = self.members.get_mut(upstream) else { return Vec::new() };
+    pub fn goodbye(&mut self, upstream: &str, incarnation: Incarnation) -> Vec<Change> {
+        let Some(member) = self.life(upstream, incarnation) else { return Vec::new() };
         member.goodbye = true;
         member.leave(upstream)
     }
 
     /// Notes that the link to an upstream was cut; no new work until it is heard again.
-    pub fn cut(&mut self, upstream: &str) -> Vec<Change> {
-        let Some(member) = self.members.get_mut(upstream) else { return Vec::new() };
-        member.cut = true;
+    pub fn cut(&mut self, upstream: &str, incarnation: Incarnation) -> Vec<Change> {
+        let Some(member) = self.life(upstream, incarnation) else { return Vec::new() };
         if member.standing != Standing::Live {
             return Vec::new();
         }
@@ -220,7 +221,12 @@
 
     /// Returns the places that count as cut.
     pub fn cut_places(&self) -> impl Iterator<Item = &str> {
-        self.cuts.keys().map(String::as_str)
+        self.cuts.iter().map(String::as_str)
+    }
+
+    /// Returns an upstream if `incarnation` is its present life.
+    fn life(&mut self, upstream: &str, incarnation: Incarnation) -> Option<&mut Member> {
+        self.members.get_mut(upstream).filter(|member| member.incarnation == incarnation)
     }
 
     fn suspect_silent(&mut self, now: Instant, changes: &mut Vec<Change>) {
@@ -233,27 +239,28 @@
         }
     }
 
-    /// A place is cut if most of its upstreams that were in use, and at least two, went silent
-    /// within the window.
+    /// A place is cut while most of its upstreams that were in use, and at least two, are silent
+    /// since times that lie within the window.
     fn find_cuts(&mut self, now: Instant, changes: &mut Vec<Change>) {
         let mut places: BTreeMap<PlaceId, Silence> = BTreeMap::new();
         for member in self.members.values().filter(|member| member.is_counted()) {
             places.entry(member.place.clone()).or_default().count(member);
         }
-        for (place, silence) in places {
-            if !silence.spans_most(self.options.window) {
-                continue;
-            }
-            if !self.cuts.contains_key(&place) {
-                self.cuts.insert(place.clone(), now);
-                changes.push(Change::PlaceCut(place.clone()));
-            }
-            for member in self.members.values_mut().filter(|member| member.place == place) {
-                if member.standing == Standing::Suspect {
-                    member.standing = Standing::Unreachable;
-                }
-            }
+        let window = self.options.window;
+        let cuts: BTreeSet<PlaceId> = places
+            .into_iter()
+            .filter_map(|(place, silence)| silence.spans_most(window).then_some(place))
+            .collect();
+        for place in cuts.difference(&self.cuts) {
+            changes.push(Change::PlaceCut(place.clone()));
+        }
+        for place in self.cuts.difference(&cuts) {
+            changes.push(Change::PlaceBack(place.clone()));
+        }
+        for member in self.members.values_mut() {
+            member.follow(cuts.contains(&member.place), now);
         }
+        self.cuts = cuts;
     }
 
     fn bury(&mut self, now: Instant, changes: &mut Vec<Change>) {
@@ -271,7 +278,8 @@
         }
         self.members.retain(|_, member| {
             let silent = now.saturating_duration_since(member.heard);
-            member.standing != Standing::Gone || silent <= options.forget
+            let lost = matches!(member.standing, Standing::Gone | Standing::Unreachable);
+            !lost || silent <= options.forget
         });
     }
 }
@@ -286,20 +294,19 @@
         Self {
             place: place.to_owned(),
             incarnation,
+            former: None,
             standing: Standing::Live,
             suspicion: Suspicion::new(options.interval, now),
             joined: now,
             heard: now,
             goodbye: false,
             listed_leaving: false,
-            cut: false,
         }
     }
 
     fn hear(&mut self, now: Instant) {
         self.suspicion.heard(now);
         self.heard = now;
-        self.cut = false;
     }
 
     const fn leaves(&self) -> bool {
@@ -314,6 +321,18 @@
         vec![Change::Left(upstream.to_owned())]
     }
 
+    /// Follows what was found about the place. Once it is back, silence counts from `now`.
+    fn follow(&mut self, cut: bool, now: Instant) {
+        match self.standing {
+            Standing::Suspect if cut => self.standing = Standing::Unreachable,
+            Standing::Unreachable if !cut => {
+                self.standing = Standing::Suspect;
+                self.suspicion.restart(now);
+            }
+            _ => {}
+        }
+    }
+
     /// Returns true if the upstream counts when its place is weighed.
     const fn is_counted(&self) -> bool {
         matches!(self.standing, Standing::Live | Standing::Suspect | Standing::Unreachable)
--- a/crates/egretgate-core/src/membership/suspicion.rs
+++ b/crates/egretgate-core/src/membership/suspicion.rs
@@ -5,7 +5,7 @@
 /// Share of each new interval in the mean.
 const SHARE: f64 = 0.1;
 /// Range of the mean around the expected interval, as factors.
-const RANGE: (f64, f64) = (0.5, 4.0);
+const RANGE: (f64, f64) = (1.0, 3.0);
 
 /// Accrual failure detector (Hayashibara et al., "The φ Accrual Failure Detector", SRDS '04), with
 /// exponentially distributed intervals.
@@ -33,6 +33,11 @@
         self.last = self.last.max(now);
     }
 
+    /// Counts silence from `now` on.
+    pub(super) fn restart(&mut self, now: Instant) {
+        self.last = now;
+    }
+
     /// Returns the negative decimal logarithm of the chance that a live sender is silent for as
     /// long as this one has been.
     pub(super) fn level(&self, now: Instant) -> f64 {
--- a/crates/egretgate-core/src/queue.rs
+++ b/crates/egretgate-core/src/queue.rs
@@ -22,6 +22,9 @@
 use hold::Hold;
 use lane::Lane;
 
+/// Time after the last sensible start at which work is given up.
+const TICK: Duration = Duration::from_millis(1);
+
 new_key_type! {
     /// Key of waiting work.
     pub struct WorkKey;
@@ -209,6 +212,8 @@
     }
 
     /// Hands out the work to start next, if `room` allows a start.
+    ///
+    /// To be called after [`Queue::expire`], so that nothing hopeless is started.
     pub fn next(&mut self, now: Instant, room: Room) -> Option<Held<T>> {
         self.next_where(now, room, |_| true)
     }
@@ -276,7 +281,7 @@
     /// Returns the next time at which [`Queue::expire`] or [`Queue::next`] may have something to
     /// do without any other event.
     pub fn wake(&self, now: Instant) -> Option<Instant> {
-        let expiry = self.latest.first().map(|&(latest, _)| latest);
+        let expiry = self.latest.first().map(|&(latest, _)| latest + TICK);
         let turn = self.hold.change(now);
         expiry.into_iter().chain(turn).min()
     }
