--- /dev/null
+++ b/crates/egretgate/src/entry/flight.rs
@@ -0,0 +1,380 @@
+//! The task of one request at the entry, from its arrival to its last byte.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use egretgate_caller::{Call, Head, Reply, Target};
+use egretgate_core::directory::{Address, Claimed, Plan};
+use egretgate_core::gate::Attempt;
+use egretgate_core::intent;
+use egretgate_core::poison::Verdict;
+use egretgate_core::{Digest, Error, ErrorKind, Ran, Result, Ticket};
+use egretgate_link::message::Offer;
+use slog::{Logger, info};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::entry::fleet::{Chosen, FleetMessage, Wish};
+use crate::entry::journal::{Grant, JournalMessage, Recorded};
+use crate::entry::state::View;
+use crate::entry::tally::{Outcome, TallyMessage};
+
+mod session;
+
+use session::{Offered, Session};
+
+/// Answer length assumed of a caller that names none, in tokens.
+const DEFAULT_OUTPUT: u32 = 1024;
+/// Largest answer that is kept for the log's record, in bytes.
+const MAX_KEPT_BYTES: usize = 2 << 10;
+/// Time to come back that is named to a team at its limit.
+const TEAM_LIMIT_AFTER: Duration = Duration::from_millis(500);
+
+/// Where a request's task sends its messages.
+#[derive(Debug, Clone)]
+pub(crate) struct Desks {
+    /// Shared state.
+    pub view: watch::Receiver<Arc<View>>,
+    /// Links and choice.
+    pub fleet: mpsc::Sender<FleetMessage>,
+    /// Calls that may not be repeated.
+    pub journal: mpsc::Sender<JournalMessage>,
+    /// Objectives and burn.
+    pub tally: mpsc::Sender<TallyMessage>,
+    /// Log.
+    pub log: Logger,
+}
+
+/// One request at the entry.
+#[derive(Debug)]
+pub(crate) struct Flight {
+    ticket: Ticket,
+    call: Call,
+    desks: Desks,
+    begin: Instant,
+    first: Option<Duration>,
+    tokens: u32,
+    /// Upstream that was offered the request last.
+    upstream: String,
+    /// Head of the answer, once the caller has it.
+    head: Option<Head>,
+    /// Idempotency key in force.
+    key: Option<String>,
+    /// Start of the answer, as far as the log would record it.
+    kept: Vec<u8>,
+    /// True while `kept` holds all of the answer so far.
+    complete: bool,
+}
+
+impl Flight {
+    /// Returns the task of `call`.
+    pub(crate) fn new(ticket: Ticket, call: Call, desks: Desks) -> Self {
+        Self {
+            ticket,
+            call,
+            desks,
+            begin: Instant::now(),
+            first: None,
+            tokens: 0,
+            upstream: String::new(),
+            head: None,
+            key: None,
+            kept: Vec::new(),
+            complete: true,
+        }
+    }
+
+    /// Runs the request and gives the caller its final answer.
+    pub(crate) async fn run(mut self) {
+        let view = self.desks.view.borrow().clone();
+        let plan = match self.resolve(&view) {
+            Ok(plan) => plan,
+            Err(error) => return self.finish(None, Err(error)).await,
+        };
+        let result = self.enter(&view, &plan).await;
+        self.finish(Some(&plan), result).await;
+    }
+
+    fn resolve(&self, view: &View) -> Result<Plan> {
+        if !view.ready {
+            return Err(Error::new(ErrorKind::NotReady, "shared state is not read yet"));
+        }
+        let hash = self.call.credentials.key.as_ref().map(|key| hash_key(key));
+        let claimed = Claimed {
+            key: hash.as_deref(),
+            team: self.call.credentials.team.as_deref(),
+            tier: self.call.tier.as_deref(),
+        };
+        let address = match &self.call.target {
+            Target::Model(model) => Address::Model(model),
+            Target::Path(path) => Address::Path(path),
+        };
+        view.directory.resolve(claimed, address)
+    }
+
+    /// Keeps the team within its limit around the rest.
+    async fn enter(&mut self, view: &View, plan: &Plan) -> Result<()> {
+        let (reply, admitted) = oneshot::channel();
+        let enter = FleetMessage::Enter { team: plan.team.clone(), limit: plan.in_flight, reply };
+        let _ = self.desks.fleet.send(enter).await;
+        if !admitted.await.unwrap_or(false) {
+            let error = Error::new(ErrorKind::TeamLimit, "the team is at its limit");
+            return Err(error.after(TEAM_LIMIT_AFTER));
+        }
+        let result = self.admit(view, plan).await;
+        let _ = self.desks.fleet.send(FleetMessage::Leave(plan.team.clone())).await;
+        result
+    }
+
+    async fn admit(&mut self, view: &View, plan: &Plan) -> Result<()> {
+        let digest = self.digest(plan);
+        let alone = match view.verdict(digest) {
+            Verdict::Quarantined => {
+                let detail = "upstreams died while they ran this request";
+                return Err(Error::new(ErrorKind::Quarantined, detail));
+            }
+            Verdict::Suspect => true,
+            Verdict::Clear => false,
+        };
+        if plan.once { self.run_once(view, plan, alone).await } else { self.offer_round(view, plan, alone).await }
+    }
+
+    /// Names the request for quarantine: equal bodies of one route have equal digests.
+    fn digest(&self, plan: &Plan) -> Digest {
+        Digest::of(&[
+            plan.route.as_bytes(),
+            self.call.method.as_bytes(),
+            self.call.path.as_bytes(),
+            &self.call.body,
+        ])
+    }
+
+    /// Runs a call that may not be repeated: only after its intent was read back as the first.
+    async fn run_once(&mut self, view: &View, plan: &Plan, alone: bool) -> Result<()> {
+        let key = self.call.key.clone().unwrap_or_else(|| format!("egret-{}", self.ticket));
+        self.key = Some(key.clone());
+        let (reply, grant) = oneshot::channel();
+        let call = intent::Call {
+            ticket: self.ticket,
+            key: Digest::of(&[plan.team.as_bytes(), plan.route.as_bytes(), key.as_bytes()]),
+            body: self.digest(plan),
+            window: plan.window,
+            deadline: self.begin + self.allowed(plan),
+        };
+        let begin = JournalMessage::Begin { call, reply };
+        let _ = self.desks.journal.send(begin).await;
+        let granted = tokio::select! {
+            granted = grant => granted,
+            () = self.call.reply.closed() => {
+                let _ = self.desks.journal.send(JournalMessage::Abandon(self.ticket)).await;
+                return Err(Error::new(ErrorKind::CallerGone, "the caller went away"));
+            }
+        };
+        match granted {
+            Ok(Grant::Dispatch) => self.run_granted(view, plan, alone).await,
+            Ok(Grant::Recorded(outcome)) => self.replay(outcome).await,
+            Ok(Grant::Refused(error)) => Err(error),
+            Err(_) => Err(Error::new(ErrorKind::Stopping, "the entry is shutting down")),
+        }
+    }
+
+    async fn run_granted(&mut self, view: &View, plan: &Plan, alone: bool) -> Result<()> {
+        let result = self.offer_round(view, plan, alone).await;
+        let ticket = self.ticket;
+        let ended = match &result {
+            Ok(()) => JournalMessage::Ended { ticket, recorded: self.recorded() },
+            Err(error) if error.ran == Ran::No => JournalMessage::NotRun { ticket },
+            Err(_) => JournalMessage::Unknown { ticket },
+        };
+        let _ = self.desks.journal.send(ended).await;
+        result
+    }
+
+    fn recorded(&mut self) -> Recorded {
+        let head = self.head.clone().unwrap_or_default();
+        let body = self.complete.then(|| Bytes::from(std::mem::take(&mut self.kept)));
+        Recorded { status: head.status, content_type: head.content_type, body }
+    }
+
+    /// Gives the caller the answer that the log recorded for its key.
+    async fn replay(&mut self, recorded: Recorded) -> Result<()> {
+        let Some(body) = recorded.body else {
+            let detail = "the call ran before; its answer was too long to be kept";
+            return Err(Error::new(ErrorKind::OutcomeUnknown, detail).ran(Ran::Yes));
+        };
+        self.send_head(recorded.status, recorded.content_type).await?;
+        self.send(Reply::Data(body)).await
+    }
+
+    /// Offers the request to one upstream after another, each only on proof that it was not run.
+    async fn offer_round(&mut self, view: &View, plan: &Plan, alone: bool) -> Result<()> {
+        let mut wish = self.wish(view, plan);
+        loop {
+            let chosen = self.choose(&wish).await?;
+            if plan.once && !self.may_dispatch().await {
+                self.release(chosen).await;
+                let detail = "the deadline or the key's window passed before dispatch";
+                return Err(Error::new(ErrorKind::DeadlinePassed, detail));
+            }
+            self.upstream.clone_from(&chosen.upstream);
+            let key = chosen.key;
+            let offer = self.offer(plan, &wish, alone);
+            let deadline = self.begin + self.allowed(plan);
+            let session = Session::start(chosen, offer, deadline).await;
+            match self.follow(session).await {
+                Offered::Whole => return Ok(()),
+                Offered::Failed(error) => return Err(error),
+                Offered::Refused(error) if !may_retry(error.kind) => return Err(error),
+                Offered::Refused(error) => {
+                    wish.tried.push(Attempt { key, at: Instant::now() });
+                    wish.refusal = Some(error);
+                }
+            }
+        }
+    }
+
+    fn wish(&self, view: &View, plan: &Plan) -> Wish {
+        Wish {
+            service: plan.service.clone(),
+            version: view.version_for(plan, self.ticket),
+            tier: plan.tier,
+            prompt: self.call.prompt,
+            output: self.call.output.unwrap_or(DEFAULT_OUTPUT),
+            prefix: self.call.prefix,
+            tried: Vec::new(),
+            refusal: None,
+        }
+    }
+
+    async fn choose(&self, wish: &Wish) -> Result<Chosen> {
+        let (reply, chosen) = oneshot::channel();
+        let _ = self.desks.fleet.send(FleetMessage::Choose { wish: wish.clone(), reply }).await;
+        let stopping = || Error::new(ErrorKind::Stopping, "the entry is shutting down");
+        chosen.await.unwrap_or_else(|_| Err(stopping()))
+    }
+
+    /// Asks, right before an offer is written, whether the call may still be dispatched.
+    async fn may_dispatch(&self) -> bool {
+        let (reply, answer) = oneshot::channel();
+        let ask = JournalMessage::MayDispatch { ticket: self.ticket, reply };
+        let _ = self.desks.journal.send(ask).await;
+        answer.await.unwrap_or(false)
+    }
+
+    /// Gives an upstream back that will not be offered the request after all.
+    async fn release(&self, chosen: Chosen) {
+        let Chosen { key, flight, .. } = chosen;
+        let _ = self.desks.fleet.send(FleetMessage::Ended { key, flight, tokens: 0 }).await;
+    }
+
+    fn offer(&self, plan: &Plan, wish: &Wish, alone: bool) -> Offer {
+        let left = (self.begin + self.allowed(plan)).saturating_duration_since(Instant::now());
+        Offer {
+            ticket: Some(self.ticket.into()),
+            route: plan.route.clone(),
+            team: plan.team.clone(),
+            tier: plan.tier.into(),
+            deadline_ms: left.as_millis() as u64,
+            version: wish.version.clone().unwrap_or_default(),
+            prompt_tokens: self.call.prompt,
+            output_tokens: wish.output,
+            digest: Bytes::copy_from_slice(self.digest(plan).as_bytes()),
+            method: self.call.method.clone(),
+            path: self.call.path.clone(),
+            content_type: self.call.content_type.clone(),
+            body: self.call.body.clone(),
+            key: self.key.clone().or_else(|| self.call.key.clone()).unwrap_or_default(),
+            alone,
+            credit: session::CREDIT_WINDOW,
+            stream: self.call.stream,
+        }
+    }
+
+    fn allowed(&self, plan: &Plan) -> Duration {
+        self.call.deadline.unwrap_or_else(|| plan.objective.deadline())
+    }
+
+    /// Gives the caller the head of the answer.
+    async fn send_head(&mut self, status: u16, content_type: String) -> Result<()> {
+        let ticket = self.ticket.to_string();
+        let head = Head { status, content_type, ticket, key: self.key.clone() };
+        self.head = Some(head.clone());
+        self.send(Reply::Head(head)).await
+    }
+
+    /// Gives the caller a part of the answer, and keeps its start for the log.
+    async fn send_data(&mut self, data: Bytes) -> Result<()> {
+        if self.key.is_some() {
+            self.complete &= self.kept.len() + data.len() <= MAX_KEPT_BYTES;
+            if self.complete {
+                self.kept.extend_from_slice(&data);
+            }
+        }
+        self.send(Reply::Data(data)).await
+    }
+
+    async fn send(&self, reply: Reply) -> Result<()> {
+        let gone = |_| Error::new(ErrorKind::CallerGone, "the caller went away");
+        self.call.reply.send(reply).await.map_err(gone)
+    }
+
+    /// Gives the caller its final answer, logs it and counts it.
+    async fn finish(self, plan: Option<&Plan>, result: Result<()>) {
+        self.count(plan, &result).await;
+        let last = match result {
+            Ok(()) => Reply::End,
+            Err(error) => Reply::Failed(error),
+        };
+        let _ = self.call.reply.send(last).await;
+    }
+
+    async fn count(&self, plan: Option<&Plan>, result: &Result<()>) {
+        let code = result.as_ref().err().map_or("ok", |error| error.kind.code());
+        let ran = result.as_ref().err().map_or(Ran::Yes, |error| error.ran);
+        let team = plan.map_or("", |plan| &plan.team);
+        let tier = plan.map_or("", |plan| &plan.tier_name);
+        metrics::counter!("egretgate_requests_total", "outcome" => code).increment(1);
+        info!(self.desks.log, "request ended";
+            "request" => self.ticket.to_string(),
+            "team" => team,
+            "tier" => tier,
+            "route" => plan.map_or("", |plan| &plan.route),
+            "upstream" => &self.upstream,
+            "outcome" => code,
+            "ran" => ran.as_str(),
+            "ms" => self.begin.elapsed().as_millis() as u64);
+        let Some(plan) = plan else { return };
+        let outcome = Outcome {
+            team: plan.team.clone(),
+            tier: plan.tier_name.clone(),
+            good: self.is_good(plan, result),
+        };
+        let _ = self.desks.tally.send(TallyMessage::Ended(outcome)).await;
+    }
+
+    /// A request is good if its whole answer came within its tier's objective.
+    fn is_good(&self, plan: &Plan, result: &Result<()>) -> bool {
+        if result.is_err() || self.head.as_ref().is_some_and(|head| head.status >= 500) {
+            return false;
+        }
+        let Some(first) = self.first.filter(|_| self.call.stream) else { return true };
+        let objective = &plan.objective;
+        let rest = self.begin.elapsed().saturating_sub(first);
+        let between = rest / self.tokens.saturating_sub(1).max(1);
+        first <= Duration::from_millis(objective.first_token_ms)
+            && between <= Duration::from_millis(objective.between_tokens_ms)
+    }
+}
+
+/// Returns whether a refusal leaves hope elsewhere.
+const fn may_retry(kind: ErrorKind) -> bool {
+    !matches!(
+        kind,
+        ErrorKind::Quarantined | ErrorKind::DeadlinePassed | ErrorKind::CallerGone
+    )
+}
+
+/// Returns the hash of a bearer key, as declarations hold it.
+fn hash_key(key: &str) -> String {
+    blake3::hash(key.as_bytes()).to_hex().to_string()
+}
--- /dev/null
+++ b/crates/egretgate/src/entry/journal.rs
@@ -0,0 +1,317 @@
+//! The task that owns the fold of the log and every append of this entry.
+//!
+//! It tails the log, feeds the fold and the calls that may not be repeated, appends in groups,
+//! and publishes a [`View`] of the shared state at each change.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use egretgate_core::fold::{Applied, Effect as Folded, Part, State};
+use egretgate_core::intent::{self, Calls};
+use egretgate_core::poison::Poison;
+use egretgate_core::record::Body;
+use egretgate_core::record::outbox::{Append, Outbox};
+use egretgate_core::{Error, ErrorKind, Incarnation, Offset, Result, Ticket};
+use egretgate_link::message::{Deaths, Heartbeat};
+use egretgate_platform::{Batch, LogClient};
+use slog::{Logger, info, warn};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::sleep_until;
+
+use crate::entry::fleet::{FleetMessage, LinkKey};
+use crate::entry::state::View;
+
+mod calls;
+mod feeding;
+mod reading;
+
+pub(crate) use calls::{Grant, Recorded};
+use feeding::Recent;
+
+/// Depth of the journal's message channel.
+pub(crate) const JOURNAL_DEPTH: usize = 8192;
+/// Pause between two rounds of upkeep.
+const TICK: Duration = Duration::from_millis(100);
+/// Time within which an operator's change is read back, or its answer is that it is unknown.
+const CONFIRM_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// What the journal is told.
+#[derive(Debug)]
+pub(crate) enum JournalMessage {
+    /// Start a call that may not be repeated.
+    Begin { call: intent::Call, reply: oneshot::Sender<Grant> },
+    /// May the call be written to an upstream right now?
+    MayDispatch { ticket: Ticket, reply: oneshot::Sender<bool> },
+    /// The call was answered.
+    Ended { ticket: Ticket, recorded: Recorded },
+    /// The call is proven not run.
+    NotRun { ticket: Ticket },
+    /// The call was dispatched and its end can't be learned.
+    Unknown { ticket: Ticket },
+    /// The caller of a call that waits for its intent went away.
+    Abandon(Ticket),
+    /// Append a configuration record; answered when it was read back and folded.
+    Append { body: Body, reply: oneshot::Sender<Result<Offset>> },
+    /// A read of the log returned.
+    Read { issued: u64, result: egretgate_platform::Result<Batch> },
+    /// An append returned.
+    Appended { kind: Kind, sequence: u64, result: egretgate_platform::Result<Offset> },
+    /// A side process asks for configuration records.
+    RecordsAsk { key: LinkKey, from: Offset },
+    /// A side process sent its configuration state.
+    PeerState(Bytes),
+    /// A side process reports deaths.
+    Deaths { incarnation: Incarnation, deaths: Deaths },
+    /// Look at the state, for operators.
+    Inspect(Inspection),
+}
+
+/// A question about the state, answered by a closure that runs in the journal's task.
+pub(crate) struct Inspection(pub Box<dyn FnOnce(&State) + Send>);
+
+/// Which of the entry's two queues an append comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// Configuration records.
+    Config,
+    /// Intents and outcomes.
+    Calls,
+}
+
+/// An operator's change that was not read back yet.
+#[derive(Debug)]
+struct Pending {
+    reply: oneshot::Sender<Result<Offset>>,
+    until: Instant,
+}
+
+/// State of the journal task.
+#[derive(Debug)]
+pub(crate) struct Journal {
+    writer: Incarnation,
+    state: State,
+    calls: Calls,
+    config: Outbox,
+    pending: HashMap<u64, Pending>,
+    grants: HashMap<Ticket, oneshot::Sender<Grant>>,
+    local: Poison,
+    recent: Recent,
+    view: watch::Sender<Arc<View>>,
+    client: LogClient,
+    own: mpsc::Sender<JournalMessage>,
+    fleet: mpsc::Sender<FleetMessage>,
+    log: Logger,
+    started: Instant,
+    reading: reading::Reading,
+}
+
+impl Journal {
+    /// Returns a journal that has read nothing.
+    pub(crate) fn new(
+        writer: Incarnation,
+        client: LogClient,
+        view: watch::Sender<Arc<View>>,
+        own: mpsc::Sender<JournalMessage>,
+        fleet: mpsc::Sender<FleetMessage>,
+        log: Logger,
+    ) -> Self {
+        Self {
+            writer,
+            state: State::new(),
+            calls: Calls::new(writer, intent::COMMIT_INTERVAL),
+            config: Outbox::new(writer),
+            pending: HashMap::new(),
+            grants: HashMap::new(),
+            local: Poison::default(),
+            recent: Recent::default(),
+            view,
+            client,
+            own,
+            fleet,
+            log,
+            started: Instant::now(),
+            reading: reading::Reading::default(),
+        }
+    }
+
+    /// Handles messages until every sender is gone.
+    pub(crate) async fn run(mut self, mut messages: mpsc::Receiver<JournalMessage>) {
+        self.read_on(Duration::ZERO);
+        loop {
+            let now = Instant::now();
+            let wake = self.calls.next_tick().map_or(now + TICK, |due| due.min(now + TICK));
+            tokio::select! {
+                message = messages.recv() => match message {
+                    Some(message) => self.handle(message).await,
+                    None => return,
+                },
+                () = sleep_until(wake.into()) => {}
+            }
+            self.calls.tick(Instant::now());
+            self.expire_pending();
+            self.carry_out();
+        }
+    }
+
+    async fn handle(&mut self, message: JournalMessage) {
+        match message {
+            JournalMessage::Begin { call, reply } => self.begin(call, reply),
+            JournalMessage::MayDispatch { ticket, reply } => {
+                let _ = reply.send(self.calls.dispatch(ticket, Instant::now()));
+            }
+            JournalMessage::Ended { ticket, recorded } => {
+                self.calls.ended(ticket, Some(recorded.into()));
+            }
+            JournalMessage::NotRun { ticket } => {
+                self.calls.not_run(ticket, ErrorKind::NoUpstream);
+            }
+            JournalMessage::Unknown { ticket } => self.calls.ended(ticket, None),
+            JournalMessage::Abandon(ticket) => {
+                self.grants.remove(&ticket);
+                self.calls.abandon(ticket);
+            }
+            JournalMessage::Append { body, reply } => self.append(body, reply),
+            JournalMessage::Read { issued, result } => self.handle_read(issued, result).await,
+            JournalMessage::Appended { kind, sequence, result } => {
+                self.handle_appended(kind, sequence, &result);
+            }
+            JournalMessage::RecordsAsk { key, from } => self.feed(key, from).await,
+            JournalMessage::PeerState(state) => self.take_peer_state(&state).await,
+            JournalMessage::Deaths { incarnation, deaths } => self.deaths(incarnation, &deaths),
+            JournalMessage::Inspect(Inspection(look)) => look(&self.state),
+        }
+    }
+
+    /// Queues a configuration record.
+    fn append(&mut self, body: Body, reply: oneshot::Sender<Result<Offset>>) {
+        if !self.reading.is_up() {
+            let detail = "the platform's log can't be reached; nothing was changed";
+            let _ = reply.send(Err(Error::new(ErrorKind::LogOutage, detail)));
+            return;
+        }
+        match self.config.push(body) {
+            Ok(sequence) => {
+                let pending = Pending { reply, until: Instant::now() + CONFIRM_TIMEOUT };
+                self.pending.insert(sequence, pending);
+                self.send_config();
+            }
+            Err(error) => {
+                let _ = reply.send(Err(error));
+            }
+        }
+    }
+
+    fn send_config(&mut self) {
+        if let Some(append) = self.config.next() {
+            self.send(Kind::Config, append);
+        }
+    }
+
+    fn send(&self, kind: Kind, append: Append) {
+        let client = self.client.clone();
+        let own = self.own.clone();
+        tokio::spawn(async move {
+            let Append { sequence, data } = append;
+            let result = client.append(&[data.into()]).await;
+            let _ = own.send(JournalMessage::Appended { kind, sequence, result }).await;
+        });
+    }
+
+    fn handle_appended(
+        &mut self,
+        kind: Kind,
+        sequence: u64,
+        result: &egretgate_platform::Result<Offset>,
+    ) {
+        let Err(error) = result else { return };
+        warn!(self.log, "append failed"; "sequence" => sequence, "error" => error.to_string());
+        metrics::counter!("egretgate_append_failures_total").increment(1);
+        self.reading.note_loss();
+        match kind {
+            Kind::Config => self.config.lost(sequence),
+            Kind::Calls => self.calls.append_lost(sequence),
+        }
+        if matches!(error, egretgate_platform::Error::Refused(_)) {
+            self.set_log_up(false);
+        }
+    }
+
+    fn expire_pending(&mut self) {
+        let now = Instant::now();
+        let late: Vec<u64> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| now >= pending.until)
+            .map(|(sequence, _)| *sequence)
+            .collect();
+        for sequence in late {
+            let Some(pending) = self.pending.remove(&sequence) else { continue };
+            let detail = "the log did not confirm the change in time; look at the records";
+            let _ = pending.reply.send(Err(Error::new(ErrorKind::OutcomeUnknown, detail)));
+        }
+    }
+
+    /// Notes what the fold made of a record.
+    fn note(&mut self, applied: &Applied) {
+        self.calls.read(applied, self.state.keys());
+        let Some(author) = applied.author else { return };
+        if author.class == egretgate_core::record::Class::Config
+            && self.config.read(author.writer, author.sequence)
+        {
+            self.confirm(author.sequence, applied);
+            self.send_config();
+        }
+    }
+
+    fn confirm(&mut self, sequence: u64, applied: &Applied) {
+        let Some(pending) = self.pending.remove(&sequence) else { return };
+        let result = match &applied.effect {
+            Folded::Refused(error) => Err(error.clone()),
+            _ => Ok(applied.offset),
+        };
+        let _ = pending.reply.send(result);
+    }
+
+    /// Publishes the parts of the state that changed.
+    fn publish(&self, parts: &[Part]) {
+        let shared = self.state.shared();
+        self.view.send_modify(|view| {
+            let view = Arc::make_mut(view);
+            if parts.contains(&Part::Declarations) || parts.contains(&Part::Moves) {
+                let declared = shared.declarations().clone();
+                view.directory = Arc::new(egretgate_core::directory::Directory::new(declared));
+                view.splits = Arc::new(shared.into());
+            }
+            if parts.contains(&Part::Quarantine) {
+                view.quarantine = Arc::new(shared.quarantine().clone());
+            }
+        });
+    }
+
+    fn set_log_up(&mut self, up: bool) {
+        if !self.reading.set_up(up) {
+            return;
+        }
+        info!(self.log, "log reachable"; "up" => up);
+        metrics::gauge!("egretgate_log_up").set(f64::from(u8::from(up)));
+        self.calls.log_up(up);
+        self.view.send_modify(|view| Arc::make_mut(view).log_up = up);
+    }
+
+    /// Tells every side process of the configuration's offset.
+    async fn announce(&self) {
+        let shared = self.state.shared();
+        let digest = Bytes::copy_from_slice(shared.digest().as_bytes());
+        let beat = Heartbeat { offset: shared.next(), digest };
+        metrics::gauge!("egretgate_config_offset").set(shared.next() as f64);
+        let _ = self.fleet.send(FleetMessage::Offset(beat)).await;
+    }
+}
+
+impl std::fmt::Debug for Inspection {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("Inspection")
+    }
+}
--- /dev/null
+++ b/crates/egretgate/src/entry/journal/feeding.rs
@@ -0,0 +1,90 @@
+//! Feeding side processes with configuration records, and taking in their reports.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use egretgate_core::poison::Death;
+use egretgate_core::record::{Body, body};
+use egretgate_core::{Digest, Incarnation, Offset};
+use egretgate_link::message::{Deaths, LogRecord, Records};
+use tokio::sync::oneshot;
+
+use crate::entry::fleet::{FleetMessage, LinkKey};
+use crate::entry::journal::Journal;
+
+/// Most records kept for side processes that are behind.
+const MAX_RECENT: usize = 4096;
+/// Most bytes of records in one frame.
+const MAX_FRAME: usize = 1 << 20;
+
+/// The newest configuration records, in log order and without gaps.
+#[derive(Debug, Default)]
+pub(super) struct Recent {
+    records: VecDeque<LogRecord>,
+}
+
+impl Recent {
+    /// Adds the record after the one whose chain digest is `prev`.
+    pub(super) fn push(&mut self, offset: Offset, prev: blake3::Hash, data: Bytes) {
+        if self.records.len() >= MAX_RECENT {
+            self.records.pop_front();
+        }
+        let prev = Bytes::copy_from_slice(prev.as_bytes());
+        self.records.push_back(LogRecord { offset, data, prev });
+    }
+
+    pub(super) fn clear(&mut self) {
+        self.records.clear();
+    }
+
+    /// Returns what a process at `from` lacks; `None` if some of it is no longer kept.
+    fn since(&self, from: Offset) -> Option<Vec<LogRecord>> {
+        if self.records.front().is_none_or(|oldest| from < oldest.offset) {
+            return None;
+        }
+        let mut bytes = 0;
+        let missing = self.records.iter().filter(|record| record.offset >= from);
+        let within = missing.take_while(|record| {
+            bytes += record.data.len();
+            bytes <= MAX_FRAME
+        });
+        Some(within.cloned().collect())
+    }
+}
+
+impl Journal {
+    /// Sends a side process the configuration records from `from` on, or the whole state.
+    pub(super) async fn feed(&self, key: LinkKey, from: Offset) {
+        let shared = self.state.shared();
+        if from >= shared.next() {
+            return;
+        }
+        let records = match self.recent.since(from) {
+            Some(records) => Records { records, snapshot: Bytes::new() },
+            None => Records { records: Vec::new(), snapshot: shared.encode().into() },
+        };
+        let _ = self.fleet.send(FleetMessage::Records { key, records }).await;
+    }
+
+    /// Takes deaths into account here at once, and everywhere through the log.
+    pub(super) fn deaths(&mut self, incarnation: Incarnation, deaths: &Deaths) {
+        let digests: Vec<Digest> =
+            deaths.digests.iter().filter_map(|bytes| Digest::from_slice(bytes)).collect();
+        let death = Death::new(&deaths.upstream, incarnation, deaths.sequence);
+        if self.local.deaths().any(|known| known == death) {
+            return;
+        }
+        let at = self.started.elapsed().as_millis() as u64;
+        self.local.died(death, &digests, at);
+        let local = std::sync::Arc::new(self.local.clone());
+        self.view.send_modify(|view| std::sync::Arc::make_mut(view).local = local);
+        let body = Body::Death(body::Death {
+            upstream: deaths.upstream.clone(),
+            incarnation,
+            sequence: deaths.sequence,
+            digests: deaths.digests.clone(),
+        });
+        let (reply, _) = oneshot::channel();
+        self.append(body, reply);
+    }
+}
--- /dev/null
+++ b/crates/egretgate/src/entry/journal/reading.rs
@@ -0,0 +1,210 @@
+//! Tailing the log: from the first read to the head, through outages and lost answers.
+
+use std::time::{Duration, Instant};
+
+use egretgate_core::Offset;
+use egretgate_core::fold::{Effect as Folded, Part, Shared, State};
+use egretgate_core::snapshot::Recovery;
+use egretgate_platform::Batch;
+use slog::{info, warn};
+
+use crate::entry::fleet::FleetMessage;
+use crate::entry::journal::{Journal, JournalMessage};
+
+/// Most records of one read.
+const READ_LIMIT: usize = 512;
+/// Longest wait of one read for a record.
+const READ_WAIT: Duration = Duration::from_secs(1);
+/// Pause after a failed read.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// Failed reads in a row from which the log counts as out.
+const DOWN_AFTER: u32 = 2;
+/// Time after the start within which an outage makes the entry ask its peers for their state.
+const PEER_WAIT: Duration = Duration::from_secs(2);
+
+/// How far the log was read.
+#[derive(Debug, Default)]
+pub(super) struct Reading {
+    issued: u64,
+    /// Reads issued when an append was last lost; a later one shows whether it took effect.
+    loss: Option<u64>,
+    failures: u32,
+    up: bool,
+    /// Set while the state is searched for in what the log still holds.
+    recovery: Option<Scan>,
+}
+
+#[derive(Debug)]
+struct Scan {
+    recovery: Recovery,
+    next: Offset,
+}
+
+impl Reading {
+    pub(super) const fn is_up(&self) -> bool {
+        self.up
+    }
+
+    /// Returns true if that changed anything.
+    pub(super) fn set_up(&mut self, up: bool) -> bool {
+        let changed = self.up != up;
+        self.up = up;
+        changed
+    }
+
+    pub(super) fn note_loss(&mut self) {
+        self.loss = Some(self.issued);
+    }
+}
+
+impl Journal {
+    /// Issues the next read after `pause`.
+    pub(super) fn read_on(&mut self, pause: Duration) {
+        self.reading.issued += 1;
+        let issued = self.reading.issued;
+        let from = self.reading.recovery.as_ref().map_or(self.state.next(), |scan| scan.next);
+        let client = self.client.clone();
+        let own = self.own.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(pause).await;
+            let result = client.read(from, READ_LIMIT, READ_WAIT).await;
+            let _ = own.send(JournalMessage::Read { issued, result }).await;
+        });
+    }
+
+    pub(super) async fn handle_read(
+        &mut self,
+        issued: u64,
+        result: egretgate_platform::Result<Batch>,
+    ) {
+        match result {
+            Ok(batch) => {
+                self.reading.failures = 0;
+                self.take_batch(issued, &batch).await;
+                self.read_on(Duration::ZERO);
+            }
+            Err(error) => {
+                self.reading.failures += 1;
+                if self.reading.failures >= DOWN_AFTER {
+                    self.set_log_up(false);
+                    self.ask_peers().await;
+                }
+                warn!(self.log, "log read failed"; "error" => error.to_string());
+                self.read_on(RETRY_PAUSE);
+            }
+        }
+    }
+
+    async fn take_batch(&mut self, issued: u64, batch: &Batch) {
+        if batch.oldest > self.state.next() && self.reading.recovery.is_none() {
+            let recovery = Recovery::new(batch.oldest);
+            self.reading.recovery = Some(Scan { recovery, next: batch.oldest });
+            return;
+        }
+        if self.reading.recovery.is_some() {
+            return self.scan(batch).await;
+        }
+        self.fold(batch).await;
+        if self.state.next() >= batch.head {
+            self.reach_head(issued);
+        }
+    }
+
+    async fn fold(&mut self, batch: &Batch) {
+        let before = self.state.shared().next();
+        let mut parts = Vec::new();
+        for record in &batch.records {
+            let prev = *self.state.shared().digest();
+            let applied = self.state.apply(record.offset, &record.data);
+            if self.state.shared().digest() != &prev {
+                self.recent.push(record.offset, prev, record.data.clone());
+            }
+            if let Folded::Skipped(fault) = &applied.effect {
+                warn!(self.log, "record skipped";
+                    "offset" => record.offset, "fault" => format!("{fault:?}"));
+            }
+            if let Folded::Accepted(part) = &applied.effect {
+                parts.push(*part);
+            }
+            self.note(&applied);
+        }
+        if !parts.is_empty() {
+            self.publish(&parts);
+        }
+        if self.state.shared().next() != before {
+            self.announce().await;
+        }
+    }
+
+    /// The head was read: the entry may serve, and a lost append shows.
+    fn reach_head(&mut self, issued: u64) {
+        self.set_log_up(true);
+        self.set_ready();
+        if self.reading.loss.is_some_and(|loss| issued > loss) {
+            self.reading.loss = None;
+            self.calls.caught_up();
+            if let Some(append) = self.config.caught_up() {
+                self.send(super::Kind::Config, append);
+            }
+        }
+    }
+
+    fn set_ready(&self) {
+        if !self.view.borrow().ready {
+            info!(self.log, "shared state read"; "offset" => self.state.next());
+            self.view.send_modify(|view| std::sync::Arc::make_mut(view).ready = true);
+        }
+    }
+
+    /// Looks for the newest whole snapshot in a log that lost its oldest records.
+    async fn scan(&mut self, batch: &Batch) {
+        let Some(scan) = self.reading.recovery.as_mut() else { return };
+        for record in &batch.records {
+            scan.recovery.scan(&record.data);
+            scan.next = record.offset + 1;
+        }
+        if scan.next < batch.head {
+            return;
+        }
+        let Some(scan) = self.reading.recovery.take() else { return };
+        match scan.recovery.finish() {
+            Ok(state) => self.adopt(state).await,
+            Err(error) => warn!(self.log, "log can't be folded"; "error" => error.to_string()),
+        }
+    }
+
+    /// Goes on from a snapshot, unless more was folded already.
+    async fn adopt(&mut self, state: State) {
+        if state.next() <= self.state.next() {
+            return;
+        }
+        info!(self.log, "snapshot read"; "offset" => state.next());
+        self.state = state;
+        self.recent.clear();
+        self.publish(&[Part::Declarations, Part::Moves, Part::Quarantine]);
+        self.announce().await;
+    }
+
+    /// In an outage at the start, asks the side processes for the highest state they hold.
+    async fn ask_peers(&self) {
+        if !self.view.borrow().ready {
+            let _ = self.fleet.send(FleetMessage::AskSnapshots).await;
+        }
+    }
+
+    /// Takes the state of a side process while the log can't be read at the start.
+    pub(super) async fn take_peer_state(&mut self, bytes: &[u8]) {
+        if self.reading.is_up() || self.view.borrow().ready {
+            return;
+        }
+        let Ok(shared) = Shared::decode(bytes) else { return };
+        if shared.next() > self.state.shared().next() {
+            self.state.set_shared(shared);
+            self.publish(&[Part::Declarations, Part::Moves, Part::Quarantine]);
+            self.announce().await;
+        }
+        if Instant::now().duration_since(self.started) >= PEER_WAIT {
+            self.set_ready();
+        }
+    }
+}
