feat(fakes): fakes of engine, service and platform, and their clients

The entry and the side process need something to talk to. The fakes run on loopback ports over hyper's server, so that a crash can refuse connections at the same address, which salvo's server does not offer. The clients share egretgate-http, which retries nothing and tells a request that was not written from one that may have been: hyper hands an unwritten request back as cancelled, anything else counts as sent.

Ruled out: hyper-util's retry of cancelled requests (a request would be written twice without the caller's knowledge).

--- /dev/null
+++ b/crates/egretgate-engine/src/message.rs
@@ -0,0 +1,93 @@
+//! What an engine reports and is ordered.
+
+use egretgate_core::{Fence, VersionId};
+use serde::{Deserialize, Serialize};
+
+/// Load report of an engine. It lags behind the engine's state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+pub struct EngineLoad {
+    /// Requests that generate tokens.
+    pub running: u32,
+    /// Requests whose prompt is not yet processed in whole.
+    pub waiting: u32,
+    /// Prompt tokens that wait for prefill.
+    #[serde(default)]
+    pub waiting_tokens: u64,
+}
+
+/// Cache events of an engine, in order of their sequence numbers, possibly with gaps.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct CacheEvents {
+    /// Sequence number after the last event published.
+    pub head: u64,
+    /// Events.
+    pub events: Vec<CacheEvent>,
+}
+
+/// One change of the prefix cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub struct CacheEvent {
+    /// Sequence number.
+    pub sequence: u64,
+    /// What happened to the block.
+    pub kind: CacheKind,
+    /// Hash of the block and all blocks before it.
+    pub block: u64,
+}
+
+/// What happened to a block of the prefix cache.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CacheKind {
+    /// The block was stored.
+    Stored,
+    /// The block was evicted.
+    Evicted,
+}
+
+/// Versions that an engine holds.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Versions {
+    /// Names of the versions.
+    pub versions: Vec<VersionId>,
+}
+
+/// What an order asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Action {
+    /// Load a version.
+    Load,
+    /// Unload a version.
+    Unload,
+}
+
+/// An order, as sent.
+#[derive(Debug, Serialize)]
+pub(crate) struct Order<'a> {
+    pub(crate) fence: Fence,
+    pub(crate) action: Action,
+    pub(crate) version: &'a str,
+}
+
+/// What became of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ordered {
+    /// Carried out.
+    Done,
+    /// Refused because the engine has seen a newer fencing number.
+    Fenced,
+    /// Refused for another reason, with the HTTP status.
+    Failed(u16),
+}
+
+impl Ordered {
+    /// Returns the outcome that an HTTP status stands for.
+    pub(crate) const fn from_status(status: u16) -> Self {
+        match status {
+            200..=299 => Self::Done,
+            409 => Self::Fenced,
+            status => Self::Failed(status),
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretgate-engine/src/meter.rs
@@ -0,0 +1,130 @@
+//! Counts the tokens of a streamed answer and the time between them.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Payload of the event that ends a stream.
+const END: &[u8] = b"[DONE]";
+/// Name of the field that holds an event's payload.
+const DATA: &[u8] = b"data:";
+/// Bytes of a line that are kept: enough to tell the end from a token.
+const KEPT_BYTES: usize = 16;
+
+/// What one piece of an answer held.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Fed {
+    /// Tokens that the piece completed.
+    pub tokens: u32,
+    /// Time since the token before, shared evenly among the tokens of the piece; `None` for the
+    /// first token of the answer or if the piece completed none.
+    pub gap: Option<Duration>,
+}
+
+/// Counts server-sent events across the borders of the pieces they arrive in.
+///
+/// Each event with data is one token, but for the one that ends the stream. Memory is constant.
+#[derive(Debug, Clone, Default)]
+pub struct TokenMeter {
+    /// Start of the current line, at most [`KEPT_BYTES`].
+    line: Vec<u8>,
+    /// True if the current event has a data line.
+    data: bool,
+    /// True if the last data line of the current event is the end mark.
+    end: bool,
+    /// True once the end mark has been seen.
+    done: bool,
+    tokens: u32,
+    first: Option<Instant>,
+    last: Option<Instant>,
+    longest: Duration,
+}
+
+impl TokenMeter {
+    /// Returns a meter that has seen nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes the next piece of the answer, which arrived at `now`.
+    pub fn feed(&mut self, piece: &[u8], now: Instant) -> Fed {
+        let mut tokens = 0;
+        for &byte in piece {
+            if byte == b'\n' {
+                tokens += u32::from(self.end_line());
+            } else if self.line.len() < KEPT_BYTES {
+                self.line.push(byte);
+            }
+        }
+        self.note(tokens, now)
+    }
+
+    /// Returns the tokens counted.
+    pub const fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Returns when the first token was complete.
+    pub const fn first(&self) -> Option<Instant> {
+        self.first
+    }
+
+    /// Returns when the last token so far was complete.
+    pub const fn last(&self) -> Option<Instant> {
+        self.last
+    }
+
+    /// Returns the longest gap between two tokens.
+    pub const fn longest(&self) -> Duration {
+        self.longest
+    }
+
+    /// Returns the mean time between tokens, if there were two.
+    pub fn mean(&self) -> Option<Duration> {
+        let gaps = self.tokens.checked_sub(1).filter(|&gaps| gaps > 0)?;
+        Some((self.last? - self.first?) / gaps)
+    }
+
+    /// Returns true once the stream has ended by its end mark.
+    pub const fn is_done(&self) -> bool {
+        self.done
+    }
+
+    /// Ends the current line. Returns true if it ended an event that is a token.
+    fn end_line(&mut self) -> bool {
+        if self.line.last() == Some(&b'\r') {
+            self.line.pop();
+        }
+        let token = if self.line.is_empty() { self.end_event() } else { self.note_line() };
+        self.line.clear();
+        token
+    }
+
+    fn note_line(&mut self) -> bool {
+        if let Some(payload) = self.line.strip_prefix(DATA) {
+            self.data = true;
+            self.end = payload.trim_ascii() == END;
+        }
+        false
+    }
+
+    fn end_event(&mut self) -> bool {
+        let token = self.data && !self.end;
+        self.done |= self.data && self.end;
+        self.data = false;
+        self.end = false;
+        token
+    }
+
+    fn note(&mut self, tokens: u32, now: Instant) -> Fed {
+        if tokens == 0 {
+            return Fed::default();
+        }
+        let gap = self.last.map(|last| now.duration_since(last) / tokens);
+        self.longest = self.longest.max(gap.unwrap_or_default());
+        self.tokens += tokens;
+        self.first = self.first.or(Some(now));
+        self.last = Some(now);
+        Fed { tokens, gap }
+    }
+}
--- /dev/null
+++ b/crates/egretgate-fakes/src/engine/batch.rs
@@ -0,0 +1,163 @@
+//! The running batch: plans steps and carries them out.
+
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+
+use super::prompt::BLOCK_TOKENS;
+use super::spec::EngineSpec;
+
+/// One request in the batch.
+#[derive(Debug)]
+pub(crate) struct Sequence {
+    pub(crate) id: String,
+    pub(crate) version: String,
+    pub(crate) blocks: Vec<u64>,
+    /// Prompt tokens that are still to be processed.
+    pub(crate) prefill_left: usize,
+    /// Prompt tokens processed for this request.
+    pub(crate) prefilled: usize,
+    /// Length of the answer.
+    pub(crate) tokens: usize,
+    /// Tokens generated.
+    pub(crate) produced: usize,
+    /// Tokens after which the stream is cut; `tokens` or more if it is whole.
+    pub(crate) cut_at: usize,
+    /// Steps for each token.
+    pub(crate) slow: f64,
+    /// Share of the next token that is done.
+    pub(crate) progress: f64,
+    /// True if generating the first token crashes the engine.
+    pub(crate) poison: bool,
+    /// Carries the index of each token; closed without the last one if the answer is cut.
+    pub(crate) sender: mpsc::UnboundedSender<usize>,
+}
+
+impl Sequence {
+    /// Sets how much of the prompt is cached. The last block is always processed.
+    pub(crate) fn set_cached(&mut self, blocks: usize) {
+        let cached = (blocks * BLOCK_TOKENS).min(self.prefill_left.saturating_sub(1));
+        self.prefill_left -= cached;
+    }
+
+    fn advance(&mut self) {
+        self.progress += 1.0;
+        if self.progress < self.slow {
+            return;
+        }
+        self.progress -= self.slow;
+        let _ = self.sender.send(self.produced);
+        self.produced += 1;
+    }
+
+    fn is_whole(&self) -> bool {
+        self.produced >= self.tokens
+    }
+
+    fn is_over(&self) -> bool {
+        self.is_whole() || self.produced >= self.cut_at || self.sender.is_closed()
+    }
+}
+
+/// What a step brought.
+#[derive(Debug, Default)]
+pub(crate) struct Stepped {
+    /// Prompt tokens processed.
+    pub(crate) prefill: u64,
+    /// Tokens generated.
+    pub(crate) tokens: u64,
+    /// Requests that ended.
+    pub(crate) ended: Vec<Ended>,
+    /// Blocks of the prompts that are now processed.
+    pub(crate) stored: Vec<Vec<u64>>,
+    /// True if a poisonous request is due to generate.
+    pub(crate) poisoned: bool,
+}
+
+/// A request that left the batch.
+#[derive(Debug)]
+pub(crate) struct Ended {
+    /// Prompt tokens processed for it.
+    pub(crate) prefilled: u64,
+    /// True if its answer is whole and its caller there.
+    pub(crate) whole: bool,
+}
+
+impl From<Sequence> for Ended {
+    fn from(sequence: Sequence) -> Self {
+        Self { prefilled: sequence.prefilled as u64, whole: sequence.is_whole() }
+    }
+}
+
+/// The requests admitted, oldest first.
+#[derive(Debug, Default)]
+pub(crate) struct Batch {
+    sequences: Vec<Sequence>,
+}
+
+impl Batch {
+    pub(crate) const fn len(&self) -> usize {
+        self.sequences.len()
+    }
+
+    pub(crate) const fn is_empty(&self) -> bool {
+        self.sequences.is_empty()
+    }
+
+    pub(crate) fn push(&mut self, sequence: Sequence) {
+        self.sequences.push(sequence);
+    }
+
+    /// Returns the number of requests that generate tokens.
+    pub(crate) fn running(&self) -> usize {
+        self.sequences.iter().filter(|sequence| sequence.prefill_left == 0).count()
+    }
+
+    /// Returns the number of prompt tokens that wait for prefill.
+    pub(crate) fn waiting_tokens(&self) -> usize {
+        self.sequences.iter().map(|sequence| sequence.prefill_left).sum()
+    }
+
+    /// Removes the requests that match and returns them.
+    pub(crate) fn remove(&mut self, matches: impl Fn(&Sequence) -> bool) -> Vec<Ended> {
+        let removed = self.sequences.extract_if(.., |sequence| matches(sequence));
+        removed.map(Ended::from).collect()
+    }
+
+    /// Removes every request whose caller is gone.
+    pub(crate) fn remove_abandoned(&mut self) -> Vec<Ended> {
+        self.remove(|sequence| sequence.sender.is_closed())
+    }
+
+    /// Returns how long the next step takes.
+    pub(crate) fn step_time(&self, spec: &EngineSpec, slow: f64) -> Duration {
+        let load = self.running() as f64 / spec.knee.max(1) as f64;
+        let prefill = self.waiting_tokens().min(spec.prefill_budget) as u32;
+        (spec.token_time.mul_f64(load.max(1.0)) + spec.prefill_time * prefill).mul_f64(slow)
+    }
+
+    /// Carries out one step.
+    pub(crate) fn step(&mut self, budget: usize) -> Stepped {
+        let mut stepped = Stepped::default();
+        let mut left = budget;
+        for sequence in &mut self.sequences {
+            if sequence.prefill_left == 0 {
+                let before = sequence.produced;
+                sequence.advance();
+                stepped.tokens += (sequence.produced - before) as u64;
+                continue;
+            }
+            let done = sequence.prefill_left.min(left);
+            left -= done;
+            sequence.prefill_left -= done;
+            sequence.prefilled += done;
+            stepped.prefill += done as u64;
+            if sequence.prefill_left == 0 {
+                stepped.stored.push(sequence.blocks.clone());
+                stepped.poisoned |= sequence.poison;
+            }
+        }
+        stepped.ended = self.remove(Sequence::is_over);
+        stepped
+    }
+}
--- /dev/null
+++ b/crates/egretgate-fakes/src/engine/state.rs
@@ -0,0 +1,257 @@
+//! What the driver, the HTTP handlers and the handle share.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Mutex, MutexGuard};
+use std::time::Duration;
+
+use egretgate_core::Digest;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::batch::{Ended, Sequence};
+use super::cache::{CacheChange, CacheKind};
+use super::spec::{EngineSpec, VersionFaults};
+use crate::server::Control;
+
+/// Cache events that are kept.
+const EVENTS: usize = 65_536;
+
+/// Numbers counted by an engine.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EngineCounts {
+    /// Requests admitted.
+    pub executions: u64,
+    /// Requests answered in whole.
+    pub finished: u64,
+    /// Requests that left the batch unfinished: cancelled, cut, abandoned or lost in a crash.
+    pub unfinished: u64,
+    /// Tokens generated.
+    pub tokens: u64,
+    /// Prompt tokens processed.
+    pub prefill: u64,
+    /// Prompt tokens processed for requests that were left unfinished.
+    pub wasted: u64,
+    /// Crashes.
+    pub deaths: u64,
+    /// Requests cut because their version was unloaded.
+    pub unloaded: u64,
+    /// Largest batch.
+    pub peak: u64,
+}
+
+/// An order carried out by an engine.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+pub struct Order {
+    /// Fencing number.
+    pub fence: u64,
+    /// `load` or `unload`.
+    pub action: String,
+    /// Name of the version.
+    pub version: String,
+}
+
+/// A command to the driver.
+#[derive(Debug)]
+pub(crate) enum Command {
+    Admit(Sequence),
+    Cancel(String),
+    Unload(String),
+    Crash,
+}
+
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub(crate) struct Load {
+    pub(crate) running: usize,
+    pub(crate) waiting: usize,
+    pub(crate) waiting_tokens: usize,
+}
+
+#[derive(Debug, Clone, Copy, Serialize)]
+pub(crate) struct Event {
+    sequence: u64,
+    kind: CacheKind,
+    block: u64,
+    #[serde(skip)]
+    due: Option<Instant>,
+}
+
+#[derive(Debug, Serialize)]
+pub(crate) struct Events {
+    head: u64,
+    events: Vec<Event>,
+}
+
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) counts: EngineCounts,
+    pub(crate) ids: HashMap<String, u64>,
+    pub(crate) digests: HashMap<Digest, u64>,
+    pub(crate) by_version: HashMap<String, u64>,
+    pub(crate) orders: Vec<Order>,
+    pub(crate) versions: Vec<String>,
+    pub(crate) poison: Option<String>,
+    pub(crate) slow: f64,
+    pub(crate) faults: HashMap<String, VersionFaults>,
+    pub(crate) cut_streams: u64,
+    pub(crate) cut_tokens: usize,
+    /// Requests in the batch, as of the last step.
+    pub(crate) batch: usize,
+    pub(crate) rng: ChaCha8Rng,
+    loads: VecDeque<(Instant, Load)>,
+    events: VecDeque<Event>,
+    next_event: u64,
+}
+
+/// What an admitted request is subject to.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Fate {
+    pub(crate) error: bool,
+    pub(crate) cut_at: usize,
+    pub(crate) slow: f64,
+    pub(crate) poison: bool,
+}
+
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) spec: EngineSpec,
+    pub(crate) commands: mpsc::UnboundedSender<Command>,
+    pub(crate) control: Control,
+    state: Mutex<State>,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        spec: EngineSpec,
+        commands: mpsc::UnboundedSender<Command>,
+        control: Control,
+    ) -> Self {
+        let state = Mutex::new(State::new(&spec));
+        Self { spec, commands, control, state }
+    }
+
+    pub(crate) fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no task panics while it holds the engine")
+    }
+
+    /// Crashes the engine and refuses connections for `down`.
+    pub(crate) fn crash(&self, down: Duration) {
+        self.state().counts.deaths += 1;
+        self.control.crash(down);
+        let _ = self.commands.send(Command::Crash);
+    }
+}
+
+impl State {
+    fn new(spec: &EngineSpec) -> Self {
+        Self {
+            counts: EngineCounts::default(),
+            ids: HashMap::new(),
+            digests: HashMap::new(),
+            by_version: HashMap::new(),
+            orders: Vec::new(),
+            versions: vec![spec.version.to_string()],
+            poison: None,
+            slow: 1.0,
+            faults: HashMap::new(),
+            cut_streams: 0,
+            cut_tokens: 0,
+            batch: 0,
+            rng: ChaCha8Rng::seed_from_u64(spec.seed),
+            loads: VecDeque::new(),
+            events: VecDeque::new(),
+            next_event: 0,
+        }
+    }
+
+    /// Counts an execution and decides what becomes of it.
+    pub(crate) fn execute(&mut self, id: &str, version: &str, body: &[u8], tokens: usize) -> Fate {
+        self.counts.executions += 1;
+        *self.ids.entry(id.to_owned()).or_default() += 1;
+        *self.digests.entry(Digest::of(&[body])).or_default() += 1;
+        let ran = self.by_version.entry(version.to_owned()).or_default();
+        *ran += 1;
+        let text = String::from_utf8_lossy(body);
+        let poison = self.poison.as_ref().is_some_and(|marker| text.contains(marker));
+        let mut fate = Fate { error: false, cut_at: usize::MAX, slow: 1.0, poison };
+        if self.cut_streams > 0 {
+            self.cut_streams -= 1;
+            fate.cut_at = self.cut_tokens;
+        }
+        let Some(faults) = self.faults.get(version) else {
+            return fate;
+        };
+        if *ran <= faults.after
+            || self.batch < faults.above
+            || !text.contains(faults.marker.as_ref())
+        {
+            return fate;
+        }
+        fate.slow = faults.slow.max(1.0);
+        fate.error = self.rng.random_bool(faults.errors);
+        if self.rng.random_bool(faults.cuts) {
+            fate.cut_at = tokens / 2;
+        }
+        fate
+    }
+
+    /// Returns the version that runs a request, if it is held.
+    pub(crate) fn choose_version(&self, wanted: &str) -> Option<String> {
+        let mut held = self.versions.iter();
+        let chosen =
+            if wanted.is_empty() { held.next() } else { held.find(|held| *held == wanted) };
+        chosen.cloned()
+    }
+
+    pub(crate) fn note_ended(&mut self, ended: &[Ended]) {
+        for request in ended {
+            if request.whole {
+                self.counts.finished += 1;
+            } else {
+                self.counts.unfinished += 1;
+                self.counts.wasted += request.prefilled;
+            }
+        }
+    }
+
+    /// Notes the load now, and forgets what is too old to be reported again.
+    pub(crate) fn note_load(&mut self, load: Load, lag: Duration) {
+        let now = Instant::now();
+        self.loads.push_back((now, load));
+        while self.loads.get(1).is_some_and(|(at, _)| *at + lag <= now) {
+            self.loads.pop_front();
+        }
+    }
+
+    /// Returns the load as it was `lag` ago.
+    pub(crate) fn reported_load(&self, lag: Duration) -> Load {
+        let now = Instant::now();
+        let old = self.loads.iter().rev().find(|(at, _)| *at + lag <= now);
+        old.map(|(_, load)| *load).unwrap_or_default()
+    }
+
+    pub(crate) fn note_changes(&mut self, changes: Vec<CacheChange>, spec: &EngineSpec) {
+        for CacheChange { kind, block } in changes {
+            let sequence = self.next_event;
+            self.next_event += 1;
+            if spec.event_gaps > 0.0 && self.rng.random_bool(spec.event_gaps) {
+                continue;
+            }
+            let due = Some(Instant::now() + spec.event_lag);
+            self.events.push_back(Event { sequence, kind, block, due });
+            if self.events.len() > EVENTS {
+                self.events.pop_front();
+            }
+        }
+    }
+
+    /// Returns the events that are due, from sequence number `from` on.
+    pub(crate) fn events(&self, from: u64) -> Events {
+        let now = Some(Instant::now());
+        let due = self.events.iter().take_while(|event| event.due <= now);
+        let head = due.clone().last().map_or(0, |event| event.sequence + 1);
+        Events { head, events: due.filter(|event| event.sequence >= from).copied().collect() }
+    }
+}
--- /dev/null
+++ b/crates/egretgate-fakes/src/log.rs
@@ -0,0 +1,279 @@
+//! Fake of the platform's append-only log.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
+use tokio::time;
+
+use crate::Result;
+use crate::server::{Answer, Body, Bound, Server, dropped, empty, json, number, read};
+
+/// Longest time that a read waits.
+const MAX_WAIT_MS: u64 = 60_000;
+/// Records in an answer if the reader names no limit.
+const DEFAULT_LIMIT: u64 = 1000;
+
+/// How the log fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outage {
+    /// It answers.
+    None,
+    /// It answers 503, before any effect.
+    Refuse,
+    /// It answers nothing, before any effect, until the outage ends.
+    Hang,
+}
+
+/// Numbers of calls.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LogCounts {
+    /// Requests to append that took effect.
+    pub appends: u64,
+    /// Records appended.
+    pub records: u64,
+    /// Requests to read that were answered.
+    pub reads: u64,
+    /// Answers lost after the effect.
+    pub lost: u64,
+}
+
+/// A log.
+#[derive(Debug)]
+pub struct Log {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    state: Mutex<State>,
+    /// Offset after the newest record.
+    head: watch::Sender<u64>,
+    outage: watch::Sender<Outage>,
+}
+
+#[derive(Debug)]
+struct State {
+    /// Offset of the first of `records`.
+    oldest: u64,
+    records: VecDeque<Bytes>,
+    horizon: usize,
+    slow: Duration,
+    lose: u64,
+    counts: LogCounts,
+}
+
+#[derive(Deserialize)]
+struct Append {
+    records: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct Appended {
+    first: u64,
+}
+
+#[derive(Serialize)]
+struct Page {
+    oldest: u64,
+    head: u64,
+    records: Vec<Line>,
+}
+
+#[derive(Serialize)]
+struct Line {
+    offset: u64,
+    data: String,
+}
+
+impl Log {
+    /// Starts an empty log that keeps every record.
+    pub async fn start() -> Result<Self> {
+        let state = State {
+            oldest: 0,
+            records: VecDeque::new(),
+            horizon: usize::MAX,
+            slow: Duration::ZERO,
+            lose: 0,
+            counts: LogCounts::default(),
+        };
+        let shared = Arc::new(Shared {
+            state: Mutex::new(state),
+            head: watch::Sender::new(0),
+            outage: watch::Sender::new(Outage::None),
+        });
+        let bound = Bound::new().await?;
+        let handler_shared = Arc::clone(&shared);
+        let handler = move |request| {
+            let shared = Arc::clone(&handler_shared);
+            Box::pin(async move { shared.handle(request).await }) as _
+        };
+        Ok(Self { server: bound.serve(Arc::new(handler)), shared })
+    }
+
+    /// Returns the log's address.
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Sets how many records are kept; older ones expire.
+    pub fn set_horizon(&self, records: usize) {
+        let mut state = self.shared.state();
+        state.horizon = records;
+        state.expire();
+    }
+
+    /// Starts or ends an outage.
+    pub fn set_outage(&self, outage: Outage) {
+        self.shared.outage.send_replace(outage);
+    }
+
+    /// Sets the time that each call takes before its effect.
+    pub fn set_slow(&self, slow: Duration) {
+        self.shared.state().slow = slow;
+    }
+
+    /// Makes the next `appends` take effect and then lose their answers.
+    pub fn lose_answers(&self, appends: u64) {
+        self.shared.state().lose = appends;
+    }
+
+    /// Closes every connection.
+    pub fn cut(&self) {
+        self.server.control().cut();
+    }
+
+    /// Closes every connection and refuses new ones for a time. Records stay.
+    pub fn crash(&self, down: Duration) {
+        self.server.control().crash(down);
+    }
+
+    /// Appends a record from outside HTTP and returns its offset.
+    pub fn push(&self, record: impl Into<Bytes>) -> u64 {
+        self.shared.push(vec![record.into()])
+    }
+
+    /// Returns the offset of the oldest record kept.
+    pub fn oldest(&self) -> u64 {
+        self.shared.state().oldest
+    }
+
+    /// Returns the offset that the next record will get.
+    pub fn head(&self) -> u64 {
+        *self.shared.head.borrow()
+    }
+
+    /// Returns the records kept, oldest first.
+    pub fn records(&self) -> Vec<Bytes> {
+        self.shared.state().records.iter().cloned().collect()
+    }
+
+    /// Returns the numbers of calls.
+    pub fn counts(&self) -> LogCounts {
+        self.shared.state().counts
+    }
+}
+
+impl Shared {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().expect("no task panics while it holds the log")
+    }
+
+    async fn handle(&self, request: Request<Incoming>) -> Answer {
+        if !self.passes().await {
+            return Ok(empty(StatusCode::SERVICE_UNAVAILABLE));
+        }
+        let slow = self.state().slow;
+        time::sleep(slow).await;
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/v1/log") => self.append(request).await,
+            (&Method::GET, "/v1/log") => Ok(self.read(request).await),
+            _ => Ok(empty(StatusCode::NOT_FOUND)),
+        }
+    }
+
+    /// Waits out a hanging outage. Returns false if the call is refused.
+    async fn passes(&self) -> bool {
+        let mut outage = self.outage.subscribe();
+        let seen = outage.wait_for(|&outage| outage != Outage::Hang).await;
+        !seen.is_ok_and(|outage| *outage == Outage::Refuse)
+    }
+
+    async fn append(&self, request: Request<Incoming>) -> Answer {
+        let body = read(request).await?;
+        let Some(records) = decode(&body) else {
+            return Ok(empty(StatusCode::BAD_REQUEST));
+        };
+        let first = self.push(records);
+        let mut state = self.state();
+        state.counts.appends += 1;
+        if state.lose > 0 {
+            state.lose -= 1;
+            state.counts.lost += 1;
+            return Err(dropped());
+        }
+        Ok(json(StatusCode::OK, &Appended { first }))
+    }
+
+    fn push(&self, records: Vec<Bytes>) -> u64 {
+        let mut state = self.state();
+        let first = state.head();
+        state.counts.records += records.len() as u64;
+        state.records.extend(records);
+        state.expire();
+        // Sent under the lock, so that the head never goes back.
+        self.head.send_replace(state.head());
+        first
+    }
+
+    async fn read(&self, request: Request<Incoming>) -> Response<Body> {
+        let uri = request.uri();
+        let from = number(uri, "from", 0);
+        let limit = number(uri, "limit", DEFAULT_LIMIT);
+        let wait_ms = number(uri, "wait_ms", 0).min(MAX_WAIT_MS);
+        let mut head = self.head.subscribe();
+        let grown = head.wait_for(|&head| head > from);
+        let _ = time::timeout(Duration::from_millis(wait_ms), grown).await;
+        let mut state = self.state();
+        state.counts.reads += 1;
+        json(StatusCode::OK, &state.page(from, limit as usize))
+    }
+}
+
+impl State {
+    fn head(&self) -> u64 {
+        self.oldest + self.records.len() as u64
+    }
+
+    fn expire(&mut self) {
+        let excess = self.records.len().saturating_sub(self.horizon);
+        self.records.drain(..excess);
+        self.oldest += excess as u64;
+    }
+
+    fn page(&self, from: u64, limit: usize) -> Page {
+        let from = from.max(self.oldest);
+        let skipped = (from - self.oldest) as usize;
+        let records = self.records.iter().skip(skipped).take(limit);
+        let records = records
+            .zip(from..)
+            .map(|(data, offset)| Line { offset, data: BASE64_STANDARD.encode(data) })
+            .collect();
+        Page { oldest: self.oldest, head: self.head(), records }
+    }
+}
+
+fn decode(body: &[u8]) -> Option<Vec<Bytes>> {
+    let append: Append = serde_json::from_slice(body).ok()?;
+    let decoded = append.records.iter().map(|record| BASE64_STANDARD.decode(record));
+    decoded.map(|record| record.ok().map(Bytes::from)).collect()
+}
--- /dev/null
+++ b/crates/egretgate-fakes/src/server.rs
@@ -0,0 +1,233 @@
+//! The HTTP server under every fake: it can crash, come back at the same address, and freeze.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::future::BoxFuture;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use http::{Request, Response, StatusCode, Uri};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Serialize;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time;
+
+use crate::Result;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Time between attempts to listen again at the address of a crashed server.
+const REBIND_WAIT: Duration = Duration::from_millis(5);
+
+pub(crate) type Body = UnsyncBoxBody<Bytes, io::Error>;
+/// An error drops the connection without an answer.
+pub(crate) type Answer = io::Result<Response<Body>>;
+pub(crate) type Handler =
+    Arc<dyn Fn(Request<Incoming>) -> BoxFuture<'static, Answer> + Send + Sync>;
+
+/// Fault switches of a server. Clones act on the same server.
+#[derive(Debug, Clone)]
+pub(crate) struct Control {
+    orders: mpsc::UnboundedSender<Order>,
+    frozen: watch::Sender<bool>,
+}
+
+#[derive(Debug)]
+enum Order {
+    Cut,
+    Crash(Duration),
+}
+
+impl Control {
+    /// Closes every connection.
+    pub(crate) fn cut(&self) {
+        let _ = self.orders.send(Order::Cut);
+    }
+
+    /// Closes every connection and refuses new ones for a time.
+    pub(crate) fn crash(&self, down: Duration) {
+        let _ = self.orders.send(Order::Crash(down));
+    }
+
+    /// Stops or resumes the handling of requests; connections stay open.
+    pub(crate) fn freeze(&self, frozen: bool) {
+        self.frozen.send_replace(frozen);
+    }
+
+    /// Returns once the server is not frozen.
+    pub(crate) async fn thawed(&self) {
+        let _ = self.frozen.subscribe().wait_for(|&frozen| !frozen).await;
+    }
+}
+
+/// A server, which stops when dropped.
+#[derive(Debug)]
+pub(crate) struct Server {
+    address: SocketAddr,
+    control: Control,
+    task: JoinHandle<()>,
+}
+
+/// A server that is bound but does not serve yet, so that its handler can hold its switches.
+pub(crate) struct Bound {
+    address: SocketAddr,
+    listener: TcpListener,
+    control: Control,
+    orders: mpsc::UnboundedReceiver<Order>,
+}
+
+impl Bound {
+    /// Binds a free loopback port.
+    pub(crate) async fn new() -> Result<Self> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let (sender, orders) = mpsc::unbounded_channel();
+        let control = Control { orders: sender, frozen: watch::Sender::new(false) };
+        Ok(Self { address, listener, control, orders })
+    }
+
+    pub(crate) fn control(&self) -> Control {
+        self.control.clone()
+    }
+
+    /// Starts to serve.
+    pub(crate) fn serve(self, handler: Handler) -> Server {
+        let Self { address, listener, control, orders } = self;
+        let task = tokio::spawn(run(address, listener, control.clone(), orders, handler));
+        Server { address, control, task }
+    }
+}
+
+impl Server {
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub(crate) const fn control(&self) -> &Control {
+        &self.control
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn run(
+    address: SocketAddr,
+    mut listener: TcpListener,
+    control: Control,
+    mut orders: mpsc::UnboundedReceiver<Order>,
+    handler: Handler,
+) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            Ok((stream, _)) = listener.accept() => {
+                connections.spawn(serve(stream, control.clone(), Arc::clone(&handler)));
+            }
+            Some(_) = connections.join_next() => {}
+            order = orders.recv() => match order {
+                None => return,
+                Some(Order::Cut) => connections.shutdown().await,
+                Some(Order::Crash(down)) => {
+                    drop(listener);
+                    connections.shutdown().await;
+                    listener = listen_after(address, down).await;
+                }
+            },
+        }
+    }
+}
+
+/// Refuses connections for `down`, then listens again. The port stays bound meanwhile, so that no
+/// other socket takes it.
+async fn listen_after(address: SocketAddr, down: Duration) -> TcpListener {
+    let until = time::Instant::now() + down;
+    let held = bind(address).ok();
+    time::sleep_until(until).await;
+    let mut next = held;
+    loop {
+        if let Some(listener) = next.take().and_then(|socket| socket.listen(BACKLOG).ok()) {
+            return listener;
+        }
+        time::sleep(REBIND_WAIT).await;
+        next = bind(address).ok();
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+async fn serve(stream: TcpStream, control: Control, handler: Handler) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let control = control.clone();
+        let handler = Arc::clone(&handler);
+        async move {
+            control.thawed().await;
+            handler(request).await
+        }
+    });
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+}
+
+/// Reads the whole body of a request.
+pub(crate) async fn read(request: Request<Incoming>) -> io::Result<Bytes> {
+    let body = request.into_body().collect().await.map_err(io::Error::other)?;
+    Ok(body.to_bytes())
+}
+
+/// Returns an answer with a JSON body.
+pub(crate) fn json(status: StatusCode, value: &impl Serialize) -> Response<Body> {
+    let bytes = serde_json::to_vec(value).unwrap_or_default();
+    let body = Full::new(Bytes::from(bytes)).map_err(|never: Infallible| match never {});
+    with_type(status, "application/json", body.boxed_unsync())
+}
+
+/// Returns an answer without a body.
+pub(crate) fn empty(status: StatusCode) -> Response<Body> {
+    json(status, &serde_json::json!({}))
+}
+
+/// Returns an answer with the given content type and body.
+pub(crate) fn with_type(
+    status: StatusCode,
+    content_type: &'static str,
+    body: Body,
+) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
+
+/// Returns a query's whole number, or `default` if the query holds none by that name.
+pub(crate) fn number(uri: &Uri, name: &str, default: u64) -> u64 {
+    let pairs = uri.query().unwrap_or_default().split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .and_then(|(_, value)| value.parse().ok())
+        .unwrap_or(default)
+}
+
+/// The error that drops a connection without an answer.
+pub(crate) fn dropped() -> io::Error {
+    io::Error::other("dropped by a fault switch")
+}
--- /dev/null
+++ b/crates/egretgate-http/src/answer.rs
@@ -0,0 +1,83 @@
+//! The answer to a call, as it streams in.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_TYPE, HeaderName, RETRY_AFTER};
+use http::{HeaderMap, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::error::{Error, Result};
+
+/// The head of an answer, and its body as a stream.
+///
+/// Dropping an answer before its end closes the connection, by which the peer learns that the
+/// caller is gone.
+#[derive(Debug)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Content type; empty if the peer named none.
+    pub content_type: String,
+    headers: HeaderMap,
+    body: Incoming,
+}
+
+impl Answer {
+    /// Returns true if the status is in the range of success.
+    pub const fn is_success(&self) -> bool {
+        self.status >= 200 && self.status < 300
+    }
+
+    /// Returns a header's value, if it is present and text.
+    pub fn header(&self, name: &HeaderName) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
+    /// Returns the time of a `Retry-After` header, if it names seconds.
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.header(&RETRY_AFTER).and_then(|value| value.parse().ok()).map(Duration::from_secs)
+    }
+
+    /// Returns the next part of the body, or `None` after its end.
+    ///
+    /// An error means that the answer was cut. This function is cancel safe.
+    pub async fn chunk(&mut self) -> Option<Result<Bytes>> {
+        loop {
+            match self.body.frame().await? {
+                Err(error) => return Some(Err(error.into())),
+                Ok(frame) => match frame.into_data() {
+                    Ok(data) if !data.is_empty() => return Some(Ok(data)),
+                    _ => {}
+                },
+            }
+        }
+    }
+
+    /// Returns the whole body; an error if it is cut or over `limit` bytes.
+    pub async fn collect(mut self, limit: usize) -> Result<Bytes> {
+        let mut whole = BytesMut::new();
+        while let Some(chunk) = self.chunk().await {
+            let chunk = chunk?;
+            if whole.len() + chunk.len() > limit {
+                return Err(Error::Sent(format!("answer over {limit} bytes")));
+            }
+            whole.extend_from_slice(&chunk);
+        }
+        Ok(whole.freeze())
+    }
+}
+
+impl From<Response<Incoming>> for Answer {
+    fn from(response: Response<Incoming>) -> Self {
+        let (parts, body) = response.into_parts();
+        let content_type = parts
+            .headers
+            .get(CONTENT_TYPE)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
+        Self { status: parts.status.as_u16(), content_type, headers: parts.headers, body }
+    }
+}
--- /dev/null
+++ b/crates/egretgate-http/src/client.rs
@@ -0,0 +1,106 @@
+//! The client of one peer.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::client::legacy::Client as Pool;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::de::DeserializeOwned;
+use tokio::time;
+
+use crate::answer::Answer;
+use crate::call::Call;
+use crate::error::{Error, Result};
+
+/// Time after which an attempt to connect is given up.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Largest body that is read in whole, in bytes.
+pub const MAX_BODY_BYTES: usize = 16 << 20;
+/// Time after which an unused connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// A client of the peer at one address, with connections kept alive.
+///
+/// Each call is written at most once: nothing is retried, not even on a connection that turns out
+/// to be closed. Clones share the connections.
+#[derive(Debug, Clone)]
+pub struct Client {
+    pool: Pool<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    authority: String,
+}
+
+impl Client {
+    /// Returns a client of the peer at `address`. Connects when the first call is sent.
+    pub fn new(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        let pool = Pool::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .retry_canceled_requests(false)
+            .build(connector);
+        Self { pool, address, authority: address.to_string() }
+    }
+
+    /// Returns the peer's address.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Sends a call and returns once the head of the answer is there.
+    ///
+    /// Dropping the future cancels the call; it may have been written.
+    pub async fn send(&self, call: Call) -> Result<Answer> {
+        let request = call.into_request(&self.authority)?;
+        let response = self.pool.request(request).await?;
+        Ok(response.into())
+    }
+
+    /// Sends a call and returns its status, retry time and whole body, all within `timeout`.
+    pub async fn fetch(&self, call: Call, timeout: Duration) -> Result<Fetched> {
+        let whole = async {
+            let answer = self.send(call).await?;
+            let status = answer.status;
+            let retry_after = answer.retry_after();
+            let body = answer.collect(MAX_BODY_BYTES).await?;
+            Ok(Fetched { status, retry_after, body })
+        };
+        time::timeout(timeout, whole).await.unwrap_or_else(|_| Err(timed_out(timeout)))
+    }
+}
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Fetched {
+    /// HTTP status.
+    pub status: u16,
+    /// Time of a `Retry-After` header.
+    pub retry_after: Option<Duration>,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Fetched {
+    /// Returns true if the status is in the range of success.
+    pub const fn is_success(&self) -> bool {
+        self.status >= 200 && self.status < 300
+    }
+
+    /// Returns the body as a value; an error unless the status is one of success.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T> {
+        if !self.is_success() {
+            return Err(Error::Sent(format!("status {}", self.status)));
+        }
+        serde_json::from_slice(&self.body)
+            .map_err(|error| Error::Sent(format!("unexpected answer: {error}")))
+    }
+}
+
+fn timed_out(timeout: Duration) -> Error {
+    Error::Sent(format!("no whole answer within {} ms", timeout.as_millis()))
+}
--- /dev/null
+++ b/crates/egretgate-http/src/lib.rs
@@ -0,0 +1,27 @@
+//! What the HTTP clients of egretgate share: one address, no retry, and errors that say whether a
+//! request may have reached the peer.
+//!
+//! ```no_run
+//! use std::time::Duration;
+//!
+//! use egretgate_http::{Call, Client, Error};
+//!
+//! # async fn example() {
+//! let client = Client::new("127.0.0.1:8000".parse().unwrap());
+//! match client.send(Call::get("/v1/load")).await {
+//!     Ok(answer) => println!("status {}", answer.status),
+//!     Err(Error::NotSent(detail)) => println!("safe to send elsewhere: {detail}"),
+//!     Err(Error::Sent(detail)) => println!("it may have been run: {detail}"),
+//! }
+//! # }
+//! ```
+
+mod answer;
+mod call;
+mod client;
+mod error;
+
+pub use answer::Answer;
+pub use call::Call;
+pub use client::{CONNECT_TIMEOUT, Client, Fetched, MAX_BODY_BYTES};
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/egretgate-platform/src/log.rs
@@ -0,0 +1,116 @@
+//! The append-only log.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use base64::Engine as _;
+use base64::prelude::BASE64_STANDARD;
+use bytes::Bytes;
+use egretgate_core::Offset;
+use egretgate_http::{Call, Client};
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Result, decode};
+
+/// A record of the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// Position in the log.
+    pub offset: Offset,
+    /// Contents.
+    pub data: Bytes,
+}
+
+/// What a read returned.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Batch {
+    /// Offset of the oldest record that the log still holds. If it is over the offset asked for,
+    /// the records between have expired.
+    pub oldest: Offset,
+    /// Offset that the next record will get.
+    pub head: Offset,
+    /// Records in order of offset.
+    pub records: Vec<Entry>,
+}
+
+#[derive(Serialize)]
+struct Append {
+    records: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Appended {
+    first: Offset,
+}
+
+#[derive(Deserialize)]
+struct Page {
+    oldest: Offset,
+    head: Offset,
+    records: Vec<Line>,
+}
+
+#[derive(Deserialize)]
+struct Line {
+    offset: Offset,
+    data: String,
+}
+
+/// A client of the log. Clones share its connections.
+#[derive(Debug, Clone)]
+pub struct LogClient {
+    http: Client,
+    timeout: Duration,
+}
+
+impl LogClient {
+    /// Returns a client of the log at `address`, which gives each call `timeout`.
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        Self { http: Client::new(address), timeout }
+    }
+
+    /// Appends records, next to each other and in order, and returns the offset of the first.
+    ///
+    /// One request carries them all. It is written at most once: after [`Error::Unknown`] the
+    /// records may or may not be in the log.
+    pub async fn append(&self, records: &[Bytes]) -> Result<Offset> {
+        let records = records.iter().map(|record| BASE64_STANDARD.encode(record)).collect();
+        let body = encode(&Append { records })?;
+        let answer = self.http.fetch(Call::post("/v1/log", body), self.timeout).await?;
+        decode::<Appended>(&answer).map(|appended| appended.first)
+    }
+
+    /// Reads up to `limit` records from offset `from` on. If there is none, waits for one up to
+    /// `wait` and then returns an empty batch.
+    pub async fn read(&self, from: Offset, limit: usize, wait: Duration) -> Result<Batch> {
+        let wait_ms = wait.as_millis();
+        let path = format!("/v1/log?from={from}&limit={limit}&wait_ms={wait_ms}");
+        let answer = self.http.fetch(Call::get(path), self.timeout + wait).await?;
+        decode::<Page>(&answer)?.try_into()
+    }
+}
+
+impl TryFrom<Page> for Batch {
+    type Error = Error;
+
+    fn try_from(page: Page) -> Result<Self> {
+        let records = page.records.into_iter().map(Entry::try_from).collect::<Result<_>>()?;
+        Ok(Self { oldest: page.oldest, head: page.head, records })
+    }
+}
+
+impl TryFrom<Line> for Entry {
+    type Error = Error;
+
+    fn try_from(line: Line) -> Result<Self> {
+        let data = BASE64_STANDARD
+            .decode(line.data)
+            .map_err(|error| Error::Unknown(format!("record {}: {error}", line.offset)))?;
+        Ok(Self { offset: line.offset, data: data.into() })
+    }
+}
+
+/// Returns a body. A value that can't be written was not sent, so nothing took effect.
+pub(crate) fn encode(value: &impl Serialize) -> Result<Vec<u8>> {
+    serde_json::to_vec(value).map_err(|error| Error::Refused(error.to_string()))
+}
