--- a/crates/egretgate-operator/src/server.rs
+++ b/crates/egretgate-operator/src/server.rs
@@ -92,7 +92,9 @@
         request: Request<proto::ApplyRequest>,
     ) -> std::result::Result<Response<proto::ApplyReply>, Status> {
         let request = request.into_inner();
-        named(request.author.as_ref())?;
+        if !request.dry_run {
+            named(request.author.as_ref())?;
+        }
         self.answer(|reply| Call::Apply(request, reply)).await
     }
 
--- a/crates/egretgate-settings/src/entry.rs
+++ b/crates/egretgate-settings/src/entry.rs
@@ -108,7 +108,7 @@
 pub static TABLE: Table<Settings> = Table {
     usage: "egretgate serve [FLAG VALUE]...",
     prefix: "EGRETGATE_",
-    others: &["operator", "reason"],
+    others: || vec!["operator", "reason"],
     settings: &[
         Row::new(
             "instance",
--- a/crates/egretgate-settings/src/lib.rs
+++ b/crates/egretgate-settings/src/lib.rs
@@ -11,6 +11,7 @@
 //! assert!(matches!(read, Read::Help(text) if text.contains("--caller-address")));
 //! ```
 
+pub mod client;
 pub mod entry;
 mod fault;
 mod rule;
--- a/crates/egretgate-settings/src/side.rs
+++ b/crates/egretgate-settings/src/side.rs
@@ -103,7 +103,7 @@
 pub static TABLE: Table<Settings> = Table {
     usage: "egretside serve [FLAG VALUE]...",
     prefix: "EGRETSIDE_",
-    others: &[],
+    others: Vec::new,
     settings: &[
         Row::new(
             "instance",
--- a/crates/egretgate-settings/src/table.rs
+++ b/crates/egretgate-settings/src/table.rs
@@ -48,8 +48,8 @@
     pub usage: &'static str,
     /// First part of each variable, with its underscore.
     pub prefix: &'static str,
-    /// Flags of other commands of the same program, whose variables are passed over.
-    pub others: &'static [&'static str],
+    /// Returns flags of other commands of the same program, whose variables are passed over.
+    pub others: fn() -> Vec<&'static str>,
     /// The settings, in the order of help.
     pub settings: &'static [Setting<T>],
 }
@@ -138,7 +138,7 @@
         vars: impl IntoIterator<Item = (OsString, OsString)>,
     ) -> Result<Read<T>> {
         let mut faults = Vec::new();
-        let Some(flags) = self.flags(args, &mut faults) else {
+        let Some(flags) = self.given(args, &mut faults) else {
             return Ok(Read::Help(self.help()));
         };
         let vars = self.variables(vars, &mut faults);
@@ -150,13 +150,21 @@
 
     /// Returns the help text: usage, then each setting with unit, variable and default.
     pub fn help(&self) -> String {
-        let mut out = format!("Usage: {}\n\nFlags go before variables.\n", self.usage);
+        let usage = self.usage;
+        let rows = self.rows();
+        format!(
+            "Usage: {usage}\n\nFlags go before variables.\n{rows}\n  --help\n      Prints this text.\n"
+        )
+    }
+
+    /// Returns the part of the help text that describes each setting.
+    pub fn rows(&self) -> String {
+        let mut out = String::new();
         for setting in self.settings {
             let _ = writeln!(out, "\n  --{} {}", setting.flag, setting.unit);
             let _ = writeln!(out, "      {}", setting.help);
             let _ = writeln!(out, "      [variable: {}] {}", self.name(setting), note(setting));
         }
-        out.push_str("\n  --help\n      Prints this text.\n");
         out
     }
 
@@ -202,8 +210,13 @@
         setting.variable(self.prefix)
     }
 
+    /// Returns the flags of this table, without their dashes.
+    pub fn flags(&self) -> impl Iterator<Item = &'static str> {
+        self.settings.iter().map(|setting| setting.flag)
+    }
+
     /// Returns the values of each flag, or `None` if help was asked for.
-    fn flags(
+    fn given(
         &self,
         args: impl IntoIterator<Item = OsString>,
         faults: &mut Vec<Fault>,
@@ -248,6 +261,7 @@
         vars: impl IntoIterator<Item = (OsString, OsString)>,
         faults: &mut Vec<Fault>,
     ) -> BTreeMap<String, String> {
+        let others = (self.others)();
         let mut found = BTreeMap::new();
         for (name, text) in vars {
             let Ok(name) = name.into_string() else { continue };
@@ -255,7 +269,7 @@
                 continue;
             }
             if !self.settings.iter().any(|setting| self.name(setting) == name) {
-                if !self.others.iter().any(|flag| variable(self.prefix, flag) == name) {
+                if !others.iter().any(|flag| variable(self.prefix, flag) == name) {
                     faults.push(Fault::new(name, "no such variable"));
                 }
                 continue;
