--- a/crates/egretgate-link/src/message.rs
+++ b/crates/egretgate-link/src/message.rs
@@ -271,6 +271,9 @@
     /// Contents.
     #[prost(bytes = "bytes", tag = "2")]
     pub data: Bytes,
+    /// Chain digest before the record.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub prev: Bytes,
 }
 
 /// Asks for configuration records from an offset on.
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -141,6 +141,7 @@
     stopping: Option<oneshot::Sender<()>>,
     stopped: bool,
     last_beat: Instant,
+    started: Instant,
 }
 
 impl Desk {
@@ -173,6 +174,7 @@
             stopping: None,
             stopped: false,
             last_beat: now,
+            started: now,
         }
     }
 
@@ -242,7 +244,11 @@
                     self.entries.send(entry, to_entry::Body::RecordsAsk(ask));
                 }
             }
-            to_side::Body::Records(records) => self.feed.take(&records),
+            to_side::Body::Records(records) => {
+                if self.feed.take(&records) {
+                    self.beat();
+                }
+            }
             to_side::Body::SnapshotAsk(_) => {
                 let snapshot = Snapshot { state: self.feed.encode() };
                 self.entries.send(entry, to_entry::Body::Snapshot(snapshot));
--- a/crates/egretside/src/desk/life.rs
+++ b/crates/egretside/src/desk/life.rs
@@ -9,7 +9,7 @@
 use slog::{info, warn};
 use tokio::sync::oneshot;
 
-use crate::desk::{Desk, DeskMessage, Running, Unconfirmed, Waiting};
+use crate::desk::{Desk, DeskMessage, Identity, Running, Unconfirmed, Waiting};
 use crate::engines::{EngineKey, PROBE_PAUSE, Verdict};
 use crate::run::{Finish, Report, Run};
 
@@ -166,7 +166,9 @@
             sequence: self.deaths,
             digests: digests.iter().map(|one| Bytes::copy_from_slice(one.as_bytes())).collect(),
         };
-        self.feed.died(&self.identity, &deaths);
+        let at = self.started.elapsed().as_millis() as u64;
+        let Identity { upstream, incarnation, .. } = &self.identity;
+        self.feed.died(upstream, *incarnation, &deaths, at);
         let reporter = self.entries.attached().min();
         if let Some(entry) = reporter {
             self.entries.send(entry, to_entry::Body::Deaths(deaths.clone()));
--- a/crates/egretside/src/desk/upkeep.rs
+++ b/crates/egretside/src/desk/upkeep.rs
@@ -63,8 +63,7 @@
     /// Reports a death to every entry if the log has not confirmed it in time.
     fn confirm_deaths(&mut self, now: Instant) {
         let feed = &self.feed;
-        let identity = &self.identity;
-        self.unconfirmed.retain(|one| !feed.knows_death(identity, &one.deaths));
+        self.unconfirmed.retain(|one| !feed.knows_death(&one.deaths));
         for one in &mut self.unconfirmed {
             if now.duration_since(one.since) >= DEATH_CONFIRM {
                 one.since = now;
--- /dev/null
+++ b/crates/egretside/src/feed.rs
@@ -0,0 +1,122 @@
+//! The side process's copy of the configuration, fed by entries.
+
+use std::time::{Duration, Instant};
+
+use blake3::Hash;
+use bytes::Bytes;
+use egretgate_core::fold::{Effect, Shared, Standing};
+use egretgate_core::poison::{Death, Poison, Verdict};
+use egretgate_core::{Digest, Incarnation, Offset, UpstreamId};
+use egretgate_link::message::{Deaths, Heartbeat, Records, RecordsAsk};
+
+/// Time after which an unanswered ask is given up and put to another entry.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Configuration as far as it was fed, and what this process knows of deaths before the log does.
+#[derive(Debug, Default)]
+pub(crate) struct Feed {
+    shared: Shared,
+    /// Deaths of this process's own engines.
+    local: Poison,
+    /// When an entry was last asked; `None` once it answered.
+    asked: Option<Instant>,
+    /// True if the records fed don't fit and the whole state is needed.
+    diverged: bool,
+}
+
+impl Feed {
+    /// Returns the offset after the last configuration record folded. Never goes back.
+    pub(crate) const fn offset(&self) -> Offset {
+        self.shared.next()
+    }
+
+    /// Returns the chain digest at that offset.
+    pub(crate) fn digest(&self) -> Bytes {
+        Bytes::copy_from_slice(self.shared.digest().as_bytes())
+    }
+
+    /// Returns the whole configuration as bytes.
+    pub(crate) fn encode(&self) -> Bytes {
+        self.shared.encode().into()
+    }
+
+    /// Compares with an entry's heartbeat; returns what to ask of it, if it has more.
+    pub(crate) fn heard(&mut self, beat: &Heartbeat, now: Instant) -> Option<RecordsAsk> {
+        if self.asked.is_some_and(|asked| now.duration_since(asked) < ASK_TIMEOUT) {
+            return None;
+        }
+        let from = match self.shared.compare(beat.offset, &beat.digest) {
+            Standing::Behind { from } if !self.diverged => from,
+            Standing::Behind { .. } => 0,
+            Standing::Same | Standing::Ahead | Standing::Diverged => return None,
+        };
+        self.asked = Some(now);
+        Some(RecordsAsk { from })
+    }
+
+    /// Takes the records that an entry sent. Returns true if the offset rose.
+    pub(crate) fn take(&mut self, records: &Records) -> bool {
+        self.asked = None;
+        let before = self.shared.next();
+        if !records.snapshot.is_empty() {
+            self.take_snapshot(&records.snapshot);
+        }
+        for record in &records.records {
+            let Ok(prev) = <[u8; 32]>::try_from(record.prev.as_ref()) else { continue };
+            let prev = Hash::from_bytes(prev);
+            let applied = self.shared.apply_after(&prev, record.offset, &record.data);
+            self.diverged = matches!(applied.effect, Effect::Gap { .. });
+            if self.diverged {
+                break;
+            }
+        }
+        self.shared.next() > before
+    }
+
+    /// Takes a whole state, unless it is older than what is known.
+    fn take_snapshot(&mut self, bytes: &[u8]) {
+        let Ok(shared) = Shared::decode(bytes) else { return };
+        if shared.next() > self.shared.next() {
+            self.shared = shared;
+            self.diverged = false;
+        }
+    }
+
+    /// Returns the share of a team relative to others.
+    pub(crate) fn weight(&self, team: &str) -> u32 {
+        self.shared.declarations().teams.get(team).map_or(1, |team| team.weight)
+    }
+
+    /// Returns whether a request is refused because upstreams died while running it.
+    pub(crate) fn is_quarantined(&self, digest: Digest) -> bool {
+        self.shared.quarantine().is_quarantined(&digest)
+            || self.local.verdict(digest) == Verdict::Quarantined
+    }
+
+    /// Returns whether a request must run with no other beside it.
+    pub(crate) fn is_suspect(&self, digest: Digest) -> bool {
+        self.shared.quarantine().is_suspect(&digest)
+            || self.local.verdict(digest) == Verdict::Suspect
+    }
+
+    /// Notes a death of one of this process's engines, `at` milliseconds after its start.
+    pub(crate) fn died(&mut self, upstream: &UpstreamId, life: Incarnation, deaths: &Deaths, at: u64) {
+        let digests: Vec<Digest> =
+            deaths.digests.iter().filter_map(|bytes| Digest::from_slice(bytes)).collect();
+        self.local.died(Death::new(upstream, life, deaths.sequence), &digests, at);
+    }
+
+    /// Returns whether the log holds every digest of the death, so that it need not be reported
+    /// again.
+    pub(crate) fn knows_death(&self, deaths: &Deaths) -> bool {
+        let quarantine = self.shared.quarantine();
+        deaths.digests.iter().filter_map(|bytes| Digest::from_slice(bytes)).all(|digest| {
+            quarantine.is_suspect(&digest) || quarantine.is_quarantined(&digest)
+        })
+    }
+
+    /// Clears a suspect whose request was completed.
+    pub(crate) fn clear_suspect(&mut self, digest: Digest) {
+        self.local.completed(digest);
+    }
+}
--- a/crates/egretside/src/lib.rs
+++ b/crates/egretside/src/lib.rs
@@ -1,1 +1,34 @@
-//! Stub.
+//! The side process: the only sender to the engines of one upstream instance.
+//!
+//! It accepts connections from entries, queues what they offer, starts requests within learned
+//! limits, streams the answers back, and keeps a copy of the shared configuration.
+//!
+//! ```no_run
+//! use egretside::Side;
+//! use egretgate_settings::{Read, side};
+//!
+//! # async fn example() -> eyre::Result<()> {
+//! let read = side::read(std::env::args_os().skip(1), std::env::vars_os())?;
+//! if let Read::Settings(settings) = read {
+//!     let side = Side::start(settings, egretside::logger(slog::Level::Info)).await?;
+//!     side.stop().await;
+//! }
+//! # Ok(())
+//! # }
+//! ```
+
+mod conn;
+mod desk;
+mod engines;
+mod entries;
+mod feed;
+mod logging;
+mod outbox;
+mod run;
+mod samples;
+mod serve;
+mod standings;
+mod upstream;
+
+pub use logging::logger;
+pub use serve::Side;
--- /dev/null
+++ b/crates/egretside/src/main.rs
@@ -0,0 +1,62 @@
+//! The side process's program.
+
+use std::process::ExitCode;
+
+use egretgate_settings::{Read, side};
+use egretside::Side;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Exit code for faults of the command line or settings.
+const USAGE: u8 = 2;
+/// Text of `egretside --help`.
+const HELP: &str = "Usage: egretside COMMAND [FLAG VALUE]...
+
+Commands:
+  serve   Runs the side process.
+  check   Checks the settings without running.
+
+See `egretside serve --help` for the settings.
+";
+
+#[tokio::main]
+async fn main() -> eyre::Result<ExitCode> {
+    let mut args = std::env::args_os().skip(1);
+    let command = args.next().unwrap_or_default();
+    let run = match command.to_str() {
+        Some("serve") => true,
+        Some("check") => false,
+        Some("--help" | "-h" | "help") => {
+            print!("{HELP}");
+            return Ok(ExitCode::SUCCESS);
+        }
+        _ => {
+            eprint!("{HELP}");
+            return Ok(ExitCode::from(USAGE));
+        }
+    };
+    match side::read(args, std::env::vars_os()) {
+        Ok(Read::Help(text)) => print!("{text}"),
+        Ok(Read::Settings(settings)) if run => serve(settings).await?,
+        Ok(Read::Settings(settings)) => print!("{}", side::TABLE.show(&settings)),
+        Err(faults) => {
+            eprintln!("{faults}");
+            return Ok(ExitCode::from(USAGE));
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn serve(settings: side::Settings) -> eyre::Result<()> {
+    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let log = egretside::logger(settings.log_level);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let side = Side::start_with(settings, log, Some(metrics)).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    side.stop().await;
+    Ok(())
+}
