--- /dev/null
+++ b/crates/egretgate-core/benches/fold.rs
@@ -0,0 +1,3 @@
+//! Costs of the fold.
+
+fn main() {}
--- /dev/null
+++ b/crates/egretgate-core/src/fold/image.rs
@@ -0,0 +1,157 @@
+//! Encoded forms of the state, for snapshots and for the link.
+
+use prost::Message;
+
+use crate::record::body::{Done, Item, MoveBegin, Verdict};
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct StateImage {
+    #[prost(uint64, tag = "1")]
+    pub(crate) next: u64,
+    #[prost(message, optional, tag = "2")]
+    pub(crate) shared: Option<SharedImage>,
+    #[prost(message, optional, tag = "3")]
+    pub(crate) keys: Option<KeysImage>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct SharedImage {
+    #[prost(uint64, tag = "1")]
+    pub(crate) next: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub(crate) chain: bytes::Bytes,
+    #[prost(message, repeated, tag = "3")]
+    pub(crate) items: Vec<Item>,
+    #[prost(uint64, tag = "4")]
+    pub(crate) floor: u64,
+    #[prost(message, repeated, tag = "5")]
+    pub(crate) leases: Vec<LeaseImage>,
+    #[prost(message, repeated, tag = "6")]
+    pub(crate) moves: Vec<MoveImage>,
+    #[prost(message, repeated, tag = "7")]
+    pub(crate) serving: Vec<ServingImage>,
+    #[prost(message, optional, tag = "8")]
+    pub(crate) quarantine: Option<QuarantineImage>,
+    #[prost(message, repeated, tag = "9")]
+    pub(crate) acts: Vec<ActImage>,
+    #[prost(message, repeated, tag = "10")]
+    pub(crate) writers: Vec<WriterImage>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LeaseImage {
+    #[prost(string, tag = "1")]
+    pub(crate) name: String,
+    #[prost(fixed64, optional, tag = "2")]
+    pub(crate) holder: Option<u64>,
+    #[prost(uint64, tag = "3")]
+    pub(crate) fence: u64,
+    #[prost(uint64, tag = "4")]
+    pub(crate) last: u64,
+    #[prost(uint64, tag = "5")]
+    pub(crate) sequence: u64,
+    #[prost(uint64, tag = "6")]
+    pub(crate) ttl_ms: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct MoveImage {
+    #[prost(uint64, tag = "1")]
+    pub(crate) offset: u64,
+    #[prost(message, optional, tag = "2")]
+    pub(crate) begin: Option<MoveBegin>,
+    #[prost(uint32, tag = "3")]
+    pub(crate) step: u32,
+    #[prost(uint32, tag = "4")]
+    pub(crate) share_ppm: u32,
+    #[prost(enumeration = "Verdict", tag = "5")]
+    pub(crate) verdict: i32,
+    #[prost(string, tag = "6")]
+    pub(crate) evidence: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ServingImage {
+    #[prost(string, tag = "1")]
+    pub(crate) route: String,
+    #[prost(string, tag = "2")]
+    pub(crate) version: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct QuarantineImage {
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) suspects: Vec<SuspectImage>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct SuspectImage {
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) digest: Vec<u8>,
+    #[prost(uint32, tag = "2")]
+    pub(crate) deaths: u32,
+    #[prost(uint64, tag = "3")]
+    pub(crate) offset: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ActImage {
+    #[prost(uint64, tag = "1")]
+    pub(crate) offset: u64,
+    #[prost(string, tag = "2")]
+    pub(crate) kind: String,
+    #[prost(string, tag = "3")]
+    pub(crate) operator: String,
+    #[prost(string, tag = "4")]
+    pub(crate) reason: String,
+    #[prost(string, tag = "5")]
+    pub(crate) verdict: String,
+    #[prost(string, tag = "6")]
+    pub(crate) refused: String,
+    #[prost(string, tag = "7")]
+    pub(crate) detail: String,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct WriterImage {
+    #[prost(fixed64, tag = "1")]
+    pub(crate) writer: u64,
+    #[prost(uint64, tag = "2")]
+    pub(crate) sequence: u64,
+    #[prost(uint64, tag = "3")]
+    pub(crate) offset: u64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct KeysImage {
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) keys: Vec<KeyImage>,
+    #[prost(uint64, tag = "2")]
+    pub(crate) clock_ms: u64,
+    #[prost(uint64, optional, tag = "3")]
+    pub(crate) tick: Option<u64>,
+    #[prost(message, repeated, tag = "4")]
+    pub(crate) writers: Vec<WriterImage>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct KeyImage {
+    #[prost(bytes = "bytes", tag = "1")]
+    pub(crate) key: bytes::Bytes,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub(crate) body: bytes::Bytes,
+    #[prost(fixed64, tag = "3")]
+    pub(crate) entry: u64,
+    #[prost(uint64, tag = "4")]
+    pub(crate) sequence: u64,
+    #[prost(uint64, tag = "5")]
+    pub(crate) offset: u64,
+    #[prost(uint64, tag = "6")]
+    pub(crate) window_s: u64,
+    #[prost(uint64, optional, tag = "7")]
+    pub(crate) until_ms: Option<u64>,
+    #[prost(uint64, optional, tag = "8")]
+    pub(crate) ended: Option<u64>,
+    #[prost(message, optional, tag = "9")]
+    pub(crate) done: Option<Done>,
+}
--- /dev/null
+++ b/crates/egretgate-core/src/fold/items.rs
@@ -0,0 +1,276 @@
+//! Declared items with their revisions.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::declaration::{Declarations, RouteSpec, ServiceSpec, TeamSpec, TierSpec};
+use crate::error::{Error, ErrorKind, Result};
+use crate::ids::{MAX_TIERS, Revision};
+use crate::record::body::{Change, Item, Kind};
+
+/// Declarations with the revision of each item.
+///
+/// Invariant: an item is declared exactly if its revision is here.
+#[derive(Debug, Default)]
+pub struct Items {
+    declared: Declarations,
+    revisions: BTreeMap<Kind, BTreeMap<String, Revision>>,
+    /// Highest revision of any deleted item, from which new items go on: a revision never
+    /// names two states of an item, also when it was deleted in between.
+    floor: Revision,
+}
+
+#[derive(Debug, Clone)]
+enum Spec {
+    Tier(TierSpec),
+    Team(TeamSpec),
+    Service(ServiceSpec),
+    Route(RouteSpec),
+}
+
+/// What stood before one part of a change.
+#[derive(Debug)]
+struct Undo {
+    kind: Kind,
+    name: String,
+    spec: Option<Spec>,
+    revision: Revision,
+}
+
+impl Items {
+    /// Returns the declarations.
+    pub const fn declared(&self) -> &Declarations {
+        &self.declared
+    }
+
+    /// Returns the revision of an item; 0 if it is absent.
+    pub fn revision(&self, kind: Kind, name: &str) -> Revision {
+        self.revisions.get(&kind).and_then(|names| names.get(name)).copied().unwrap_or(0)
+    }
+
+    /// Applies a change whole, or leaves everything as it was and says why.
+    pub(crate) fn apply(&mut self, change: &Change) -> Result<()> {
+        self.check_revisions(change)?;
+        let puts = change.puts.iter().map(parse).collect::<Result<Vec<_>>>()?;
+        let floor = self.floor;
+        let mut undo = Vec::with_capacity(puts.len() + change.deletes.len());
+        for delete in &change.deletes {
+            undo.push(self.delete(delete.kind(), &delete.name));
+        }
+        for (item, spec) in change.puts.iter().zip(puts) {
+            undo.push(self.put(item.kind(), &item.name, spec));
+        }
+        let checked = self.check(change);
+        if checked.is_err() {
+            undo.into_iter().rev().for_each(|undo| self.revert(undo));
+            self.floor = floor;
+        }
+        checked
+    }
+
+    fn check_revisions(&self, change: &Change) -> Result<()> {
+        let puts = change.puts.iter().map(|item| (item.kind(), &item.name, item.expects));
+        let deletes = change.deletes.iter().map(|item| (item.kind(), &item.name, item.expects));
+        let mut named = BTreeSet::new();
+        for (kind, name, expects) in puts.chain(deletes) {
+            if kind == Kind::None || !named.insert((kind, name)) {
+                let detail = format!("{name} is named twice or is of no known kind");
+                return Err(invalid(detail));
+            }
+            let current = self.revision(kind, name);
+            if current != expects {
+                return Err(conflict(kind, name, current, expects));
+            }
+        }
+        if let Some(delete) = change.deletes.iter().find(|delete| delete.expects == 0) {
+            return Err(invalid(format!("{} can't be deleted: it is absent", delete.name)));
+        }
+        Ok(())
+    }
+
+    fn put(&mut self, kind: Kind, name: &str, spec: Spec) -> Undo {
+        let revision = self.revision(kind, name);
+        let next = if revision == 0 { self.floor + 1 } else { revision + 1 };
+        let before = self.replace(kind, name, Some(spec));
+        self.revisions.entry(kind).or_default().insert(name.into(), next);
+        Undo { kind, name: name.into(), spec: before, revision }
+    }
+
+    fn delete(&mut self, kind: Kind, name: &str) -> Undo {
+        let revision = self.revision(kind, name);
+        self.floor = self.floor.max(revision);
+        let before = self.replace(kind, name, None);
+        self.revisions.entry(kind).or_default().remove(name);
+        Undo { kind, name: name.into(), spec: before, revision }
+    }
+
+    fn revert(&mut self, undo: Undo) {
+        self.replace(undo.kind, &undo.name, undo.spec);
+        let names = self.revisions.entry(undo.kind).or_default();
+        if undo.revision == 0 {
+            names.remove(&undo.name);
+        } else {
+            names.insert(undo.name, undo.revision);
+        }
+    }
+
+    fn replace(&mut self, kind: Kind, name: &str, spec: Option<Spec>) -> Option<Spec> {
+        let all = &mut self.declared;
+        match (kind, spec) {
+            (Kind::Tier, Some(Spec::Tier(tier))) => {
+                all.tiers.insert(name.into(), tier).map(Spec::Tier)
+            }
+            (Kind::Team, Some(Spec::Team(team))) => {
+                all.teams.insert(name.into(), team).map(Spec::Team)
+            }
+            (Kind::Service, Some(Spec::Service(service))) => {
+                all.services.insert(name.into(), service).map(Spec::Service)
+            }
+            (Kind::Route, Some(Spec::Route(route))) => {
+                all.routes.insert(name.into(), route).map(Spec::Route)
+            }
+            (Kind::Tier, _) => all.tiers.remove(name).map(Spec::Tier),
+            (Kind::Team, _) => all.teams.remove(name).map(Spec::Team),
+            (Kind::Service, _) => all.services.remove(name).map(Spec::Service),
+            (Kind::Route, _) => all.routes.remove(name).map(Spec::Route),
+            (Kind::None, _) => None,
+        }
+    }
+
+    /// Checks what the change touched: the cost is that of the change, not of all declarations,
+    /// but for deletions, which look for references.
+    fn check(&self, change: &Change) -> Result<()> {
+        for item in &change.puts {
+            match item.kind() {
+                Kind::Tier => self.check_tier(&item.name)?,
+                Kind::Team => self.check_team(&item.name)?,
+                Kind::Service => self.check_service(&item.name)?,
+                Kind::Route => self.check_route(&item.name)?,
+                Kind::None => {}
+            }
+        }
+        let deletes = |kind| {
+            let names = change.deletes.iter().filter(move |delete| delete.kind() == kind);
+            names.map(|delete| delete.name.as_str()).collect::<BTreeSet<_>>()
+        };
+        self.check_teams_without(&deletes(Kind::Tier))?;
+        self.check_routes_without(&deletes(Kind::Service))
+    }
+
+    fn check_tier(&self, name: &str) -> Result<()> {
+        let tier = &self.declared.tiers[name];
+        if usize::from(tier.rank) >= MAX_TIERS {
+            return Err(invalid(format!("tier {name}: rank must be below {MAX_TIERS}")));
+        }
+        if !(tier.objective > 0.0 && tier.objective < 1.0) {
+            return Err(invalid(format!("tier {name}: objective must lie between 0 and 1")));
+        }
+        let same = self.declared.tiers.values().filter(|other| other.rank == tier.rank).count();
+        if same > 1 {
+            return Err(invalid(format!("tier {name}: rank {} is used twice", tier.rank)));
+        }
+        Ok(())
+    }
+
+    fn check_team(&self, name: &str) -> Result<()> {
+        let team = &self.declared.teams[name];
+        let mut tiers = std::iter::once(&team.tier).chain(&team.tiers);
+        if let Some(tier) = tiers.find(|tier| !self.declared.tiers.contains_key(*tier)) {
+            return Err(invalid(format!("team {name}: tier {tier} is not declared")));
+        }
+        if team.weight == 0 {
+            return Err(invalid(format!("team {name}: weight must be at least 1")));
+        }
+        Ok(())
+    }
+
+    fn check_service(&self, name: &str) -> Result<()> {
+        if self.declared.services[name].version.is_empty() {
+            return Err(invalid(format!("service {name}: version is empty")));
+        }
+        Ok(())
+    }
+
+    fn check_route(&self, name: &str) -> Result<()> {
+        let route = &self.declared.routes[name];
+        if !self.declared.services.contains_key(&route.service) {
+            let detail = format!("route {name}: service {} is not declared", route.service);
+            return Err(invalid(detail));
+        }
+        if route.model.is_some() == route.path.is_some() {
+            return Err(invalid(format!("route {name}: either model or path must be set")));
+        }
+        Ok(())
+    }
+
+    fn check_teams_without(&self, tiers: &BTreeSet<&str>) -> Result<()> {
+        if tiers.is_empty() {
+            return Ok(());
+        }
+        self.declared.teams.keys().try_for_each(|name| self.check_team(name))
+    }
+
+    fn check_routes_without(&self, services: &BTreeSet<&str>) -> Result<()> {
+        if services.is_empty() {
+            return Ok(());
+        }
+        self.declared.routes.keys().try_for_each(|name| self.check_route(name))
+    }
+
+    pub(crate) const fn floor(&self) -> Revision {
+        self.floor
+    }
+
+    /// Returns every item with its revision in place of the expected one.
+    pub(crate) fn images(&self) -> Vec<Item> {
+        let all = &self.declared;
+        let tiers = all.tiers.iter().map(|(name, spec)| self.item(Kind::Tier, name, spec));
+        let teams = all.teams.iter().map(|(name, spec)| self.item(Kind::Team, name, spec));
+        let services = all.services.iter().map(|(name, spec)| self.item(Kind::Service, name, spec));
+        let routes = all.routes.iter().map(|(name, spec)| self.item(Kind::Route, name, spec));
+        tiers.chain(teams).chain(services).chain(routes).collect()
+    }
+
+    fn item(&self, kind: Kind, name: &str, spec: &impl Serialize) -> Item {
+        let expects = self.revision(kind, name);
+        let spec = serde_json::to_string(spec).unwrap_or_default();
+        Item { kind: kind as i32, name: name.into(), spec, expects }
+    }
+
+    pub(crate) fn from_images(images: &[Item], floor: Revision) -> Result<Self> {
+        let mut items = Self { floor, ..Self::default() };
+        for image in images {
+            let spec = parse(image)?;
+            items.replace(image.kind(), &image.name, Some(spec));
+            let names = items.revisions.entry(image.kind()).or_default();
+            names.insert(image.name.clone(), image.expects);
+        }
+        Ok(items)
+    }
+}
+
+fn parse(item: &Item) -> Result<Spec> {
+    match item.kind() {
+        Kind::Tier => read(item).map(Spec::Tier),
+        Kind::Team => read(item).map(Spec::Team),
+        Kind::Service => read(item).map(Spec::Service),
+        Kind::Route => read(item).map(Spec::Route),
+        Kind::None => Err(invalid(format!("{} is of no known kind", item.name))),
+    }
+}
+
+fn read<T: DeserializeOwned>(item: &Item) -> Result<T> {
+    serde_json::from_str(&item.spec).map_err(|error| invalid(format!("{}: {error}", item.name)))
+}
+
+fn conflict(kind: Kind, name: &str, current: Revision, expects: Revision) -> Error {
+    let kind = kind.as_str();
+    let detail = format!("{kind} {name} is at revision {current}, the change expects {expects}");
+    Error::new(ErrorKind::Conflict, detail)
+}
+
+fn invalid(detail: impl Into<String>) -> Error {
+    Error::new(ErrorKind::InvalidDeclaration, detail)
+}
--- /dev/null
+++ b/crates/egretgate-core/src/fold/moves.rs
@@ -0,0 +1,136 @@
+//! Version moves, as folded.
+
+use std::collections::BTreeMap;
+
+use crate::error::{Error, ErrorKind, Result};
+use crate::fold::image::MoveImage;
+use crate::ids::{Offset, RouteId, VersionId};
+use crate::record::body::{MoveBegin, MoveStep, Verdict};
+
+/// The last version move of a route.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Move {
+    /// Offset at which it was accepted.
+    pub offset: Offset,
+    /// What was asked for.
+    pub begin: MoveBegin,
+    /// Steps accepted so far.
+    pub step: u32,
+    /// Share of the new version, in millionths.
+    pub share_ppm: u32,
+    /// What the last step decided.
+    pub verdict: Verdict,
+    /// Evidence of the last step.
+    pub evidence: String,
+}
+
+/// Moves by route, and the versions that they brought into service.
+#[derive(Debug, Default)]
+pub(crate) struct Moves {
+    pub(crate) last: BTreeMap<RouteId, Move>,
+    pub(crate) serving: BTreeMap<RouteId, VersionId>,
+}
+
+impl Move {
+    /// Returns true until the move is done or taken back.
+    pub fn is_open(&self) -> bool {
+        self.verdict == Verdict::Proceed
+    }
+
+    /// Notes a step, or says why it is refused.
+    fn advance(&mut self, step: &MoveStep) -> Result<()> {
+        if !self.is_open() {
+            return Err(Error::new(ErrorKind::Conflict, "the move has ended"));
+        }
+        if step.step != self.step + 1 {
+            let detail = format!("the move is at step {}", self.step);
+            return Err(Error::new(ErrorKind::Conflict, detail));
+        }
+        self.step = step.step;
+        self.verdict = step.verdict();
+        self.evidence.clone_from(&step.evidence);
+        self.share_ppm = match self.verdict {
+            Verdict::Proceed => step.share_ppm.min(1_000_000),
+            Verdict::Done => 1_000_000,
+            Verdict::TakenBack => 0,
+        };
+        Ok(())
+    }
+
+    fn image(&self) -> MoveImage {
+        MoveImage {
+            offset: self.offset,
+            begin: Some(self.begin.clone()),
+            step: self.step,
+            share_ppm: self.share_ppm,
+            verdict: self.verdict as i32,
+            evidence: self.evidence.clone(),
+        }
+    }
+
+    fn from_image(image: MoveImage) -> Option<Self> {
+        Some(Self {
+            offset: image.offset,
+            step: image.step,
+            share_ppm: image.share_ppm,
+            verdict: image.verdict(),
+            begin: image.begin?,
+            evidence: image.evidence,
+        })
+    }
+}
+
+impl Moves {
+    /// Returns true while a move of the route is under way.
+    pub(crate) fn is_open(&self, route: &str) -> bool {
+        self.last.get(route).is_some_and(Move::is_open)
+    }
+
+    /// Notes the start of a move; `serving` is the version that serves the route now.
+    pub(crate) fn begin(&mut self, offset: Offset, begin: &MoveBegin, serving: &str) -> Result<()> {
+        if self.is_open(&begin.route) {
+            return Err(Error::new(ErrorKind::Conflict, "a move of this route is under way"));
+        }
+        if begin.from != serving {
+            let detail = format!("version {serving} serves route {}", begin.route);
+            return Err(Error::new(ErrorKind::Conflict, detail));
+        }
+        if begin.from == begin.to {
+            return Err(Error::new(ErrorKind::InvalidDeclaration, "both versions are the same"));
+        }
+        let state = Move {
+            offset,
+            begin: begin.clone(),
+            step: 0,
+            share_ppm: 0,
+            verdict: Verdict::Proceed,
+            evidence: String::new(),
+        };
+        self.last.insert(begin.route.clone(), state);
+        Ok(())
+    }
+
+    /// Notes a step and returns the move after it, or says why the step is refused.
+    pub(crate) fn step(&mut self, step: &MoveStep) -> Result<&Move> {
+        let missing = || Error::new(ErrorKind::Conflict, "no move of this route");
+        let state = self.last.get_mut(&step.route).ok_or_else(missing)?;
+        state.advance(step)?;
+        if state.verdict == Verdict::Done {
+            self.serving.insert(step.route.clone(), state.begin.to.clone());
+        }
+        Ok(state)
+    }
+
+    pub(crate) fn images(&self) -> Vec<MoveImage> {
+        self.last.values().map(Move::image).collect()
+    }
+
+    pub(crate) fn from_images(
+        images: Vec<MoveImage>,
+        serving: BTreeMap<RouteId, VersionId>,
+    ) -> Self {
+        let moves = images.into_iter().filter_map(Move::from_image);
+        let last = moves.map(|state| (state.begin.route.clone(), state)).collect();
+        Self { last, serving }
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/src/fold/shared.rs
@@ -0,0 +1,390 @@
+//! The part of the state that every process keeps, folded from configuration records alone.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use blake3::Hash;
+use prost::Message;
+
+use crate::declaration::Declarations;
+use crate::error::{Error, ErrorKind, Result};
+use crate::fold::acts::{Act, MAX_ACTS};
+use crate::fold::image::{LeaseImage, ServingImage, SharedImage};
+use crate::fold::items::Items;
+use crate::fold::moves::{Move, Moves};
+use crate::fold::quarantine::Quarantine;
+use crate::fold::writers::Writers;
+use crate::fold::{Applied, Author, Effect, Part, bytes_of, corrupt};
+use crate::ids::{Offset, Revision, RouteId, VersionId};
+use crate::lease::{Lease, Place, move_lease};
+use crate::record::body::{
+    Change, Claim, Kind, Lift, MoveBegin, MoveStep, Release, Renew, Verdict,
+};
+use crate::record::{self, Body, Record, chain};
+
+/// Most leases kept; beyond it the longest released one gives way.
+const MAX_LEASES: usize = 4_096;
+
+/// Declarations, leases, moves, quarantine and acts.
+#[derive(Debug)]
+pub struct Shared {
+    next: Offset,
+    chain: Hash,
+    items: Items,
+    leases: BTreeMap<String, Lease>,
+    moves: Moves,
+    quarantine: Quarantine,
+    /// Newest last.
+    acts: VecDeque<Act>,
+    writers: Writers,
+}
+
+/// How one process's configuration stands against another's.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Both folded the same records.
+    Same,
+    /// This one lacks records from `from` on.
+    Behind {
+        /// Offset of the first record to ask for.
+        from: Offset,
+    },
+    /// The other one lacks records.
+    Ahead,
+    /// Both are at the same offset with other records: ask for the whole state.
+    Diverged,
+}
+
+impl Default for Shared {
+    fn default() -> Self {
+        Self {
+            next: 0,
+            chain: chain::START,
+            items: Items::default(),
+            leases: BTreeMap::new(),
+            moves: Moves::default(),
+            quarantine: Quarantine::default(),
+            acts: VecDeque::new(),
+            writers: Writers::default(),
+        }
+    }
+}
+
+impl Shared {
+    /// Returns the offset after the last configuration record folded. Never goes back.
+    pub const fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns the chain digest at [`Shared::next`].
+    pub const fn digest(&self) -> &Hash {
+        &self.chain
+    }
+
+    /// Returns the declarations in force.
+    pub const fn declarations(&self) -> &Declarations {
+        self.items.declared()
+    }
+
+    /// Returns the revision of an item; 0 if it is absent.
+    pub fn revision(&self, kind: Kind, name: &str) -> Revision {
+        self.items.revision(kind, name)
+    }
+
+    /// Returns a lease that was ever claimed.
+    pub fn lease(&self, name: &str) -> Option<&Lease> {
+        self.leases.get(name)
+    }
+
+    /// Returns the last move of each route.
+    pub const fn moves(&self) -> &BTreeMap<RouteId, Move> {
+        &self.moves.last
+    }
+
+    /// Returns the version that serves a route when no move is under way.
+    pub fn version(&self, route: &str) -> Option<&VersionId> {
+        let spec = self.declarations().routes.get(route)?;
+        let declared = self.declarations().services.get(&spec.service).map(|spec| &spec.version);
+        self.moves.serving.get(route).or(declared)
+    }
+
+    /// Returns the quarantine.
+    pub const fn quarantine(&self) -> &Quarantine {
+        &self.quarantine
+    }
+
+    /// Returns the newest acts, oldest first.
+    pub fn acts(&self) -> impl DoubleEndedIterator<Item = &Act> + ExactSizeIterator {
+        self.acts.iter()
+    }
+
+    /// Compares with another process that is at offset `next` with `digest`.
+    pub fn compare(&self, next: Offset, digest: &[u8]) -> Standing {
+        if next > self.next {
+            return Standing::Behind { from: self.next };
+        }
+        if next < self.next {
+            return Standing::Ahead;
+        }
+        if digest == self.chain.as_bytes() { Standing::Same } else { Standing::Diverged }
+    }
+
+    /// Folds the configuration record at `offset`, if it follows the record that ends at `prev`.
+    ///
+    /// A record that was left out in between shows as [`Effect::Gap`].
+    pub fn apply_after(&mut self, prev: &Hash, offset: Offset, bytes: &[u8]) -> Applied {
+        if offset >= self.next && *prev != self.chain {
+            return Applied { offset, author: None, effect: Effect::Gap { next: self.next } };
+        }
+        self.apply(offset, bytes)
+    }
+
+    /// Folds the configuration record at `offset`; other records change nothing.
+    pub fn apply(&mut self, offset: Offset, bytes: &[u8]) -> Applied {
+        if offset < self.next || !record::is_config(bytes) {
+            return Applied { offset, author: None, effect: Effect::Old };
+        }
+        self.next = offset + 1;
+        self.chain = chain::extend(&self.chain, offset, bytes);
+        match record::decode(bytes) {
+            Ok(record) => {
+                let effect = self.apply_record(offset, &record);
+                Applied { offset, author: Some(Author::of(&record)), effect }
+            }
+            Err(fault) => Applied { offset, author: None, effect: Effect::Skipped(fault) },
+        }
+    }
+
+    fn apply_record(&mut self, offset: Offset, record: &Record) -> Effect {
+        if !self.writers.admit(record.writer, record.sequence, offset) {
+            return Effect::Double;
+        }
+        let Some(body) = &record.body else {
+            return Effect::Skipped(record::Fault::Corrupt);
+        };
+        let place = Place { offset, writer: record.writer, sequence: record.sequence };
+        let result = record::body::check(body).and_then(|()| self.apply_body(place, body));
+        self.note(offset, body, result.as_ref().err());
+        result.map_or_else(Effect::Refused, Effect::Accepted)
+    }
+
+    fn apply_body(&mut self, place: Place, body: &Body) -> Result<Part> {
+        match body {
+            Body::Change(change) => self.change(change).map(|()| Part::Declarations),
+            Body::Claim(claim) => self.claim(claim, place).map(|()| Part::Leases),
+            Body::Renew(renew) => self.renew(renew, place).map(|()| Part::Leases),
+            Body::Release(release) => self.release(release, place).map(|()| Part::Leases),
+            Body::MoveBegin(begin) => self.begin_move(begin, place).map(|()| Part::Moves),
+            Body::MoveStep(step) => self.step_move(step, place).map(|()| Part::Moves),
+            Body::Death(death) => {
+                self.quarantine.death(place.offset, death);
+                Ok(Part::Quarantine)
+            }
+            Body::Lift(lift) => self.lift(lift).map(|()| Part::Quarantine),
+            Body::Calls(_) | Body::Tick(_) | Body::Chunk(_) => {
+                Err(Error::new(ErrorKind::Internal, "not a configuration record"))
+            }
+        }
+    }
+
+    fn change(&mut self, change: &Change) -> Result<()> {
+        self.check_moves(change)?;
+        let reset = self.versions_set(change);
+        self.items.apply(change)?;
+        for route in reset {
+            self.moves.serving.remove(&route);
+        }
+        let deleted = change.deletes.iter().filter(|delete| delete.kind() == Kind::Route);
+        for delete in deleted {
+            self.moves.serving.remove(&delete.name);
+            self.moves.last.remove(&delete.name);
+        }
+        Ok(())
+    }
+
+    /// Refuses a change of a route, or of its service's version, while the route moves.
+    fn check_moves(&self, change: &Change) -> Result<()> {
+        let busy = |route: &str| {
+            let detail = format!("a version move of route {route} is under way");
+            Err(Error::new(ErrorKind::Conflict, detail))
+        };
+        let puts = change.puts.iter().map(|item| (item.kind(), &item.name));
+        let deletes = change.deletes.iter().map(|delete| (delete.kind(), &delete.name));
+        for (kind, name) in puts.chain(deletes) {
+            if kind == Kind::Route && self.moves.is_open(name) {
+                return busy(name);
+            }
+        }
+        self.versions_set(change)
+            .iter()
+            .find(|route| self.moves.is_open(route))
+            .map_or(Ok(()), |route| busy(route))
+    }
+
+    /// Returns the routes whose service is put with another version than it declares now.
+    fn versions_set(&self, change: &Change) -> Vec<RouteId> {
+        let services = &self.declarations().services;
+        let other = |name: &str, spec: &str| {
+            let version = serde_json::from_str::<serde_json::Value>(spec).ok();
+            let version = version.and_then(|spec| Some(spec.get("version")?.as_str()?.to_owned()));
+            let current = services.get(name).map(|spec| &spec.version);
+            version.as_ref() != current
+        };
+        let puts = change.puts.iter().filter(|item| item.kind() == Kind::Service);
+        let set = puts.filter(|item| other(&item.name, &item.spec)).map(|item| &item.name);
+        let set = set.collect::<Vec<_>>();
+        let routes = self.declarations().routes.iter();
+        let hit = routes.filter(|(_, route)| set.contains(&&route.service));
+        hit.map(|(name, _)| name.clone()).collect()
+    }
+
+    fn claim(&mut self, claim: &Claim, place: Place) -> Result<()> {
+        let lease = Lease::claim(self.leases.get(&claim.name), claim, place)?;
+        self.leases.insert(claim.name.clone(), lease);
+        self.shrink_leases();
+        Ok(())
+    }
+
+    fn shrink_leases(&mut self) {
+        if self.leases.len() <= MAX_LEASES {
+            return;
+        }
+        let key = |(name, lease): &(&String, &Lease)| {
+            (lease.holder.is_some(), lease.last, (*name).clone())
+        };
+        if let Some(name) = self.leases.iter().min_by_key(key).map(|(name, _)| name.clone()) {
+            self.leases.remove(&name);
+        }
+    }
+
+    fn renew(&mut self, renew: &Renew, place: Place) -> Result<()> {
+        self.leases.get_mut(&renew.name).ok_or_else(unclaimed)?.renew(renew, place)
+    }
+
+    fn release(&mut self, release: &Release, place: Place) -> Result<()> {
+        self.leases.get_mut(&release.name).ok_or_else(unclaimed)?.release(release, place)
+    }
+
+    fn begin_move(&mut self, begin: &MoveBegin, place: Place) -> Result<()> {
+        let unknown = || {
+            let detail = format!("route {} is not declared", begin.route);
+            Error::new(ErrorKind::InvalidDeclaration, detail)
+        };
+        let serving = self.version(&begin.route).cloned().ok_or_else(unknown)?;
+        self.moves.begin(place.offset, begin, &serving)
+    }
+
+    fn step_move(&mut self, step: &MoveStep, place: Place) -> Result<()> {
+        let lease = self.leases.get(&move_lease(&step.route));
+        if !lease.is_some_and(|lease| lease.guards(place.writer, step.fence)) {
+            return Err(Error::new(ErrorKind::Fenced, "step of an older claim"));
+        }
+        self.moves.step(step).map(|_| ())
+    }
+
+    fn lift(&mut self, lift: &Lift) -> Result<()> {
+        if self.quarantine.lift(lift) {
+            return Ok(());
+        }
+        Err(Error::new(ErrorKind::Conflict, "the digest is not quarantined"))
+    }
+
+    /// Adds the act of a change, a lift or a move.
+    fn note(&mut self, offset: Offset, body: &Body, error: Option<&Error>) {
+        let Some(mut act) = self.act(offset, body) else {
+            return;
+        };
+        if let Some(error) = error {
+            act = act.refused(error);
+        }
+        if self.acts.len() == MAX_ACTS {
+            self.acts.pop_front();
+        }
+        self.acts.push_back(act);
+    }
+
+    fn act(&self, offset: Offset, body: &Body) -> Option<Act> {
+        if let Some((operator, reason)) = body.asked() {
+            return Some(Act::new(offset, body.as_str(), operator, reason));
+        }
+        let Body::MoveStep(step) = body else {
+            return None;
+        };
+        let begin = self.moves.last.get(&step.route).map(|state| &state.begin);
+        let (operator, reason) =
+            begin.map_or(("", ""), |begin| (begin.operator.as_str(), begin.reason.as_str()));
+        let mut act = Act::new(offset, body.as_str(), operator, reason);
+        act.detail.clone_from(&step.evidence);
+        act.verdict = match step.verdict() {
+            Verdict::Proceed => format!("share {} ppm", step.share_ppm),
+            Verdict::Done => "done".into(),
+            Verdict::TakenBack => "taken back".into(),
+        };
+        Some(act)
+    }
+
+    /// Returns the state as bytes, equal for equal states.
+    pub fn encode(&self) -> Vec<u8> {
+        self.image().encode_to_vec()
+    }
+
+    /// Returns the state held in `bytes`, as written by [`Shared::encode`].
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        SharedImage::decode(bytes).map_err(|_| corrupt()).and_then(Self::from_image)
+    }
+
+    pub(crate) fn image(&self) -> SharedImage {
+        let lease = |(name, lease): (&String, &Lease)| LeaseImage {
+            name: name.clone(),
+            holder: lease.holder,
+            fence: lease.fence,
+            last: lease.last,
+            sequence: lease.sequence,
+            ttl_ms: lease.ttl_ms,
+        };
+        let serving = |(route, version): (&RouteId, &VersionId)| ServingImage {
+            route: route.clone(),
+            version: version.clone(),
+        };
+        SharedImage {
+            next: self.next,
+            chain: bytes_of(&self.chain),
+            items: self.items.images(),
+            floor: self.items.floor(),
+            leases: self.leases.iter().map(lease).collect(),
+            moves: self.moves.images(),
+            serving: self.moves.serving.iter().map(serving).collect(),
+            quarantine: Some(self.quarantine.image()),
+            acts: self.acts.iter().map(Act::image).collect(),
+            writers: self.writers.image(),
+        }
+    }
+
+    pub(crate) fn from_image(image: SharedImage) -> Result<Self> {
+        let chain = <[u8; 32]>::try_from(image.chain.as_ref()).map_err(|_| corrupt())?;
+        let serving = image.serving.into_iter().map(|image| (image.route, image.version));
+        let lease = |image: LeaseImage| {
+            let lease = Lease {
+                holder: image.holder,
+                fence: image.fence,
+                last: image.last,
+                sequence: image.sequence,
+                ttl_ms: image.ttl_ms,
+            };
+            (image.name, lease)
+        };
+        Ok(Self {
+            next: image.next,
+            chain: Hash::from_bytes(chain),
+            items: Items::from_images(&image.items, image.floor)?,
+            leases: image.leases.into_iter().map(lease).collect(),
+            moves: Moves::from_images(image.moves, serving.collect()),
+            quarantine: Quarantine::from_image(image.quarantine.unwrap_or_default()),
+            acts: image.acts.into_iter().map(Act::from_image).collect(),
+            writers: Writers::from_image(image.writers),
+        })
+    }
+}
+
+fn unclaimed() -> Error {
+    Error::new(ErrorKind::Fenced, "the lease was never claimed")
+}
--- a/crates/egretgate-core/src/intent.rs
+++ b/crates/egretgate-core/src/intent.rs
@@ -1,1 +1,644 @@
 //! At most one run for a call that may not be repeated: intents and outcomes in the log.
+//!
+//! The intent is the fence: a process dispatches a call only after it has read its own intent
+//! back from the log as the first for that key, and while neither the key's window nor the
+//! call's deadline has passed. A later intent loses in every process and joins the first call or
+//! gets its recorded outcome. Intents and outcomes are committed in groups, one append under way
+//! at a time.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+
+use crate::error::ErrorKind;
+use crate::fold::{Applied, Effect as Folded, Key, KeyChange, KeyEvent, KeyState, Keys};
+use crate::ids::{Digest, Incarnation, Ticket};
+use crate::record::body::{self, Done, Ending, Intent, NotRun, Outcome, TicketId, Unknown};
+use crate::record::outbox::{Append, Outbox};
+use crate::record::{Body, Class, MAX_RECORD_BYTES};
+
+/// Time between two groups of one entry.
+pub const COMMIT_INTERVAL: Duration = Duration::from_millis(100);
+/// Appends per second that all entries together may spend on groups.
+pub const COMMIT_BUDGET: u32 = 380;
+/// Parts of a key's window, by the last of which its holder stops early.
+pub const WINDOW_PARTS: u32 = 10;
+
+/// Most bytes of a group; the rest waits for the next one.
+const GROUP_BYTES: usize = MAX_RECORD_BYTES / 2;
+/// Bytes of an encoded intent, rounded up.
+const INTENT_BYTES: usize = 96;
+/// Bytes of an encoded outcome without its body and content type, rounded up.
+const OUTCOME_BYTES: usize = 128;
+/// Most processes remembered as gone.
+const MAX_GONE: usize = 4_096;
+
+/// Returns the time between two groups for a number of entries that share the budget.
+pub fn commit_interval(entries: u32) -> Duration {
+    let shared = Duration::from_secs(1) * entries / COMMIT_BUDGET;
+    shared.max(COMMIT_INTERVAL)
+}
+
+/// A call that may not be repeated.
+#[derive(Debug, Clone, Copy)]
+pub struct Call {
+    /// Name of this request.
+    pub ticket: Ticket,
+    /// Digest of team, route and idempotency key.
+    pub key: Digest,
+    /// Digest of the request's body.
+    pub body: Digest,
+    /// Time for which the key is kept.
+    pub window: Duration,
+    /// Moment at which the caller gets its final answer at the latest.
+    pub deadline: Instant,
+}
+
+/// What the entry has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Append a group to the log, and report the answer or its loss.
+    Append(Append),
+    /// Choose an upstream, then ask [`Calls::dispatch`] right before the offer is written.
+    Dispatch(Ticket),
+    /// Let a request wait for the answer of the call that holds its key.
+    Join(Ticket),
+    /// Give a request its final answer.
+    Answer(Ticket, Reply),
+}
+
+/// Final answer to a call.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Reply {
+    /// The call ran once, and this is its recorded answer.
+    Recorded(Done),
+    /// The key was used with another body; this request was not run.
+    KeyReused,
+    /// A call with this key was dispatched, its end is not known, and it is not repeated.
+    Unknown,
+    /// This request was not run and will not be.
+    NotRun(ErrorKind),
+}
+
+/// The calls of one entry that may not be repeated.
+///
+/// Feed every record that the fold applied to [`Calls::read`], in order. Take the
+/// [`Calls::effects`] after each event and carry them out in order.
+#[derive(Debug)]
+pub struct Calls {
+    writer: Incarnation,
+    interval: Duration,
+    outbox: Outbox,
+    /// Intents that no group holds yet.
+    intents: VecDeque<Digest>,
+    /// Outcomes that no group holds yet.
+    outcomes: VecDeque<Outcome>,
+    keys: BTreeMap<Digest, Held>,
+    tickets: BTreeMap<Ticket, Digest>,
+    gone: BTreeSet<Incarnation>,
+    gone_order: VecDeque<Incarnation>,
+    /// Requests by the deadline of their final answer; may name answered ones.
+    deadlines: BTreeSet<(Instant, Ticket)>,
+    last_group: Option<Instant>,
+    log_up: bool,
+    effects: Vec<Effect>,
+}
+
+/// A key with requests of this entry.
+#[derive(Debug)]
+struct Held {
+    body: Digest,
+    own: Option<Own>,
+    /// Requests that wait for the call's end, with their deadlines.
+    waiters: BTreeMap<Ticket, Instant>,
+}
+
+/// This entry's own call for a key.
+#[derive(Debug)]
+struct Own {
+    call: Call,
+    stage: Stage,
+    /// Moment after which it may no longer be dispatched; set when its group is first sent.
+    until: Option<Instant>,
+}
+
+/// How far an own call has come.
+#[derive(Debug, Clone, PartialEq)]
+enum Stage {
+    /// No group holds the intent.
+    Waiting,
+    /// The intent may be in the log.
+    Sent,
+    /// The intent was read back as the first for its key.
+    First,
+    /// It may have been written to an upstream; `answered` once its caller was.
+    Dispatched { answered: bool },
+    /// It ended; the outcome has not been read back.
+    Ended(Option<Done>),
+}
+
+impl Calls {
+    /// Returns the calls of a new process, which has none.
+    pub const fn new(writer: Incarnation, interval: Duration) -> Self {
+        Self {
+            writer,
+            interval,
+            outbox: Outbox::new(writer),
+            intents: VecDeque::new(),
+            outcomes: VecDeque::new(),
+            keys: BTreeMap::new(),
+            tickets: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            gone_order: VecDeque::new(),
+            deadlines: BTreeSet::new(),
+            last_group: None,
+            log_up: true,
+            effects: Vec::new(),
+        }
+    }
+
+    /// Returns what the entry has to do now, in order.
+    pub fn effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Returns true if no request waits and no outcome is to be appended.
+    pub fn is_idle(&self) -> bool {
+        self.tickets.is_empty() && self.outcomes.is_empty() && self.outbox.is_idle()
+    }
+
+    /// Starts a call: it is answered, joins another one, or its intent waits for a group.
+    pub fn begin(&mut self, call: Call, keys: &Keys, now: Instant) {
+        if now >= call.deadline {
+            return self.answer(call.ticket, Reply::NotRun(ErrorKind::DeadlinePassed));
+        }
+        if let Some(held) = self.keys.get(&call.key) {
+            if held.body != call.body {
+                return self.answer(call.ticket, Reply::KeyReused);
+            }
+            match held.own.as_ref().map(|own| &own.stage) {
+                Some(Stage::Ended(done)) => {
+                    let reply = done.clone().map_or(Reply::Unknown, Reply::Recorded);
+                    return self.answer(call.ticket, reply);
+                }
+                Some(_) => return self.join(call),
+                None => {}
+            }
+        }
+        match keys.get(&call.key) {
+            Some(key) if self.is_freed(key) => self.reserve(call),
+            Some(_) => self.follow(call, keys),
+            None => self.reserve(call),
+        }
+    }
+
+    /// Returns true if the key's holder is a request of this life that was given up: the record
+    /// which frees the key is on its way, and goes before any new intent.
+    fn is_freed(&self, key: &Key) -> bool {
+        let open = key.state == KeyState::Open;
+        open && key.ticket.entry == self.writer && !self.tickets.contains_key(&key.ticket)
+    }
+
+    /// Answers or joins a call whose key another call holds in the log.
+    fn follow(&mut self, call: Call, keys: &Keys) {
+        let Some(key) = keys.get(&call.key) else {
+            return self.answer(call.ticket, Reply::NotRun(ErrorKind::Overloaded));
+        };
+        if key.body != call.body {
+            return self.answer(call.ticket, Reply::KeyReused);
+        }
+        match &key.state {
+            KeyState::Done(done) => self.answer(call.ticket, Reply::Recorded(done.clone())),
+            KeyState::Unknown => self.answer(call.ticket, Reply::Unknown),
+            KeyState::Open if self.gone.contains(&key.ticket.entry) => {
+                self.answer(call.ticket, Reply::Unknown);
+            }
+            KeyState::Open => self.join(call),
+        }
+    }
+
+    fn join(&mut self, call: Call) {
+        let held = self.held(&call);
+        held.waiters.insert(call.ticket, call.deadline);
+        self.tickets.insert(call.ticket, call.key);
+        self.deadlines.insert((call.deadline, call.ticket));
+        self.effects.push(Effect::Join(call.ticket));
+    }
+
+    fn reserve(&mut self, call: Call) {
+        if !self.log_up {
+            return self.answer(call.ticket, Reply::NotRun(ErrorKind::LogOutage));
+        }
+        let call = Call { window: Duration::from_secs(call.window.as_secs()), ..call };
+        self.held(&call).own = Some(Own { call, stage: Stage::Waiting, until: None });
+        self.tickets.insert(call.ticket, call.key);
+        self.deadlines.insert((call.deadline, call.ticket));
+        self.intents.push_back(call.key);
+    }
+
+    fn held(&mut self, call: &Call) -> &mut Held {
+        let fresh = || Held { body: call.body, own: None, waiters: BTreeMap::new() };
+        self.keys.entry(call.key).or_insert_with(fresh)
+    }
+
+    fn answer(&mut self, ticket: Ticket, reply: Reply) {
+        self.effects.push(Effect::Answer(ticket, reply));
+    }
+
+    /// Notes that the append's answer was lost: it may have taken effect.
+    pub fn append_lost(&mut self, sequence: u64) {
+        self.outbox.lost(sequence);
+    }
+
+    /// Returns true if the log has to be read up to a newly asked head, and
+    /// [`Calls::caught_up`] called then.
+    pub fn is_lost(&self) -> bool {
+        self.outbox.is_lost()
+    }
+
+    /// Tries a lost append again, after the log was read up to a head asked for since the loss.
+    pub fn caught_up(&mut self) {
+        if let Some(append) = self.outbox.caught_up() {
+            self.effects.push(Effect::Append(append));
+        }
+    }
+
+    /// Notes whether the log can be reached. While it can't, calls that are not dispatched are
+    /// answered as not run, at once.
+    pub fn log_up(&mut self, up: bool) {
+        self.log_up = up;
+        if up {
+            return;
+        }
+        let waiting = self.own_tickets(|stage| matches!(stage, Stage::Waiting | Stage::Sent));
+        for ticket in waiting {
+            self.give_up(ticket, ErrorKind::LogOutage);
+        }
+    }
+
+    fn own_tickets(&self, wanted: impl Fn(&Stage) -> bool) -> Vec<Ticket> {
+        let own = self.keys.values().filter_map(|held| held.own.as_ref());
+        own.filter(|own| wanted(&own.stage)).map(|own| own.call.ticket).collect()
+    }
+
+    /// Notes a record that the fold applied.
+    pub fn read(&mut self, applied: &Applied, keys: &Keys) {
+        let calls = applied.author.filter(|author| author.class == Class::Calls);
+        let own = calls.is_some_and(|author| self.outbox.read(author.writer, author.sequence));
+        let Folded::Keys(events) = &applied.effect else {
+            return;
+        };
+        for event in events {
+            self.read_event(*event, own, keys);
+        }
+    }
+
+    /// `own` is true if the record is the group under way: a double of an older one, which the
+    /// fold no longer remembers, starts nothing.
+    fn read_event(&mut self, event: KeyEvent, own: bool, keys: &Keys) {
+        match event.change {
+            KeyChange::First if own => self.read_first(event),
+            KeyChange::Lost if own => self.read_lost(event, keys),
+            KeyChange::Full if own => self.give_up(event.ticket, ErrorKind::Overloaded),
+            KeyChange::First | KeyChange::Lost | KeyChange::Full => {}
+            KeyChange::Ended => self.read_ended(event, keys),
+            KeyChange::Freed => self.read_freed(event),
+            KeyChange::Expired => self.read_expired(event),
+        }
+    }
+
+    /// The intent is first: dispatch, unless the call was given up in the meantime.
+    fn read_first(&mut self, event: KeyEvent) {
+        let own = self.own_mut(event.key, event.ticket);
+        if let Some(own) = own.filter(|own| own.stage == Stage::Sent) {
+            own.stage = Stage::First;
+            self.effects.push(Effect::Dispatch(event.ticket));
+        } else {
+            self.outcome(event.key, event.ticket, Ending::NotRun(NotRun {}));
+        }
+    }
+
+    fn read_lost(&mut self, event: KeyEvent, keys: &Keys) {
+        if self.own_mut(event.key, event.ticket).is_none() {
+            return;
+        }
+        let Some(held) = self.keys.remove(&event.key) else {
+            return;
+        };
+        let Some(own) = held.own else {
+            return;
+        };
+        let waiters = held.waiters.iter();
+        let waiting = waiters.map(|(&ticket, &deadline)| Call { ticket, deadline, ..own.call });
+        for call in std::iter::once(own.call).chain(waiting) {
+            self.tickets.remove(&call.ticket);
+            self.follow(call, keys);
+        }
+    }
+
+    fn read_ended(&mut self, event: KeyEvent, keys: &Keys) {
+        let reply = match keys.get(&event.key).map(|key| &key.state) {
+            Some(KeyState::Done(done)) => Reply::Recorded(done.clone()),
+            _ => Reply::Unknown,
+        };
+        self.close(event, reply);
+    }
+
+    fn read_freed(&mut self, event: KeyEvent) {
+        self.close(event, Reply::NotRun(ErrorKind::Overloaded));
+    }
+
+    fn read_expired(&mut self, event: KeyEvent) {
+        let own = self.own_mut(event.key, event.ticket).map(|own| own.stage.clone());
+        match own {
+            Some(Stage::First) => self.give_up(event.ticket, ErrorKind::DeadlinePassed),
+            Some(Stage::Dispatched { answered: false }) => {
+                self.answer(event.ticket, Reply::Unknown);
+                self.close(event, Reply::Unknown);
+            }
+            _ => self.close(event, Reply::Unknown),
+        }
+    }
+
+    /// Answers the requests that wait for the call of `event`, and forgets the call.
+    fn close(&mut self, event: KeyEvent, reply: Reply) {
+        let Some(held) = self.keys.get_mut(&event.key) else {
+            return;
+        };
+        let ticket = held.own.as_ref().map(|own| own.call.ticket);
+        if ticket.is_some_and(|ticket| ticket != event.ticket) {
+            return;
+        }
+        let waiters = std::mem::take(&mut held.waiters);
+        self.keys.remove(&event.key);
+        if let Some(ticket) = ticket {
+            self.tickets.remove(&ticket);
+        }
+        for ticket in waiters.into_keys() {
+            self.tickets.remove(&ticket);
+            self.answer(ticket, reply.clone());
+        }
+    }
+
+    fn own_mut(&mut self, key: Digest, ticket: Ticket) -> Option<&mut Own> {
+        let own = self.keys.get_mut(&key)?.own.as_mut()?;
+        (own.call.ticket == ticket).then_some(own)
+    }
+
+    /// Returns true if the call may be written to an upstream at `now`; it counts as dispatched
+    /// from here on. Ask right before each write, also before another offer after a proof that
+    /// the one before was not run.
+    ///
+    /// If it returns false for a call that was never dispatched, the call is given up and
+    /// answered. A call that was dispatched before needs [`Calls::not_run`].
+    pub fn dispatch(&mut self, ticket: Ticket, now: Instant) -> bool {
+        let Some(&key) = self.tickets.get(&ticket) else {
+            return false;
+        };
+        let Some(own) = self.own_mut(key, ticket) else {
+            return false;
+        };
+        let timely = now < own.call.deadline && own.until.is_some_and(|until| now < until);
+        match own.stage {
+            Stage::First if timely => {
+                own.stage = Stage::Dispatched { answered: false };
+                true
+            }
+            Stage::Dispatched { .. } => timely,
+            Stage::First => {
+                self.give_up(ticket, ErrorKind::DeadlinePassed);
+                false
+            }
+            _ => false,
+        }
+    }
+
+    /// Notes that a dispatched call was answered, or that its end is unknown (`None`).
+    pub fn ended(&mut self, ticket: Ticket, done: Option<Done>) {
+        let Some(&key) = self.tickets.get(&ticket) else {
+            return;
+        };
+        let Some(own) = self.own_mut(key, ticket) else {
+            return;
+        };
+        if !matches!(own.stage, Stage::Dispatched { .. }) {
+            return;
+        }
+        own.stage = Stage::Ended(done.clone());
+        let reply = done.clone().map_or(Reply::Unknown, Reply::Recorded);
+        let ending = done.map_or(Ending::Unknown(Unknown {}), Ending::Done);
+        self.outcome(key, ticket, ending);
+        let waiters = self.keys.get_mut(&key).map(|held| std::mem::take(&mut held.waiters));
+        for ticket in waiters.unwrap_or_default().into_keys() {
+            self.tickets.remove(&ticket);
+            self.answer(ticket, reply.clone());
+        }
+    }
+
+    /// Gives a call up that is proven not run: never dispatched, or refused or withdrawn by the
+    /// side process. The key becomes free, and requests that joined are answered too.
+    pub fn not_run(&mut self, ticket: Ticket, kind: ErrorKind) {
+        self.give_up(ticket, kind);
+    }
+
+    /// Notes that a request's caller went away; a call that is not dispatched is given up.
+    pub fn abandon(&mut self, ticket: Ticket) {
+        let Some(&key) = self.tickets.get(&ticket) else {
+            return;
+        };
+        match self.own_mut(key, ticket).map(|own| own.stage.clone()) {
+            Some(Stage::Waiting | Stage::Sent | Stage::First) => {
+                self.give_up(ticket, ErrorKind::CallerGone);
+            }
+            Some(Stage::Dispatched { .. } | Stage::Ended(_)) => {}
+            None => self.leave(key, ticket),
+        }
+    }
+
+    /// Removes a request that waits for another one's call.
+    fn leave(&mut self, key: Digest, ticket: Ticket) {
+        self.tickets.remove(&ticket);
+        let Some(held) = self.keys.get_mut(&key) else {
+            return;
+        };
+        held.waiters.remove(&ticket);
+        if held.own.is_none() && held.waiters.is_empty() {
+            self.keys.remove(&key);
+        }
+    }
+
+    /// Marks an own call dead in memory, then answers it and all that joined it as not run.
+    fn give_up(&mut self, ticket: Ticket, kind: ErrorKind) {
+        let Some(&key) = self.tickets.get(&ticket) else {
+            return;
+        };
+        if self.own_mut(key, ticket).is_none() {
+            return;
+        }
+        let Some(held) = self.keys.remove(&key) else {
+            return;
+        };
+        let Some(own) = held.own else {
+            return;
+        };
+        match own.stage {
+            Stage::Waiting | Stage::Sent => {}
+            Stage::First | Stage::Dispatched { .. } => {
+                self.outcome(key, ticket, Ending::NotRun(NotRun {}));
+            }
+            Stage::Ended(_) => return,
+        }
+        self.tickets.remove(&ticket);
+        if own.stage != (Stage::Dispatched { answered: true }) {
+            self.answer(ticket, Reply::NotRun(kind));
+        }
+        for ticket in held.waiters.into_keys() {
+            self.tickets.remove(&ticket);
+            self.answer(ticket, Reply::NotRun(kind));
+        }
+    }
+
+    /// Notes that a process is gone for good: calls that it held without an outcome are unknown.
+    pub fn gone(&mut self, writer: Incarnation, keys: &Keys) {
+        if writer == self.writer || !self.gone.insert(writer) {
+            return;
+        }
+        self.gone_order.push_back(writer);
+        if self.gone_order.len() > MAX_GONE
+            && let Some(oldest) = self.gone_order.pop_front()
+        {
+            self.gone.remove(&oldest);
+        }
+        let held = self.keys.iter().filter(|(_, held)| held.own.is_none()).map(|(key, _)| *key);
+        let orphaned = held.filter_map(|digest| {
+            let key = keys.get(&digest)?;
+            let open = key.state == KeyState::Open && key.ticket.entry == writer;
+            let change = KeyChange::Expired;
+            open.then_some(KeyEvent { key: digest, ticket: key.ticket, change })
+        });
+        for event in orphaned.collect::<Vec<_>>() {
+            self.close(event, Reply::Unknown);
+        }
+    }
+
+    /// Closes a group if one is due, and answers requests whose deadline passed.
+    pub fn tick(&mut self, now: Instant) {
+        self.expire(now);
+        self.commit(now);
+    }
+
+    /// Returns the moment at which [`Calls::tick`] is next needed.
+    pub fn next_tick(&self, now: Instant) -> Option<Instant> {
+        let group = self.is_due().then(|| self.last_group.map_or(now, |last| last + self.interval));
+        let deadline = self.deadlines.first().map(|(deadline, _)| *deadline);
+        group.into_iter().chain(deadline).min()
+    }
+
+    fn expire(&mut self, now: Instant) {
+        while let Some(&(deadline, ticket)) = self.deadlines.first()
+            && deadline <= now
+        {
+            self.deadlines.pop_first();
+            self.expire_one(ticket);
+        }
+    }
+
+    fn expire_one(&mut self, ticket: Ticket) {
+        let Some(&key) = self.tickets.get(&ticket) else {
+            return;
+        };
+        let Some(own) = self.own_mut(key, ticket) else {
+            self.leave(key, ticket);
+            return self.answer(ticket, Reply::Unknown);
+        };
+        match &mut own.stage {
+            Stage::Waiting | Stage::Sent | Stage::First => {
+                self.give_up(ticket, ErrorKind::DeadlinePassed);
+            }
+            Stage::Dispatched { answered } if !*answered => {
+                *answered = true;
+                self.answer(ticket, Reply::Unknown);
+            }
+            Stage::Dispatched { .. } | Stage::Ended(_) => {}
+        }
+    }
+
+    fn commit(&mut self, now: Instant) {
+        let paced = self.last_group.is_some_and(|last| now < last + self.interval);
+        if paced || !self.is_due() {
+            return;
+        }
+        let group = self.group(now);
+        if group.intents.is_empty() && group.outcomes.is_empty() {
+            return;
+        }
+        self.last_group = Some(now);
+        // A group is kept below the limits by its construction.
+        if self.outbox.push(Body::Calls(group)).is_ok()
+            && let Some(append) = self.outbox.pop()
+        {
+            self.effects.push(Effect::Append(append));
+        }
+    }
+
+    fn is_due(&self) -> bool {
+        let waiting = !self.intents.is_empty() || !self.outcomes.is_empty();
+        waiting && self.outbox.is_idle()
+    }
+
+    /// Takes the next group: outcomes first, so that a freed key can be reserved again.
+    fn group(&mut self, now: Instant) -> body::Calls {
+        let mut group = body::Calls::default();
+        let mut bytes = 0;
+        while bytes < GROUP_BYTES
+            && let Some(outcome) = self.outcomes.pop_front()
+        {
+            bytes += OUTCOME_BYTES + outcome.payload();
+            group.outcomes.push(outcome);
+        }
+        while bytes < GROUP_BYTES
+            && let Some(key) = self.intents.pop_front()
+        {
+            bytes += INTENT_BYTES;
+            group.intents.extend(self.intent(key, now));
+        }
+        group
+    }
+
+    fn intent(&mut self, key: Digest, now: Instant) -> Option<Intent> {
+        let own = self.keys.get_mut(&key)?.own.as_mut()?;
+        if own.stage != Stage::Waiting {
+            return None;
+        }
+        let call = own.call;
+        own.stage = Stage::Sent;
+        own.until = Some(now + call.window * (WINDOW_PARTS - 1) / WINDOW_PARTS);
+        Some(Intent {
+            key: Bytes::copy_from_slice(key.as_bytes()),
+            body: Bytes::copy_from_slice(call.body.as_bytes()),
+            ticket: Some(TicketId::from(call.ticket)),
+            window_s: call.window.as_secs(),
+        })
+    }
+
+    fn outcome(&mut self, key: Digest, ticket: Ticket, ending: Ending) {
+        self.outcomes.push_back(Outcome {
+            key: Bytes::copy_from_slice(key.as_bytes()),
+            ticket: Some(TicketId::from(ticket)),
+            ending: Some(ending),
+        });
+    }
+}
+
+impl Outcome {
+    /// Returns the bytes of the recorded answer.
+    fn payload(&self) -> usize {
+        match &self.ending {
+            Some(Ending::Done(done)) => {
+                done.content_type.len() + done.body.as_ref().map_or(0, Bytes::len)
+            }
+            _ => 0,
+        }
+    }
+}
--- a/crates/egretgate-core/src/lib.rs
+++ b/crates/egretgate-core/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod record;
 pub mod reply;
 pub mod retry;
+pub mod snapshot;
 
 pub use error::{Answer, Error, ErrorKind, Ran, Result};
 pub use ids::{
--- a/crates/egretgate-core/src/record.rs
+++ b/crates/egretgate-core/src/record.rs
@@ -1,1 +1,246 @@
-//! Records of the log.
+//! Records of the log: one envelope around typed bodies, with limits checked before the append.
+//!
+//! The envelope's first four fields keep their meaning in every schema, so that an old process
+//! still chains and skips a record that it can't read.
+
+use std::fmt;
+
+use prost::{Message, Oneof};
+
+pub mod body;
+pub mod chain;
+pub mod outbox;
+
+use body::{
+    Calls, Change, Claim, Death, Lift, MoveBegin, MoveStep, Release, Renew, SnapshotChunk, Tick,
+};
+
+use crate::error::{Error, ErrorKind, Result};
+use crate::ids::Incarnation;
+
+/// Newest schema that this program reads and the one that it writes.
+pub const SCHEMA: u32 = 1;
+/// Most bytes of an encoded record.
+pub const MAX_RECORD_BYTES: usize = 256 * 1024;
+/// Most bytes of a recorded answer's body; a longer one is recorded by digest.
+pub const MAX_OUTCOME_BYTES: usize = 2 * 1024;
+/// Most bytes of a name, an operator or a ticket's content type.
+pub const MAX_NAME_BYTES: usize = 256;
+/// Most bytes of a reason or a verdict's evidence.
+pub const MAX_TEXT_BYTES: usize = 4 * 1024;
+
+/// Class of a record, which decides who folds it and among which sequences it counts.
+///
+/// Each class of a writer has sequences of its own, from 1.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Class {
+    /// Not stated: a record of no known class.
+    None = 0,
+    /// Configuration, leases, moves and quarantine: folded by every process and chained.
+    Config = 1,
+    /// Intents and outcomes: folded by entries only.
+    Calls = 2,
+    /// Log time and snapshots: folded by entries only; safe to double without a sequence.
+    Keeper = 3,
+}
+
+/// One record of the log.
+#[derive(Clone, PartialEq, Message)]
+pub struct Record {
+    /// Schema of the body.
+    #[prost(uint32, tag = "1")]
+    pub schema: u32,
+    /// Life of the process that appended it.
+    #[prost(fixed64, tag = "2")]
+    pub writer: u64,
+    /// Position among the writer's records of this class, from 1.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Class of the body.
+    #[prost(enumeration = "Class", tag = "4")]
+    pub class: i32,
+    /// What the record says.
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20")]
+    pub body: Option<Body>,
+}
+
+/// What a record says.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// A change of declarations.
+    #[prost(message, tag = "10")]
+    Change(Change),
+    /// A claim of a lease.
+    #[prost(message, tag = "11")]
+    Claim(Claim),
+    /// A renewal of a lease.
+    #[prost(message, tag = "12")]
+    Renew(Renew),
+    /// The end of a lease, stated by its holder.
+    #[prost(message, tag = "13")]
+    Release(Release),
+    /// The start of a version move.
+    #[prost(message, tag = "14")]
+    MoveBegin(MoveBegin),
+    /// A step of a version move.
+    #[prost(message, tag = "15")]
+    MoveStep(MoveStep),
+    /// The death of an upstream.
+    #[prost(message, tag = "16")]
+    Death(Death),
+    /// The end of a quarantine.
+    #[prost(message, tag = "17")]
+    Lift(Lift),
+    /// Intents and outcomes, committed as a group.
+    #[prost(message, tag = "18")]
+    Calls(Calls),
+    /// Time that passed since the last tick.
+    #[prost(message, tag = "19")]
+    Tick(Tick),
+    /// Part of a snapshot.
+    #[prost(message, tag = "20")]
+    Chunk(SnapshotChunk),
+}
+
+/// The fields of a record that keep their meaning in every schema.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Header {
+    /// Schema of the body.
+    #[prost(uint32, tag = "1")]
+    pub schema: u32,
+    /// Life of the process that appended it.
+    #[prost(fixed64, tag = "2")]
+    pub writer: u64,
+    /// Position among the writer's records of this class, from 1.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Class of the body.
+    #[prost(enumeration = "Class", tag = "4")]
+    pub class: i32,
+}
+
+/// Why a record is skipped. None of these stops the fold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// The record is of a newer schema.
+    Newer {
+        /// Schema of the record.
+        schema: u32,
+    },
+    /// The bytes are not a record, or its parts contradict each other.
+    Corrupt,
+    /// The record is over its limit.
+    TooLarge {
+        /// Length of the record, in bytes.
+        bytes: usize,
+    },
+}
+
+impl Body {
+    /// Returns the class of records with this body.
+    pub const fn class(&self) -> Class {
+        match self {
+            Self::Change(_)
+            | Self::Claim(_)
+            | Self::Renew(_)
+            | Self::Release(_)
+            | Self::MoveBegin(_)
+            | Self::MoveStep(_)
+            | Self::Death(_)
+            | Self::Lift(_) => Class::Config,
+            Self::Calls(_) => Class::Calls,
+            Self::Tick(_) | Self::Chunk(_) => Class::Keeper,
+        }
+    }
+
+    /// Returns the word for this body in logs and exports.
+    pub const fn as_str(&self) -> &'static str {
+        match self {
+            Self::Change(_) => "change",
+            Self::Claim(_) => "claim",
+            Self::Renew(_) => "renew",
+            Self::Release(_) => "release",
+            Self::MoveBegin(_) => "move_begin",
+            Self::MoveStep(_) => "move_step",
+            Self::Death(_) => "death",
+            Self::Lift(_) => "lift",
+            Self::Calls(_) => "calls",
+            Self::Tick(_) => "tick",
+            Self::Chunk(_) => "snapshot",
+        }
+    }
+
+    /// Returns the operator and the reason, for bodies that an operator asked for.
+    pub fn asked(&self) -> Option<(&str, &str)> {
+        match self {
+            Self::Change(change) => Some((&change.operator, &change.reason)),
+            Self::MoveBegin(begin) => Some((&begin.operator, &begin.reason)),
+            Self::Lift(lift) => Some((&lift.operator, &lift.reason)),
+            _ => None,
+        }
+    }
+}
+
+impl Record {
+    /// Returns a record of the newest schema.
+    pub fn new(writer: Incarnation, sequence: u64, body: Body) -> Self {
+        let class = body.class() as i32;
+        Self { schema: SCHEMA, writer, sequence, class, body: Some(body) }
+    }
+
+    /// Returns true if every process folds this record.
+    pub fn is_config(&self) -> bool {
+        self.class == Class::Config as i32
+    }
+
+    /// Returns the bytes to append, or why the record may not be appended.
+    pub fn to_bytes(&self) -> Result<Vec<u8>> {
+        let bytes = self.encode_to_vec();
+        if bytes.len() > MAX_RECORD_BYTES {
+            let detail = format!("record of {} bytes is over {MAX_RECORD_BYTES}", bytes.len());
+            return Err(Error::new(ErrorKind::TooLarge, detail));
+        }
+        self.body.as_ref().map_or(Ok(()), body::check)?;
+        Ok(bytes)
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Newer { schema } => write!(f, "record of newer schema {schema}"),
+            Self::Corrupt => f.write_str("corrupt record"),
+            Self::TooLarge { bytes } => write!(f, "record of {bytes} bytes is over its limit"),
+        }
+    }
+}
+
+/// Returns the header of a record, or `None` if the bytes hold none or are over any limit.
+pub fn header(bytes: &[u8]) -> Option<Header> {
+    if bytes.len() > MAX_RECORD_BYTES {
+        return None;
+    }
+    let header = Header::decode(bytes).ok()?;
+    let known = header.schema > 0 && header.sequence > 0 && header.class > 0;
+    known.then_some(header)
+}
+
+/// Returns true if the bytes belong to the configuration chain, whatever their schema.
+pub fn is_config(bytes: &[u8]) -> bool {
+    header(bytes).is_some_and(|header| header.class == Class::Config as i32)
+}
+
+/// Returns the record in `bytes`, or why it has to be skipped.
+pub fn decode(bytes: &[u8]) -> std::result::Result<Record, Fault> {
+    if bytes.len() > MAX_RECORD_BYTES {
+        return Err(Fault::TooLarge { bytes: bytes.len() });
+    }
+    let header = header(bytes).ok_or(Fault::Corrupt)?;
+    if header.schema > SCHEMA {
+        return Err(Fault::Newer { schema: header.schema });
+    }
+    let record = Record::decode(bytes).map_err(|_| Fault::Corrupt)?;
+    let class = record.body.as_ref().map(|body| body.class() as i32);
+    if class == Some(record.class) { Ok(record) } else { Err(Fault::Corrupt) }
+}
--- /dev/null
+++ b/crates/egretgate-core/src/record/body.rs
@@ -0,0 +1,450 @@
+//! Bodies of records.
+
+use bytes::Bytes;
+use prost::{Enumeration, Message, Oneof};
+
+use super::{Body, MAX_NAME_BYTES, MAX_OUTCOME_BYTES, MAX_TEXT_BYTES};
+use crate::error::{Error, ErrorKind, Result};
+use crate::ids::{Digest, Ticket};
+
+/// Kind of a declared item.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Enumeration)]
+#[repr(i32)]
+pub enum Kind {
+    /// Not stated.
+    None = 0,
+    /// A tier.
+    Tier = 1,
+    /// A team.
+    Team = 2,
+    /// A service.
+    Service = 3,
+    /// A route.
+    Route = 4,
+}
+
+/// A change of declarations, accepted whole or refused whole.
+#[derive(Clone, PartialEq, Message)]
+pub struct Change {
+    /// Operator who asks for it.
+    #[prost(string, tag = "1")]
+    pub operator: String,
+    /// Why it is asked for.
+    #[prost(string, tag = "2")]
+    pub reason: String,
+    /// Items created or replaced.
+    #[prost(message, repeated, tag = "3")]
+    pub puts: Vec<Item>,
+    /// Items deleted.
+    #[prost(message, repeated, tag = "4")]
+    pub deletes: Vec<Delete>,
+}
+
+/// A declared item.
+#[derive(Clone, PartialEq, Message)]
+pub struct Item {
+    /// Kind of item.
+    #[prost(enumeration = "Kind", tag = "1")]
+    pub kind: i32,
+    /// Name of the item.
+    #[prost(string, tag = "2")]
+    pub name: String,
+    /// Declaration as JSON.
+    #[prost(string, tag = "3")]
+    pub spec: String,
+    /// Revision that the change was made from; 0 if the item is new.
+    #[prost(uint64, tag = "4")]
+    pub expects: u64,
+}
+
+/// A deletion of a declared item.
+#[derive(Clone, PartialEq, Message)]
+pub struct Delete {
+    /// Kind of item.
+    #[prost(enumeration = "Kind", tag = "1")]
+    pub kind: i32,
+    /// Name of the item.
+    #[prost(string, tag = "2")]
+    pub name: String,
+    /// Revision that the change was made from.
+    #[prost(uint64, tag = "3")]
+    pub expects: u64,
+}
+
+/// A claim of a lease, accepted if no record of the lease came since `expects`.
+#[derive(Clone, PartialEq, Message)]
+pub struct Claim {
+    /// Name of the lease.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Life of the process that claims it.
+    #[prost(fixed64, tag = "2")]
+    pub holder: u64,
+    /// Offset of the lease's last accepted record; absent if there is none.
+    #[prost(uint64, optional, tag = "3")]
+    pub expects: Option<u64>,
+    /// Time for which the lease is held, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub ttl_ms: u64,
+}
+
+/// A renewal of a lease by its holder.
+#[derive(Clone, PartialEq, Message)]
+pub struct Renew {
+    /// Name of the lease.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Life of the holder.
+    #[prost(fixed64, tag = "2")]
+    pub holder: u64,
+    /// Offset of the lease's last accepted record.
+    #[prost(uint64, tag = "3")]
+    pub expects: u64,
+}
+
+/// The end of a lease, stated by its holder, so that a rival need not wait.
+#[derive(Clone, PartialEq, Message)]
+pub struct Release {
+    /// Name of the lease.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Life of the holder.
+    #[prost(fixed64, tag = "2")]
+    pub holder: u64,
+    /// Offset of the lease's last accepted record.
+    #[prost(uint64, tag = "3")]
+    pub expects: u64,
+}
+
+/// The start of a version move.
+#[derive(Clone, PartialEq, Message)]
+pub struct MoveBegin {
+    /// Operator who asks for it.
+    #[prost(string, tag = "1")]
+    pub operator: String,
+    /// Why it is asked for.
+    #[prost(string, tag = "2")]
+    pub reason: String,
+    /// Route whose traffic moves.
+    #[prost(string, tag = "3")]
+    pub route: String,
+    /// Version that serves the route now.
+    #[prost(string, tag = "4")]
+    pub from: String,
+    /// Version that is to serve the route.
+    #[prost(string, tag = "5")]
+    pub to: String,
+    /// Shares of the new version in rising order, in millionths.
+    #[prost(uint32, repeated, tag = "6")]
+    pub steps: Vec<u32>,
+    /// Share of requests that may be worse than the old version's, in millionths.
+    #[prost(uint32, tag = "7")]
+    pub budget_ppm: u32,
+    /// Time by which the move is done or taken back, in milliseconds since the Unix epoch; read
+    /// by the holder of the move's lease only.
+    #[prost(uint64, tag = "8")]
+    pub end_ms: u64,
+    /// Most requests in flight on the new version during the first step.
+    #[prost(uint32, tag = "9")]
+    pub cap: u32,
+}
+
+/// What a step of a move decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Enumeration)]
+#[repr(i32)]
+pub enum Verdict {
+    /// The move goes on at the step's share.
+    Proceed = 0,
+    /// The new version serves the route.
+    Done = 1,
+    /// The old version serves the route again.
+    TakenBack = 2,
+}
+
+/// A step of a version move, by the holder of the move's lease.
+#[derive(Clone, PartialEq, Message)]
+pub struct MoveStep {
+    /// Route whose traffic moves.
+    #[prost(string, tag = "1")]
+    pub route: String,
+    /// Fencing number of the holder's claim.
+    #[prost(uint64, tag = "2")]
+    pub fence: u64,
+    /// Position among the move's steps, from 1.
+    #[prost(uint32, tag = "3")]
+    pub step: u32,
+    /// Share of the new version from here on, in millionths.
+    #[prost(uint32, tag = "4")]
+    pub share_ppm: u32,
+    /// What the step decides.
+    #[prost(enumeration = "Verdict", tag = "5")]
+    pub verdict: i32,
+    /// Measurements on which it was decided, as text.
+    #[prost(string, tag = "6")]
+    pub evidence: String,
+}
+
+/// The death of an upstream with requests in flight.
+#[derive(Clone, PartialEq, Message)]
+pub struct Death {
+    /// Upstream that died.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Life of the side process that saw it.
+    #[prost(fixed64, tag = "2")]
+    pub incarnation: u64,
+    /// Number of this death within that life, from 1.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Digests in flight, 16 bytes each.
+    #[prost(bytes = "bytes", repeated, tag = "4")]
+    pub digests: Vec<Bytes>,
+}
+
+/// The end of a quarantine, asked for by an operator.
+#[derive(Clone, PartialEq, Message)]
+pub struct Lift {
+    /// Operator who asks for it.
+    #[prost(string, tag = "1")]
+    pub operator: String,
+    /// Digest of the request, 16 bytes.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub digest: Bytes,
+    /// Why it is asked for.
+    #[prost(string, tag = "3")]
+    pub reason: String,
+}
+
+/// Name of a request.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct TicketId {
+    /// Life of the entry.
+    #[prost(fixed64, tag = "1")]
+    pub entry: u64,
+    /// Position within that life.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
+}
+
+/// Intents and outcomes of one entry, committed as a group: outcomes count first.
+#[derive(Clone, PartialEq, Message)]
+pub struct Calls {
+    /// Outcomes of earlier intents.
+    #[prost(message, repeated, tag = "1")]
+    pub outcomes: Vec<Outcome>,
+    /// New intents.
+    #[prost(message, repeated, tag = "2")]
+    pub intents: Vec<Intent>,
+}
+
+/// The reservation of an idempotency key, before dispatch.
+#[derive(Clone, PartialEq, Message)]
+pub struct Intent {
+    /// Digest of team, route and key, 16 bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub key: Bytes,
+    /// Digest of the request's body, 16 bytes.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub body: Bytes,
+    /// Request that is to be dispatched.
+    #[prost(message, optional, tag = "3")]
+    pub ticket: Option<TicketId>,
+    /// Time for which the key is kept, in seconds of log time.
+    #[prost(uint64, tag = "4")]
+    pub window_s: u64,
+}
+
+/// How the call for a key ended.
+#[derive(Clone, PartialEq, Message)]
+pub struct Outcome {
+    /// Digest of team, route and key, 16 bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub key: Bytes,
+    /// Request that held the key.
+    #[prost(message, optional, tag = "2")]
+    pub ticket: Option<TicketId>,
+    /// How it ended.
+    #[prost(oneof = "Ending", tags = "3, 4, 5")]
+    pub ending: Option<Ending>,
+}
+
+/// How a call ended.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Ending {
+    /// It ran and was answered.
+    #[prost(message, tag = "3")]
+    Done(Done),
+    /// It is proven not run; the key is free again.
+    #[prost(message, tag = "4")]
+    NotRun(NotRun),
+    /// It was dispatched, and nothing is proven.
+    #[prost(message, tag = "5")]
+    Unknown(Unknown),
+}
+
+/// A recorded answer.
+#[derive(Clone, PartialEq, Message)]
+pub struct Done {
+    /// HTTP status.
+    #[prost(uint32, tag = "1")]
+    pub status: u32,
+    /// Content type.
+    #[prost(string, tag = "2")]
+    pub content_type: String,
+    /// Body of at most [`MAX_OUTCOME_BYTES`]; absent if it was longer or is no longer kept.
+    #[prost(bytes = "bytes", optional, tag = "3")]
+    pub body: Option<Bytes>,
+    /// Digest of the body, 16 bytes.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub digest: Bytes,
+}
+
+/// Proof that a call was not run.
+#[derive(Clone, PartialEq, Message)]
+pub struct NotRun {}
+
+/// The statement that a dispatched call's end can't be learned.
+#[derive(Clone, PartialEq, Message)]
+pub struct Unknown {}
+
+/// Time that passed since the keeper's last tick or claim, by the keeper's monotonic clock.
+#[derive(Clone, PartialEq, Message)]
+pub struct Tick {
+    /// Fencing number of the keeper's claim.
+    #[prost(uint64, tag = "1")]
+    pub fence: u64,
+    /// Offset of the last accepted tick; absent if there is none.
+    #[prost(uint64, optional, tag = "2")]
+    pub expects: Option<u64>,
+    /// Time between the moment the last tick or claim was read and the moment this one was
+    /// sent, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub elapsed_ms: u64,
+}
+
+/// Part of a snapshot.
+#[derive(Clone, PartialEq, Message)]
+pub struct SnapshotChunk {
+    /// Name of the snapshot, unique within the writer's life.
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    /// Position of this part, from 0.
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    /// Number of parts.
+    #[prost(uint32, tag = "3")]
+    pub count: u32,
+    /// Offset after the last record in the snapshot.
+    #[prost(uint64, tag = "4")]
+    pub up_to: u64,
+    /// BLAKE3 hash of the whole, 32 bytes.
+    #[prost(bytes = "bytes", tag = "5")]
+    pub hash: Bytes,
+    /// The part's bytes.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub data: Bytes,
+}
+
+impl Kind {
+    /// Returns the word for this kind in declarations and messages.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::None => "item",
+            Self::Tier => "tier",
+            Self::Team => "team",
+            Self::Service => "service",
+            Self::Route => "route",
+        }
+    }
+}
+
+impl Done {
+    /// Returns the answer as it is recorded: a body over the limit is kept by digest only.
+    pub fn new(status: u32, content_type: impl Into<String>, body: Bytes) -> Self {
+        let digest = Bytes::copy_from_slice(Digest::of(&[&body]).as_bytes());
+        let body = (body.len() <= MAX_OUTCOME_BYTES).then_some(body);
+        Self { status, content_type: content_type.into(), body, digest }
+    }
+}
+
+impl From<Ticket> for TicketId {
+    fn from(ticket: Ticket) -> Self {
+        Self { entry: ticket.entry, sequence: ticket.sequence }
+    }
+}
+
+impl From<TicketId> for Ticket {
+    fn from(id: TicketId) -> Self {
+        Self::new(id.entry, id.sequence)
+    }
+}
+
+/// Checks the limits of a body's parts, before the append and again by the fold.
+pub(crate) fn check(body: &Body) -> Result<()> {
+    if let Some((operator, reason)) = body.asked() {
+        named("operator", operator)?;
+        if reason.trim().is_empty() {
+            return Err(invalid("a change needs a reason"));
+        }
+        short("reason", reason, MAX_TEXT_BYTES)?;
+    }
+    match body {
+        Body::Change(change) => check_change(change),
+        Body::Claim(claim) => named("lease", &claim.name),
+        Body::Renew(renew) => named("lease", &renew.name),
+        Body::Release(release) => named("lease", &release.name),
+        Body::MoveBegin(begin) => check_begin(begin),
+        Body::MoveStep(step) => {
+            named("route", &step.route)?;
+            short("evidence", &step.evidence, MAX_TEXT_BYTES)
+        }
+        Body::Death(death) => named("upstream", &death.upstream),
+        Body::Calls(calls) => calls.outcomes.iter().try_for_each(check_outcome),
+        Body::Lift(_) | Body::Tick(_) | Body::Chunk(_) => Ok(()),
+    }
+}
+
+fn check_change(change: &Change) -> Result<()> {
+    let puts = change.puts.iter().map(|item| &item.name);
+    let deletes = change.deletes.iter().map(|item| &item.name);
+    puts.chain(deletes).try_for_each(|name| named("item", name))
+}
+
+fn check_begin(begin: &MoveBegin) -> Result<()> {
+    named("route", &begin.route)?;
+    named("version", &begin.from)?;
+    named("version", &begin.to)?;
+    let rising = begin.steps.is_sorted_by(|a, b| a < b);
+    let within = begin.steps.iter().all(|share| (1..=1_000_000).contains(share));
+    if begin.steps.is_empty() || !rising || !within {
+        return Err(invalid("steps must rise and lie between 1 and 1000000 millionths"));
+    }
+    Ok(())
+}
+
+fn check_outcome(outcome: &Outcome) -> Result<()> {
+    let Some(Ending::Done(done)) = &outcome.ending else {
+        return Ok(());
+    };
+    short("content type", &done.content_type, MAX_NAME_BYTES)?;
+    let over = done.body.as_ref().is_some_and(|body| body.len() > MAX_OUTCOME_BYTES);
+    if over { Err(Error::new(ErrorKind::TooLarge, "recorded answer is too long")) } else { Ok(()) }
+}
+
+fn named(what: &str, name: &str) -> Result<()> {
+    if name.trim().is_empty() {
+        return Err(invalid(format!("{what} without a name")));
+    }
+    short(what, name, MAX_NAME_BYTES)
+}
+
+fn short(what: &str, text: &str, limit: usize) -> Result<()> {
+    if text.len() <= limit {
+        return Ok(());
+    }
+    Err(Error::new(ErrorKind::TooLarge, format!("{what} is over {limit} bytes")))
+}
+
+fn invalid(detail: impl Into<String>) -> Error {
+    Error::new(ErrorKind::InvalidDeclaration, detail)
+}
--- /dev/null
+++ b/crates/egretgate-core/src/record/chain.rs
@@ -0,0 +1,123 @@
+//! The digest chain over configuration records, its export and its verifier.
+//!
+//! Each digest is the BLAKE3 hash of the digest before it, the record's offset and its bytes, so
+//! a changed, missing or reordered record changes every digest after it.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use blake3::Hash;
+use serde::{Deserialize, Serialize};
+
+use crate::ids::Offset;
+use crate::record::{self, Body};
+
+/// Digest at the start of every chain.
+pub const START: Hash = Hash::from_bytes([0; 32]);
+
+/// Result of verifying an export.
+pub type Result<T> = std::result::Result<T, Broken>;
+
+/// One exported record with the digests around it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Link {
+    /// Position in the log.
+    pub offset: Offset,
+    /// Chain digest before the record, in hexadecimal.
+    pub prev: String,
+    /// Chain digest after the record, in hexadecimal.
+    pub digest: String,
+    /// Word for the record's body; empty if it is of a newer schema.
+    pub kind: String,
+    /// Operator who asked for it; empty if none did.
+    pub operator: String,
+    /// Why it was asked for; empty if no operator asked.
+    pub reason: String,
+    /// The record's bytes in base64.
+    pub data: String,
+}
+
+/// Where and why an export fails to verify.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Broken {
+    /// Position in the log; that of the last link if the chain ends too early.
+    pub offset: Offset,
+    /// What is wrong.
+    pub fault: BrokenFault,
+}
+
+/// What is wrong with an exported chain.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BrokenFault {
+    /// The record or its summary was changed.
+    Changed,
+    /// A record before this one is missing, or the order was changed.
+    Missing,
+    /// The chain does not end at the digest that was asked for.
+    Short,
+}
+
+/// Returns the digest after a record.
+pub fn extend(prev: &Hash, offset: Offset, bytes: &[u8]) -> Hash {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(prev.as_bytes());
+    hasher.update(&offset.to_le_bytes());
+    hasher.update(bytes);
+    hasher.finalize()
+}
+
+impl Link {
+    /// Returns the link of a record that follows `prev`.
+    pub fn new(prev: &Hash, offset: Offset, bytes: &[u8]) -> Self {
+        let digest = extend(prev, offset, bytes);
+        let body = record::decode(bytes).ok().and_then(|record| record.body);
+        let (operator, reason) = body.as_ref().and_then(Body::asked).unwrap_or_default();
+        Self {
+            offset,
+            prev: prev.to_string(),
+            digest: digest.to_string(),
+            kind: body.as_ref().map_or("", Body::as_str).into(),
+            operator: operator.into(),
+            reason: reason.into(),
+            data: STANDARD.encode(bytes),
+        }
+    }
+}
+
+/// Returns the links of the configuration records among `records`, which follow `prev`.
+pub fn export<'a>(prev: Hash, records: impl IntoIterator<Item = (Offset, &'a [u8])>) -> Vec<Link> {
+    let mut prev = prev;
+    let mut links = Vec::new();
+    for (offset, bytes) in records {
+        if record::is_config(bytes) {
+            links.push(Link::new(&prev, offset, bytes));
+            prev = extend(&prev, offset, bytes);
+        }
+    }
+    links
+}
+
+/// Checks that `links` form the chain from `start`, and end at `end` if it is given.
+///
+/// Without `end`, records missing after the last link can't be seen.
+pub fn verify(start: Hash, links: &[Link], end: Option<Hash>) -> Result<Hash> {
+    let mut prev = start;
+    let mut last = None;
+    for link in links {
+        let broken = |fault| Broken { offset: link.offset, fault };
+        if link.prev != prev.to_string() || last.is_some_and(|last| link.offset <= last) {
+            return Err(broken(BrokenFault::Missing));
+        }
+        let bytes = STANDARD.decode(&link.data).map_err(|_| broken(BrokenFault::Changed))?;
+        if *link != Link::new(&prev, link.offset, &bytes) {
+            return Err(broken(BrokenFault::Changed));
+        }
+        prev = extend(&prev, link.offset, &bytes);
+        last = Some(link.offset);
+    }
+    match end {
+        Some(end) if end != prev => {
+            Err(Broken { offset: last.unwrap_or_default(), fault: BrokenFault::Short })
+        }
+        _ => Ok(prev),
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/src/record/outbox.rs
@@ -0,0 +1,107 @@
+//! One class of a writer's appends: one at a time, found again before it is tried again.
+
+use std::collections::VecDeque;
+
+use crate::error::Result;
+use crate::ids::Incarnation;
+use crate::record::{Body, Record};
+
+/// An append to send.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Append {
+    /// Sequence of the record; a retry keeps it, so the fold drops the double.
+    pub sequence: u64,
+    /// Bytes to append.
+    pub data: Vec<u8>,
+}
+
+/// Queue of one writer's records of one class.
+///
+/// Invariant: at most one record is between sent and read back, so sequences reach the log in
+/// order, and a late double always counts as one.
+#[derive(Debug)]
+pub struct Outbox {
+    writer: Incarnation,
+    sequence: u64,
+    waiting: VecDeque<Append>,
+    sent: Option<Sent>,
+}
+
+#[derive(Debug)]
+struct Sent {
+    append: Append,
+    lost: bool,
+}
+
+impl Outbox {
+    /// Returns an empty queue.
+    pub const fn new(writer: Incarnation) -> Self {
+        Self { writer, sequence: 0, waiting: VecDeque::new(), sent: None }
+    }
+
+    /// Queues a record and returns its sequence, or why it may not be appended.
+    pub fn push(&mut self, body: Body) -> Result<u64> {
+        let sequence = self.sequence + 1;
+        let data = Record::new(self.writer, sequence, body).to_bytes()?;
+        self.sequence = sequence;
+        self.waiting.push_back(Append { sequence, data });
+        Ok(sequence)
+    }
+
+    /// Returns the next append to send, or `None` while one is under way.
+    pub fn pop(&mut self) -> Option<Append> {
+        if self.sent.is_some() {
+            return None;
+        }
+        let append = self.waiting.pop_front()?;
+        self.sent = Some(Sent { append: append.clone(), lost: false });
+        Some(append)
+    }
+
+    /// Takes back a record that was never sent; returns false if it may be in the log.
+    pub fn cancel(&mut self, sequence: u64) -> bool {
+        let held = self.waiting.len();
+        self.waiting.retain(|append| append.sequence != sequence);
+        self.waiting.len() < held
+    }
+
+    /// Notes that the answer to an append was lost: it may have taken effect.
+    pub fn lost(&mut self, sequence: u64) {
+        if let Some(sent) = self.sent.as_mut().filter(|sent| sent.append.sequence == sequence) {
+            sent.lost = true;
+        }
+    }
+
+    /// Returns the lost append for another try, once the log was read up to a head that was
+    /// asked for after the loss, and the record was not among what was read.
+    pub fn caught_up(&mut self) -> Option<Append> {
+        let sent = self.sent.as_mut().filter(|sent| sent.lost)?;
+        sent.lost = false;
+        Some(sent.append.clone())
+    }
+
+    /// Notes a record read from the log; returns true if it is the one that was under way.
+    pub fn read(&mut self, writer: Incarnation, sequence: u64) -> bool {
+        let under_way = self.sent.as_ref().is_some_and(|sent| sent.append.sequence == sequence);
+        let found = writer == self.writer && under_way;
+        if found {
+            self.sent = None;
+        }
+        found
+    }
+
+    /// Returns true if an append's answer was lost and the log has not been searched for it yet.
+    pub fn is_lost(&self) -> bool {
+        self.sent.as_ref().is_some_and(|sent| sent.lost)
+    }
+
+    /// Returns true if nothing waits and nothing is under way.
+    pub fn is_idle(&self) -> bool {
+        self.sent.is_none() && self.waiting.is_empty()
+    }
+
+    /// Returns the sequence under way.
+    pub fn under_way(&self) -> Option<u64> {
+        self.sent.as_ref().map(|sent| sent.append.sequence)
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/src/snapshot.rs
@@ -0,0 +1,160 @@
+//! Snapshots of the state in the log, in chunks, and the start of a process from them.
+//!
+//! The log keeps records for a limited time, so the keeper appends the whole state again before
+//! the oldest record that a start needs expires. Chunks of one snapshot may be torn by a crash
+//! or interleaved with other records: only a whole one with the right hash counts.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+use crate::error::{Error, ErrorKind, Result};
+use crate::fold::State;
+use crate::ids::{Incarnation, Offset};
+use crate::record::body::SnapshotChunk;
+use crate::record::{self, Body, Class};
+
+/// Most bytes of state in one chunk.
+pub const CHUNK_BYTES: usize = 192 * 1024;
+/// Most chunks of one snapshot.
+pub const MAX_CHUNKS: u32 = 4_096;
+
+/// Most unfinished snapshots held while a process starts.
+const MAX_PARTIAL: usize = 4;
+
+/// Returns the records of a snapshot of `state`; `id` is unique within the writer's life.
+pub fn split(state: &State, id: u64) -> Result<Vec<Body>> {
+    let whole = Bytes::from(state.encode());
+    let count = whole.len().div_ceil(CHUNK_BYTES).max(1) as u32;
+    if count > MAX_CHUNKS {
+        return Err(Error::new(ErrorKind::TooLarge, "the state is too large for a snapshot"));
+    }
+    let hash = Bytes::copy_from_slice(blake3::hash(&whole).as_bytes());
+    let chunk = |index: u32| {
+        let start = index as usize * CHUNK_BYTES;
+        let data = whole.slice(start..whole.len().min(start + CHUNK_BYTES));
+        let up_to = state.next();
+        Body::Chunk(SnapshotChunk { id, index, count, up_to, hash: hash.clone(), data })
+    };
+    Ok((0..count).map(chunk).collect())
+}
+
+/// Collects chunks until a snapshot is whole.
+#[derive(Debug, Default)]
+pub struct Assembler {
+    partial: BTreeMap<Name, Partial>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Name {
+    up_to: Offset,
+    writer: Incarnation,
+    id: u64,
+}
+
+#[derive(Debug)]
+struct Partial {
+    count: u32,
+    hash: Bytes,
+    parts: BTreeMap<u32, Bytes>,
+}
+
+impl Assembler {
+    /// Returns an assembler without chunks.
+    pub const fn new() -> Self {
+        Self { partial: BTreeMap::new() }
+    }
+
+    /// Adds a chunk and returns the state if its snapshot is whole now.
+    pub fn add(&mut self, writer: Incarnation, chunk: SnapshotChunk) -> Option<State> {
+        if chunk.count == 0 || chunk.count > MAX_CHUNKS || chunk.index >= chunk.count {
+            return None;
+        }
+        let name = Name { up_to: chunk.up_to, writer, id: chunk.id };
+        let fresh =
+            || Partial { count: chunk.count, hash: chunk.hash.clone(), parts: BTreeMap::new() };
+        let partial = self.partial.entry(name).or_insert_with(fresh);
+        if partial.count != chunk.count || partial.hash != chunk.hash {
+            return None;
+        }
+        partial.parts.insert(chunk.index, chunk.data);
+        let state = partial.assemble().filter(|state| state.next() == name.up_to);
+        if state.is_some() {
+            self.partial.remove(&name);
+        }
+        while self.partial.len() > MAX_PARTIAL {
+            self.partial.pop_first();
+        }
+        state
+    }
+}
+
+impl Partial {
+    fn assemble(&self) -> Option<State> {
+        if self.parts.len() < self.count as usize {
+            return None;
+        }
+        let whole = self.parts.values().map(Bytes::as_ref).collect::<Vec<_>>().concat();
+        if blake3::hash(&whole).as_bytes() != self.hash.as_ref() {
+            return None;
+        }
+        State::decode(&whole).ok()
+    }
+}
+
+/// The start of a process: finds where to fold from in a log that lost its oldest records.
+///
+/// Feed every record that the log still holds to [`Recovery::scan`], take the state from
+/// [`Recovery::finish`], then read the log again from [`State::next`].
+#[derive(Debug)]
+pub struct Recovery {
+    oldest: Offset,
+    assembler: Assembler,
+    newest: Option<State>,
+}
+
+impl Recovery {
+    /// Returns a recovery for a log whose oldest record is at `oldest`.
+    pub const fn new(oldest: Offset) -> Self {
+        Self { oldest, assembler: Assembler::new(), newest: None }
+    }
+
+    /// Looks at one record.
+    pub fn scan(&mut self, bytes: &[u8]) {
+        let keeper = record::header(bytes).is_some_and(|header| header.class() == Class::Keeper);
+        if !keeper {
+            return;
+        }
+        let Ok(record) = record::decode(bytes) else {
+            return;
+        };
+        let Some(Body::Chunk(chunk)) = record.body else {
+            return;
+        };
+        let Some(state) = self.assembler.add(record.writer, chunk) else {
+            return;
+        };
+        let newer = self.newest.as_ref().is_none_or(|newest| newest.next() <= state.next());
+        if newer && state.next() >= self.oldest {
+            self.newest = Some(state);
+        }
+    }
+
+    /// Returns the state to fold on from.
+    ///
+    /// Fails if the log lost its oldest records and holds no whole snapshot with all records
+    /// after it.
+    pub fn finish(self) -> Result<State> {
+        match self.newest {
+            Some(state) => Ok(state),
+            None if self.oldest == 0 => Ok(State::new()),
+            None => {
+                let detail = format!(
+                    "the log starts at offset {} and holds no whole snapshot after it",
+                    self.oldest
+                );
+                Err(Error::new(ErrorKind::NotReady, detail))
+            }
+        }
+    }
+}
