--- /dev/null
+++ b/crates/egretgate/src/command.rs
@@ -0,0 +1,168 @@
+//! The operators' command line: every subcommand of `egretgate` but `serve`.
+
+mod apply;
+mod args;
+mod check;
+mod connect;
+mod failure;
+mod get;
+mod moves;
+mod output;
+mod quarantine;
+mod records;
+mod report;
+mod status;
+
+use std::ffi::OsString;
+use std::fmt::Write as _;
+use std::io::Write;
+
+use args::Spec;
+pub use failure::{Exit, Failure, Result};
+use output::Output;
+
+/// Where a command takes its arguments from and where it writes to.
+#[derive(Debug)]
+pub struct Call<'a, Out, Err> {
+    /// Arguments after the name of the program.
+    pub args: Vec<OsString>,
+    /// Environment variables.
+    pub vars: Vec<(OsString, OsString)>,
+    /// Results.
+    pub out: &'a mut Out,
+    /// Faults and progress.
+    pub err: &'a mut Err,
+}
+
+/// A subcommand with its words on the command line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Command {
+    Apply,
+    Get,
+    Records,
+    MoveBegin,
+    MoveCancel,
+    MoveShow,
+    QuarantineList,
+    QuarantineLift,
+    ReportBurn,
+    CheckSettings,
+    CheckFile,
+    Status,
+}
+
+impl Command {
+    /// Every command; `check settings` stands before `check FILE`, which takes any word.
+    const ALL: [Self; 12] = [
+        Self::Apply,
+        Self::Get,
+        Self::Records,
+        Self::MoveBegin,
+        Self::MoveCancel,
+        Self::MoveShow,
+        Self::QuarantineList,
+        Self::QuarantineLift,
+        Self::ReportBurn,
+        Self::CheckSettings,
+        Self::CheckFile,
+        Self::Status,
+    ];
+
+    const fn spec(self) -> &'static Spec {
+        match self {
+            Self::Apply => &apply::SPEC,
+            Self::Get => &get::SPEC,
+            Self::Records => &records::SPEC,
+            Self::MoveBegin => &moves::BEGIN,
+            Self::MoveCancel => &moves::CANCEL,
+            Self::MoveShow => &moves::SHOW,
+            Self::QuarantineList => &quarantine::LIST,
+            Self::QuarantineLift => &quarantine::LIFT,
+            Self::ReportBurn => &report::SPEC,
+            Self::CheckSettings => &check::SETTINGS,
+            Self::CheckFile => &check::FILE,
+            Self::Status => &status::SPEC,
+        }
+    }
+
+    /// Returns the command whose words stand first in `args`.
+    fn find(args: &[OsString]) -> Option<Self> {
+        let starts = |command: &Self| {
+            let words = command.spec().words;
+            words.len() <= args.len() && words.iter().zip(args).all(|(word, arg)| arg == *word)
+        };
+        Self::ALL.into_iter().find(starts)
+    }
+}
+
+/// Runs one command and returns how the program ends.
+pub async fn run<Out: Write, Err: Write>(call: Call<'_, Out, Err>) -> Exit {
+    let mut output = Output::new(call.out, call.err);
+    match dispatch(&call.args, call.vars, &mut output).await {
+        Ok(()) => Exit::Done,
+        Err(failure) => {
+            output.fault(&failure);
+            failure.exit
+        }
+    }
+}
+
+/// Returns the help text of the whole program.
+pub fn help() -> String {
+    let mut out = String::from(
+        "Usage: egretgate COMMAND [ARGUMENT]...\n\nCommands:\n  serve\n      Runs the entry.\n",
+    );
+    for command in Command::ALL {
+        let spec = command.spec();
+        let _ = writeln!(out, "  {}\n      {}", spec.usage(), spec.about);
+    }
+    out.push_str("\nEach command prints its own help with --help.\n\n");
+    out.push_str(Exit::HELP);
+    out
+}
+
+async fn dispatch(
+    args: &[OsString],
+    vars: Vec<(OsString, OsString)>,
+    output: &mut Output<'_>,
+) -> Result<()> {
+    if args.is_empty() || args[0] == "--help" || args[0] == "-h" || args[0] == "help" {
+        return output.text(&help());
+    }
+    let Some(command) = Command::find(args) else {
+        return Err(Failure::usage(unknown(args)));
+    };
+    let spec = command.spec();
+    let rest = args[spec.words.len()..].to_vec();
+    if command == Command::CheckSettings {
+        return check::settings(rest, vars, output);
+    }
+    let Some(parsed) = spec.parse(rest, vars)? else {
+        return output.text(&spec.help());
+    };
+    match command {
+        Command::Apply => apply::run(&parsed, output).await,
+        Command::Get => get::run(&parsed, output).await,
+        Command::Records => records::run(&parsed, output).await,
+        Command::MoveBegin => moves::begin(&parsed, output).await,
+        Command::MoveCancel => moves::cancel(&parsed, output).await,
+        Command::MoveShow => moves::show(&parsed, output).await,
+        Command::QuarantineList => quarantine::list(&parsed, output).await,
+        Command::QuarantineLift => quarantine::lift(&parsed, output).await,
+        Command::ReportBurn => report::run(&parsed, output).await,
+        Command::CheckFile => check::file(&parsed, output),
+        Command::Status => status::run(&parsed, output).await,
+        Command::CheckSettings => Ok(()),
+    }
+}
+
+fn unknown(args: &[OsString]) -> String {
+    let first = args[0].to_string_lossy();
+    let starts = |command: &Command| args[0] == command.spec().words[0];
+    let close: Vec<String> =
+        Command::ALL.into_iter().filter(starts).map(|command| command.spec().usage()).collect();
+    if close.is_empty() {
+        return format!("no command `{first}`; see egretgate --help");
+    }
+    format!("`{first}` is incomplete; expected\n  {}", close.join("\n  "))
+}
--- /dev/null
+++ b/crates/egretgate/src/command/failure.rs
@@ -0,0 +1,91 @@
+//! How commands fail and how the program ends.
+
+use std::process::ExitCode;
+
+use egretgate_operator::ClientError;
+use egretgate_settings::Faults;
+use eyre::{Report, eyre};
+
+/// Result of a command.
+pub type Result<T> = std::result::Result<T, Failure>;
+
+/// How the program ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Exit {
+    /// Done as asked.
+    Done = 0,
+    /// Refused, or a fault was found.
+    Refused = 1,
+    /// The command line or the settings are wrong; nothing was asked of any process.
+    Usage = 2,
+    /// A process was not reached, its answer was lost, or it is not yet in force there.
+    Unreachable = 3,
+}
+
+/// Why a command failed.
+#[derive(Debug)]
+pub struct Failure {
+    /// How the program ends.
+    pub exit: Exit,
+    /// What failed, with its causes.
+    pub report: Report,
+}
+
+impl Exit {
+    /// Explains each code, for help.
+    pub const HELP: &'static str = "Exit codes:\n  \
+        0  done as asked\n  \
+        1  refused, or a fault was found\n  \
+        2  wrong command line or settings; nothing was asked of any process\n  \
+        3  a process was not reached, its answer was lost, or it is not in force there yet\n";
+}
+
+impl Failure {
+    /// Returns a refusal.
+    pub fn refused(what: impl Into<String>) -> Self {
+        Self { exit: Exit::Refused, report: Report::msg(what.into()) }
+    }
+
+    /// Returns a fault of the command line or the settings.
+    pub fn usage(what: impl Into<String>) -> Self {
+        Self { exit: Exit::Usage, report: Report::msg(what.into()) }
+    }
+
+    /// Returns a failure to reach a process.
+    pub fn unreachable(what: impl Into<String>) -> Self {
+        Self { exit: Exit::Unreachable, report: Report::msg(what.into()) }
+    }
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit as u8)
+    }
+}
+
+impl From<Report> for Failure {
+    fn from(report: Report) -> Self {
+        Self { exit: Exit::Refused, report }
+    }
+}
+
+impl From<Faults> for Failure {
+    fn from(faults: Faults) -> Self {
+        Self { exit: Exit::Usage, report: faults.into() }
+    }
+}
+
+impl From<ClientError> for Failure {
+    fn from(error: ClientError) -> Self {
+        match error {
+            ClientError::Refused(error) => Self {
+                exit: Exit::Refused,
+                report: eyre!("refused ({}): {}", error.kind.code(), error.detail),
+            },
+            ClientError::Unreachable(_) | ClientError::Lost(_) => {
+                Self { exit: Exit::Unreachable, report: error.into() }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretgate/src/command/records.rs
@@ -0,0 +1,123 @@
+//! `records`: the digest chain of records, for export and verification.
+
+use std::fs;
+use std::pin::pin;
+
+use blake3::Hash;
+use egretgate_core::record::chain::{self, Link};
+use egretgate_operator::proto;
+use eyre::{WrapErr, eyre};
+use futures::TryStreamExt;
+use serde::Serialize;
+
+use super::args::{Flag, Parsed, Spec};
+use super::connect;
+use super::failure::{Failure, Result};
+use super::output::Output;
+
+/// `records`.
+pub(super) static SPEC: Spec = Spec {
+    words: &["records"],
+    operands: &[],
+    about: "Prints records with operator, reason and outcome, or verifies an export.",
+    flags: &[
+        Flag { name: "from", unit: "OFFSET", help: "First offset wanted [default: 0]." },
+        Flag { name: "limit", unit: "COUNT", help: "Most records wanted [default: all]." },
+        Flag {
+            name: "json",
+            unit: "",
+            help: "Prints one JSON object for each record: the form that --verify reads.",
+        },
+        Flag {
+            name: "verify",
+            unit: "FILE",
+            help: "Verifies the chain of an export without asking any entry.",
+        },
+        Flag {
+            name: "digest",
+            unit: "HEX",
+            help: "With --verify, the digest that the export must end at.",
+        },
+    ],
+    remote: true,
+};
+
+/// One record as JSON: the chain's link, and what the fold decided.
+#[derive(Serialize)]
+struct Line<'a> {
+    #[serde(flatten)]
+    link: &'a Link,
+    outcome: &'a str,
+    detail: &'a str,
+}
+
+/// Prints or verifies records.
+pub(super) async fn run(parsed: &Parsed, output: &mut Output<'_>) -> Result<()> {
+    match parsed.value("verify") {
+        Some(name) => verify(name, parsed.value("digest"), output),
+        None => print(parsed, output).await,
+    }
+}
+
+async fn print(parsed: &Parsed, output: &mut Output<'_>) -> Result<()> {
+    let from = parsed.parsed("from", "an offset", 0)?;
+    let limit = parsed.parsed("limit", "a whole number", 0)?;
+    let json = parsed.has("json");
+    let mut client = connect::first(&parsed.settings, output).await?;
+    let mut records = pin!(client.records(from, limit).await?);
+    let mut prev: Option<String> = None;
+    while let Some(record) = records.try_next().await? {
+        let link = link(&record)?;
+        if prev.as_ref().is_some_and(|prev| *prev != link.prev) {
+            let offset = link.offset;
+            return Err(Failure::refused(format!(
+                "offset {offset}: a record before it is missing"
+            )));
+        }
+        if json {
+            let (outcome, detail) = (record.outcome.as_str(), record.detail.as_str());
+            output.json(&Line { link: &link, outcome, detail })?;
+        } else {
+            let proto::Record { offset, kind, operator, reason, outcome, detail, .. } = &record;
+            output.line(format_args!(
+                "{offset} {kind} operator={operator:?} reason={reason:?} outcome={outcome:?} \
+                 detail={detail:?}"
+            ))?;
+        }
+        prev = Some(link.digest);
+    }
+    Ok(())
+}
+
+/// Returns the link of a record, once its digest is found to be right.
+fn link(record: &proto::Record) -> Result<Link> {
+    let offset = record.offset;
+    let prev = Hash::from_slice(&record.prev)
+        .wrap_err_with(|| format!("offset {offset}: the digest is malformed"))?;
+    let link = Link::new(&prev, offset, &record.data);
+    if link.digest != super::output::hex(&record.digest) {
+        return Err(Failure::refused(format!(
+            "offset {offset}: the record does not fit its digest"
+        )));
+    }
+    Ok(link)
+}
+
+fn verify(name: &str, end: Option<&str>, output: &mut Output<'_>) -> Result<()> {
+    let text = fs::read_to_string(name).wrap_err_with(|| format!("{name}: can't be read"))?;
+    let links = text.lines().enumerate().map(|(index, line)| {
+        serde_json::from_str(line).wrap_err_with(|| format!("{name}:{}: not a record", index + 1))
+    });
+    let links: Vec<Link> = links.collect::<eyre::Result<_>>()?;
+    let Some(first) = links.first() else {
+        return Err(Failure::refused(format!("{name}: holds no record")));
+    };
+    let start =
+        Hash::from_hex(&first.prev).wrap_err_with(|| format!("{name}:1: malformed digest"))?;
+    let end = end.map(Hash::from_hex).transpose();
+    let end = end.map_err(|error| Failure::usage(format!("--digest: {error}")))?;
+    let digest = chain::verify(start, &links, end)
+        .map_err(|broken| eyre!("{name}: offset {}: {:?}", broken.offset, broken.fault))?;
+    let whole = if start == chain::START { "from the start" } else { "from a later record" };
+    output.line(format_args!("{name}: {} records verify {whole}, digest {digest}", links.len()))
+}
--- /dev/null
+++ b/crates/egretgate/src/command/report.rs
@@ -0,0 +1,98 @@
+//! `report burn`: error budgets of tiers and teams.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use egretgate_core::burn::{Alert, Line, Report, Row, merge, report};
+use egretgate_operator::{Client, ClientError, ClientResult, proto};
+use egretgate_settings::Secret;
+use eyre::eyre;
+
+use super::args::{Flag, Parsed, Spec};
+use super::failure::{Failure, Result};
+use super::output::Output;
+
+/// `report burn`.
+pub(super) static SPEC: Spec = Spec {
+    words: &["report", "burn"],
+    operands: &[],
+    about: "Prints error budgets and burn by tier and team, summed over the entries named.",
+    flags: &[
+        Flag { name: "json", unit: "", help: "Prints one JSON object." },
+        Flag { name: "teams", unit: "", help: "Prints teams too, not only tiers." },
+    ],
+    remote: true,
+};
+
+/// Prints the burn report over every entry that was named.
+pub(super) async fn run(parsed: &Parsed, output: &mut Output<'_>) -> Result<()> {
+    let token = parsed.settings.token.as_ref().map(Secret::expose);
+    let mut seen = BTreeSet::new();
+    let mut rows: Vec<Row> = Vec::new();
+    let mut missing = Vec::new();
+    for &address in &parsed.settings.addresses {
+        match ask(address, token).await {
+            Ok(reply) => {
+                // One entry under two addresses counts once.
+                if seen.insert(reply.incarnation) {
+                    let read = reply.rows.into_iter().map(Row::try_from);
+                    rows.extend(
+                        read.collect::<egretgate_core::Result<Vec<_>>>()
+                            .map_err(|error| eyre!(error))?,
+                    );
+                }
+            }
+            Err(error @ ClientError::Refused(_)) => return Err(error.into()),
+            Err(error) => missing.push(error.to_string()),
+        }
+    }
+    if seen.is_empty() {
+        return Err(Failure::unreachable(missing.join("\n")));
+    }
+    let report = report(&merge(rows));
+    if parsed.has("json") {
+        output.json(&report)?;
+    } else {
+        print(&report, parsed.has("teams"), output)?;
+    }
+    if missing.is_empty() {
+        return Ok(());
+    }
+    let what = format!("the report is partial; it lacks\n{}", missing.join("\n"));
+    Err(Failure::unreachable(what))
+}
+
+async fn ask(address: SocketAddr, token: Option<&str>) -> ClientResult<proto::BurnReply> {
+    Client::connect(address, token).await?.burn().await
+}
+
+fn print(report: &Report, teams: bool, output: &mut Output<'_>) -> Result<()> {
+    let windows = report.windows_s.map(|seconds| format!("burn {}", length(seconds)));
+    let mut header = vec!["tier", "team", "objective", "good", "bad", "budget left"];
+    header.extend(windows.iter().map(String::as_str));
+    header.push("alert");
+    let lines = report.tiers.iter().chain(report.teams.iter().filter(|_| teams));
+    output.table(&header, lines.map(cells).collect())
+}
+
+fn cells(line: &Line) -> Vec<String> {
+    let mut cells = vec![
+        line.tier.clone(),
+        line.team.clone().unwrap_or_else(|| "(all)".to_owned()),
+        line.objective.to_string(),
+        line.good.to_string(),
+        line.bad.to_string(),
+        format!("{:.1}%", line.left * 100.0),
+    ];
+    cells.extend(line.burn.iter().map(|burn| format!("{burn:.2}")));
+    cells.push(line.alert.map_or("-", Alert::as_str).to_owned());
+    cells
+}
+
+fn length(seconds: u64) -> String {
+    if seconds.is_multiple_of(3600) {
+        format!("{}h", seconds / 3600)
+    } else {
+        format!("{}m", seconds / 60)
+    }
+}
--- /dev/null
+++ b/crates/egretgate/src/command/status.rs
@@ -0,0 +1,86 @@
+//! `status`: how far each process has folded the log.
+
+use egretgate_operator::proto;
+use serde::Serialize;
+
+use super::args::{Flag, Parsed, Spec};
+use super::connect;
+use super::failure::Result;
+use super::output::{Output, hex};
+
+/// `status`.
+pub(super) static SPEC: Spec = Spec {
+    words: &["status"],
+    operands: &[],
+    about: "Prints how far each process has folded the log, and whether it agrees.",
+    flags: &[Flag { name: "json", unit: "", help: "Prints one JSON object." }],
+    remote: true,
+};
+
+/// State of all processes as JSON.
+#[derive(Serialize)]
+struct Report {
+    offset: u64,
+    digest: String,
+    log_reachable: bool,
+    processes: Vec<Process>,
+}
+
+/// State of one process as JSON.
+#[derive(Serialize)]
+struct Process {
+    role: String,
+    instance: String,
+    place: String,
+    offset: u64,
+    digest: String,
+    age_ms: u64,
+    state: &'static str,
+}
+
+/// Prints the state of each process.
+pub(super) async fn run(parsed: &Parsed, output: &mut Output<'_>) -> Result<()> {
+    let mut client = connect::first(&parsed.settings, output).await?;
+    let reply = client.status().await?;
+    let report = Report {
+        offset: reply.offset,
+        digest: hex(&reply.digest),
+        log_reachable: reply.log_reachable,
+        processes: reply.processes.iter().map(|process| describe(process, &reply)).collect(),
+    };
+    if parsed.has("json") {
+        return output.json(&report);
+    }
+    let log = if report.log_reachable { "reachable" } else { "not reachable" };
+    output.line(format_args!("offset {}, digest {}, log {log}", report.offset, report.digest))?;
+    let row = |process: &Process| {
+        vec![
+            process.role.clone(),
+            process.instance.clone(),
+            process.place.clone(),
+            process.offset.to_string(),
+            format!("{} ms", process.age_ms),
+            process.state.to_owned(),
+        ]
+    };
+    let rows = report.processes.iter().map(row).collect();
+    output.table(&["role", "instance", "place", "offset", "heard", "state"], rows)
+}
+
+fn describe(process: &proto::Process, reply: &proto::StatusReply) -> Process {
+    let state = match process.offset.cmp(&reply.offset) {
+        std::cmp::Ordering::Less => "behind",
+        std::cmp::Ordering::Greater => "ahead",
+        std::cmp::Ordering::Equal if process.digest == reply.digest => "in force",
+        std::cmp::Ordering::Equal => "differs",
+    };
+    Process {
+        role: process.role.clone(),
+        instance: process.instance.clone(),
+        place: process.place.clone(),
+        offset: process.offset,
+        digest: hex(&process.digest),
+        age_ms: process.age_ms,
+        state,
+    }
+}
--- a/crates/egretgate/src/lib.rs
+++ b/crates/egretgate/src/lib.rs
@@ -1,1 +1,3 @@
-//! Stub.
+//! The entry process and the command line of operators.
+
+pub mod command;
--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -108,9 +108,7 @@
 
     /// Returns whether a live engine holds the version; an empty one is held by all.
     pub(crate) fn serves(&self, version: &str) -> bool {
-        self.engines
-            .values()
-            .any(|engine| engine.health != Health::Down && engine.holds(version))
+        self.engines.values().any(|engine| engine.health != Health::Down && engine.holds(version))
     }
 
     /// Returns the engines that may start something now, emptiest first.
--- a/crates/egretside/src/feed.rs
+++ b/crates/egretside/src/feed.rs
@@ -100,7 +100,13 @@
     }
 
     /// Notes a death of one of this process's engines, `at` milliseconds after its start.
-    pub(crate) fn died(&mut self, upstream: &UpstreamId, life: Incarnation, deaths: &Deaths, at: u64) {
+    pub(crate) fn died(
+        &mut self,
+        upstream: &UpstreamId,
+        life: Incarnation,
+        deaths: &Deaths,
+        at: u64,
+    ) {
         let digests: Vec<Digest> =
             deaths.digests.iter().filter_map(|bytes| Digest::from_slice(bytes)).collect();
         self.local.died(Death::new(upstream, life, deaths.sequence), &digests, at);
@@ -110,9 +116,11 @@
     /// again.
     pub(crate) fn knows_death(&self, deaths: &Deaths) -> bool {
         let quarantine = self.shared.quarantine();
-        deaths.digests.iter().filter_map(|bytes| Digest::from_slice(bytes)).all(|digest| {
-            quarantine.is_suspect(&digest) || quarantine.is_quarantined(&digest)
-        })
+        deaths
+            .digests
+            .iter()
+            .filter_map(|bytes| Digest::from_slice(bytes))
+            .all(|digest| quarantine.is_suspect(&digest) || quarantine.is_quarantined(&digest))
     }
 
     /// Clears a suspect whose request was completed.
