--- a/crates/egretgate-core/src/burn.rs
+++ b/crates/egretgate-core/src/burn.rs
@@ -146,6 +146,11 @@
         self.tiers.iter().map(BTreeMap::len).sum()
     }
 
+    /// Returns the number of buckets held, 12 bytes each: at most 96 in a series.
+    pub fn buckets(&self) -> usize {
+        self.tiers.iter().flat_map(BTreeMap::values).map(Series::len).sum()
+    }
+
     /// Returns true if nothing is counted.
     pub fn is_empty(&self) -> bool {
         self.tiers.iter().all(BTreeMap::is_empty)
--- a/crates/egretgate-core/src/burn/series.rs
+++ b/crates/egretgate-core/src/burn/series.rs
@@ -63,6 +63,11 @@
         !(self.fine.is_empty() && self.coarse.is_empty())
     }
 
+    /// Returns the number of buckets.
+    pub(super) fn len(&self) -> usize {
+        self.fine.len() + self.coarse.len()
+    }
+
     /// Returns the counts over [`WINDOWS`] up to `minute`, the current bucket included.
     pub(super) fn counts(&self, minute: u32) -> [Count; WINDOWS.len()] {
         WINDOWS.map(|window| self.count(minute, (window.as_secs() / FINE.as_secs()) as u32))
--- /dev/null
+++ b/crates/egretgate-core/tests/check.rs
@@ -0,0 +1,312 @@
+//! Faults of declarations: each is found, and named by line and field.
+
+use std::fmt::Write as _;
+use std::fs;
+use std::path::Path;
+
+use egretgate_core::check::{MAX_FILE_BYTES, faults, parse};
+use egretgate_core::declaration::Declarations;
+
+/// A file without fault; each case changes one part of it.
+const BASE: &str = "\
+[tiers.door]
+rank = 0
+[services.writers]
+kind = \"engine\"
+version = \"v1\"
+[services.ledger]
+kind = \"plain\"
+version = \"v1\"
+[teams.rounds]
+tier = \"door\"
+[routes.reports]
+service = \"writers\"
+model = \"reports\"
+[routes.tags]
+service = \"ledger\"
+path = \"/tags/\"
+once = true
+";
+
+struct Case {
+    name: &'static str,
+    /// Replaces this text of [`BASE`].
+    from: &'static str,
+    to: &'static str,
+    line: usize,
+    field: &'static str,
+    /// Part of what is said.
+    what: &'static str,
+}
+
+const CASES: [Case; 25] = [
+    Case {
+        name: "missing tier",
+        from: "tier = \"door\"",
+        to: "tier = \"urgent\"",
+        line: 10,
+        field: "teams.rounds.tier",
+        what: "no tier `urgent`",
+    },
+    Case {
+        name: "unknown field",
+        from: "rank = 0",
+        to: "rank = 0\nrnak = 1",
+        line: 3,
+        field: "tiers.door.rnak",
+        what: "unknown field `rnak`",
+    },
+    Case {
+        name: "wrong type",
+        from: "rank = 0",
+        to: "rank = \"first\"",
+        line: 2,
+        field: "tiers.door.rank",
+        what: "invalid type: string",
+    },
+    Case {
+        name: "number out of its type",
+        from: "rank = 0",
+        to: "rank = 256",
+        line: 2,
+        field: "tiers.door.rank",
+        what: "256",
+    },
+    Case {
+        name: "missing field",
+        from: "service = \"writers\"\n",
+        to: "",
+        line: 11,
+        field: "routes.reports",
+        what: "missing field `service`",
+    },
+    Case {
+        name: "unknown section",
+        from: "[tiers.door]",
+        to: "[regions.north]\n[tiers.door]",
+        line: 1,
+        field: "regions",
+        what: "unknown section",
+    },
+    Case {
+        name: "section of another type",
+        from: "[tiers.door]\nrank = 0",
+        to: "tiers = 3",
+        line: 1,
+        field: "tiers",
+        what: "expected tables",
+    },
+    Case {
+        name: "malformed file",
+        from: "rank = 0",
+        to: "rank = ",
+        line: 2,
+        field: "file",
+        what: "",
+    },
+    Case {
+        name: "item declared twice",
+        from: "[teams.rounds]",
+        to: "[tiers.door]\n[teams.rounds]",
+        line: 9,
+        field: "file",
+        what: "duplicate key",
+    },
+    Case {
+        name: "duplicate rank",
+        from: "rank = 0",
+        to: "rank = 0\n[tiers.early]\nrank = 0",
+        line: 4,
+        field: "tiers.early.rank",
+        what: "taken by tier `door`",
+    },
+    Case {
+        name: "rank too high",
+        from: "rank = 0",
+        to: "rank = 8",
+        line: 2,
+        field: "tiers.door.rank",
+        what: "not below 8",
+    },
+    Case {
+        name: "objective of one",
+        from: "rank = 0",
+        to: "rank = 0\nobjective = 1.0",
+        line: 3,
+        field: "tiers.door.objective",
+        what: "between 0 and 1",
+    },
+    Case {
+        name: "objective that is no number",
+        from: "rank = 0",
+        to: "rank = 0\nobjective = nan",
+        line: 3,
+        field: "tiers.door.objective",
+        what: "between 0 and 1",
+    },
+    Case {
+        name: "no time",
+        from: "rank = 0",
+        to: "rank = 0\ndeadline_ms = 0",
+        line: 3,
+        field: "tiers.door.deadline_ms",
+        what: "0 is not in 1..=",
+    },
+    Case {
+        name: "team's list lacks its own tier",
+        from: "tier = \"door\"",
+        to: "tier = \"door\"\ntiers = [\"door\", \"door\"]",
+        line: 11,
+        field: "teams.rounds.tiers",
+        what: "named twice",
+    },
+    Case {
+        name: "key that is no hash",
+        from: "tier = \"door\"",
+        to: "tier = \"door\"\nkeys = [\"secret\"]",
+        line: 11,
+        field: "teams.rounds.keys",
+        what: "BLAKE3",
+    },
+    Case {
+        name: "key of two teams",
+        from: "tier = \"door\"",
+        to: "tier = \"door\"\nkeys = [\"0000000000000000000000000000000000000000000000000000000000000000\"]\n\
+             [teams.second]\ntier = \"door\"\nkeys = [\"0000000000000000000000000000000000000000000000000000000000000000\"]",
+        line: 14,
+        field: "teams.second.keys",
+        what: "also a key of team `rounds`",
+    },
+    Case {
+        name: "name with a space",
+        from: "[teams.rounds]",
+        to: "[teams.\"two rounds\"]",
+        line: 9,
+        field: "teams.two rounds",
+        what: "a name holds only",
+    },
+    Case {
+        name: "missing service",
+        from: "service = \"ledger\"",
+        to: "service = \"legder\"",
+        line: 15,
+        field: "routes.tags.service",
+        what: "no service `legder`",
+    },
+    Case {
+        name: "model and path",
+        from: "path = \"/tags/\"",
+        to: "path = \"/tags/\"\nmodel = \"tags\"",
+        line: 16,
+        field: "routes.tags.path",
+        what: "not both",
+    },
+    Case {
+        name: "neither model nor path",
+        from: "model = \"reports\"\n",
+        to: "",
+        line: 11,
+        field: "routes.reports.model",
+        what: "needs a model or a path",
+    },
+    Case {
+        name: "once on engines",
+        from: "model = \"reports\"",
+        to: "model = \"reports\"\nonce = true",
+        line: 14,
+        field: "routes.reports.once",
+        what: "only a route to a plain service",
+    },
+    Case {
+        name: "model used twice",
+        from: "[routes.tags]",
+        to: "[routes.second]\nservice = \"writers\"\nmodel = \"reports\"\n[routes.tags]",
+        line: 16,
+        field: "routes.second.model",
+        what: "already selects route `reports`",
+    },
+    Case {
+        name: "path used twice",
+        from: "once = true",
+        to: "once = true\n[routes.zones]\nservice = \"ledger\"\npath = \"/tags/\"",
+        line: 20,
+        field: "routes.zones.path",
+        what: "already selects route `tags`",
+    },
+    Case {
+        name: "path that leads upwards",
+        from: "path = \"/tags/\"",
+        to: "path = \"/tags/../\"",
+        line: 16,
+        field: "routes.tags.path",
+        what: "'..' segment",
+    },
+];
+
+#[test]
+fn base_has_no_fault() {
+    assert_eq!(parse(BASE).map(|declared| faults(&declared)), Ok(Vec::new()));
+}
+
+#[test]
+fn each_fault_names_line_and_field() {
+    for case in CASES {
+        assert!(BASE.contains(case.from), "{}", case.name);
+        let found = parse(&BASE.replace(case.from, case.to)).expect_err(case.name);
+        let fits = found.iter().any(|fault| {
+            fault.line == Some(case.line)
+                && fault.field() == case.field
+                && fault.what.contains(case.what)
+        });
+        assert!(fits, "{}: {found:?}", case.name);
+    }
+}
+
+#[test]
+fn all_faults_are_told_at_once() {
+    let text = BASE.replace("rank = 0", "rank = 9").replace("\"/tags/\"", "\"tags\"");
+    let fields: Vec<String> = parse(&text)
+        .expect_err("two faults")
+        .iter()
+        .map(egretgate_core::check::Fault::field)
+        .collect();
+    assert_eq!(fields, ["tiers.door.rank", "routes.tags.path"]);
+    let text = BASE.replace("rank = 0", "rnak = 0").replace("once = true", "once = 1");
+    assert_eq!(parse(&text).expect_err("two items can't be read").len(), 2);
+}
+
+#[test]
+fn oversized_file_is_refused_by_size() {
+    let text = "#".repeat(MAX_FILE_BYTES + 1);
+    let found = parse(&text).expect_err("too large");
+    assert_eq!(
+        found[0].at("big.toml"),
+        "big.toml:1: file: 4194305 bytes; a file has at most 4194304"
+    );
+}
+
+#[test]
+fn both_houses_declarations_have_no_fault() {
+    for name in ["recife", "ulaanbaatar"] {
+        let path =
+            Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("../../examples/{name}.toml"));
+        let declared = parse(&fs::read_to_string(path).expect(name)).expect(name);
+        assert_eq!(declared.teams.len(), 5, "{name}");
+        assert_eq!(declared.services.len(), 2, "{name}");
+        assert!(declared.routes.values().any(|route| route.once), "{name}");
+    }
+}
+
+/// The users' target has 7,400 teams and 4 tiers.
+#[test]
+fn declarations_of_the_target_fit_in_a_file() {
+    let mut text = String::from(BASE);
+    for index in 0..7_400 {
+        let _ = write!(
+            text,
+            "[teams.team-{index}]\ntier = \"door\"\nweight = 2\nin_flight = 64\nkeys = [\"{index:064x}\"]\n"
+        );
+    }
+    let declared: Declarations = parse(&text).expect("no fault");
+    assert_eq!(declared.teams.len(), 7_401);
+}
