--- a/crates/egretgate-caller/src/call.rs
+++ b/crates/egretgate-caller/src/call.rs
@@ -81,7 +81,7 @@
 }
 
 /// Start of an answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Head {
     /// HTTP status of the upstream.
     pub status: u16,
--- a/crates/egretgate-core/src/fold.rs
+++ b/crates/egretgate-core/src/fold.rs
@@ -115,6 +115,15 @@
         &self.shared
     }
 
+    /// Takes a peer's configuration, if it is ahead of this one. Offsets never go back.
+    pub fn adopt(&mut self, shared: Shared) -> bool {
+        let newer = shared.next() > self.shared.next();
+        if newer {
+            self.shared = shared;
+        }
+        newer
+    }
+
     /// Returns the intents and outcomes.
     pub const fn keys(&self) -> &Keys {
         &self.keys
--- a/crates/egretgate-core/src/fold/quarantine.rs
+++ b/crates/egretgate-core/src/fold/quarantine.rs
@@ -15,7 +15,7 @@
 const DEATHS: u32 = 2;
 
 /// Digests that were in flight when upstreams died.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Quarantine {
     suspects: BTreeMap<Digest, Suspect>,
 }
@@ -38,6 +38,11 @@
         self.suspects.get(digest).is_some_and(|suspect| suspect.deaths < DEATHS)
     }
 
+    /// Returns every digest held with the number of its deaths, in order.
+    pub fn iter(&self) -> impl Iterator<Item = (Digest, u32)> {
+        self.suspects.iter().map(|(digest, suspect)| (*digest, suspect.deaths))
+    }
+
     /// Returns the quarantined digests in order.
     pub fn quarantined(&self) -> impl Iterator<Item = Digest> {
         let held = self.suspects.iter().filter(|(_, suspect)| suspect.deaths >= DEATHS);
--- /dev/null
+++ b/crates/egretgate-fakes/examples/fleet/load.rs
@@ -0,0 +1,185 @@
+//! The load: an open loop of mixed requests, each followed to its end.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use egretgate_engine::TokenMeter;
+use egretgate_fakes::engine::expected_completion;
+use egretgate_http::{Call, Client};
+use http::HeaderName;
+use indicatif::{ProgressBar, ProgressDrawTarget};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Deserialize;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+use crate::options::Options;
+use crate::world::World;
+
+/// Tiers of the load, most urgent first.
+pub const TIERS: [&str; 4] = ["brief", "rewrite", "caption", "archive"];
+/// Share of requests that go to the plain service.
+const PLAIN_SHARE: f64 = 0.05;
+/// Largest answer read, in bytes.
+const MAX_BODY: usize = 16 << 20;
+
+/// One request of the load.
+#[derive(Debug, Clone)]
+struct Job {
+    tier: usize,
+    team: &'static str,
+    prompt: String,
+    tokens: usize,
+    key: Option<String>,
+}
+
+/// What came of one request.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Position of its tier.
+    pub tier: usize,
+    /// Body that was sent.
+    pub body: Vec<u8>,
+    /// Idempotency key of a plain call.
+    pub key: Option<String>,
+    /// How it ended.
+    pub end: End,
+}
+
+/// How a request ended.
+#[derive(Debug)]
+pub enum End {
+    /// A whole answer; its text was the expected one if `exact`.
+    Whole {
+        /// Time from sending to the first token.
+        first: Duration,
+        /// Mean time between tokens.
+        between: Duration,
+        /// True if the text was the expected one.
+        exact: bool,
+        /// True if it was a stream of tokens.
+        stream: bool,
+    },
+    /// A refusal or failure in the error shape.
+    Failed {
+        /// Code of the error kind.
+        code: String,
+        /// Whether it was run: `yes`, `no` or `unknown`.
+        ran: String,
+    },
+    /// The connection failed.
+    Broken(String),
+}
+
+#[derive(Debug, Deserialize)]
+struct Failure {
+    error: FailureFields,
+}
+
+#[derive(Debug, Deserialize)]
+struct FailureFields {
+    code: String,
+    ran: String,
+}
+
+/// Sends the load and returns the outcomes.
+pub async fn run(world: &World, options: &Options) -> eyre::Result<Vec<Outcome>> {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let callers = world.callers();
+    let clients: Vec<Client> =
+        callers.iter().map(|address: &SocketAddr| Client::new(*address)).collect();
+    let bar =
+        ProgressBar::with_draw_target(Some(options.requests as u64), ProgressDrawTarget::stderr());
+    let mut tasks = JoinSet::new();
+    let mut due = Instant::now();
+    for index in 0..options.requests {
+        due += Duration::from_secs_f64(exponential(&mut rng) / options.rate);
+        sleep_until(due).await;
+        let job = job(index, &mut rng);
+        let client = clients[index % clients.len()].clone();
+        let bar = bar.clone();
+        tasks.spawn(async move {
+            let outcome = send(client, job).await;
+            bar.inc(1);
+            outcome
+        });
+    }
+    let outcomes = tasks.join_all().await;
+    bar.finish_and_clear();
+    Ok(outcomes)
+}
+
+/// Draws a time from the exponential distribution with mean 1.
+fn exponential(rng: &mut impl Rng) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln()
+}
+
+fn job(index: usize, rng: &mut impl Rng) -> Job {
+    let tier = rng.random_range(0..TIERS.len());
+    let team = if rng.random_bool(0.7) { "atelier" } else { "mills" };
+    let key = rng.random_bool(PLAIN_SHARE).then(|| format!("credit-{index}"));
+    let shared = "season notes of the house, kept for every brief. ".repeat(8);
+    let prefix = if rng.random_bool(0.5) { shared } else { String::new() };
+    let length = rng.random_range(20..400);
+    let prompt = format!("{prefix}request {index}: {}", "x".repeat(length));
+    // Lengths differ a hundredfold: log-uniform from 2 to 200 tokens.
+    let tokens = (2.0 * 100_f64.powf(rng.random::<f64>())) as usize;
+    Job { tier, team, prompt, tokens, key }
+}
+
+async fn send(client: Client, job: Job) -> Outcome {
+    let body = body_of(&job);
+    let path = if job.key.is_some() { "/credits/add" } else { "/v1/completions" };
+    let mut call = Call::post(path, body.clone())
+        .header(HeaderName::from_static("x-egret-team"), job.team)
+        .header(HeaderName::from_static("x-egret-tier"), TIERS[job.tier]);
+    if let Some(key) = &job.key {
+        call = call.header(HeaderName::from_static("idempotency-key"), key);
+    }
+    let end = follow(&client, call, &job).await.unwrap_or_else(End::Broken);
+    Outcome { tier: job.tier, body, key: job.key, end }
+}
+
+fn body_of(job: &Job) -> Vec<u8> {
+    let value = serde_json::json!({
+        "model": "forecast",
+        "prompt": job.prompt,
+        "max_tokens": job.tokens,
+        "stream": true,
+    });
+    value.to_string().into_bytes()
+}
+
+async fn follow(client: &Client, call: Call, job: &Job) -> Result<End, String> {
+    let begin = Instant::now();
+    let mut answer = client.send(call).await.map_err(|error| error.to_string())?;
+    if !answer.is_success() {
+        let body = answer.collect(MAX_BODY).await.map_err(|error| error.to_string())?;
+        let failure: Failure = serde_json::from_slice(&body).map_err(|error| error.to_string())?;
+        return Ok(End::Failed { code: failure.error.code, ran: failure.error.ran });
+    }
+    let stream = job.key.is_none();
+    let mut meter = TokenMeter::new();
+    let mut whole = Vec::new();
+    while let Some(part) = answer.chunk().await {
+        let part = part.map_err(|error| error.to_string())?;
+        meter.feed(&part, Instant::now());
+        whole.extend_from_slice(&part);
+    }
+    let first = meter.first().unwrap_or_else(Instant::now).duration_since(begin);
+    let between = meter.mean().unwrap_or_default();
+    let exact = !stream || text_of(&whole) == expected_completion(&job.prompt, job.tokens);
+    Ok(End::Whole { first, between, exact, stream })
+}
+
+/// Returns the text of a stream of completion events.
+fn text_of(stream: &[u8]) -> String {
+    let mut text = String::new();
+    for line in String::from_utf8_lossy(stream).lines() {
+        let Some(data) = line.strip_prefix("data: ") else { continue };
+        let Ok(event) = serde_json::from_str::<serde_json::Value>(data) else { continue };
+        text.push_str(event["choices"][0]["text"].as_str().unwrap_or_default());
+    }
+    text
+}
--- a/crates/egretgate-settings/src/lib.rs
+++ b/crates/egretgate-settings/src/lib.rs
@@ -13,11 +13,13 @@
 
 pub mod entry;
 mod fault;
+mod logging;
 mod rule;
 pub mod side;
 mod table;
 pub mod value;
 
 pub use fault::{Fault, Faults, Result};
+pub use logging::logger;
 pub use table::{Fallback, Read, Setting, Table};
 pub use value::{Engine, Secret};
--- /dev/null
+++ b/crates/egretgate/src/entry.rs
@@ -0,0 +1,15 @@
+//! The entry process: callers' requests in, offers to side processes out.
+
+mod evidence;
+mod fleet;
+mod flight;
+mod instances;
+mod intake;
+mod journal;
+mod link;
+mod operator;
+mod serve;
+mod state;
+mod tally;
+
+pub use serve::{Entry, Options};
--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -130,6 +130,10 @@
     pub digest: Bytes,
     /// True while the link stands.
     pub connected: bool,
+    /// Place of the upstream.
+    pub place: PlaceId,
+    /// Time since it last told its load.
+    pub age: Duration,
 }
 
 #[derive(Debug)]
@@ -142,6 +146,8 @@
     connected: bool,
     offset: u64,
     digest: Bytes,
+    /// When it last told its load, or was listed first.
+    heard: Instant,
 }
 
 #[derive(Debug, Clone)]
@@ -310,6 +316,7 @@
         let Some(side) = self.sides.get_mut(key) else { return };
         let Some(known) = side.known.clone() else { return };
         let name = side.name.clone();
+        side.heard = now;
         side.offset = load.offset;
         side.digest = load.digest.clone();
         let changes = self.membership.heard(&name, &known.place, known.incarnation, now);
@@ -362,9 +369,10 @@
 
     fn listed(&mut self, instances: &[Instance]) {
         for instance in instances {
-            let known = self.sides.values().any(|side| {
-                side.name == instance.name && side.address == instance.address
-            });
+            let known = self
+                .sides
+                .values()
+                .any(|side| side.name == instance.name && side.address == instance.address);
             if !known {
                 self.add_side(instance);
             }
@@ -389,15 +397,11 @@
             connected: false,
             offset: 0,
             digest: Bytes::new(),
+            heard: Instant::now(),
         };
         let key = self.sides.insert(side);
-        let link = Link::new(
-            key,
-            instance.address,
-            self.identity.clone(),
-            receiver,
-            self.own.clone(),
-        );
+        let link =
+            Link::new(key, instance.address, self.identity.clone(), receiver, self.own.clone());
         tokio::spawn(link.run());
         info!(self.log, "side process listed";
             "upstream" => &instance.name, "address" => instance.address);
@@ -462,8 +466,7 @@
         self.gate(&wish.service);
         let Self { gates, choice, rng, .. } = self;
         let gate = gates.get_mut(&wish.service).expect("inserted above");
-        let candidates =
-            choice.iter().filter(|(_, view)| serves(view, wish)).map(|(key, _)| key);
+        let candidates = choice.iter().filter(|(_, view)| serves(view, wish)).map(|(key, _)| key);
         let key = match gate.decide(wish.tier, &wish.tried, candidates, now, rng) {
             Verdict::Offer => self.pick(wish, now),
             Verdict::Probe(keys) => keys.first().copied(),
@@ -504,7 +507,9 @@
                 refusal.clone().after(after)
             }
             None if !self.choice.iter().any(|(_, view)| serves(view, wish)) => self.none_left(wish),
-            None => Error::new(ErrorKind::Overloaded, "every upstream refuses the tier").after(after),
+            None => {
+                Error::new(ErrorKind::Overloaded, "every upstream refuses the tier").after(after)
+            }
         }
     }
 
@@ -540,6 +545,8 @@
             offset: side.offset,
             digest: side.digest.clone(),
             connected: side.connected,
+            place: side.known.as_ref().map(|known| known.place.clone()).unwrap_or_default(),
+            age: side.heard.elapsed(),
         };
         self.sides.values().map(status).collect()
     }
--- a/crates/egretgate/src/entry/flight.rs
+++ b/crates/egretgate/src/entry/flight.rs
@@ -136,7 +136,11 @@
             Verdict::Suspect => true,
             Verdict::Clear => false,
         };
-        if plan.once { self.run_once(view, plan, alone).await } else { self.offer_round(view, plan, alone).await }
+        if plan.once {
+            self.run_once(plan, alone).await
+        } else {
+            self.offer_round(plan, alone).await
+        }
     }
 
     /// Names the request for quarantine: equal bodies of one route have equal digests.
@@ -150,7 +154,7 @@
     }
 
     /// Runs a call that may not be repeated: only after its intent was read back as the first.
-    async fn run_once(&mut self, view: &View, plan: &Plan, alone: bool) -> Result<()> {
+    async fn run_once(&mut self, plan: &Plan, alone: bool) -> Result<()> {
         let key = self.call.key.clone().unwrap_or_else(|| format!("egret-{}", self.ticket));
         self.key = Some(key.clone());
         let (reply, grant) = oneshot::channel();
@@ -171,15 +175,15 @@
             }
         };
         match granted {
-            Ok(Grant::Dispatch) => self.run_granted(view, plan, alone).await,
+            Ok(Grant::Dispatch) => self.run_granted(plan, alone).await,
             Ok(Grant::Recorded(outcome)) => self.replay(outcome).await,
             Ok(Grant::Refused(error)) => Err(error),
             Err(_) => Err(Error::new(ErrorKind::Stopping, "the entry is shutting down")),
         }
     }
 
-    async fn run_granted(&mut self, view: &View, plan: &Plan, alone: bool) -> Result<()> {
-        let result = self.offer_round(view, plan, alone).await;
+    async fn run_granted(&mut self, plan: &Plan, alone: bool) -> Result<()> {
+        let result = self.offer_round(plan, alone).await;
         let ticket = self.ticket;
         let ended = match &result {
             Ok(()) => JournalMessage::Ended { ticket, recorded: self.recorded() },
@@ -207,8 +211,8 @@
     }
 
     /// Offers the request to one upstream after another, each only on proof that it was not run.
-    async fn offer_round(&mut self, view: &View, plan: &Plan, alone: bool) -> Result<()> {
-        let mut wish = self.wish(view, plan);
+    async fn offer_round(&mut self, plan: &Plan, alone: bool) -> Result<()> {
+        let mut wish = self.wish(plan);
         loop {
             let chosen = self.choose(&wish).await?;
             if plan.once && !self.may_dispatch().await {
@@ -233,10 +237,10 @@
         }
     }
 
-    fn wish(&self, view: &View, plan: &Plan) -> Wish {
+    fn wish(&self, plan: &Plan) -> Wish {
         Wish {
             service: plan.service.clone(),
-            version: view.version_for(plan, self.ticket),
+            version: Some(plan.version.clone()),
             tier: plan.tier,
             prompt: self.call.prompt,
             output: self.call.output.unwrap_or(DEFAULT_OUTPUT),
@@ -344,11 +348,8 @@
             "ran" => ran.as_str(),
             "ms" => self.begin.elapsed().as_millis() as u64);
         let Some(plan) = plan else { return };
-        let outcome = Outcome {
-            team: plan.team.clone(),
-            tier: plan.tier_name.clone(),
-            good: self.is_good(plan, result),
-        };
+        let outcome =
+            Outcome { team: plan.team.clone(), tier: plan.tier, good: self.is_good(plan, result) };
         let _ = self.desks.tally.send(TallyMessage::Ended(outcome)).await;
     }
 
@@ -368,10 +369,7 @@
 
 /// Returns whether a refusal leaves hope elsewhere.
 const fn may_retry(kind: ErrorKind) -> bool {
-    !matches!(
-        kind,
-        ErrorKind::Quarantined | ErrorKind::DeadlinePassed | ErrorKind::CallerGone
-    )
+    !matches!(kind, ErrorKind::Quarantined | ErrorKind::DeadlinePassed | ErrorKind::CallerGone)
 }
 
 /// Returns the hash of a bearer key, as declarations hold it.
--- a/crates/egretgate/src/entry/flight/session.rs
+++ b/crates/egretgate/src/entry/flight/session.rs
@@ -180,7 +180,11 @@
         self.whole(session)
     }
 
-    async fn pass(&mut self, session: &mut Session, part: bytes::Bytes) -> egretgate_core::Result<()> {
+    async fn pass(
+        &mut self,
+        session: &mut Session,
+        part: bytes::Bytes,
+    ) -> egretgate_core::Result<()> {
         if let Some(head) = session.head.take()
             && self.head.is_none()
         {
--- /dev/null
+++ b/crates/egretgate/src/entry/instances.rs
@@ -0,0 +1,36 @@
+//! The task that reads the platform's instance list.
+
+use std::time::Duration;
+
+use egretgate_platform::InstanceClient;
+use slog::{Logger, warn};
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::entry::fleet::FleetMessage;
+
+/// Service under which entries stand in the list; they are no upstreams.
+pub(crate) const ENTRY_SERVICE: &str = "egretgate";
+/// Pause between two reads of the list.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Reads the list until the fleet is gone. A list that can't be read changes nothing.
+pub(crate) async fn run(client: InstanceClient, fleet: mpsc::Sender<FleetMessage>, log: Logger) {
+    let mut known = true;
+    while !fleet.is_closed() {
+        match client.list().await {
+            Ok(mut instances) => {
+                known = true;
+                instances.retain(|instance| instance.service != ENTRY_SERVICE);
+                let _ = fleet.send(FleetMessage::Listed(instances)).await;
+            }
+            Err(error) => {
+                if known {
+                    warn!(log, "instance list unreadable"; "error" => error.to_string());
+                }
+                known = false;
+            }
+        }
+        sleep(PAUSE).await;
+    }
+}
--- /dev/null
+++ b/crates/egretgate/src/entry/intake.rs
@@ -0,0 +1,74 @@
+//! The task that names each request and starts its task.
+
+use egretgate_caller::{Ask, Call};
+use egretgate_core::{Error, ErrorKind, Incarnation, Ticket};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::JoinSet;
+
+use crate::entry::flight::{Desks, Flight};
+
+/// Depth of the channel from the HTTP server.
+pub(crate) const ASK_DEPTH: usize = 1024;
+
+/// Orders to the intake.
+#[derive(Debug)]
+pub(crate) enum IntakeMessage {
+    /// Refuse new requests, and answer once every request under way has ended.
+    Stop(oneshot::Sender<()>),
+}
+
+/// State of the intake task.
+#[derive(Debug)]
+pub(crate) struct Intake {
+    incarnation: Incarnation,
+    sequence: u64,
+    desks: Desks,
+    flights: JoinSet<()>,
+    stopping: Option<oneshot::Sender<()>>,
+}
+
+impl Intake {
+    /// Returns an intake that has named no request.
+    pub(crate) fn new(incarnation: Incarnation, desks: Desks) -> Self {
+        Self { incarnation, sequence: 0, desks, flights: JoinSet::new(), stopping: None }
+    }
+
+    /// Handles requests until stopped.
+    pub(crate) async fn run(
+        mut self,
+        mut asks: mpsc::Receiver<Ask>,
+        mut orders: mpsc::Receiver<IntakeMessage>,
+    ) {
+        loop {
+            tokio::select! {
+                ask = asks.recv() => match ask {
+                    Some(Ask::Call(call)) => self.take(*call),
+                    Some(Ask::Models(reply)) => {
+                        let _ = reply.send(self.desks.view.borrow().directory.models());
+                    }
+                    None => return,
+                },
+                Some(IntakeMessage::Stop(reply)) = orders.recv() => self.stopping = Some(reply),
+                Some(_) = self.flights.join_next() => {}
+            }
+            if self.flights.is_empty()
+                && let Some(reply) = self.stopping.take()
+            {
+                let _ = reply.send(());
+                return;
+            }
+        }
+    }
+
+    fn take(&mut self, call: Call) {
+        if self.stopping.is_some() {
+            let error = Error::new(ErrorKind::Stopping, "the entry is shutting down");
+            let _ = call.reply.try_send(egretgate_caller::Reply::Failed(error));
+            return;
+        }
+        self.sequence += 1;
+        let ticket = Ticket::new(self.incarnation, self.sequence);
+        metrics::gauge!("egretgate_flights").set(self.flights.len() as f64);
+        self.flights.spawn(Flight::new(ticket, call, self.desks.clone()).run());
+    }
+}
--- a/crates/egretgate/src/entry/journal.rs
+++ b/crates/egretgate/src/entry/journal.rs
@@ -10,9 +10,9 @@
 use bytes::Bytes;
 use egretgate_core::fold::{Applied, Effect as Folded, Part, State};
 use egretgate_core::intent::{self, Calls};
-use egretgate_core::poison::Poison;
-use egretgate_core::record::Body;
+use egretgate_core::poison::{Poison, PoisonOptions};
 use egretgate_core::record::outbox::{Append, Outbox};
+use egretgate_core::record::{Body, Class};
 use egretgate_core::{Error, ErrorKind, Incarnation, Offset, Result, Ticket};
 use egretgate_link::message::{Deaths, Heartbeat};
 use egretgate_platform::{Batch, LogClient};
@@ -28,7 +28,7 @@
 mod reading;
 
 pub(crate) use calls::{Grant, Recorded};
-use feeding::Recent;
+pub(crate) use feeding::Recent;
 
 /// Depth of the journal's message channel.
 pub(crate) const JOURNAL_DEPTH: usize = 8192;
@@ -69,7 +69,7 @@
 }
 
 /// A question about the state, answered by a closure that runs in the journal's task.
-pub(crate) struct Inspection(pub Box<dyn FnOnce(&State) + Send>);
+pub(crate) struct Inspection(pub Box<dyn FnOnce(&Journal) + Send>);
 
 /// Which of the entry's two queues an append comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -124,7 +124,7 @@
             config: Outbox::new(writer),
             pending: HashMap::new(),
             grants: HashMap::new(),
-            local: Poison::default(),
+            local: Poison::new(PoisonOptions::default()),
             recent: Recent::default(),
             view,
             client,
@@ -141,7 +141,7 @@
         self.read_on(Duration::ZERO);
         loop {
             let now = Instant::now();
-            let wake = self.calls.next_tick().map_or(now + TICK, |due| due.min(now + TICK));
+            let wake = self.calls.next_tick(now).map_or(now + TICK, |due| due.min(now + TICK));
             tokio::select! {
                 message = messages.recv() => match message {
                     Some(message) => self.handle(message).await,
@@ -180,10 +180,25 @@
             JournalMessage::RecordsAsk { key, from } => self.feed(key, from).await,
             JournalMessage::PeerState(state) => self.take_peer_state(&state).await,
             JournalMessage::Deaths { incarnation, deaths } => self.deaths(incarnation, &deaths),
-            JournalMessage::Inspect(Inspection(look)) => look(&self.state),
+            JournalMessage::Inspect(Inspection(look)) => look(&self),
         }
     }
 
+    /// Returns the folded state.
+    pub(crate) const fn state(&self) -> &State {
+        &self.state
+    }
+
+    /// Returns the newest configuration records.
+    pub(crate) const fn recent(&self) -> &Recent {
+        &self.recent
+    }
+
+    /// Returns whether the log answers.
+    pub(crate) const fn is_log_up(&self) -> bool {
+        self.reading.is_up()
+    }
+
     /// Queues a configuration record.
     fn append(&mut self, body: Body, reply: oneshot::Sender<Result<Offset>>) {
         if !self.reading.is_up() {
@@ -204,7 +219,7 @@
     }
 
     fn send_config(&mut self) {
-        if let Some(append) = self.config.next() {
+        if let Some(append) = self.config.pop() {
             self.send(Kind::Config, append);
         }
     }
@@ -257,9 +272,7 @@
     fn note(&mut self, applied: &Applied) {
         self.calls.read(applied, self.state.keys());
         let Some(author) = applied.author else { return };
-        if author.class == egretgate_core::record::Class::Config
-            && self.config.read(author.writer, author.sequence)
-        {
+        if author.class == Class::Config && self.config.read(author.writer, author.sequence) {
             self.confirm(author.sequence, applied);
             self.send_config();
         }
@@ -282,7 +295,6 @@
             if parts.contains(&Part::Declarations) || parts.contains(&Part::Moves) {
                 let declared = shared.declarations().clone();
                 view.directory = Arc::new(egretgate_core::directory::Directory::new(declared));
-                view.splits = Arc::new(shared.into());
             }
             if parts.contains(&Part::Quarantine) {
                 view.quarantine = Arc::new(shared.quarantine().clone());
--- a/crates/egretgate/src/entry/journal/feeding.rs
+++ b/crates/egretgate/src/entry/journal/feeding.rs
@@ -19,7 +19,7 @@
 
 /// The newest configuration records, in log order and without gaps.
 #[derive(Debug, Default)]
-pub(super) struct Recent {
+pub(crate) struct Recent {
     records: VecDeque<LogRecord>,
 }
 
@@ -37,6 +37,11 @@
         self.records.clear();
     }
 
+    /// Returns the records from `from` on that are still kept.
+    pub(crate) fn iter_from(&self, from: Offset) -> impl Iterator<Item = &LogRecord> {
+        self.records.iter().filter(move |record| record.offset >= from)
+    }
+
     /// Returns what a process at `from` lacks; `None` if some of it is no longer kept.
     fn since(&self, from: Offset) -> Option<Vec<LogRecord>> {
         if self.records.front().is_none_or(|oldest| from < oldest.offset) {
--- a/crates/egretgate/src/entry/journal/reading.rs
+++ b/crates/egretgate/src/entry/journal/reading.rs
@@ -198,8 +198,7 @@
             return;
         }
         let Ok(shared) = Shared::decode(bytes) else { return };
-        if shared.next() > self.state.shared().next() {
-            self.state.set_shared(shared);
+        if self.state.adopt(shared) {
             self.publish(&[Part::Declarations, Part::Moves, Part::Quarantine]);
             self.announce().await;
         }
--- a/crates/egretgate/src/entry/link.rs
+++ b/crates/egretgate/src/entry/link.rs
@@ -166,7 +166,7 @@
         let attempt = async {
             let stream = TcpStream::connect(self.address).await.ok()?;
             stream.set_nodelay(true).ok()?;
-            let mut connection = Framed::new(stream, Codec::new());
+            let mut connection: Connection = Framed::new(stream, Codec::new());
             let hello = Hello {
                 token: self.identity.token.clone(),
                 incarnation: self.identity.incarnation,
--- /dev/null
+++ b/crates/egretgate/src/entry/operator.rs
@@ -0,0 +1,90 @@
+//! Answers to operators' calls.
+
+use std::time::{Duration, Instant};
+
+use egretgate_core::record::Body;
+use egretgate_core::{Error, ErrorKind, Incarnation, InstanceId, Offset, PlaceId, Result};
+use egretgate_operator::Call;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::entry::fleet::{FleetMessage, SideStatus};
+use crate::entry::flight::Desks;
+use crate::entry::journal::{Inspection, Journal, JournalMessage};
+
+mod apply;
+mod show;
+
+/// Depth of the channel from the server.
+pub(crate) const CALL_DEPTH: usize = 64;
+/// Longest time that an accepted change is watched until it is in force.
+const FORCE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Answers operators. Each call runs in a task of its own.
+#[derive(Debug, Clone)]
+pub(crate) struct Operator {
+    instance: InstanceId,
+    place: PlaceId,
+    incarnation: Incarnation,
+    desks: Desks,
+    started: Instant,
+}
+
+impl Operator {
+    /// Returns the operators' side of the entry named `instance`.
+    pub(crate) fn new(
+        instance: InstanceId,
+        place: PlaceId,
+        incarnation: Incarnation,
+        desks: Desks,
+    ) -> Self {
+        Self { instance, place, incarnation, desks, started: Instant::now() }
+    }
+
+    /// Answers calls until the server is gone.
+    pub(crate) async fn run(self, mut calls: mpsc::Receiver<Call>) {
+        while let Some(call) = calls.recv().await {
+            tokio::spawn(self.clone().answer(call));
+        }
+    }
+
+    async fn answer(self, call: Call) {
+        match call {
+            Call::Apply(request, reply) => drop(reply.send(self.apply(request).await)),
+            Call::Get(request, reply) => drop(reply.send(self.get(request).await)),
+            Call::Records(page, reply) => drop(reply.send(self.records(page).await)),
+            Call::Move(request, reply) => drop(reply.send(self.moves(request).await)),
+            Call::Quarantine(request, reply) => drop(reply.send(self.quarantine(request).await)),
+            Call::Burn(_, reply) => drop(reply.send(self.burn().await)),
+            Call::Status(_, reply) => drop(reply.send(self.status().await)),
+        }
+    }
+
+    /// Runs `look` in the journal's task.
+    async fn inspect<T: Send + 'static>(
+        &self,
+        look: impl FnOnce(&Journal) -> T + Send + 'static,
+    ) -> Result<T> {
+        let (reply, answer) = oneshot::channel();
+        let look = move |journal: &Journal| drop(reply.send(look(journal)));
+        let inspection = Inspection(Box::new(look));
+        let _ = self.desks.journal.send(JournalMessage::Inspect(inspection)).await;
+        answer.await.map_err(|_| stopping())
+    }
+
+    /// Appends a record and waits until the fold has judged it.
+    async fn append(&self, body: Body) -> Result<Offset> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.desks.journal.send(JournalMessage::Append { body, reply }).await;
+        answer.await.map_err(|_| stopping())?
+    }
+
+    async fn sides(&self) -> Result<Vec<SideStatus>> {
+        let (reply, answer) = oneshot::channel();
+        let _ = self.desks.fleet.send(FleetMessage::Status(reply)).await;
+        answer.await.map_err(|_| stopping())
+    }
+}
+
+fn stopping() -> Error {
+    Error::new(ErrorKind::Stopping, "the entry is shutting down")
+}
--- /dev/null
+++ b/crates/egretgate/src/entry/operator/apply.rs
@@ -0,0 +1,152 @@
+//! Changes that operators ask for.
+
+use std::time::Instant;
+
+use egretgate_core::diff::{Item, Section};
+use egretgate_core::record::{Body, body};
+use egretgate_core::{Error, ErrorKind, Offset, Result, Revision};
+use egretgate_operator::proto;
+
+use super::{FORCE_TIMEOUT, Operator};
+
+/// Pause between two looks at who has folded a change.
+const LOOK_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// How many processes have folded a change.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Force {
+    in_force: u32,
+    processes: u32,
+}
+
+impl Operator {
+    pub(super) async fn apply(&self, request: proto::ApplyRequest) -> Result<proto::ApplyReply> {
+        let change = change_of(&request)?;
+        let refusals = self.conflicts(&change).await?;
+        if request.dry_run || !refusals.is_empty() {
+            let accepted = refusals.is_empty();
+            return Ok(proto::ApplyReply { accepted, refusals, ..Default::default() });
+        }
+        match self.append(Body::Change(change.clone())).await {
+            Ok(offset) => {
+                let force = self.watch_force(offset).await?;
+                Ok(proto::ApplyReply {
+                    accepted: true,
+                    offset,
+                    refusals: Vec::new(),
+                    in_force: force.in_force,
+                    processes: force.processes,
+                })
+            }
+            Err(error) if error.kind == ErrorKind::Conflict => {
+                let mut refusals = self.conflicts(&change).await?;
+                if refusals.is_empty() {
+                    refusals.push(refusal(proto::Kind::Unspecified, "", &error, 0));
+                }
+                Ok(proto::ApplyReply { refusals, ..Default::default() })
+            }
+            Err(error) if error.kind == ErrorKind::InvalidDeclaration => {
+                let refusals = vec![refusal(proto::Kind::Unspecified, "", &error, 0)];
+                Ok(proto::ApplyReply { refusals, ..Default::default() })
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Returns the items whose revision is no longer the expected one.
+    async fn conflicts(&self, change: &body::Change) -> Result<Vec<proto::Refusal>> {
+        let change = change.clone();
+        self.inspect(move |journal| {
+            let shared = journal.state().shared();
+            let puts = change.puts.iter().map(|item| (item.kind(), &item.name, item.expects));
+            let deletes = change.deletes.iter().map(|one| (one.kind(), &one.name, one.expects));
+            puts.chain(deletes)
+                .filter_map(|(kind, name, expects)| {
+                    let now = shared.revision(kind, name);
+                    (now != expects).then(|| {
+                        let detail = format!("expected revision {expects}, found {now}");
+                        let error = Error::new(ErrorKind::Conflict, detail);
+                        refusal(wire_kind(kind), name, &error, now)
+                    })
+                })
+                .collect()
+        })
+        .await
+    }
+
+    /// Watches until every connected process has folded the record at `offset`, for a while.
+    async fn watch_force(&self, offset: Offset) -> Result<Force> {
+        let until = Instant::now() + FORCE_TIMEOUT;
+        loop {
+            let sides = self.sides().await?;
+            let connected = sides.iter().filter(|side| side.connected);
+            let folded = connected.clone().filter(|side| side.offset > offset).count() as u32;
+            let force = Force { in_force: folded + 1, processes: connected.count() as u32 + 1 };
+            if force.in_force == force.processes || Instant::now() >= until {
+                return Ok(force);
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+}
+
+fn change_of(request: &proto::ApplyRequest) -> Result<body::Change> {
+    let author = request.author.clone().unwrap_or_default();
+    let puts = request.puts.iter().map(put_of).collect::<Result<_>>()?;
+    let deletes = request.deletes.iter().map(delete_of).collect::<Result<_>>()?;
+    Ok(body::Change { operator: author.operator, reason: author.reason, puts, deletes })
+}
+
+fn put_of(item: &proto::Item) -> Result<body::Item> {
+    let declared = item.to_item()?;
+    let (kind, spec) = match &declared {
+        Item::Tier(spec) => (body::Kind::Tier, serde_json::to_string(spec)),
+        Item::Team(spec) => (body::Kind::Team, serde_json::to_string(spec)),
+        Item::Service(spec) => (body::Kind::Service, serde_json::to_string(spec)),
+        Item::Route(spec) => (body::Kind::Route, serde_json::to_string(spec)),
+    };
+    let spec = spec.map_err(|error| Error::new(ErrorKind::Internal, error.to_string()))?;
+    Ok(body::Item { kind: kind.into(), name: item.name.clone(), spec, expects: item.revision })
+}
+
+fn delete_of(delete: &proto::Delete) -> Result<body::Delete> {
+    let kind = match delete.kind().section() {
+        Some(section) => record_kind(section),
+        None => {
+            let detail = "a deletion names no kind";
+            return Err(Error::new(ErrorKind::InvalidDeclaration, detail));
+        }
+    };
+    let name = delete.name.clone();
+    Ok(body::Delete { kind: kind.into(), name, expects: delete.revision as Revision })
+}
+
+/// Returns the log's word for a section of declarations.
+pub(super) const fn record_kind(section: Section) -> body::Kind {
+    match section {
+        Section::Tiers => body::Kind::Tier,
+        Section::Teams => body::Kind::Team,
+        Section::Services => body::Kind::Service,
+        Section::Routes => body::Kind::Route,
+    }
+}
+
+const fn wire_kind(kind: body::Kind) -> proto::Kind {
+    match kind {
+        body::Kind::Tier => proto::Kind::Tier,
+        body::Kind::Team => proto::Kind::Team,
+        body::Kind::Service => proto::Kind::Service,
+        body::Kind::Route => proto::Kind::Route,
+        body::Kind::None => proto::Kind::Unspecified,
+    }
+}
+
+fn refusal(kind: proto::Kind, name: &str, error: &Error, revision: u64) -> proto::Refusal {
+    proto::Refusal {
+        kind: kind.into(),
+        name: name.to_owned(),
+        code: error.kind.code().to_owned(),
+        detail: error.detail.clone(),
+        revision,
+    }
+}
--- /dev/null
+++ b/crates/egretgate/src/entry/operator/show.rs
@@ -0,0 +1,234 @@
+//! What operators look at.
+
+use egretgate_core::declaration::Declarations;
+use egretgate_core::diff::{Item, Section};
+use egretgate_core::fold::{Act, Shared};
+use egretgate_core::record::body::{self, MoveBegin, Verdict};
+use egretgate_core::record::{self, Body, chain};
+use egretgate_core::{Error, ErrorKind, Result};
+use egretgate_link::message::LogRecord;
+use egretgate_operator::{Page, proto};
+use tokio::sync::oneshot;
+
+use super::apply::record_kind;
+use super::{Operator, stopping};
+use crate::entry::tally::TallyMessage;
+
+impl Operator {
+    pub(super) async fn get(&self, request: proto::GetRequest) -> Result<proto::GetReply> {
+        self.inspect(move |journal| {
+            let shared = journal.state().shared();
+            let wanted = request.kind().section();
+            let sections =
+                Section::ALL.into_iter().filter(|one| wanted.is_none_or(|section| section == *one));
+            let mut items = Vec::new();
+            for section in sections {
+                items.extend(section_items(shared, section, &request.name));
+            }
+            let digest = shared.digest().as_bytes().to_vec();
+            proto::GetReply { items, offset: shared.next(), digest }
+        })
+        .await
+    }
+
+    pub(super) async fn records(&self, page: Page) -> Result<Vec<proto::Record>> {
+        self.inspect(move |journal| {
+            let shared = journal.state().shared();
+            let records = journal.recent().iter_from(page.from).take(page.limit);
+            records.map(|record| record_of(record, shared)).collect()
+        })
+        .await
+    }
+
+    pub(super) async fn moves(&self, request: proto::MoveRequest) -> Result<proto::MoveReply> {
+        use proto::move_request::Action;
+        let author = request.author.unwrap_or_default();
+        let (offset, route) = match request.action {
+            Some(Action::Begin(begin)) => {
+                let route = begin.route.clone();
+                (self.append(Body::MoveBegin(begin_of(author, begin))).await?, route)
+            }
+            Some(Action::Cancel(_)) => {
+                let detail = "a move can't be cancelled yet; it ends at its end time";
+                return Err(Error::new(ErrorKind::BadRequest, detail));
+            }
+            Some(Action::Show(show)) => (0, show.route),
+            None => (0, String::new()),
+        };
+        let moves = self.inspect(move |journal| moves_of(journal.state().shared(), &route)).await?;
+        Ok(proto::MoveReply { offset, moves })
+    }
+
+    pub(super) async fn quarantine(
+        &self,
+        request: proto::QuarantineRequest,
+    ) -> Result<proto::QuarantineReply> {
+        let offset = if request.lift.is_empty() {
+            0
+        } else {
+            let author = request.author.unwrap_or_default();
+            let lift = body::Lift {
+                operator: author.operator,
+                digest: request.lift.into(),
+                reason: author.reason,
+            };
+            self.append(Body::Lift(lift)).await?
+        };
+        let suspects = self
+            .inspect(|journal| {
+                let quarantine = journal.state().shared().quarantine();
+                let suspect = |(digest, deaths): (egretgate_core::Digest, u32)| proto::Suspect {
+                    digest: digest.as_bytes().to_vec(),
+                    deaths,
+                    quarantined: quarantine.is_quarantined(&digest),
+                };
+                quarantine.iter().map(suspect).collect()
+            })
+            .await?;
+        Ok(proto::QuarantineReply { offset, suspects })
+    }
+
+    pub(super) async fn burn(&self) -> Result<proto::BurnReply> {
+        let declared = Box::new(self.desks.view.borrow().directory.declared().clone());
+        let (reply, rows) = oneshot::channel();
+        let _ = self.desks.tally.send(TallyMessage::Rows { declared, reply }).await;
+        let rows = rows.await.map_err(|_| stopping())?;
+        Ok(proto::BurnReply {
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            since_s: self.started.elapsed().as_secs(),
+            rows: rows.into_iter().map(proto::BurnRow::from).collect(),
+        })
+    }
+
+    pub(super) async fn status(&self) -> Result<proto::StatusReply> {
+        let sides = self.sides().await?;
+        let (instance, place) = (self.instance.clone(), self.place.clone());
+        self.inspect(move |journal| {
+            let shared = journal.state().shared();
+            let digest = shared.digest().as_bytes().to_vec();
+            let own = proto::Process {
+                role: "entry".to_owned(),
+                instance,
+                place,
+                offset: shared.next(),
+                digest: digest.clone(),
+                age_ms: 0,
+            };
+            let sides = sides.into_iter().map(|side| proto::Process {
+                role: "side".to_owned(),
+                instance: side.upstream,
+                place: side.place,
+                offset: side.offset,
+                digest: side.digest.to_vec(),
+                age_ms: side.age.as_millis() as u64,
+            });
+            proto::StatusReply {
+                offset: shared.next(),
+                digest,
+                log_reachable: journal.is_log_up(),
+                processes: std::iter::once(own).chain(sides).collect(),
+            }
+        })
+        .await
+    }
+}
+
+fn section_items(shared: &Shared, section: Section, name: &str) -> Vec<proto::Item> {
+    let declared = shared.declarations();
+    let kind = record_kind(section);
+    let wanted = |one: &String| name.is_empty() || one == name;
+    let item = |(name, item): (&String, Item)| {
+        proto::Item::new(name.clone(), shared.revision(kind, name), item)
+    };
+    named_items(declared, section).filter(|(name, _)| wanted(name)).map(item).collect()
+}
+
+fn named_items(
+    declared: &Declarations,
+    section: Section,
+) -> Box<dyn Iterator<Item = (&String, Item)> + '_> {
+    match section {
+        Section::Tiers => {
+            Box::new(declared.tiers.iter().map(|(name, spec)| (name, Item::Tier(spec.clone()))))
+        }
+        Section::Teams => {
+            Box::new(declared.teams.iter().map(|(name, spec)| (name, Item::Team(spec.clone()))))
+        }
+        Section::Services => Box::new(
+            declared.services.iter().map(|(name, spec)| (name, Item::Service(spec.clone()))),
+        ),
+        Section::Routes => {
+            Box::new(declared.routes.iter().map(|(name, spec)| (name, Item::Route(spec.clone()))))
+        }
+    }
+}
+
+fn record_of(log: &LogRecord, shared: &Shared) -> proto::Record {
+    let prev = <[u8; 32]>::try_from(log.prev.as_ref()).unwrap_or_default();
+    let prev = blake3::Hash::from_bytes(prev);
+    let digest = chain::extend(&prev, log.offset, &log.data);
+    let body = record::decode(&log.data).ok().and_then(|record| record.body);
+    let asked = body.as_ref().and_then(Body::asked);
+    let act: Option<&Act> = shared.acts().rev().find(|act| act.offset == log.offset);
+    let refused = act.and_then(|act| act.refused);
+    proto::Record {
+        offset: log.offset,
+        prev: prev.as_bytes().to_vec(),
+        digest: digest.as_bytes().to_vec(),
+        kind: body.as_ref().map(|body| body.as_str().to_owned()).unwrap_or_default(),
+        operator: asked.map(|(operator, _)| operator.to_owned()).unwrap_or_default(),
+        reason: asked.map(|(_, reason)| reason.to_owned()).unwrap_or_default(),
+        outcome: match (act, refused) {
+            (None, _) => String::new(),
+            (Some(_), None) => "accepted".to_owned(),
+            (Some(_), Some(kind)) => ErrorKind::code(kind).to_owned(),
+        },
+        detail: act.map(|act| act.detail.clone()).unwrap_or_default(),
+        data: log.data.to_vec(),
+    }
+}
+
+fn begin_of(author: proto::Author, begin: proto::MoveBegin) -> MoveBegin {
+    let steps = if begin.steps_ppm.is_empty() {
+        egretgate_core::moves::Move::STEPS.to_vec()
+    } else {
+        begin.steps_ppm
+    };
+    MoveBegin {
+        operator: author.operator,
+        reason: author.reason,
+        route: begin.route,
+        from: begin.from,
+        to: begin.to,
+        steps,
+        budget_ppm: begin.budget_ppm,
+        end_ms: begin.end_ms,
+        cap: begin.cap,
+    }
+}
+
+fn moves_of(shared: &Shared, route: &str) -> Vec<proto::MoveState> {
+    let wanted = |one: &&egretgate_core::fold::Move| route.is_empty() || one.begin.route == route;
+    shared.moves().values().filter(wanted).map(move_of).collect()
+}
+
+fn move_of(one: &egretgate_core::fold::Move) -> proto::MoveState {
+    let verdict = match one.verdict {
+        Verdict::Proceed => "running",
+        Verdict::Done => "done",
+        Verdict::TakenBack => "taken back",
+    };
+    proto::MoveState {
+        route: one.begin.route.clone(),
+        from: one.begin.from.clone(),
+        to: one.begin.to.clone(),
+        verdict: verdict.to_owned(),
+        share_ppm: one.share_ppm,
+        step: one.step,
+        end_ms: one.begin.end_ms,
+        evidence: one.evidence.clone(),
+        operator: one.begin.operator.clone(),
+        reason: one.begin.reason.clone(),
+    }
+}
--- a/crates/egretgate/src/entry/state.rs
+++ b/crates/egretgate/src/entry/state.rs
@@ -2,15 +2,13 @@
 
 use std::sync::Arc;
 
-use egretgate_core::directory::{Directory, Plan};
+use egretgate_core::Digest;
+use egretgate_core::directory::Directory;
 use egretgate_core::fold::Quarantine;
-use egretgate_core::poison::{Poison, Verdict};
-use egretgate_core::{Digest, Ticket, VersionId};
-
-use crate::entry::moves::Splits;
+use egretgate_core::poison::{Poison, PoisonOptions, Verdict};
 
 /// The shared state at one offset. A new one is published at each change.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct View {
     /// True once the log's head, or in an outage the peers' highest state, was read.
     pub ready: bool,
@@ -22,8 +20,18 @@
     pub quarantine: Arc<Quarantine>,
     /// Deaths reported to this entry, before the log confirms them.
     pub local: Arc<Poison>,
-    /// Version moves under way.
-    pub splits: Arc<Splits>,
+}
+
+impl Default for View {
+    fn default() -> Self {
+        Self {
+            ready: false,
+            log_up: false,
+            directory: Arc::default(),
+            quarantine: Arc::default(),
+            local: Arc::new(Poison::new(PoisonOptions::default())),
+        }
+    }
 }
 
 impl View {
@@ -38,10 +46,4 @@
             Verdict::Clear
         }
     }
-
-    /// Returns the version that is to run a request.
-    pub(crate) fn version_for(&self, plan: &Plan, ticket: Ticket) -> Option<VersionId> {
-        let version = self.splits.pick(&plan.route, ticket).unwrap_or_else(|| plan.version.clone());
-        Some(version)
-    }
 }
--- /dev/null
+++ b/crates/egretgate/src/entry/tally.rs
@@ -0,0 +1,46 @@
+//! The task that counts good and bad requests for the report on service-level burn.
+
+use std::time::Instant;
+
+use egretgate_core::burn::{Burn, Row};
+use egretgate_core::declaration::Declarations;
+use egretgate_core::{TeamId, Tier};
+use tokio::sync::{mpsc, oneshot};
+
+/// Depth of the tally's message channel.
+pub(crate) const TALLY_DEPTH: usize = 4096;
+
+/// What the tally is told.
+#[derive(Debug)]
+pub(crate) enum TallyMessage {
+    /// A request has ended.
+    Ended(Outcome),
+    /// Return the counts under these declarations.
+    Rows { declared: Box<Declarations>, reply: oneshot::Sender<Vec<Row>> },
+}
+
+/// How a request ended, as its caller saw it.
+#[derive(Debug, Clone)]
+pub(crate) struct Outcome {
+    /// Team that pays.
+    pub team: TeamId,
+    /// Rank of the tier.
+    pub tier: Tier,
+    /// True if it met its tier's objective.
+    pub good: bool,
+}
+
+/// Counts requests until every sender is gone.
+pub(crate) async fn run(mut messages: mpsc::Receiver<TallyMessage>) {
+    let mut burn = Burn::new(Instant::now());
+    while let Some(message) = messages.recv().await {
+        match message {
+            TallyMessage::Ended(outcome) => {
+                burn.record(Instant::now(), outcome.tier, &outcome.team, outcome.good);
+            }
+            TallyMessage::Rows { declared, reply } => {
+                let _ = reply.send(burn.rows(Instant::now(), &declared));
+            }
+        }
+    }
+}
--- a/crates/egretgate/src/lib.rs
+++ b/crates/egretgate/src/lib.rs
@@ -1,1 +1,20 @@
-//! Stub.
+//! The entry process of egretgate and the command line of its operators.
+//!
+//! This package is also the umbrella: it re-exports the packages that make up the product.
+//!
+//! ```
+//! use egretgate::core::ErrorKind;
+//!
+//! assert_eq!(ErrorKind::NoUpstream.code(), "no_upstream");
+//! ```
+
+mod entry;
+
+pub use egretgate_caller as caller;
+pub use egretgate_core as core;
+pub use egretgate_link as link;
+pub use egretgate_operator as operator;
+pub use egretgate_platform as platform;
+pub use egretgate_settings as settings;
+pub use egretgate_settings::logger;
+pub use entry::{Entry, Options};
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use egretgate_core::declaration::ServiceKind;
 use egretgate_core::limit::Lengths;
 use egretgate_core::queue::{GivenUp, Offered, Queue, QueueOptions, Work};
 use egretgate_core::{
@@ -86,8 +85,6 @@
     pub place: PlaceId,
     /// Service that the upstream serves.
     pub service: ServiceId,
-    /// Kind of the upstream.
-    pub kind: ServiceKind,
 }
 
 /// A waiting request's frame and origin.
--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -67,7 +67,6 @@
 #[derive(Debug)]
 pub(crate) struct Engines {
     engines: SlotMap<EngineKey, Engine>,
-    options: LimitOptions,
 }
 
 impl Engines {
@@ -89,7 +88,7 @@
                 cut: Vec::new(),
             });
         }
-        Self { engines, options }
+        Self { engines }
     }
 
     /// Returns the versions held, each once.
@@ -108,9 +107,7 @@
 
     /// Returns whether a live engine holds the version; an empty one is held by all.
     pub(crate) fn serves(&self, version: &str) -> bool {
-        self.engines
-            .values()
-            .any(|engine| engine.health != Health::Down && engine.holds(version))
+        self.engines.values().any(|engine| engine.health != Health::Down && engine.holds(version))
     }
 
     /// Returns the engines that may start something now, emptiest first.
@@ -240,11 +237,6 @@
             .map(|engine| engine.limit.requests())
             .sum()
     }
-
-    /// Returns the targets and bounds of the limits.
-    pub(crate) const fn options(&self) -> &LimitOptions {
-        &self.options
-    }
 }
 
 impl Engine {
--- a/crates/egretside/src/feed.rs
+++ b/crates/egretside/src/feed.rs
@@ -5,7 +5,7 @@
 use blake3::Hash;
 use bytes::Bytes;
 use egretgate_core::fold::{Effect, Shared, Standing};
-use egretgate_core::poison::{Death, Poison, Verdict};
+use egretgate_core::poison::{Death, Poison, PoisonOptions, Verdict};
 use egretgate_core::{Digest, Incarnation, Offset, UpstreamId};
 use egretgate_link::message::{Deaths, Heartbeat, Records, RecordsAsk};
 
@@ -13,7 +13,7 @@
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Configuration as far as it was fed, and what this process knows of deaths before the log does.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Feed {
     shared: Shared,
     /// Deaths of this process's own engines.
@@ -24,6 +24,17 @@
     diverged: bool,
 }
 
+impl Default for Feed {
+    fn default() -> Self {
+        Self {
+            shared: Shared::default(),
+            local: Poison::new(PoisonOptions::default()),
+            asked: None,
+            diverged: false,
+        }
+    }
+}
+
 impl Feed {
     /// Returns the offset after the last configuration record folded. Never goes back.
     pub(crate) const fn offset(&self) -> Offset {
@@ -100,7 +111,13 @@
     }
 
     /// Notes a death of one of this process's engines, `at` milliseconds after its start.
-    pub(crate) fn died(&mut self, upstream: &UpstreamId, life: Incarnation, deaths: &Deaths, at: u64) {
+    pub(crate) fn died(
+        &mut self,
+        upstream: &UpstreamId,
+        life: Incarnation,
+        deaths: &Deaths,
+        at: u64,
+    ) {
         let digests: Vec<Digest> =
             deaths.digests.iter().filter_map(|bytes| Digest::from_slice(bytes)).collect();
         self.local.died(Death::new(upstream, life, deaths.sequence), &digests, at);
@@ -110,9 +127,11 @@
     /// again.
     pub(crate) fn knows_death(&self, deaths: &Deaths) -> bool {
         let quarantine = self.shared.quarantine();
-        deaths.digests.iter().filter_map(|bytes| Digest::from_slice(bytes)).all(|digest| {
-            quarantine.is_suspect(&digest) || quarantine.is_quarantined(&digest)
-        })
+        deaths
+            .digests
+            .iter()
+            .filter_map(|bytes| Digest::from_slice(bytes))
+            .all(|digest| quarantine.is_suspect(&digest) || quarantine.is_quarantined(&digest))
     }
 
     /// Clears a suspect whose request was completed.
--- a/crates/egretside/src/lib.rs
+++ b/crates/egretside/src/lib.rs
@@ -22,7 +22,6 @@
 mod engines;
 mod entries;
 mod feed;
-mod logging;
 mod outbox;
 mod run;
 mod samples;
@@ -30,5 +29,5 @@
 mod standings;
 mod upstream;
 
-pub use logging::logger;
+pub use egretgate_settings::logger;
 pub use serve::Side;
--- a/crates/egretside/src/run.rs
+++ b/crates/egretside/src/run.rs
@@ -155,7 +155,12 @@
         }
     }
 
-    async fn stream(&mut self, mut answer: Answer, meter: &mut TokenMeter, watch: &mut Watch) -> Finish {
+    async fn stream(
+        &mut self,
+        mut answer: Answer,
+        meter: &mut TokenMeter,
+        watch: &mut Watch,
+    ) -> Finish {
         loop {
             match self.step(&mut answer).await {
                 Step::Control(Some(Control::Credit(chunks))) => self.outbox.credit(chunks),
--- a/crates/egretside/src/serve.rs
+++ b/crates/egretside/src/serve.rs
@@ -111,8 +111,7 @@
 }
 
 fn build_desk(settings: &Settings, log: Logger, own: mpsc::Sender<DeskMessage>) -> Desk {
-    let upstreams =
-        settings.engines.iter().map(|engine| Upstream::new(settings.kind, engine));
+    let upstreams = settings.engines.iter().map(|engine| Upstream::new(settings.kind, engine));
     let engines = Engines::new(upstreams, LimitOptions::default(), Instant::now());
     let identity = Identity {
         incarnation: rand::random(),
