refactor(fakes): split answers and reports from the engine, late log effects

The runtime's timer rounds a zero wait up to a millisecond, which would have hidden the system's own delay in measurements; waits that have passed now only yield.

--- a/crates/egretgate-engine/src/meter.rs
+++ b/crates/egretgate-engine/src/meter.rs
@@ -49,11 +49,12 @@
     /// Takes the next piece of the answer, which arrived at `now`.
     pub fn feed(&mut self, piece: &[u8], now: Instant) -> Fed {
         let mut tokens = 0;
-        for &byte in piece {
-            if byte == b'\n' {
+        for part in piece.split_inclusive(|&byte| byte == b'\n') {
+            let (text, ended) = part.strip_suffix(b"\n").map_or((part, false), |text| (text, true));
+            let room = KEPT_BYTES - self.line.len();
+            self.line.extend_from_slice(&text[..text.len().min(room)]);
+            if ended {
                 tokens += u32::from(self.end_line());
-            } else if self.line.len() < KEPT_BYTES {
-                self.line.push(byte);
             }
         }
         self.note(tokens, now)
@@ -103,7 +104,7 @@
     fn note_line(&mut self) -> bool {
         if let Some(payload) = self.line.strip_prefix(DATA) {
             self.data = true;
-            self.end = payload.trim_ascii() == END;
+            self.end = self.line.len() < KEPT_BYTES && payload.trim_ascii() == END;
         }
         false
     }
--- a/crates/egretgate-fakes/src/engine.rs
+++ b/crates/egretgate-fakes/src/engine.rs
@@ -9,8 +9,10 @@
 mod cache;
 mod driver;
 mod prompt;
+mod report;
 mod spec;
 mod state;
+mod writer;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -80,6 +82,11 @@
         self.shared.state().by_version.clone()
     }
 
+    /// Returns the number of requests in the batch.
+    pub fn batch(&self) -> usize {
+        self.shared.state().batch
+    }
+
     /// Returns the orders carried out, in order.
     pub fn orders(&self) -> Vec<Order> {
         self.shared.state().orders.clone()
--- a/crates/egretgate-fakes/src/engine/driver.rs
+++ b/crates/egretgate-fakes/src/engine/driver.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::time::{self, Instant};
+use tokio::time::Instant;
 
 use super::batch::{Batch, Sequence};
 use super::cache::Cache;
-use super::state::{Command, Load, Shared};
+use super::report::Load;
+use super::state::{Command, Shared};
+use crate::server::wait_until;
 
 /// How far the engine may fall behind its own pace before it skips time.
 const MAX_BEHIND: Duration = Duration::from_millis(50);
@@ -82,7 +84,7 @@
         let slow = self.shared.state().slow;
         let begin = due.max(Instant::now().checked_sub(MAX_BEHIND).unwrap_or(due));
         let end = begin + self.batch.step_time(&self.shared.spec, slow);
-        time::sleep_until(end).await;
+        wait_until(end).await;
         self.shared.control.thawed().await;
         self.finish_step();
         end
@@ -112,6 +114,6 @@
         let load = Load { running, waiting, waiting_tokens: self.batch.waiting_tokens() };
         let mut state = self.shared.state();
         state.batch = self.batch.len();
-        state.note_load(load, self.shared.spec.load_lag);
+        state.reports.note_load(load, self.shared.spec.load_lag);
     }
 }
--- a/crates/egretgate-fakes/src/engine/state.rs
+++ b/crates/egretgate-fakes/src/engine/state.rs
@@ -1,24 +1,21 @@
 //! What the driver, the HTTP handlers and the handle share.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard};
 use std::time::Duration;
 
 use egretgate_core::Digest;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 use super::batch::{Ended, Sequence};
-use super::cache::{CacheChange, CacheKind};
+use super::cache::CacheChange;
+use super::report::Reports;
 use super::spec::{EngineSpec, VersionFaults};
 use crate::server::Control;
 
-/// Cache events that are kept.
-const EVENTS: usize = 65_536;
-
 /// Numbers counted by an engine.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct EngineCounts {
@@ -62,28 +59,6 @@
     Crash,
 }
 
-#[derive(Debug, Clone, Copy, Default, Serialize)]
-pub(crate) struct Load {
-    pub(crate) running: usize,
-    pub(crate) waiting: usize,
-    pub(crate) waiting_tokens: usize,
-}
-
-#[derive(Debug, Clone, Copy, Serialize)]
-pub(crate) struct Event {
-    sequence: u64,
-    kind: CacheKind,
-    block: u64,
-    #[serde(skip)]
-    due: Option<Instant>,
-}
-
-#[derive(Debug, Serialize)]
-pub(crate) struct Events {
-    head: u64,
-    events: Vec<Event>,
-}
-
 #[derive(Debug)]
 pub(crate) struct State {
     pub(crate) counts: EngineCounts,
@@ -100,9 +75,7 @@
     /// Requests in the batch, as of the last step.
     pub(crate) batch: usize,
     pub(crate) rng: ChaCha8Rng,
-    loads: VecDeque<(Instant, Load)>,
-    events: VecDeque<Event>,
-    next_event: u64,
+    pub(crate) reports: Reports,
 }
 
 /// What an admitted request is subject to.
@@ -160,9 +133,7 @@
             cut_tokens: 0,
             batch: 0,
             rng: ChaCha8Rng::seed_from_u64(spec.seed),
-            loads: VecDeque::new(),
-            events: VecDeque::new(),
-            next_event: 0,
+            reports: Reports::default(),
         }
     }
 
@@ -197,6 +168,10 @@
         fate
     }
 
+    pub(crate) fn note_changes(&mut self, changes: Vec<CacheChange>, spec: &EngineSpec) {
+        self.reports.note_changes(changes, spec, &mut self.rng);
+    }
+
     /// Returns the version that runs a request, if it is held.
     pub(crate) fn choose_version(&self, wanted: &str) -> Option<String> {
         let mut held = self.versions.iter();
@@ -215,43 +190,4 @@
             }
         }
     }
-
-    /// Notes the load now, and forgets what is too old to be reported again.
-    pub(crate) fn note_load(&mut self, load: Load, lag: Duration) {
-        let now = Instant::now();
-        self.loads.push_back((now, load));
-        while self.loads.get(1).is_some_and(|(at, _)| *at + lag <= now) {
-            self.loads.pop_front();
-        }
-    }
-
-    /// Returns the load as it was `lag` ago.
-    pub(crate) fn reported_load(&self, lag: Duration) -> Load {
-        let now = Instant::now();
-        let old = self.loads.iter().rev().find(|(at, _)| *at + lag <= now);
-        old.map(|(_, load)| *load).unwrap_or_default()
-    }
-
-    pub(crate) fn note_changes(&mut self, changes: Vec<CacheChange>, spec: &EngineSpec) {
-        for CacheChange { kind, block } in changes {
-            let sequence = self.next_event;
-            self.next_event += 1;
-            if spec.event_gaps > 0.0 && self.rng.random_bool(spec.event_gaps) {
-                continue;
-            }
-            let due = Some(Instant::now() + spec.event_lag);
-            self.events.push_back(Event { sequence, kind, block, due });
-            if self.events.len() > EVENTS {
-                self.events.pop_front();
-            }
-        }
-    }
-
-    /// Returns the events that are due, from sequence number `from` on.
-    pub(crate) fn events(&self, from: u64) -> Events {
-        let now = Some(Instant::now());
-        let due = self.events.iter().take_while(|event| event.due <= now);
-        let head = due.clone().last().map_or(0, |event| event.sequence + 1);
-        Events { head, events: due.filter(|event| event.sequence >= from).copied().collect() }
-    }
 }
--- /dev/null
+++ b/crates/egretgate-fakes/src/engine/writer.rs
@@ -0,0 +1,168 @@
+//! Writes answers to completion calls.
+
+use std::io;
+
+use bytes::Bytes;
+use futures::{Stream, StreamExt, stream};
+use http::{Response, StatusCode};
+use http_body_util::{BodyExt, StreamBody};
+use hyper::body::Frame;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+
+use super::prompt::{self, chat_prompt, expected_completion, natural_tokens, prompt_tokens};
+use crate::server::{self, Answer, Body, dropped, with_type};
+
+/// The body of a completion call.
+#[derive(Debug, Deserialize)]
+pub(crate) struct Input {
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    prompt: String,
+    #[serde(default)]
+    messages: Vec<Line>,
+    max_tokens: Option<usize>,
+    max_completion_tokens: Option<usize>,
+    #[serde(default)]
+    pub(crate) stream: bool,
+}
+
+#[derive(Debug, Deserialize)]
+struct Line {
+    role: String,
+    content: String,
+}
+
+/// Which of the two completion calls was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Shape {
+    Text,
+    Chat,
+}
+
+/// What is needed to write an answer.
+#[derive(Debug, Clone)]
+pub(crate) struct Writer {
+    shape: Shape,
+    id: String,
+    model: String,
+    digest: u64,
+    pub(crate) prompt: String,
+    pub(crate) tokens: usize,
+    finish: &'static str,
+}
+
+impl Writer {
+    pub(crate) fn new(input: &Input, shape: Shape, id: &str) -> Self {
+        let prompt = match shape {
+            Shape::Text => input.prompt.clone(),
+            Shape::Chat => {
+                let messages = input.messages.iter();
+                chat_prompt(messages.map(|line| (line.role.as_str(), line.content.as_str())))
+            }
+        };
+        let limit = input.max_tokens.or(input.max_completion_tokens);
+        let tokens = limit.unwrap_or_else(|| natural_tokens(&prompt)).max(1);
+        let finish = if limit.is_some() { "length" } else { "stop" };
+        let digest = prompt::digest(&prompt);
+        let model = input.model.clone();
+        Self { shape, id: format!("cmpl-{id}"), model, digest, prompt, tokens, finish }
+    }
+
+    /// Answers with one event for each token.
+    pub(crate) fn stream(self, receiver: mpsc::UnboundedReceiver<usize>) -> Response<Body> {
+        let events = indexes(receiver, self.tokens).map(move |index| {
+            let index = index?;
+            let mut event = format!("data: {}\n\n", self.event(index));
+            if index + 1 == self.tokens {
+                event.push_str("data: [DONE]\n\n");
+            }
+            Ok(Frame::data(Bytes::from(event)))
+        });
+        with_type(StatusCode::OK, "text/event-stream", StreamBody::new(events).boxed_unsync())
+    }
+
+    /// Answers once every token is there.
+    pub(crate) async fn whole(self, receiver: mpsc::UnboundedReceiver<usize>) -> Answer {
+        let mut indexes = std::pin::pin!(indexes(receiver, self.tokens));
+        while let Some(index) = indexes.next().await {
+            index.map_err(|_| dropped())?;
+        }
+        Ok(server::json(StatusCode::OK, &self.answer()))
+    }
+
+    fn event(&self, index: usize) -> Value {
+        let text = prompt::token(self.digest, index);
+        let last = index + 1 == self.tokens;
+        let finish = last.then_some(self.finish);
+        let (object, mut choice) = match self.shape {
+            Shape::Text => ("text_completion", json!({ "text": text })),
+            Shape::Chat if index == 0 => (
+                "chat.completion.chunk",
+                json!({ "delta": { "role": "assistant", "content": text } }),
+            ),
+            Shape::Chat => ("chat.completion.chunk", json!({ "delta": { "content": text } })),
+        };
+        choice["index"] = json!(0);
+        choice["finish_reason"] = json!(finish);
+        let mut event = self.envelope(object, choice);
+        if last {
+            event["usage"] = self.usage();
+        }
+        event
+    }
+
+    fn answer(&self) -> Value {
+        let text = expected_completion(&self.prompt, self.tokens);
+        let (object, mut choice) = match self.shape {
+            Shape::Text => ("text_completion", json!({ "text": text })),
+            Shape::Chat => {
+                ("chat.completion", json!({ "message": { "role": "assistant", "content": text } }))
+            }
+        };
+        choice["index"] = json!(0);
+        choice["finish_reason"] = json!(self.finish);
+        let mut answer = self.envelope(object, choice);
+        answer["usage"] = self.usage();
+        answer
+    }
+
+    fn envelope(&self, object: &str, choice: Value) -> Value {
+        json!({
+            "id": self.id,
+            "object": object,
+            "created": 0,
+            "model": self.model,
+            "choices": [choice],
+        })
+    }
+
+    fn usage(&self) -> Value {
+        let prompt = prompt_tokens(&self.prompt);
+        json!({
+            "prompt_tokens": prompt,
+            "completion_tokens": self.tokens,
+            "total_tokens": prompt + self.tokens,
+        })
+    }
+}
+
+/// Returns the indexes of the tokens as they come, and an error if they end early.
+fn indexes(
+    receiver: mpsc::UnboundedReceiver<usize>,
+    tokens: usize,
+) -> impl Stream<Item = io::Result<usize>> + Send {
+    stream::unfold((receiver, 0), move |(mut receiver, next)| async move {
+        if next >= tokens {
+            return None;
+        }
+        if let Some(index) = receiver.recv().await {
+            return Some((Ok(index), (receiver, index + 1)));
+        }
+        // Lets the connection write the tokens before the cut.
+        tokio::task::yield_now().await;
+        Some((Err(dropped()), (receiver, tokens)))
+    })
+}
--- a/crates/egretgate-fakes/src/log.rs
+++ b/crates/egretgate-fakes/src/log.rs
@@ -1,6 +1,7 @@
 //! Fake of the platform's append-only log.
 
 use std::collections::VecDeque;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
@@ -12,10 +13,10 @@
 use hyper::body::Incoming;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
-use tokio::time;
+use tokio::time::{self, Instant};
 
 use crate::Result;
-use crate::server::{Answer, Body, Bound, Server, dropped, empty, json, number, read};
+use crate::server::{Answer, Body, Bound, Server, dropped, empty, json, number, read, wait_until};
 
 /// Longest time that a read waits.
 const MAX_WAIT_MS: u64 = 60_000;
@@ -68,6 +69,11 @@
     records: VecDeque<Bytes>,
     horizon: usize,
     slow: Duration,
+    late: Duration,
+    /// Time that each append takes the log for itself.
+    interval: Duration,
+    /// Time at which the log is free for the next append.
+    free: Instant,
     lose: u64,
     counts: LogCounts,
 }
@@ -103,6 +109,9 @@
             records: VecDeque::new(),
             horizon: usize::MAX,
             slow: Duration::ZERO,
+            late: Duration::ZERO,
+            interval: Duration::ZERO,
+            free: Instant::now(),
             lose: 0,
             counts: LogCounts::default(),
         };
@@ -115,7 +124,7 @@
         let handler_shared = Arc::clone(&shared);
         let handler = move |request| {
             let shared = Arc::clone(&handler_shared);
-            Box::pin(async move { shared.handle(request).await }) as _
+            Box::pin(shared.handle(request)) as _
         };
         Ok(Self { server: bound.serve(Arc::new(handler)), shared })
     }
@@ -142,6 +151,17 @@
         self.shared.state().slow = slow;
     }
 
+    /// Sets the time between the arrival of an append and its effect, which comes even if the
+    /// caller has gone meanwhile.
+    pub fn set_late(&self, late: Duration) {
+        self.shared.state().late = late;
+    }
+
+    /// Sets the time that each append takes the log for itself; others wait in order of arrival.
+    pub fn set_interval(&self, interval: Duration) {
+        self.shared.state().interval = interval;
+    }
+
     /// Makes the next `appends` take effect and then lose their answers.
     pub fn lose_answers(&self, appends: u64) {
         self.shared.state().lose = appends;
@@ -188,12 +208,12 @@
         self.state.lock().expect("no task panics while it holds the log")
     }
 
-    async fn handle(&self, request: Request<Incoming>) -> Answer {
+    async fn handle(self: Arc<Self>, request: Request<Incoming>) -> Answer {
         if !self.passes().await {
             return Ok(empty(StatusCode::SERVICE_UNAVAILABLE));
         }
         let slow = self.state().slow;
-        time::sleep(slow).await;
+        wait_until(Instant::now() + slow).await;
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/v1/log") => self.append(request).await,
             (&Method::GET, "/v1/log") => Ok(self.read(request).await),
@@ -208,14 +228,15 @@
         !seen.is_ok_and(|outage| *outage == Outage::Refuse)
     }
 
-    async fn append(&self, request: Request<Incoming>) -> Answer {
+    async fn append(self: &Arc<Self>, request: Request<Incoming>) -> Answer {
         let body = read(request).await?;
         let Some(records) = decode(&body) else {
             return Ok(empty(StatusCode::BAD_REQUEST));
         };
-        let first = self.push(records);
+        // A task of its own, so that the effect comes even if the caller goes.
+        let effect = tokio::spawn(Arc::clone(self).append_late(records));
+        let first = effect.await.map_err(io::Error::other)?;
         let mut state = self.state();
-        state.counts.appends += 1;
         if state.lose > 0 {
             state.lose -= 1;
             state.counts.lost += 1;
@@ -224,6 +245,14 @@
         Ok(json(StatusCode::OK, &Appended { first }))
     }
 
+    async fn append_late(self: Arc<Self>, records: Vec<Bytes>) -> u64 {
+        let due = self.state().due();
+        wait_until(due).await;
+        let first = self.push(records);
+        self.state().counts.appends += 1;
+        first
+    }
+
     fn push(&self, records: Vec<Bytes>) -> u64 {
         let mut state = self.state();
         let first = state.head();
@@ -254,6 +283,12 @@
         self.oldest + self.records.len() as u64
     }
 
+    /// Returns when an append that arrives now takes effect.
+    fn due(&mut self) -> Instant {
+        self.free = self.free.max(Instant::now()) + self.interval;
+        self.free + self.late
+    }
+
     fn expire(&mut self) {
         let excess = self.records.len().saturating_sub(self.horizon);
         self.records.drain(..excess);
--- a/crates/egretgate-fakes/src/relay.rs
+++ b/crates/egretgate-fakes/src/relay.rs
@@ -9,9 +9,10 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{JoinHandle, JoinSet};
-use tokio::time::{self, Instant};
+use tokio::time::Instant;
 
 use crate::Result;
+use crate::server::wait_until;
 
 /// Bytes read at once.
 const PIECE_BYTES: usize = 64 << 10;
@@ -181,7 +182,7 @@
     mut switches: watch::Receiver<Switches>,
 ) {
     while let Some((due, piece)) = receiver.recv().await {
-        time::sleep_until(due).await;
+        wait_until(due).await;
         if !open(&mut switches, way).await || write.write_all(&piece).await.is_err() {
             return;
         }
--- a/crates/egretgate-fakes/src/server.rs
+++ b/crates/egretgate-fakes/src/server.rs
@@ -227,6 +227,16 @@
         .unwrap_or(default)
 }
 
+/// Waits until `at`, or lets other tasks run if it has passed. The runtime's timer alone would
+/// round a time that has passed up to its next millisecond.
+pub(crate) async fn wait_until(at: time::Instant) {
+    if at > time::Instant::now() {
+        time::sleep_until(at).await;
+    } else {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// The error that drops a connection without an answer.
 pub(crate) fn dropped() -> io::Error {
     io::Error::other("dropped by a fault switch")
--- a/crates/egretgate-fakes/src/service.rs
+++ b/crates/egretgate-fakes/src/service.rs
@@ -8,10 +8,10 @@
 use http::{Request, StatusCode};
 use hyper::body::Incoming;
 use serde::Serialize;
-use tokio::time;
+use tokio::time::Instant;
 
 use crate::Result;
-use crate::server::{Answer, Bound, Server, dropped, empty, json, read};
+use crate::server::{Answer, Bound, Server, dropped, empty, json, read, wait_until};
 
 /// Header that carries the idempotency key.
 const IDEMPOTENCY_KEY: &str = "idempotency-key";
@@ -128,7 +128,7 @@
         return Ok(empty(StatusCode::SERVICE_UNAVAILABLE));
     };
     let latency = lock(&state).latency;
-    time::sleep(latency).await;
+    wait_until(Instant::now() + latency).await;
     match effect.fault {
         Fault::None => {
             let execution = effect.execution;
