--- a/crates/egretgate/src/lib.rs
+++ b/crates/egretgate/src/lib.rs
@@ -8,6 +8,7 @@
 //! assert_eq!(ErrorKind::NoUpstream.code(), "no_upstream");
 //! ```
 
+pub mod command;
 mod entry;
 
 pub use egretgate_caller as caller;
