--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -67,7 +67,6 @@
 #[derive(Debug)]
 pub(crate) struct Engines {
     engines: SlotMap<EngineKey, Engine>,
-    options: LimitOptions,
 }
 
 impl Engines {
@@ -89,7 +88,7 @@
                 cut: Vec::new(),
             });
         }
-        Self { engines, options }
+        Self { engines }
     }
 
     /// Returns the versions held, each once.
@@ -238,11 +237,6 @@
             .map(|engine| engine.limit.requests())
             .sum()
     }
-
-    /// Returns the targets and bounds of the limits.
-    pub(crate) const fn options(&self) -> &LimitOptions {
-        &self.options
-    }
 }
 
 impl Engine {
