--- a/crates/egretgate-operator/src/server.rs
+++ b/crates/egretgate-operator/src/server.rs
@@ -22,8 +22,8 @@
 /// Largest message accepted or sent, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 8 << 20;
 
-/// Records asked for at a time.
-const PAGE_RECORDS: usize = 256;
+/// Records asked for at a time: at most 8 MiB with the largest records.
+const PAGE_RECORDS: usize = 32;
 /// Longest time of one call but for streams.
 const CALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// Most calls under way on one connection.
