test(egretgate): commands against the real server and the real fold

The entry in the tests answers calls from egretgate-core's fold, so revisions, conflicts and the digest chain are true ones. An answer that proves nothing (internal, outcome unknown) was told as a refusal; it is now told as unknown, with exit code 3 and what to do.

--- a/crates/egretgate/src/command/apply.rs
+++ b/crates/egretgate/src/command/apply.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use egretgate_core::Offset;
 use egretgate_core::declaration::Declarations;
 use egretgate_core::diff::{self, Change, Item, Section};
+use egretgate_core::{Offset, Ran};
 use egretgate_operator::{Client, ClientError, proto};
 use eyre::eyre;
 use similar::TextDiff;
@@ -143,7 +143,11 @@
 
 /// Adds what to do about a lost answer: the diff of a second run shows what was accepted.
 fn unsure(error: ClientError) -> Failure {
-    let lost = matches!(error, ClientError::Lost(_));
+    let lost = match &error {
+        ClientError::Lost(_) => true,
+        ClientError::Refused(error) => error.ran == Ran::Unknown,
+        ClientError::Unreachable(_) => false,
+    };
     let mut failure = Failure::from(error);
     if lost {
         let what = "the change may have been accepted; run apply again to see what is left";
--- a/crates/egretgate/src/command/failure.rs
+++ b/crates/egretgate/src/command/failure.rs
@@ -2,6 +2,7 @@
 
 use std::process::ExitCode;
 
+use egretgate_core::Ran;
 use egretgate_operator::ClientError;
 use egretgate_settings::Faults;
 use eyre::{Report, eyre};
@@ -79,6 +80,10 @@
 impl From<ClientError> for Failure {
     fn from(error: ClientError) -> Self {
         match error {
+            ClientError::Refused(error) if error.ran == Ran::Unknown => Self {
+                exit: Exit::Unreachable,
+                report: eyre!("outcome unknown ({}): {}", error.kind.code(), error.detail),
+            },
             ClientError::Refused(error) => Self {
                 exit: Exit::Refused,
                 report: eyre!("refused ({}): {}", error.kind.code(), error.detail),
--- /dev/null
+++ b/crates/egretgate/tests/command/main.rs
@@ -0,0 +1,334 @@
+//! The operators' command line against real servers.
+
+mod fixture;
+
+use std::fmt::Write as _;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::Ordering;
+
+use egretgate::command::Exit;
+use egretgate_core::burn::{Count, Row};
+use egretgate_core::check::parse;
+use fixture::{Behaviour, TOKEN, run, run_with, start};
+use tempfile::NamedTempFile;
+
+/// A port of loopback where nothing listens.
+const NOWHERE: &str = "127.0.0.1:1";
+
+fn example(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("../../examples/{name}.toml"))
+}
+
+fn recife() -> String {
+    example("recife").to_string_lossy().into_owned()
+}
+
+fn file(text: &str) -> NamedTempFile {
+    let file = NamedTempFile::new().expect("temporary file");
+    fs::write(file.path(), text).expect("written");
+    file
+}
+
+fn name(file: &NamedTempFile) -> &str {
+    file.path().to_str().expect("name is text")
+}
+
+#[tokio::test]
+async fn apply_makes_the_file_the_state_in_force() {
+    let entry = start(Behaviour::default()).await;
+    let ran = run(&[entry.address], &["apply", &recife()]).await;
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+    assert!(ran.out.contains("+++ teams.textile-mills\n"), "{}", ran.out);
+    assert!(ran.out.contains("accepted at offset 0\nin force everywhere: 1 processes"), "{ran:?}");
+
+    let wanted = fs::read_to_string(example("recife")).expect("example");
+    let get = run(&[entry.address], &["get"]).await;
+    assert_eq!(parse(&get.out), parse(&wanted), "{}", get.out);
+
+    let again = run(&[entry.address], &["apply", &recife()]).await;
+    assert_eq!((again.exit, entry.applies.load(Ordering::SeqCst)), (Exit::Done, 1));
+    assert!(again.out.starts_with("no change"), "{}", again.out);
+
+    let changed = wanted.replace("deadline_ms = 120000", "deadline_ms = 90000");
+    let (changed, kept) = (file(&changed), file(&changed));
+    let ran = run(&[entry.address], &["apply", name(&changed), "--wait"]).await;
+    let diff = "--- tiers.captions\n+++ tiers.captions\n";
+    assert!(ran.out.starts_with(diff), "{}", ran.out);
+    assert!(ran.out.contains("-deadline_ms = 120000\n+deadline_ms = 90000\n"), "{}", ran.out);
+    let kept = run(&[entry.address], &["apply", name(&kept)]).await;
+    assert!(kept.out.starts_with("no change"), "{}", kept.out);
+}
+
+#[tokio::test]
+async fn items_missing_from_the_file_are_deleted() {
+    let entry = start(Behaviour::default()).await;
+    run(&[entry.address], &["apply", &recife()]).await;
+    let empty = file("");
+    let ran = run(&[entry.address], &["apply", name(&empty)]).await;
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+    let get = run(&[entry.address], &["get"]).await;
+    assert_eq!(parse(&get.out), parse(""), "{}", get.out);
+}
+
+#[tokio::test]
+async fn dry_run_changes_nothing() {
+    let entry = start(Behaviour::default()).await;
+    let ran = run(&[entry.address], &["apply", &recife(), "--dry-run"]).await;
+    assert_eq!((ran.exit, entry.applies.load(Ordering::SeqCst)), (Exit::Done, 0), "{ran:?}");
+    assert!(ran.out.ends_with("dry run: 16 changes would be accepted\n"), "{}", ran.out);
+}
+
+#[tokio::test]
+async fn racing_operators_get_one_winner_and_one_plain_refusal() {
+    let entry = start(Behaviour { rival: Some("archive"), ..Behaviour::default() }).await;
+    run(&[entry.address], &["apply", &recife()]).await;
+    let changed = fs::read_to_string(example("recife")).expect("example");
+    let changed = file(&changed.replace("weight = 1", "weight = 3"));
+    let ran = run(&[entry.address], &["apply", name(&changed)]).await;
+    assert_eq!(ran.exit, Exit::Refused, "{ran:?}");
+    assert!(ran.err.contains("conflict"), "{}", ran.err);
+    assert!(!ran.out.contains("accepted"), "{}", ran.out);
+}
+
+#[tokio::test]
+async fn apply_names_who_is_missing() {
+    let entry = start(Behaviour { laggard: true, ..Behaviour::default() }).await;
+    let ran = run(&[entry.address], &["apply", &recife(), "--wait=1"]).await;
+    assert_eq!(ran.exit, Exit::Unreachable, "{ran:?}");
+    assert!(ran.out.contains("accepted at offset 0"), "{}", ran.out);
+    assert!(ran.err.contains("not in force in\n  side engine-9 in olinda: at offset 0"), "{ran:?}");
+    assert!(!ran.err.contains("entry-1"), "{}", ran.err);
+}
+
+#[tokio::test]
+async fn lost_answer_is_told_as_unknown() {
+    let entry = start(Behaviour { lost: true, ..Behaviour::default() }).await;
+    let ran = run(&[entry.address], &["apply", &recife()]).await;
+    assert_eq!(ran.exit, Exit::Unreachable, "{ran:?}");
+    assert!(ran.err.contains("may have been accepted") && ran.err.contains("unknown"), "{ran:?}");
+    let again = run(&[entry.address], &["apply", &recife()]).await;
+    assert!(again.out.starts_with("no change"), "{again:?}");
+}
+
+/// The users' target has 7,400 teams, more than one record holds.
+#[tokio::test]
+async fn declarations_of_the_target_are_applied_in_parts() {
+    let entry = start(Behaviour::default()).await;
+    let mut text = String::from("[tiers.door]\nrank = 0\n");
+    for index in 0..7_400 {
+        let _ = write!(text, "[teams.team-{index}]\ntier = \"door\"\nkeys = [\"{index:064x}\"]\n");
+    }
+    let large = file(&text);
+    let ran = run(&[entry.address], &["apply", name(&large)]).await;
+    assert_eq!(ran.exit, Exit::Done, "{}", ran.err);
+    let parts = entry.applies.load(Ordering::SeqCst);
+    assert!(parts > 1 && ran.err.contains(&format!("part {parts} of {parts} accepted")), "{parts}");
+    let get = run(&[entry.address], &["get"]).await;
+    assert_eq!(parse(&get.out), parse(&text));
+}
+
+#[tokio::test]
+async fn faulty_file_names_line_and_field_and_asks_nothing() {
+    let faulty = file("[tiers.door]\nrank = 0\n[teams.rounds]\ntier = \"urgent\"\n");
+    for args in [["check", name(&faulty)], ["apply", name(&faulty)]] {
+        let ran = run(&[NOWHERE.parse().expect("address")], &args).await;
+        assert_eq!(ran.exit, Exit::Refused, "{ran:?}");
+        let expected =
+            format!("{}:4: teams.rounds.tier: no tier `urgent` is declared\n", name(&faulty));
+        assert_eq!((ran.err, ran.out), (expected, String::new()));
+    }
+    let ran = run_with(&[], &["check", &recife()]).await;
+    assert_eq!(ran.exit, Exit::Done);
+    assert!(
+        ran.out.ends_with("no fault in 4 tiers, 5 teams, 2 services and 5 routes\n"),
+        "{ran:?}"
+    );
+    assert_eq!(run_with(&[], &["check", "/absent.toml"]).await.exit, Exit::Refused);
+}
+
+#[tokio::test]
+async fn next_address_is_tried() {
+    let entry = start(Behaviour::default()).await;
+    let nowhere: SocketAddr = NOWHERE.parse().expect("address");
+    let ran = run(&[nowhere, entry.address], &["status"]).await;
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+    assert!(ran.err.starts_with("unreachable: 127.0.0.1:1"), "{}", ran.err);
+    assert!(ran.out.contains("entry-1"), "{}", ran.out);
+    let ran = run(&[nowhere], &["status"]).await;
+    assert_eq!(ran.exit, Exit::Unreachable, "{ran:?}");
+}
+
+#[tokio::test]
+async fn exported_records_verify_and_tampering_shows() {
+    let entry = start(Behaviour::default()).await;
+    run(&[entry.address], &["apply", &recife()]).await;
+    run(&[entry.address], &["apply", name(&file(""))]).await;
+    let guild = example("ulaanbaatar");
+    run(&[entry.address], &["apply", guild.to_str().expect("text")]).await;
+    let export = run(&[entry.address], &["records", "--json"]).await;
+    assert_eq!((export.exit, export.out.lines().count()), (Exit::Done, 3), "{export:?}");
+    assert!(export.out.contains("\"operator\":\"ana\",\"reason\":\"season start\""));
+
+    let verify = async |text: &str, more: &[&str]| {
+        let file = file(text);
+        run_with(&[], &[&["records", "--verify", name(&file)], more].concat()).await
+    };
+    let whole = verify(&export.out, &[]).await;
+    assert_eq!(whole.exit, Exit::Done, "{whole:?}");
+    assert!(whole.out.contains("3 records verify from the start"), "{}", whole.out);
+    let digest = whole.out.trim().rsplit(' ').next().expect("digest").to_owned();
+    assert_eq!(verify(&export.out, &["--digest", &digest]).await.exit, Exit::Done);
+
+    let lines: Vec<&str> = export.out.lines().collect();
+    let cases = [
+        ("reason changed", export.out.replacen("season start", "season end", 1)),
+        ("record missing", format!("{}\n{}\n", lines[0], lines[2])),
+        ("order changed", format!("{}\n{}\n", lines[1], lines[0])),
+        ("no record", "not JSON\n".to_owned()),
+        ("empty", String::new()),
+    ];
+    for (name, text) in cases {
+        assert_eq!(verify(&text, &[]).await.exit, Exit::Refused, "{name}");
+    }
+    let short = format!("{}\n{}\n", lines[0], lines[1]);
+    assert_eq!(verify(&short, &["--digest", &digest]).await.exit, Exit::Refused);
+    let text = run(&[entry.address], &["records", "--from", "1", "--limit", "1"]).await;
+    assert!(text.out.starts_with("1 ") && text.out.lines().count() == 1, "{}", text.out);
+}
+
+fn behaviour(incarnation: u64, good: u64, bad: u64) -> Behaviour {
+    let counts = [Count { good, bad }; 4];
+    let row = Row { tier: "door".into(), team: "rounds".into(), objective: 0.99, counts };
+    Behaviour { rows: vec![row], incarnation, ..Behaviour::default() }
+}
+
+#[tokio::test]
+async fn burn_is_summed_over_entries() {
+    let first = start(behaviour(1, 60, 10)).await;
+    let second = start(behaviour(2, 20, 10)).await;
+    let json = ["report", "burn", "--json"];
+    let twice = [first.address, second.address, first.address];
+    let ran = run(&twice, &json).await;
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+    assert!(ran.out.contains("\"good\":80,\"bad\":20"), "{}", ran.out);
+    assert!(ran.out.contains("\"alert\":\"fast\""), "{}", ran.out);
+
+    let nowhere: SocketAddr = NOWHERE.parse().expect("address");
+    let partial = run(&[first.address, nowhere], &json).await;
+    assert_eq!(partial.exit, Exit::Unreachable);
+    assert!(partial.out.contains("\"good\":60") && partial.err.contains("partial"), "{partial:?}");
+
+    let table = run(&[first.address], &["report", "burn", "--teams"]).await;
+    assert!(table.out.contains("burn 5m") && table.out.contains("rounds"), "{}", table.out);
+}
+
+struct UsageCase {
+    args: &'static [&'static str],
+    exit: Exit,
+    /// Part of what is said.
+    what: &'static str,
+}
+
+const USAGE: [UsageCase; 17] = [
+    UsageCase { args: &["paint"], exit: Exit::Usage, what: "no command `paint`" },
+    UsageCase { args: &["move"], exit: Exit::Usage, what: "move begin ROUTE" },
+    UsageCase { args: &["apply"], exit: Exit::Usage, what: "FILE: required" },
+    UsageCase { args: &["apply", "a", "b"], exit: Exit::Usage, what: "b: one argument too many" },
+    UsageCase { args: &["get", "--colour"], exit: Exit::Usage, what: "--colour: no such flag" },
+    UsageCase { args: &["get", "zones"], exit: Exit::Usage, what: "no kind `zones`" },
+    UsageCase { args: &["get", "-v"], exit: Exit::Usage, what: "-v: no such flag" },
+    UsageCase { args: &["records", "--from"], exit: Exit::Usage, what: "--from: a value" },
+    UsageCase { args: &["records", "--from", "x"], exit: Exit::Usage, what: "expected an offset" },
+    UsageCase { args: &["status", "--json", "--json"], exit: Exit::Usage, what: "more than once" },
+    UsageCase {
+        args: &["status", "--operator-address", "localhost:1"],
+        exit: Exit::Usage,
+        what: "host names",
+    },
+    UsageCase {
+        args: &["move", "begin", "r", "--from", "a", "--to", "b"],
+        exit: Exit::Usage,
+        what: "--within: required",
+    },
+    UsageCase {
+        args: &[
+            "move", "begin", "r", "--from", "a", "--to", "b", "--within", "9", "--steps", "5,1",
+        ],
+        exit: Exit::Usage,
+        what: "rising percentages",
+    },
+    UsageCase {
+        args: &["move", "begin", "r", "--from", "a", "--to", "b", "--within", "9"],
+        exit: Exit::Refused,
+        what: "refused (unknown_route): no such route",
+    },
+    UsageCase { args: &["quarantine", "lift", "12"], exit: Exit::Usage, what: "32 hexadecimal" },
+    UsageCase { args: &["check", "settings"], exit: Exit::Usage, what: "--place: required" },
+    UsageCase { args: &["check", "settings", "--x=1"], exit: Exit::Usage, what: "--x: no such" },
+];
+
+#[tokio::test]
+async fn each_fault_of_the_command_line_is_told() {
+    let entry = start(Behaviour::default()).await;
+    for case in USAGE {
+        let ran = run(&[entry.address], case.args).await;
+        assert_eq!(ran.exit, case.exit, "{:?}: {ran:?}", case.args);
+        assert!(ran.err.contains(case.what), "{:?}: {}", case.args, ran.err);
+        assert!(!ran.err.contains(TOKEN));
+    }
+    let lift = ["quarantine", "lift", "0123456789abcdef0123456789abcdef"];
+    assert_eq!(run(&[entry.address], &lift).await.out, "accepted at offset 7\n");
+}
+
+#[tokio::test]
+async fn change_without_operator_or_reason_is_not_sent() {
+    let entry = start(Behaviour::default()).await;
+    let address = entry.address.to_string();
+    let vars =
+        [("EGRETGATE_OPERATOR_ADDRESS", address.as_str()), ("EGRETGATE_OPERATOR_TOKEN", TOKEN)];
+    for more in
+        [&["--reason", "x"][..], &["--operator", "ana"], &["--operator", " ", "--reason", "x"]]
+    {
+        let ran = run_with(&vars, &[&["apply", recife().as_str()], more].concat()).await;
+        assert_eq!((ran.exit, entry.applies.load(Ordering::SeqCst)), (Exit::Usage, 0), "{ran:?}");
+        assert!(ran.err.contains("give --operator and --reason"), "{}", ran.err);
+    }
+    let ran = run_with(&vars[..1], &["status"]).await;
+    assert_eq!(ran.exit, Exit::Refused);
+    assert!(ran.err.contains("refused (unauthenticated)"), "{}", ran.err);
+}
+
+#[tokio::test]
+async fn every_command_prints_its_help() {
+    let help = run_with(&[], &["--help"]).await;
+    assert_eq!(help.exit, Exit::Done);
+    let commands: Vec<&str> = help
+        .out
+        .lines()
+        .filter(|line| line.starts_with("  ") && !line.starts_with("   "))
+        .collect();
+    let commands = commands.iter().map(|line| line.trim()).filter(|line| *line != "serve");
+    let mut count = 0;
+    for command in commands.filter(|line| !line.starts_with(char::is_numeric)) {
+        let words = command.split(' ').filter(|word| word.chars().all(char::is_lowercase));
+        let args: Vec<&str> = words.chain(["--help"]).collect();
+        let ran = run_with(&[], &args).await;
+        assert_eq!(ran.exit, Exit::Done, "{args:?}: {ran:?}");
+        assert!(ran.out.starts_with("Usage: egretgate "), "{}", ran.out);
+        count += 1;
+    }
+    assert_eq!(count, 12);
+}
+
+#[tokio::test]
+async fn checked_settings_are_shown_without_secrets() {
+    let args = ["check", "settings", "--instance", "entry-1", "--place", "olinda"];
+    let more = ["--log-address", "127.0.0.1:7001", "--instances-address", "127.0.0.1:7002"];
+    let vars = [("EGRETGATE_OPERATOR_TOKEN", TOKEN), ("EGRETGATE_OPERATOR", "ana")];
+    let ran = run_with(&vars, &[&args[..], &more[..]].concat()).await;
+    assert_eq!(ran.exit, Exit::Done, "{ran:?}");
+    assert!(ran.out.contains("operator-token=(set, not shown)") && !ran.out.contains(TOKEN));
+    assert!(ran.out.contains("caller-address=127.0.0.1:8080\n"), "{}", ran.out);
+}
