--- a/crates/egretgate-fakes/examples/fleet.rs
+++ b/crates/egretgate-fakes/examples/fleet.rs
@@ -20,12 +20,9 @@
 
 #[tokio::main]
 async fn main() -> eyre::Result<ExitCode> {
-    let options = match Options::read(std::env::args_os())? {
-        Some(options) => options,
-        None => {
-            print!("{}", options::HELP);
-            return Ok(ExitCode::SUCCESS);
-        }
+    let Some(options) = Options::read(std::env::args_os())? else {
+        print!("{}", options::HELP);
+        return Ok(ExitCode::SUCCESS);
     };
     let world = World::start(&options).await?;
     let results = load::run(&world, &options).await?;
--- a/crates/egretgate-fakes/examples/fleet/report.rs
+++ b/crates/egretgate-fakes/examples/fleet/report.rs
@@ -74,7 +74,8 @@
                 End::Whole { .. } => {}
             }
         }
-        let counts: Vec<_> = world.engines.iter().map(|engine| engine.counts()).collect();
+        let counts: Vec<_> =
+            world.engines.iter().map(egretgate_fakes::engine::Engine::counts).collect();
         Self {
             seed: options.seed,
             rate: options.rate,
@@ -99,8 +100,8 @@
         let End::Whole { first, between, stream, .. } = outcome.end else { continue };
         good += u64::from(!stream || first <= FIRST_TARGET && between <= BETWEEN_TARGET);
         if stream {
-            firsts.saturating_record(first.as_micros() as u64);
-            gaps.saturating_record(between.as_micros() as u64);
+            firsts.record(first.as_micros() as u64).expect("the histogram grows");
+            gaps.record(between.as_micros() as u64).expect("the histogram grows");
         }
     }
     TierRow {
--- a/crates/egretgate-fakes/examples/fleet/world.rs
+++ b/crates/egretgate-fakes/examples/fleet/world.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use egretgate::core::check;
+use egretgate::core::declaration::Declarations;
 use egretgate::core::diff::{Change, diff};
 use egretgate::operator::{Client, proto};
 use egretgate::{Entry, settings};
@@ -32,10 +33,10 @@
 
 [teams.atelier]
 tier = "brief"
-tiers = ["rewrite", "caption", "archive"]
+tiers = ["brief", "rewrite", "caption", "archive"]
 [teams.mills]
 tier = "rewrite"
-tiers = ["brief", "caption", "archive"]
+tiers = ["brief", "rewrite", "caption", "archive"]
 
 [services.forecast-llm]
 kind = "engine"
@@ -129,7 +130,7 @@
         for entry in &self.entries {
             entry.ready().await;
         }
-        let puts = diff(&Default::default(), &declared).into_iter().filter_map(put).collect();
+        let puts = diff(&Declarations::default(), &declared).into_iter().filter_map(put).collect();
         let author = proto::Author { operator: "fleet".into(), reason: "the example".into() };
         let request = proto::ApplyRequest { author: Some(author), puts, ..Default::default() };
         let mut client = Client::connect(self.entries[0].operator_address(), None)
--- a/crates/egretgate/src/entry/evidence.rs
+++ b/crates/egretgate/src/entry/evidence.rs
@@ -26,11 +26,6 @@
             self.evidence.merge(life, cell, counts_of(sample));
         }
     }
-
-    /// Returns the measurements merged over processes.
-    pub(crate) const fn evidence(&self) -> &Evidence {
-        &self.evidence
-    }
 }
 
 const fn counts_of(sample: &Sample) -> Counts {
--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -62,7 +62,7 @@
     /// A side process reports deaths of its engines.
     Deaths { key: LinkKey, deaths: Deaths },
     /// A side process sent its configuration state.
-    Snapshot { key: LinkKey, state: Bytes },
+    Snapshot(Bytes),
     /// The instance list was read.
     Listed(Vec<Instance>),
     /// The entry's configuration has a new offset.
@@ -81,8 +81,6 @@
     Leave(TeamId),
     /// Tell the state of every side process.
     Status(oneshot::Sender<Vec<SideStatus>>),
-    /// Tell the evidence for version moves.
-    Evidence(oneshot::Sender<SampleBook>),
 }
 
 /// A request for which an upstream is wanted.
@@ -236,7 +234,7 @@
                 self.tell_side(key, LinkMessage::Records(records));
             }
             FleetMessage::Deaths { key, deaths } => self.deaths(key, deaths).await,
-            FleetMessage::Snapshot { key: _, state } => {
+            FleetMessage::Snapshot(state) => {
                 self.tell_journal(JournalMessage::PeerState(state)).await;
             }
             FleetMessage::Listed(instances) => self.listed(&instances),
@@ -259,9 +257,6 @@
             FleetMessage::Status(reply) => {
                 let _ = reply.send(self.status());
             }
-            FleetMessage::Evidence(reply) => {
-                let _ = reply.send(self.samples.clone());
-            }
         }
     }
 
--- a/crates/egretgate/src/entry/flight/session.rs
+++ b/crates/egretgate/src/entry/flight/session.rs
@@ -17,7 +17,7 @@
 /// Time within which a side process must prove that a withdrawn request was not run.
 const PROOF_TIMEOUT: Duration = Duration::from_secs(1);
 /// Longest silence of a running answer.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
+const IDLE_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// How one offer ended.
 pub(crate) enum Offered {
@@ -105,6 +105,10 @@
         Offered::Refused(error)
     }
 
+    fn whole(&self) -> Option<Offered> {
+        (*self.assembly.state() == State::Whole).then_some(Offered::Whole)
+    }
+
     /// A connection that is gone proves nothing of what it carried.
     fn lost(&self) -> Offered {
         match self.stage {
@@ -147,7 +151,7 @@
     async fn handle(&mut self, session: &mut Session, event: Option<Event>) -> Option<Offered> {
         match event {
             Some(Event::Queued) => None,
-            Some(Event::Started { .. }) => {
+            Some(Event::Started) => {
                 session.stage = Stage::Started;
                 session.patience = Instant::now() + IDLE_TIMEOUT;
                 None
@@ -177,7 +181,7 @@
                 return Some(Offered::Failed(error));
             }
         }
-        self.whole(session)
+        session.whole()
     }
 
     async fn pass(
@@ -223,11 +227,7 @@
                 return Some(Offered::Failed(error));
             }
         }
-        self.whole(session)
-    }
-
-    fn whole(&self, session: &Session) -> Option<Offered> {
-        (*session.assembly.state() == State::Whole).then_some(Offered::Whole)
+        session.whole()
     }
 }
 
--- a/crates/egretgate/src/entry/journal.rs
+++ b/crates/egretgate/src/entry/journal.rs
@@ -90,7 +90,6 @@
 /// State of the journal task.
 #[derive(Debug)]
 pub(crate) struct Journal {
-    writer: Incarnation,
     state: State,
     calls: Calls,
     config: Outbox,
@@ -118,7 +117,6 @@
         log: Logger,
     ) -> Self {
         Self {
-            writer,
             state: State::new(),
             calls: Calls::new(writer, intent::COMMIT_INTERVAL),
             config: Outbox::new(writer),
@@ -180,7 +178,7 @@
             JournalMessage::RecordsAsk { key, from } => self.feed(key, from).await,
             JournalMessage::PeerState(state) => self.take_peer_state(&state).await,
             JournalMessage::Deaths { incarnation, deaths } => self.deaths(incarnation, &deaths),
-            JournalMessage::Inspect(Inspection(look)) => look(&self),
+            JournalMessage::Inspect(Inspection(look)) => look(self),
         }
     }
 
--- a/crates/egretgate/src/entry/link.rs
+++ b/crates/egretgate/src/entry/link.rs
@@ -67,7 +67,7 @@
     /// It waits.
     Queued,
     /// It counts as dispatched.
-    Started { version: String },
+    Started,
     /// Proven not run by this side process.
     Refused { kind: ErrorKind, after: Option<Duration> },
     /// Part of the answer.
@@ -297,9 +297,7 @@
         match body {
             to_entry::Body::Welcome(_) => {}
             to_entry::Body::Queued(queued) => self.notify(queued.ticket, Event::Queued),
-            to_entry::Body::Started(started) => {
-                self.notify(started.ticket, Event::Started { version: started.version });
-            }
+            to_entry::Body::Started(started) => self.notify(started.ticket, Event::Started),
             to_entry::Body::Refused(refused) => self.handle_refused(refused).await,
             to_entry::Body::Chunk(chunk) => self.handle_chunk(chunk),
             to_entry::Body::End(mut end) => {
@@ -354,7 +352,7 @@
     }
 
     async fn handle_snapshot(&self, state: Bytes) {
-        self.tell(FleetMessage::Snapshot { key: self.key, state }).await;
+        self.tell(FleetMessage::Snapshot(state)).await;
     }
 
     async fn report_load(&self, load: Option<Load>) {
--- a/crates/egretgate/src/entry/operator/apply.rs
+++ b/crates/egretgate/src/entry/operator/apply.rs
@@ -110,12 +110,11 @@
 }
 
 fn delete_of(delete: &proto::Delete) -> Result<body::Delete> {
-    let kind = match delete.kind().section() {
-        Some(section) => record_kind(section),
-        None => {
-            let detail = "a deletion names no kind";
-            return Err(Error::new(ErrorKind::InvalidDeclaration, detail));
-        }
+    let kind = if let Some(section) = delete.kind().section() {
+        record_kind(section)
+    } else {
+        let detail = "a deletion names no kind";
+        return Err(Error::new(ErrorKind::InvalidDeclaration, detail));
     };
     let name = delete.name.clone();
     Ok(body::Delete { kind: kind.into(), name, expects: delete.revision as Revision })
--- /dev/null
+++ b/crates/egretgate/src/main.rs
@@ -0,0 +1,51 @@
+//! The entry's program, and the command line of operators.
+
+use std::process::ExitCode;
+
+use egretgate::command::{self, Call, Exit};
+use egretgate::settings::{Read, entry};
+use egretgate::{Entry, Options};
+use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::signal::unix::{SignalKind, signal};
+
+#[tokio::main]
+async fn main() -> eyre::Result<ExitCode> {
+    let mut args = std::env::args_os().skip(1).peekable();
+    if args.next_if(|arg| arg == "serve").is_some() {
+        return start(entry::read(args, std::env::vars_os())).await;
+    }
+    let call = Call {
+        args: args.collect(),
+        vars: std::env::vars_os().collect(),
+        out: &mut std::io::stdout(),
+        err: &mut std::io::stderr(),
+    };
+    Ok(command::run(call).await.into())
+}
+
+async fn start(read: egretgate::settings::Result<Read<entry::Settings>>) -> eyre::Result<ExitCode> {
+    match read {
+        Ok(Read::Help(text)) => print!("{text}"),
+        Ok(Read::Settings(settings)) => serve(settings).await?,
+        Err(faults) => {
+            eprintln!("{faults}");
+            return Ok(Exit::Usage.into());
+        }
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn serve(settings: entry::Settings) -> eyre::Result<()> {
+    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let log = egretgate::logger(settings.log_level);
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let options = Options { metrics: Some(metrics), ..Options::default() };
+    let entry = Entry::start(settings, options, log).await?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    entry.stop().await;
+    Ok(())
+}
