--- a/crates/egretgate/src/command/apply.rs
+++ b/crates/egretgate/src/command/apply.rs
@@ -76,12 +76,13 @@
     if dry_run {
         return output.line(format_args!("dry run: {} changes would be accepted", changes.len()));
     }
+    let start = Instant::now();
     let offset = send(&mut client, &current, &batches, author.as_ref(), output).await?;
     output.line(format_args!("accepted at offset {offset}"))?;
     if wait == 0 {
         return Ok(());
     }
-    in_force(&mut client, offset, Duration::from_secs(wait), output).await
+    in_force(&mut client, offset, start, Duration::from_secs(wait), output).await
 }
 
 impl Current {
@@ -179,15 +180,16 @@
     Err(Failure::refused(format!("refused\n{}", lines.join("\n"))))
 }
 
-/// Waits until every process known to the entry has folded the record at `offset`.
+/// Waits until every process known to the entry has folded the record at `offset`, and tells the
+/// time since `start`, when the change was sent.
 async fn in_force(
     client: &mut Client,
     offset: Offset,
+    start: Instant,
     wait: Duration,
     output: &mut Output<'_>,
 ) -> Result<()> {
-    let start = Instant::now();
-    let end = start + wait;
+    let end = Instant::now() + wait;
     let mut known: Option<Vec<proto::Process>> = None;
     loop {
         match timeout_at(end, client.status()).await {
