--- a/crates/egretgate-caller/src/admin.rs
+++ b/crates/egretgate-caller/src/admin.rs
@@ -3,13 +3,14 @@
 use std::io;
 use std::net::SocketAddr;
 
-use salvo::conn::TcpListener;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::http::StatusCode;
 use salvo::server::ServerHandle;
-use salvo::{Depot, FlowCtrl, Handler, Listener, Request, Response, Router, Server, async_trait};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
 use tokio::sync::watch;
 
+use crate::listen::listen;
+
 /// Whether the process can serve.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Health {
@@ -34,12 +35,12 @@
     /// # Errors
     ///
     /// Any error of the operating system when binding.
-    pub async fn bind(
+    pub fn bind(
         address: SocketAddr,
         health: watch::Receiver<Health>,
         metrics: impl Fn() -> String + Send + Sync + 'static,
     ) -> io::Result<Self> {
-        let acceptor = TcpListener::new(address).try_bind().await.map_err(io::Error::other)?;
+        let acceptor = listen(address)?;
         let address = acceptor.local_addr()?;
         let server = Server::new(acceptor);
         let router = Router::new()
--- a/crates/egretgate-caller/src/lib.rs
+++ b/crates/egretgate-caller/src/lib.rs
@@ -15,6 +15,7 @@
 mod admin;
 mod answer;
 mod call;
+mod listen;
 mod prompt;
 mod server;
 
--- a/crates/egretgate-caller/src/server.rs
+++ b/crates/egretgate-caller/src/server.rs
@@ -6,17 +6,17 @@
 use bytes::Bytes;
 use egretgate_core::{Error, ErrorKind, Result};
 use futures::stream;
-use salvo::conn::TcpListener;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use salvo::http::{HeaderMap, HeaderValue, ParseError, ResBody, StatusCode, header};
 use salvo::server::ServerHandle;
-use salvo::{Depot, FlowCtrl, Handler, Listener, Request, Response, Router, Server, async_trait};
+use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::answer::{error_event, write_error};
 use crate::call::{Ask, Call, Credentials, Head, Reply, Target};
+use crate::listen::listen;
 use crate::prompt::Prompt;
 
 /// Parts of an answer that may wait for a slow caller.
@@ -52,12 +52,12 @@
     /// # Errors
     ///
     /// Any error of the operating system when binding.
-    pub async fn bind(
+    pub fn bind(
         address: std::net::SocketAddr,
         limits: Limits,
         asks: mpsc::Sender<Ask>,
     ) -> io::Result<Self> {
-        let acceptor = TcpListener::new(address).try_bind().await.map_err(io::Error::other)?;
+        let acceptor = listen(address)?;
         let address = acceptor.local_addr()?;
         let fuse = FuseConfig::default().with_http1_header_timeout(limits.receive);
         let server = Server::new(acceptor).fuse_config(fuse).max_connections(limits.connections);
--- a/crates/egretgate/src/entry/serve.rs
+++ b/crates/egretgate/src/entry/serve.rs
@@ -82,13 +82,11 @@
         let stop = CancellationToken::new();
 
         let caller = CallerServer::bind(settings.caller_address, limits(&settings), asks)
-            .await
             .wrap_err("binding --caller-address")?;
         let (health, health_watch) = watch::channel(Health::Starting);
         let metrics = options.metrics;
         let render = move || metrics.as_ref().map(PrometheusHandle::render).unwrap_or_default();
         let admin = AdminServer::bind(settings.admin_address, health_watch, render)
-            .await
             .wrap_err("binding --admin-address")?;
         let operator = TcpListener::bind(settings.operator_address)
             .await
--- /dev/null
+++ b/crates/egretgate/tests/processes/bed.rs
@@ -0,0 +1,221 @@
+//! Real `egretgate` and `egretside` processes against fakes on loopback ports.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use egretgate::core::check;
+use egretgate::core::declaration::Declarations;
+use egretgate::core::diff::diff;
+use egretgate::operator::{Client, proto};
+use egretgate_fakes::instances::{Instance, Instances};
+use egretgate_fakes::log::Log;
+
+/// Longest time that a process may take to serve.
+const START: Duration = Duration::from_secs(20);
+/// Place in which everything stands unless a test says otherwise.
+pub const PLACE: &str = "ub-sukhbaatar";
+/// Declarations of every test.
+const DECLARATIONS: &str = include_str!("declarations.toml");
+
+/// A process that is killed when dropped.
+pub struct Process {
+    child: Child,
+    addresses: HashMap<String, SocketAddr>,
+}
+
+impl Process {
+    /// Starts a program and waits until it says where it serves.
+    pub fn start(program: &Path, args: &[String]) -> Self {
+        let mut child = Command::new(program)
+            .args(args)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{}: {error}", program.display()));
+        let stderr = child.stderr.take().expect("piped");
+        let addresses = read_addresses(stderr);
+        Self { child, addresses }
+    }
+
+    /// Returns the address logged under `name` when the process began to serve.
+    pub fn address(&self, name: &str) -> SocketAddr {
+        self.addresses[name]
+    }
+
+    /// Sends a signal by its name, such as `TERM` or `STOP`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill").args(["-s", name, &id]).status().expect("kill runs");
+        assert!(status.success(), "signal {name} to {id}");
+    }
+
+    /// Waits for the end of the process; returns whether it ended well in time.
+    pub fn wait(&mut self, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if let Some(status) = self.child.try_wait().expect("own child") {
+                return status.success();
+            }
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        false
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Reads the log until the line `serving`, then keeps the pipe empty.
+fn read_addresses(stderr: ChildStderr) -> HashMap<String, SocketAddr> {
+    let mut lines = BufReader::new(stderr).lines();
+    let until = Instant::now() + START;
+    let mut seen = Vec::new();
+    while let Some(Ok(line)) = lines.next() {
+        assert!(Instant::now() < until, "no serving line among {seen:?}");
+        if line.contains("serving") {
+            std::thread::spawn(move || lines.for_each(drop));
+            let pairs = line.split_whitespace().filter_map(|pair| pair.split_once('='));
+            return pairs
+                .filter_map(|(name, value)| {
+                    let address = value.trim_matches('"').parse().ok()?;
+                    Some((name.to_owned(), address))
+                })
+                .collect();
+        }
+        seen.push(line);
+    }
+    panic!("the process ended without serving: {seen:?}");
+}
+
+/// The platform's fakes, and the programs under test.
+pub struct Bed {
+    /// Fake log.
+    pub log: Log,
+    /// Fake instance list.
+    pub instances: Instances,
+}
+
+impl Bed {
+    /// Starts the platform's fakes.
+    pub async fn start() -> Self {
+        let log = Log::start().await.expect("loopback");
+        let instances = Instances::start().await.expect("loopback");
+        Self { log, instances }
+    }
+
+    /// Starts a side process before `upstream` and lists it.
+    pub fn side(&self, name: &str, kind: Kind, upstream: SocketAddr) -> Process {
+        let side = Self::unlisted_side(name, kind, upstream);
+        self.list(name, kind, side.address("link"));
+        side
+    }
+
+    /// Starts a side process that the instance list does not hold.
+    pub fn unlisted_side(name: &str, kind: Kind, upstream: SocketAddr) -> Process {
+        let engine = format!("{upstream}:v1");
+        let args = [
+            "serve",
+            "--instance",
+            name,
+            "--place",
+            PLACE,
+            "--service",
+            kind.service(),
+            "--kind",
+            kind.as_str(),
+            "--engine",
+            &engine,
+            "--link-address",
+            "127.0.0.1:0",
+            "--admin-address",
+            "127.0.0.1:0",
+        ];
+        Process::start(&side_program(), &args.map(str::to_owned))
+    }
+
+    /// Lists an upstream at the address of its side process, or of a relay before it.
+    pub fn list(&self, name: &str, kind: Kind, address: SocketAddr) {
+        self.instances.set(Instance::new(name, PLACE, kind.service(), address));
+    }
+
+    /// Starts an entry.
+    pub fn entry(&self, name: &str) -> Process {
+        self.entry_with(name, self.log.address())
+    }
+
+    /// Starts an entry that reaches the log at `log`.
+    pub fn entry_with(&self, name: &str, log: SocketAddr) -> Process {
+        let (log, list) = (log.to_string(), self.instances.address().to_string());
+        let args = [
+            "serve",
+            "--instance",
+            name,
+            "--place",
+            PLACE,
+            "--caller-address",
+            "127.0.0.1:0",
+            "--admin-address",
+            "127.0.0.1:0",
+            "--operator-address",
+            "127.0.0.1:0",
+            "--log-address",
+            &log,
+            "--instances-address",
+            &list,
+        ];
+        let program = Path::new(env!("CARGO_BIN_EXE_egretgate"));
+        Process::start(program, &args.map(str::to_owned))
+    }
+
+    /// Applies the tests' declarations through an entry, and waits until they are in force.
+    pub async fn declare(&self, entry: &Process) {
+        let declared = check::parse(DECLARATIONS).expect("valid declarations");
+        let puts = diff(&Declarations::default(), &declared)
+            .into_iter()
+            .filter_map(|change| Some(proto::Item::new(change.name, 0, change.after?)))
+            .collect();
+        let author = proto::Author { operator: "tests".into(), reason: "set-up".into() };
+        let request = proto::ApplyRequest { author: Some(author), puts, ..Default::default() };
+        let mut client = Client::connect(entry.address("operators"), None).await.expect("serving");
+        let reply = client.apply(request).await.expect("the log is up");
+        assert!(reply.accepted, "{:?}", reply.refusals);
+    }
+}
+
+/// What stands behind a side process.
+#[derive(Debug, Clone, Copy)]
+pub enum Kind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Plain,
+}
+
+impl Kind {
+    /// Returns the declared service of upstreams of this kind.
+    pub const fn service(self) -> &'static str {
+        match self {
+            Self::Engine => "report-writers",
+            Self::Plain => "tag-ledger",
+        }
+    }
+
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Engine => "engine",
+            Self::Plain => "plain",
+        }
+    }
+}
+
+/// Returns the side process's program, which stands beside the entry's.
+fn side_program() -> PathBuf {
+    Path::new(env!("CARGO_BIN_EXE_egretgate")).with_file_name("egretside")
+}
--- /dev/null
+++ b/crates/egretgate/tests/processes/caller.rs
@@ -0,0 +1,90 @@
+//! A caller of the entries, as tests need one.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use egretgate_http::{Call, Client};
+use http::HeaderName;
+use serde_json::Value;
+
+/// Longest time for one call.
+const LIMIT: Duration = Duration::from_secs(30);
+/// Largest answer, in bytes.
+const MAX_BODY: usize = 16 << 20;
+
+/// What a caller was told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Told {
+    /// A whole answer, with its body.
+    Whole(String),
+    /// An error in the error shape.
+    Error {
+        /// Code of the error kind.
+        code: String,
+        /// Whether the request was run.
+        ran: String,
+    },
+    /// The connection broke.
+    Broken,
+}
+
+impl Told {
+    /// Returns the text of a streamed completion, if it is whole.
+    pub fn text(&self) -> Option<String> {
+        let Self::Whole(body) = self else { return None };
+        let mut text = String::new();
+        for line in body.lines() {
+            let Some(data) = line.strip_prefix("data: ") else { continue };
+            let Ok(event) = serde_json::from_str::<Value>(data) else { continue };
+            text.push_str(event["choices"][0]["text"].as_str().unwrap_or_default());
+        }
+        Some(text)
+    }
+
+    /// Returns whether the caller was told that its request was not run.
+    pub fn is_not_run(&self) -> bool {
+        matches!(self, Self::Error { ran, .. } if ran == "no")
+    }
+}
+
+/// Asks for a streamed completion.
+pub async fn complete(entry: SocketAddr, prompt: &str, tokens: usize) -> Told {
+    let body = serde_json::json!({
+        "model": "reports", "prompt": prompt, "max_tokens": tokens, "stream": true,
+    });
+    send(entry, Call::post("/v1/completions", body.to_string())).await
+}
+
+/// Makes a call that may not be repeated.
+pub async fn tag(entry: SocketAddr, key: &str) -> Told {
+    let call = Call::post("/tags/book", format!("{{\"tag\":\"{key}\"}}"))
+        .header(HeaderName::from_static("idempotency-key"), key);
+    send(entry, call).await
+}
+
+async fn send(entry: SocketAddr, call: Call) -> Told {
+    let call = call.header(HeaderName::from_static("x-egret-team"), "guild");
+    tokio::time::timeout(LIMIT, follow(entry, call)).await.unwrap_or(Told::Broken)
+}
+
+async fn follow(entry: SocketAddr, call: Call) -> Told {
+    let Ok(answer) = Client::new(entry).send(call).await else { return Told::Broken };
+    let status = answer.status;
+    let Ok(body) = answer.collect(MAX_BODY).await else { return Told::Broken };
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let error = if status == 200 { cut_event(&body) } else { serde_json::from_str(&body).ok() };
+    match error {
+        Some(error) => Told::Error {
+            code: error["error"]["code"].as_str().unwrap_or_default().to_owned(),
+            ran: error["error"]["ran"].as_str().unwrap_or_default().to_owned(),
+        },
+        None => Told::Whole(body),
+    }
+}
+
+/// Returns the error event that ends a cut stream.
+fn cut_event(body: &str) -> Option<Value> {
+    let last = body.lines().rev().find_map(|line| line.strip_prefix("data: "))?;
+    let event: Value = serde_json::from_str(last).ok()?;
+    event.get("error").is_some().then_some(event)
+}
--- a/crates/egretside/src/serve.rs
+++ b/crates/egretside/src/serve.rs
@@ -65,7 +65,6 @@
         let (health, watch) = watch::channel(Health::Ready);
         let render = move || metrics.as_ref().map(PrometheusHandle::render).unwrap_or_default();
         let admin = AdminServer::bind(settings.admin_address, watch, render)
-            .await
             .wrap_err("binding --admin-address")?;
         let (desk, messages) = mpsc::channel(DESK_DEPTH);
         tokio::spawn(build_desk(&settings, log.clone(), desk.clone()).run(messages));
