--- a/crates/egretgate/src/entry/journal.rs
+++ b/crates/egretgate/src/entry/journal.rs
@@ -199,6 +199,11 @@
 
     /// Queues a configuration record.
     fn append(&mut self, body: Body, reply: oneshot::Sender<Result<Offset>>) {
+        if !self.view.borrow().ready {
+            let detail = "shared state is not read yet; nothing was changed";
+            let _ = reply.send(Err(Error::new(ErrorKind::NotReady, detail)));
+            return;
+        }
         if !self.reading.is_up() {
             let detail = "the platform's log can't be reached; nothing was changed";
             let _ = reply.send(Err(Error::new(ErrorKind::LogOutage, detail)));
--- a/crates/egretgate/tests/processes/bed.rs
+++ b/crates/egretgate/tests/processes/bed.rs
@@ -181,6 +181,7 @@
             .into_iter()
             .filter_map(|change| Some(proto::Item::new(change.name, 0, change.after?)))
             .collect();
+        ready(entry.address("admin")).await;
         let author = proto::Author { operator: "tests".into(), reason: "set-up".into() };
         let request = proto::ApplyRequest { author: Some(author), puts, ..Default::default() };
         let mut client = Client::connect(entry.address("operators"), None).await.expect("serving");
@@ -215,6 +216,20 @@
     }
 }
 
+/// Waits until the process at the administration address says that it is ready.
+pub async fn ready(admin: SocketAddr) {
+    let client = egretgate_http::Client::new(admin);
+    let until = Instant::now() + START;
+    while Instant::now() < until {
+        let call = egretgate_http::Call::get("/readyz");
+        if client.fetch(call, START).await.is_ok_and(|answer| answer.is_success()) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("{admin} is not ready in time");
+}
+
 /// Returns the side process's program, which stands beside the entry's.
 fn side_program() -> PathBuf {
     Path::new(env!("CARGO_BIN_EXE_egretgate")).with_file_name("egretside")
