--- a/crates/egretgate/tests/processes.rs
+++ b/crates/egretgate/tests/processes.rs
@@ -1,42 +1,10 @@
-//! The whole path with separate processes: entries, side processes, fakes.
+//! Entries and side processes as separate processes, against fakes: the plain path and failures.
 
 #[path = "processes/bed.rs"]
 mod bed;
 #[path = "processes/caller.rs"]
 mod caller;
-
-use bed::{Bed, Kind};
-use caller::{Told, complete, tag};
-use egretgate_fakes::engine::{Engine, EngineSpec, expected_completion};
-use egretgate_fakes::service::Service;
-
-#[tokio::test(flavor = "multi_thread")]
-async fn whole_answers_through_two_entries_and_two_side_processes() {
-    let bed = Bed::start().await;
-    let engines = [
-        Engine::start(EngineSpec::new()).await.expect("loopback"),
-        Engine::start(EngineSpec::new()).await.expect("loopback"),
-    ];
-    let service = Service::start().await.expect("loopback");
-    let _first = bed.side("writer-1", Kind::Engine, engines[0].address());
-    let _second = bed.side("writer-2", Kind::Engine, engines[1].address());
-    let _ledger = bed.side("ledger-1", Kind::Plain, service.address());
-    let entries = [bed.entry("entry-1"), bed.entry("entry-2")];
-    bed.declare(&entries[0]).await;
-
-    for round in 0..8 {
-        let entry = entries[round % 2].address("callers");
-        let prompt = format!("inspection report {round}");
-        let told = complete(entry, &prompt, 20).await;
-        assert_eq!(told.text(), Some(expected_completion(&prompt, 20)), "round {round}: {told:?}");
-    }
-    let ran: u64 = engines.iter().map(|engine| engine.counts().executions).sum();
-    assert_eq!(ran, 8);
-    assert!(engines.iter().all(|engine| engine.ids().values().all(|count| *count == 1)));
-
-    let first = tag(entries[0].address("callers"), "tag-7").await;
-    assert!(matches!(first, Told::Whole(_)), "{first:?}");
-    let again = tag(entries[1].address("callers"), "tag-7").await;
-    assert_eq!(again, first, "the recorded answer comes again");
-    assert_eq!(service.executions("tag-7"), 1);
-}
+#[path = "processes/stopping.rs"]
+mod stopping;
+#[path = "processes/whole.rs"]
+mod whole;
--- /dev/null
+++ b/crates/egretgate/tests/processes/stopping.rs
@@ -0,0 +1,73 @@
+//! Planned stops cut no request.
+
+use std::time::Duration;
+
+use egretgate_fakes::engine::{Engine, EngineSpec, expected_completion};
+use tokio::task::JoinSet;
+
+use crate::bed::{Bed, Kind, Process};
+use crate::caller::{Told, complete};
+
+/// Longest time that a stop may take.
+const STOP: Duration = Duration::from_secs(20);
+/// Requests under way when the signal comes.
+const REQUESTS: usize = 24;
+/// Length of each answer, in tokens.
+const TOKENS: usize = 150;
+
+/// Who gets the signal.
+#[derive(Debug, Clone, Copy)]
+enum Target {
+    Entry,
+    Side,
+}
+
+struct Case {
+    target: Target,
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_under_load_cuts_no_request() {
+    for case in [Case { target: Target::Entry }, Case { target: Target::Side }] {
+        stop_under_load(case.target).await;
+    }
+}
+
+async fn stop_under_load(target: Target) {
+    let bed = Bed::start().await;
+    let engines = [
+        Engine::start(EngineSpec::new()).await.expect("loopback"),
+        Engine::start(EngineSpec::new()).await.expect("loopback"),
+    ];
+    let mut side = bed.side("writer-1", Kind::Engine, engines[0].address());
+    let _other = bed.side("writer-2", Kind::Engine, engines[1].address());
+    let mut entry = bed.entry("entry-1");
+    bed.declare(&entry).await;
+    let address = entry.address("callers");
+    let mut calls = JoinSet::new();
+    for index in 0..REQUESTS {
+        calls.spawn(async move {
+            let prompt = format!("report {index}");
+            let told = complete(address, &prompt, TOKENS).await;
+            (prompt, told)
+        });
+    }
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    let stopped: &mut Process = match target {
+        Target::Entry => &mut entry,
+        Target::Side => &mut side,
+    };
+    stopped.signal("TERM");
+    for (prompt, told) in calls.join_all().await {
+        let whole = told.text() == Some(expected_completion(&prompt, TOKENS));
+        assert!(whole || told.is_not_run(), "{target:?}: {prompt}: {told:?}");
+        if matches!(target, Target::Side) {
+            assert!(whole, "another upstream was there: {told:?}");
+        }
+        assert!(told != Told::Broken, "{target:?}: {prompt} was cut");
+    }
+    assert!(stopped.wait(STOP), "{target:?} did not end well in time");
+    for engine in &engines {
+        assert!(engine.ids().values().all(|count| *count == 1), "dispatched once");
+    }
+}
