feat(moves): model table, one-sided proofs and a bench of choices

A move proves the new version by a one-sided mixture SPRT instead of two intervals. Groups keep flat member lists, so a draw no longer sums over places.

--- /dev/null
+++ b/crates/egretgate-core/benches/choice.rs
@@ -0,0 +1,101 @@
+//! Cost of one choice of an upstream, by policy and size of the fleet.
+
+use std::time::{Duration, Instant};
+
+use divan::{Bencher, black_box};
+use egretgate_core::choice::{Ask, Fleet, Policy, Report, Upstream};
+use rand::{Rng, RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SIZES: [usize; 3] = [20, 630, 10_000];
+/// Upstreams of one place at the target: 10,000 over 38 places.
+const PLACE_SIZE: usize = 264;
+
+fn main() {
+    divan::main();
+}
+
+fn fleet(policy: Policy, size: usize, now: Instant) -> Fleet {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut fleet = Fleet::new(policy);
+    for index in 0..size {
+        let key = fleet.insert(Upstream {
+            id: format!("forecast-{index}"),
+            place: format!("place-{}", index / PLACE_SIZE),
+            service: "forecast-llm".into(),
+            versions: vec!["v1".into()],
+        });
+        let report = Report {
+            queued: rng.random_range(0..4),
+            running: rng.random_range(0..16),
+            limit: 16,
+            tokens: 1_000,
+            first: Duration::from_millis(rng.random_range(20..400)),
+            between: Duration::from_millis(rng.random_range(8..34)),
+            lowest: None,
+            shed: None,
+            healthy: true,
+        };
+        fleet.report(key, report, now);
+    }
+    fleet
+}
+
+fn ask<R: Rng>(rng: &mut R) -> Ask<'static> {
+    Ask {
+        service: "forecast-llm",
+        version: Some("v1"),
+        tier: 1,
+        prompt: 500,
+        output: 100,
+        prefix: rng.random(),
+        place: "place-0",
+        excluded: &[],
+    }
+}
+
+fn decide(bencher: Bencher<'_, '_>, policy: Policy, size: usize) {
+    let now = Instant::now();
+    let fleet = fleet(policy, size, now);
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    bencher.bench_local(|| fleet.choose(black_box(&ask(&mut rng)), now, &mut rng));
+}
+
+#[divan::bench(args = SIZES, sample_size = 500)]
+fn random(bencher: Bencher<'_, '_>, size: usize) {
+    decide(bencher, Policy::Random, size);
+}
+
+#[divan::bench(args = SIZES, sample_size = 500)]
+fn least_in_flight(bencher: Bencher<'_, '_>, size: usize) {
+    decide(bencher, Policy::LeastInFlight, size);
+}
+
+#[divan::bench(args = SIZES, sample_size = 500)]
+fn two_choices(bencher: Bencher<'_, '_>, size: usize) {
+    decide(bencher, Policy::TwoChoices, size);
+}
+
+#[divan::bench(args = SIZES, sample_size = 500)]
+fn prequal(bencher: Bencher<'_, '_>, size: usize) {
+    decide(bencher, Policy::Prequal, size);
+}
+
+#[divan::bench(args = SIZES, sample_size = 500)]
+fn affinity(bencher: Bencher<'_, '_>, size: usize) {
+    decide(bencher, Policy::Affinity, size);
+}
+
+/// Offer and end of one request, with the upkeep of the indexes.
+#[divan::bench(args = SIZES, sample_size = 500)]
+fn begin_and_end(bencher: Bencher<'_, '_>, size: usize) {
+    let now = Instant::now();
+    let mut fleet = fleet(Policy::Affinity, size, now);
+    let mut rng = ChaCha8Rng::seed_from_u64(2);
+    bencher.bench_local(|| {
+        let ask = ask(&mut rng);
+        let key = fleet.choose(&ask, now, &mut rng).expect("an upstream");
+        let flight = fleet.begin(key, &ask, now);
+        fleet.end(key, flight, 100, now);
+    });
+}
--- /dev/null
+++ b/crates/egretgate-core/examples/moves.rs
@@ -0,0 +1,74 @@
+//! Table of version moves: what becomes of good and bad versions over many seeds.
+
+#[path = "support/moves_model.rs"]
+mod model;
+
+use std::thread;
+
+use model::{Deaths, Kind, Run, run};
+
+/// Runs of each fake version.
+const SEEDS: u64 = 200;
+/// Threads that share the runs.
+const THREADS: u64 = 4;
+
+fn main() {
+    println!(
+        "| version | holder dies | runs | done | taken back | of these unproven | served p50 | served max | harmed p50 | minutes p50 | minutes max | share max | minute share max | after verdict |"
+    );
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for kind in Kind::ALL {
+        for deaths in [Deaths::None, Deaths::Always] {
+            print(kind, deaths, &runs(kind, deaths));
+        }
+    }
+}
+
+/// Runs every seed of a fake version.
+fn runs(kind: Kind, deaths: Deaths) -> Vec<Run> {
+    thread::scope(|scope| {
+        let part = |first| {
+            move || {
+                (first..SEEDS)
+                    .step_by(THREADS as usize)
+                    .map(|seed| run(kind, seed, deaths))
+                    .collect::<Vec<_>>()
+            }
+        };
+        let threads: Vec<_> = (0..THREADS).map(|first| scope.spawn(part(first))).collect();
+        threads.into_iter().flat_map(|thread| thread.join().expect("a run panicked")).collect()
+    })
+}
+
+fn print(kind: Kind, deaths: Deaths, runs: &[Run]) {
+    let done = runs.iter().filter(|run| run.done).count();
+    let unproven = runs
+        .iter()
+        .filter(|run| run.reason == Some(egretgate_core::moves::Reason::Unproven))
+        .count();
+    let sorted = |value: fn(&Run) -> u64| {
+        let mut values: Vec<u64> = runs.iter().map(value).collect();
+        values.sort_unstable();
+        values
+    };
+    let served = sorted(|run| run.served);
+    let harmed = sorted(|run| run.harmed);
+    let seconds = sorted(|run| run.seconds);
+    let half = runs.len() / 2;
+    let most = |value: fn(&Run) -> f64| 100.0 * runs.iter().map(value).fold(0.0, f64::max);
+    println!(
+        "| {} | {:?} | {} | {done} | {} | {unproven} | {} | {} | {} | {:.1} | {:.1} | {:.2}% | {:.2}% | {} |",
+        kind.as_str(),
+        deaths,
+        runs.len(),
+        runs.len() - done,
+        served[half],
+        served[served.len() - 1],
+        harmed[half],
+        seconds[half] as f64 / 60.0,
+        seconds[seconds.len() - 1] as f64 / 60.0,
+        most(|run| run.share),
+        most(|run| run.minute),
+        runs.iter().map(|run| run.late).sum::<u64>(),
+    );
+}
--- /dev/null
+++ b/crates/egretgate-core/examples/support/moves_model.rs
@@ -0,0 +1,373 @@
+//! A model of a version move: requests second by second, drawn outcomes, one controller.
+
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use egretgate_core::Ticket;
+use egretgate_core::moves::{
+    Budget, Cap, Cell, Controller, Counts, Decision, Evidence, LocalStop, Move, Outcome, Progress,
+    Quota, Reason, Split, pick_version,
+};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Upstreams of the service, of which some run the new version.
+const UPSTREAMS: u32 = 12;
+/// Requests per second that one upstream can run.
+const CAPACITY: f64 = 5.0;
+/// Entries, each with its own quota.
+const ENTRIES: usize = 2;
+/// Routes of the move.
+const ROUTES: [&str; 2] = ["report", "quote"];
+/// Seconds from the start to the end of the move.
+const LENGTH: u64 = 7_200;
+/// Seconds between the controller's decisions.
+const LOOK: u64 = 5;
+/// Seconds until a record is in force at the entries.
+const SPREAD: u64 = 2;
+/// Seconds watched after a move was taken back.
+const AFTER: u64 = 60;
+/// Seconds in which the load goes from its lowest to its highest and back.
+const TIDE: f64 = 1_200.0;
+/// Seconds for which an upstream that crashed is gone.
+const REBOOT: u64 = 60;
+/// Requests that run when an upstream crashes and fail with it.
+const CRASH_LOSS: u64 = 5;
+/// Load levels.
+const LEVELS: usize = 4;
+/// Process that reports the new version.
+const NEW: u64 = 1;
+
+/// A fake version.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Like the old version.
+    Good,
+    /// Fails one request in five from the start.
+    FailsAtOnce,
+    /// Fails one request in five from some moment in the first half of the move on.
+    FailsLater,
+    /// Slow first token in one request of five.
+    SlowAtOnce,
+    /// Slow first token in one request of three, on a loaded upstream only.
+    SlowUnderLoad,
+    /// Fails one request in eight, on one route only.
+    BadOnRoute,
+    /// Crashes its upstream in one request of five hundred.
+    Crashing,
+    /// Fails more than the old version by three times the budget.
+    SlightlyBad,
+    /// Fails more than the old version by a quarter over the budget.
+    JustOver,
+}
+
+/// When the holder of the move's lease dies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Deaths {
+    /// Never.
+    None,
+    /// Right after each decision is recorded.
+    Recorded,
+    /// After each decision, before it is recorded: the next holder decides again.
+    Unrecorded,
+    /// At each look.
+    Always,
+}
+
+/// What came of one run.
+#[derive(Debug, Clone)]
+pub struct Run {
+    /// True if the move ended as done.
+    pub done: bool,
+    /// Why it was taken back.
+    pub reason: Option<Reason>,
+    /// Seconds from the start to the verdict.
+    pub seconds: u64,
+    /// Requests that the new version served.
+    pub served: u64,
+    /// Requests that the new version failed or served slowly.
+    pub harmed: u64,
+    /// Requests that the new version served after the verdict was in force.
+    pub late: u64,
+    /// Largest share of a route's requests given to the new version up to any moment, once 100
+    /// were.
+    pub share: f64,
+    /// Largest share of a route's requests in any minute.
+    pub minute: f64,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Odds {
+    error: f64,
+    first: f64,
+    between: f64,
+    crash: f64,
+}
+
+impl Kind {
+    /// Every fake version, the good one first.
+    pub const ALL: [Self; 9] = [
+        Self::Good,
+        Self::FailsAtOnce,
+        Self::FailsLater,
+        Self::SlowAtOnce,
+        Self::SlowUnderLoad,
+        Self::BadOnRoute,
+        Self::Crashing,
+        Self::SlightlyBad,
+        Self::JustOver,
+    ];
+
+    /// Returns the name printed in tables.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Good => "good",
+            Self::FailsAtOnce => "fails at once",
+            Self::FailsLater => "fails later",
+            Self::SlowAtOnce => "slow at once",
+            Self::SlowUnderLoad => "slow under load",
+            Self::BadOnRoute => "bad on one route",
+            Self::Crashing => "crashing",
+            Self::SlightlyBad => "three times budget",
+            Self::JustOver => "a quarter over budget",
+        }
+    }
+
+    /// Returns the odds of the new version.
+    fn odds(self, route: usize, load: f64, second: u64, onset: u64) -> Odds {
+        let mut odds = Odds::old(load);
+        match self {
+            Self::Good => {}
+            Self::FailsAtOnce => odds.error = 0.2,
+            Self::FailsLater if second >= onset => odds.error = 0.2,
+            Self::SlowAtOnce => odds.first = 0.2,
+            Self::SlowUnderLoad if load >= 0.75 => odds.first = 0.33,
+            Self::BadOnRoute if route == 1 => odds.error = 0.125,
+            Self::FailsLater | Self::SlowUnderLoad | Self::BadOnRoute => {}
+            Self::Crashing => odds.crash = 0.002,
+            Self::SlightlyBad => odds.error += 0.06,
+            Self::JustOver => odds.error += 0.025,
+        }
+        odds
+    }
+}
+
+impl Odds {
+    /// Returns the odds of the old version at a load of its upstream.
+    fn old(load: f64) -> Self {
+        Self { error: 0.005, first: 0.01 + 0.04 * load * load, between: 0.02, crash: 0.0 }
+    }
+}
+
+/// Returns the move that the model runs.
+pub fn plan() -> Move {
+    Move {
+        service: "report-writers".into(),
+        routes: ROUTES.map(Into::into).to_vec(),
+        from: "v1".into(),
+        to: "v2".into(),
+        steps: Move::STEPS.to_vec(),
+        cap: Cap::InFlight(64),
+        budget: Budget::default(),
+        begin: at(0),
+        end: at(LENGTH),
+    }
+}
+
+/// Returns the wall time at a second of the model.
+pub fn at(second: u64) -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(1_800_000_000 + second)
+}
+
+/// Load of the upstreams of one version, smoothed over a few seconds.
+#[derive(Debug, Clone, Copy, Default)]
+struct Gauge {
+    load: f64,
+}
+
+impl Gauge {
+    fn turn(&mut self, requests: u64, hosts: u32) {
+        let now = requests as f64 / (f64::from(hosts.max(1)) * CAPACITY);
+        self.load = (self.load + 0.3 * (now - self.load)).min(1.0);
+    }
+
+    fn level(self) -> usize {
+        ((self.load * LEVELS as f64) as usize).min(LEVELS - 1)
+    }
+}
+
+/// The side processes of the model: their counters, and the local stop of the new version.
+#[derive(Debug, Default)]
+struct Sides {
+    /// Counters by version, route and load level.
+    counts: [[[Counts; LEVELS]; ROUTES.len()]; 2],
+    local: LocalStop,
+    harmed: u64,
+}
+
+impl Sides {
+    /// Returns what a holder learns from all of them.
+    fn report(&self, evidence: &mut Evidence) {
+        for (process, version) in ["v1", "v2"].into_iter().enumerate() {
+            for (route, name) in ROUTES.into_iter().enumerate() {
+                for (level, &counts) in self.counts[process][route].iter().enumerate() {
+                    let cell = Cell::new(name, version, level as u32);
+                    evidence.merge(process as u64, cell, counts);
+                }
+            }
+        }
+        if let Some(stop) = self.local.stopped() {
+            evidence.stop(NEW, stop);
+        }
+    }
+
+    /// Runs a request and returns true if it crashed the upstream.
+    fn serve(
+        &mut self,
+        new: bool,
+        route: usize,
+        level: usize,
+        odds: Odds,
+        rng: &mut ChaCha8Rng,
+    ) -> bool {
+        let counts = &mut self.counts[usize::from(new)][route][level];
+        let crash = odds.crash > 0.0 && rng.random_bool(odds.crash);
+        let error = crash || rng.random_bool(odds.error);
+        let first = rng.random_bool(odds.first);
+        let between = rng.random_bool(odds.between);
+        counts.record(error, first, between);
+        if crash {
+            (0..CRASH_LOSS).for_each(|_| counts.record(true, false, false));
+        }
+        if new {
+            self.harmed += u64::from(error || first || between);
+            let outcome = match (crash, error) {
+                (true, _) => Outcome::Crash,
+                (_, true) => Outcome::Error,
+                _ => Outcome::Good,
+            };
+            self.local.record(outcome);
+        }
+        crash
+    }
+}
+
+/// Runs one move of a fake version.
+pub fn run(kind: Kind, seed: u64, deaths: Deaths) -> Run {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let plan = plan();
+    let start = Instant::now();
+    let onset = rng.random_range(LENGTH / 24..LENGTH / 2 - 600);
+    let phase = rng.random_range(0.0..TIDE);
+    let mut sides = Sides::default();
+    let mut evidence = Evidence::default();
+    let mut progress = Progress::new(at(0));
+    let mut quotas: [[Quota; ROUTES.len()]; ENTRIES] = Default::default();
+    let mut gauges = [Gauge::default(); 2];
+    let mut sequence = 0;
+    let mut down_until = 0;
+    let mut seen = [[0_u64; ROUTES.len()]; 2];
+    let mut minute = [[0_u64; ROUTES.len()]; 2];
+    let mut run = Run {
+        done: false,
+        reason: None,
+        seconds: 0,
+        served: 0,
+        harmed: 0,
+        late: 0,
+        share: 0.0,
+        minute: 0.0,
+    };
+    let mut verdict: Option<(u64, bool)> = None;
+    for second in 0..LENGTH + 60 {
+        let hosts = plan.hosts(progress.step, UPSTREAMS);
+        let tide = ((second as f64 + phase) / TIDE * std::f64::consts::TAU).sin();
+        let rate = f64::from(UPSTREAMS) * CAPACITY * (0.62 + 0.3 * tide);
+        let arrivals = (rate * rng.random_range(0.8..1.2)).round() as u64;
+        let in_force = verdict.is_some_and(|(since, _)| second >= since + SPREAD);
+        let split = if in_force {
+            Split::taken_back(&plan)
+        } else {
+            Split::new(&plan, progress, hosts, UPSTREAMS, ENTRIES as u32)
+        };
+        let mut sent = [0_u64; 2];
+        for _ in 0..arrivals {
+            sequence += 1;
+            let entry = rng.random_range(0..ENTRIES);
+            let route = usize::from(rng.random_bool(0.4));
+            let now = start + Duration::from_secs(second);
+            let quota = &mut quotas[entry][route];
+            let ticket = Ticket::new(entry as u64 + 1, sequence);
+            let stopped = sides.local.stopped().is_some();
+            let picked =
+                !stopped && pick_version(&split, ticket, quota, now, at(second)) == &plan.to;
+            let new = picked && second >= down_until;
+            if picked {
+                quota.end();
+            }
+            let side = usize::from(new);
+            let load = gauges[side].load;
+            let odds = if new { kind.odds(route, load, second, onset) } else { Odds::old(load) };
+            let level = gauges[side].level();
+            if sides.serve(new, route, level, odds, &mut rng) {
+                down_until = second + REBOOT;
+            }
+            sent[side] += 1;
+            seen[side][route] += 1;
+            minute[side][route] += 1;
+            run.served += u64::from(new);
+            run.late += u64::from(new && in_force);
+        }
+        let all = sent[1] == 0 && hosts == UPSTREAMS;
+        gauges[0].turn(sent[0], if all { UPSTREAMS } else { UPSTREAMS - hosts });
+        gauges[1].turn(sent[1], hosts);
+        for route in 0..ROUTES.len() {
+            let all = (seen[0][route] + seen[1][route]) as f64;
+            run.share = run.share.max(if all < 100.0 { 0.0 } else { seen[1][route] as f64 / all });
+        }
+        if second % 60 == 59 {
+            for route in 0..ROUTES.len() {
+                let all = (minute[0][route] + minute[1][route]).max(1) as f64;
+                run.minute = run.minute.max(minute[1][route] as f64 / all);
+            }
+            minute = Default::default();
+        }
+        if verdict.is_some_and(|(since, done)| done || second > since + AFTER) {
+            break;
+        }
+        if second % LOOK != 0 || verdict.is_some() {
+            continue;
+        }
+        if deaths == Deaths::Always {
+            evidence = Evidence::default();
+        }
+        sides.report(&mut evidence);
+        let mut decision = Controller.decide(&plan, progress, &evidence, at(second));
+        if deaths == Deaths::Unrecorded && decision != Decision::Hold {
+            let mut next = Evidence::default();
+            sides.report(&mut next);
+            decision = Controller.decide(&plan, progress, &next, at(second));
+            evidence = next;
+        }
+        match decision {
+            Decision::Hold => {}
+            Decision::Step { step, .. } => {
+                progress = Progress::at(step, at(second));
+                evidence.mark();
+                if deaths == Deaths::Recorded {
+                    evidence = Evidence::default();
+                }
+            }
+            Decision::TakeBack(reason, _) => {
+                run.reason = Some(reason);
+                verdict = Some((second, false));
+            }
+            Decision::Done(_) => {
+                run.done = true;
+                verdict = Some((second, true));
+            }
+        }
+    }
+    run.seconds = verdict.map_or(LENGTH, |(second, _)| second);
+    run.harmed = sides.harmed;
+    run
+}
--- a/crates/egretgate-core/src/choice/fleet.rs
+++ b/crates/egretgate-core/src/choice/fleet.rs
@@ -61,6 +61,8 @@
 /// Groups of one service and version, one for each place.
 #[derive(Debug, Default)]
 struct Pool {
+    /// Every member of every group.
+    members: Vec<UpstreamKey>,
     groups: Vec<GroupKey>,
     places: HashMap<PlaceId, usize>,
 }
@@ -274,20 +276,12 @@
         ask: &Ask<'_>,
         rng: &mut R,
     ) -> Option<UpstreamKey> {
-        let total: usize = pool.groups.iter().map(|&key| self.groups[key].members.len()).sum();
-        if total == 0 {
+        if pool.members.is_empty() {
             return None;
         }
-        let mut index = rng.random_range(0..total);
-        for &key in &pool.groups {
-            let members = &self.groups[key].members;
-            if let Some(&chosen) = members.get(index) {
-                let view = self.allowed(chosen, ask)?;
-                return admitted(view, rng).then_some(chosen);
-            }
-            index -= members.len();
-        }
-        None
+        let key = pool.members[rng.random_range(0..pool.members.len())];
+        let view = self.allowed(key, ask)?;
+        admitted(view, rng).then_some(key)
     }
 
     fn random<R: Rng + ?Sized>(
@@ -333,19 +327,14 @@
         rng: &mut R,
     ) -> Option<UpstreamKey> {
         let mut best: Option<(u32, u32, UpstreamKey)> = None;
-        for &group in &pool.groups {
-            for &key in &self.groups[group].members {
-                let Some(view) = self.allowed(key, ask) else { continue };
-                if !admitted(view, rng) {
-                    continue;
-                }
-                if best.is_some_and(|(flights, ..)| view.flights > flights) {
-                    continue;
-                }
-                let entry = (view.flights, rng.random::<u32>(), key);
-                if best.is_none_or(|least| entry < least) {
-                    best = Some(entry);
-                }
+        for &key in &pool.members {
+            let Some(view) = self.allowed(key, ask) else { continue };
+            if best.is_some_and(|(flights, ..)| view.flights > flights) || !admitted(view, rng) {
+                continue;
+            }
+            let entry = (view.flights, rng.random::<u32>(), key);
+            if best.is_none_or(|least| entry < least) {
+                best = Some(entry);
             }
         }
         best.map(|(_, _, key)| key)
@@ -487,6 +476,7 @@
         for version in any.chain(upstream.versions) {
             let versions = self.pools.entry(upstream.service.clone()).or_default();
             let pool = versions.entry(version).or_default();
+            pool.members.push(key);
             let group = pool.group(&upstream.place, &mut self.groups);
             self.groups[group].join(key, &upstream.id);
             joined.push(group);
@@ -503,6 +493,10 @@
             self.groups[group].subtract(part);
             self.groups[group].leave(key, &member.view.upstream.id);
         }
+        let Some(pools) = self.pools.get_mut(&member.view.upstream.service) else { return };
+        for pool in pools.values_mut() {
+            pool.members.retain(|&other| other != key);
+        }
     }
 
     /// Brings the sums of a member's groups up to date.
--- a/crates/egretgate-core/src/moves.rs
+++ b/crates/egretgate-core/src/moves.rs
@@ -39,7 +39,8 @@
     pub first: f64,
     /// Share of requests with slow tokens.
     pub between: f64,
-    /// Requests of the new version per route that each step needs.
+    /// Requests of the new version that each proof needs; a tenth for steps within
+    /// [`Move::CAUTION`].
     pub samples: u64,
     /// Shortest time at each step.
     pub dwell: Duration,
@@ -109,6 +110,13 @@
         self.steps.get(step).or(self.steps.last()).copied().unwrap_or(0).min(WHOLE)
     }
 
+    /// Returns the upstreams that must run the new version at a step, of `upstreams` that run
+    /// either: the fewest that are not loaded more than the others.
+    pub fn hosts(&self, step: usize, upstreams: u32) -> u32 {
+        let load = u64::from(self.share(step)) * u64::from(upstreams);
+        load.div_ceil(u64::from(WHOLE)) as u32
+    }
+
     /// Returns when the share may first go over [`Move::CAUTION`]: halfway to the end, so that a
     /// fault that shows late still meets a small share.
     pub fn soaked(&self) -> SystemTime {
--- a/crates/egretgate-core/src/moves/controller.rs
+++ b/crates/egretgate-core/src/moves/controller.rs
@@ -4,17 +4,20 @@
 use std::fmt;
 use std::time::SystemTime;
 
+use super::interval::proves_below;
 use super::{Budget, Cell, Counts, Evidence, Interval, Metric, Move, Ppm, Progress, Stop, WHOLE};
 use crate::ids::RouteId;
 
 /// Probability that a version no worse than the old one is ever found worse.
 const FALSE_ALARM: f64 = 0.01;
 /// Probability that a version worse than the budget is found good by one comparison.
-const FALSE_PROOF: f64 = 0.001;
+const FALSE_PROOF: f64 = 0.01;
 /// Load levels over which the probability of a false alarm is divided.
 const LEVELS: usize = 4;
-/// Share of a route's requests from which a load level of the old version must be met.
-const MATERIAL: f64 = 0.02;
+/// Part of the samples that a step within [`Move::CAUTION`] needs.
+const CAUTIOUS_PART: u64 = 10;
+/// Share of a route's requests from which a load level of the old version is material.
+const MATERIAL: f64 = 0.05;
 
 /// The state of a comparison on which a verdict rests.
 #[derive(Debug, Clone, PartialEq)]
@@ -190,46 +193,46 @@
     found
 }
 
-/// Returns the comparisons that do not yet prove the new version good.
+/// Returns the comparisons that do not yet prove the new version good: on each route, over all
+/// load levels since the start and since the last step, and at the heaviest level alone.
 fn missing(plan: &Move, whole: &Pairs, window: &Pairs) -> Vec<Finding> {
+    let (all, recent) = (by_route(whole), by_route(window));
     let mut missing = Vec::new();
-    let recent = by_route(window);
-    for (route, sum) in by_route(whole) {
-        let least = (MATERIAL * sum.old.total as f64).max(1.0);
-        let levels = whole.iter().filter(|((of, _), _)| *of == route);
-        for ((_, level), pair) in levels.filter(|(_, pair)| pair.old.total as f64 >= least) {
-            missing.extend(unproven(plan, &route, Some(*level), *pair));
-        }
-        let pair = recent.get(&route).copied().unwrap_or_default();
-        missing.extend(unproven(plan, &route, None, pair));
-    }
     for route in &plan.routes {
-        let met = whole.iter().any(|((of, _), pair)| of == route && pair.new.total > 0);
-        if !met {
-            missing.push(finding(route, None, Metric::Errors, Pair::default()));
-        }
+        let sum = all.get(route).copied().unwrap_or_default();
+        missing.extend(unproven(plan, route, None, sum));
+        let pair = recent.get(route).copied().unwrap_or_default();
+        missing.extend(unproven(plan, route, None, pair));
+        let Some((level, pair)) = heaviest(route, sum, whole) else { continue };
+        missing.extend(unproven(plan, route, Some(level), pair));
     }
     missing
 }
 
+/// Returns the heaviest load level that the old version meets in a material share of requests.
+fn heaviest(route: &str, sum: Pair, whole: &Pairs) -> Option<(u32, Pair)> {
+    let least = (MATERIAL * sum.old.total as f64).max(1.0);
+    let levels = whole.iter().filter(|((of, _), _)| of == route);
+    let material = levels.filter(|(_, pair)| pair.old.total as f64 >= least);
+    material.map(|((_, level), pair)| (*level, *pair)).max_by_key(|(level, _)| *level)
+}
+
 /// Returns the metrics by which a pair does not prove the new version good.
 fn unproven(plan: &Move, route: &str, level: Option<u32>, pair: Pair) -> Vec<Finding> {
     let proven = |metric: &Metric| {
-        let new = interval(pair.new, *metric, FALSE_PROOF);
-        let old = interval(pair.old, *metric, FALSE_PROOF);
-        let good = new.high <= old.low + plan.budget.margin(*metric);
-        good && pair.new.total >= plan.budget.samples
+        let alpha = FALSE_PROOF / 2.0;
+        let bound = interval(pair.old, *metric, alpha).low + plan.budget.margin(*metric);
+        let Counts { total, .. } = pair.new;
+        total >= plan.budget.samples && proves_below(pair.new.hits(*metric), total, bound, alpha)
     };
     let open = Metric::ALL.into_iter().filter(|metric| !proven(metric));
     open.map(|metric| finding(route, level, metric, pair)).collect()
 }
 
-/// Returns true if each route has the samples that a step needs.
+/// Returns true if the new version ran what a step within [`Move::CAUTION`] needs.
 fn enough(plan: &Move, window: &Pairs) -> bool {
-    let sums = by_route(window);
-    plan.routes
-        .iter()
-        .all(|route| sums.get(route).is_some_and(|pair| pair.new.total >= plan.budget.samples / 10))
+    let total: u64 = window.values().map(|pair| pair.new.total).sum();
+    total >= plan.budget.samples / CAUTIOUS_PART
 }
 
 fn by_route(pairs: &Pairs) -> BTreeMap<RouteId, Pair> {
--- a/crates/egretgate-core/src/moves/interval.rs
+++ b/crates/egretgate-core/src/moves/interval.rs
@@ -3,6 +3,13 @@
 /// Halvings of the search for a bound.
 const HALVINGS: u32 = 40;
 
+/// Smallest share of the grid on which proofs rest.
+const GRID_START: f64 = 0.002;
+/// Ratio of neighbours on the grid.
+const GRID_RATIO: f64 = 1.4;
+/// Points of the grid.
+const GRID_POINTS: i32 = 15;
+
 /// Bounds of a share, valid over every number of observations at once.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Interval {
@@ -33,6 +40,26 @@
     }
 }
 
+/// Returns true if `hits` among `total` independent requests prove a share below `bound`.
+///
+/// If the share is in fact `bound` or more, the probability that this is ever true is at most
+/// `alpha`, however often one looks. It is a one-sided mixture SPRT over a fixed grid of smaller
+/// shares: each likelihood ratio is a supermartingale under every share of at least `bound`, and
+/// so is their mean. The mean rises with `bound`, so that a proof against a lower one, such as
+/// one that is estimated from below, holds as well.
+pub(super) fn proves_below(hits: u64, total: u64, bound: f64, alpha: f64) -> bool {
+    let (k, n) = (hits.min(total) as f64, total as f64);
+    if bound >= 1.0 || k >= bound * n {
+        return false;
+    }
+    let log = |share: f64| k * share.ln() + (n - k) * (1.0 - share).ln();
+    let null = log(bound);
+    let grid = (0..GRID_POINTS).map(|point| GRID_START * GRID_RATIO.powi(point));
+    let smaller = grid.filter(|&share| share < bound);
+    let sum: f64 = smaller.map(|share| (log(share) - null).exp()).sum();
+    sum / f64::from(GRID_POINTS) >= 1.0 / alpha
+}
+
 /// Returns the bound on the divergence, times the number of observations.
 fn radius(hits: u64, total: u64, alpha: f64) -> f64 {
     let (k, n) = (hits as f64, total as f64);
--- a/crates/egretgate-core/src/moves/split.rs
+++ b/crates/egretgate-core/src/moves/split.rs
@@ -63,6 +63,18 @@
         }
     }
 
+    /// Returns the split of a move that was taken back: the new version gets nothing.
+    pub fn taken_back(plan: &Move) -> Self {
+        Self {
+            from: plan.from.clone(),
+            to: plan.to.clone(),
+            share: 0,
+            burst: 0,
+            cap: Some(plan.cap),
+            seed: 0,
+        }
+    }
+
     /// Returns true while the burst of the cycle is under way.
     fn bursting(&self, now: SystemTime) -> bool {
         let since = now.duration_since(UNIX_EPOCH).unwrap_or_default();
