--- a/crates/egretgate-core/src/choice/fleet.rs
+++ b/crates/egretgate-core/src/choice/fleet.rs
@@ -16,6 +16,8 @@
 const POINTS: u64 = 16;
 /// Upstreams looked at along the ring before affinity is given up.
 const RING_STEPS: usize = 4;
+/// Members of a pool up to which a choice looks at all of them.
+const SMALL_POOL: usize = 16;
 /// Random candidates from the own place.
 const NEAR_SAMPLES: usize = 4;
 /// Random candidates from other places.
@@ -50,6 +52,8 @@
     ring: BTreeMap<u64, UpstreamKey>,
     /// Sum of the members' own outstanding work, in weighted tokens.
     work: u64,
+    /// Sum of the members' own requests in flight.
+    flights: u64,
     /// Sum of the members' capacity, in tokens per second.
     capacity: u64,
     /// Sum of the members' slots.
@@ -71,6 +75,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Part {
     work: u64,
+    flights: u64,
     capacity: u64,
     slots: u64,
     others: u64,
@@ -196,11 +201,11 @@
         let work = Flight::weigh(ask);
         let prior = self.prior_of(key);
         let mut flight =
-            Flight { work, prompt: ask.prompt, predicted: 0.0, begun: now, first: None };
+            Flight { work, prompt: ask.prompt, predicted: 0.0, load: 0.0, begun: now, first: None };
         let Some(member) = self.members.get_mut(key) else { return flight };
         flight.predicted = member.view.predict(ask, prior, 0.0, now);
-        member.view.flights += 1;
-        member.view.work += work;
+        flight.load = member.view.load(prior, now);
+        member.view.begin(&flight);
         self.refresh(key);
         flight
     }
@@ -218,8 +223,7 @@
     /// Ends a request, however it ended, after `tokens` generated tokens.
     pub fn end(&mut self, key: UpstreamKey, flight: Flight, tokens: u32, now: Instant) {
         let Some(member) = self.members.get_mut(key) else { return };
-        member.view.flights = member.view.flights.saturating_sub(1);
-        member.view.work = member.view.work.saturating_sub(flight.work);
+        member.view.end(&flight, now);
         if let Some(first) = flight.first {
             member.view.observe_stream(tokens, now.saturating_duration_since(first));
         }
@@ -384,25 +388,39 @@
                 best = Some((score, key));
             }
         };
-        let own = pool.places.get(ask.place).copied();
-        if let Some(index) = own {
-            let group = &self.groups[pool.groups[index]];
-            if let Some(key) = self.on_ring(group, ask, rng) {
-                offer(key, self.score(key, group, ask, EXPECTED_HIT, now));
+        let own = pool.places.get(ask.place).map(|&index| pool.groups[index]);
+        let own = own.filter(|&group| !self.groups[group].members.is_empty());
+        if let Some(group) = own.map(|key| &self.groups[key])
+            && let Some(key) = self.on_ring(group, ask, rng)
+        {
+            offer(key, self.score(key, group, ask, EXPECTED_HIT, now));
+        }
+        if pool.members.len() <= SMALL_POOL {
+            for &group in &pool.groups {
+                let group = &self.groups[group];
+                let away = if group.place == ask.place { 0.0 } else { self.distance(group) };
+                for &key in &group.members {
+                    let Some(view) = self.allowed(key, ask) else { continue };
+                    if admitted(view, rng) {
+                        offer(key, self.score(key, group, ask, 0.0, now) + away);
+                    }
+                }
             }
+            return best.map(|(_, key)| key);
+        }
+        if let Some(group) = own.map(|key| &self.groups[key]) {
             for _ in 0..NEAR_SAMPLES {
                 let Some(key) = self.draw(group, ask, rng) else { continue };
                 offer(key, self.score(key, group, ask, 0.0, now));
             }
         }
-        let near = own.is_some_and(|index| !self.groups[pool.groups[index]].members.is_empty());
-        let samples = if near { FAR_SAMPLES } else { NEAR_SAMPLES + FAR_SAMPLES };
+        let samples = if own.is_some() { FAR_SAMPLES } else { NEAR_SAMPLES + FAR_SAMPLES };
         for _ in 0..samples {
-            let index = rng.random_range(0..pool.groups.len());
-            if Some(index) == own {
+            let key = pool.groups[rng.random_range(0..pool.groups.len())];
+            if Some(key) == own {
                 continue;
             }
-            let group = &self.groups[pool.groups[index]];
+            let group = &self.groups[key];
             let Some(key) = self.draw(group, ask, rng) else { continue };
             offer(key, self.score(key, group, ask, 0.0, now) + self.distance(group));
         }
@@ -543,6 +561,7 @@
 
     fn add(&mut self, part: Part) {
         self.work += part.work;
+        self.flights += part.flights;
         self.capacity += part.capacity;
         self.slots += part.slots;
         self.others += part.others;
@@ -550,13 +569,17 @@
 
     fn subtract(&mut self, part: Part) {
         self.work -= part.work;
+        self.flights -= part.flights;
         self.capacity -= part.capacity;
         self.slots -= part.slots;
         self.others -= part.others;
     }
 
     fn prior(&self) -> Prior {
-        Prior { others: self.others as f64 / self.slots.max(1) as f64 }
+        Prior {
+            others: self.others as f64 / self.slots.max(1) as f64,
+            length: self.work as f64 / self.flights.max(1) as f64,
+        }
     }
 }
 
@@ -564,7 +587,13 @@
     fn of(view: &View) -> Self {
         let slots = u64::from(view.slots());
         let capacity = if view.eligible() { view.rate() * slots as f64 * view.weight } else { 0.0 };
-        Self { work: view.work, capacity: capacity as u64, slots, others: u64::from(view.others()) }
+        Self {
+            work: view.work,
+            flights: u64::from(view.flights),
+            capacity: capacity as u64,
+            slots,
+            others: u64::from(view.others()),
+        }
     }
 }
 
--- a/crates/egretgate-core/src/choice/view.rs
+++ b/crates/egretgate-core/src/choice/view.rs
@@ -20,6 +20,12 @@
 const DEFAULT_PREFILL: f64 = 0.000_2;
 /// Own streams measured before they go before the reported speed.
 const TRUSTED: u32 = 3;
+/// Excess over the prediction from which a request counts as having waited, in seconds.
+const WAITED: f64 = 0.1;
+/// Slots regained for each request that did not wait.
+const SLOT_GAIN: f64 = 0.1;
+/// Power of the utilization that approximates the probability of waiting.
+const QUEUE_POWER: i32 = 4;
 /// Prompt tokens that weigh as much as one generated token.
 const PROMPT_WEIGHT: u64 = 16;
 
@@ -32,6 +38,8 @@
     pub(super) prompt: u32,
     /// Time to first token predicted from reports and own work, without the measured excess.
     pub(super) predicted: f64,
+    /// Requests in flight that the prediction assumed.
+    pub(super) load: f64,
     /// Time of the offer.
     pub(super) begun: Instant,
     /// Time of the first token.
@@ -55,6 +63,12 @@
     pub(super) flights: u32,
     /// Own outstanding tokens, weighted.
     pub(super) work: u64,
+    /// Own requests that have no first token yet. At most `flights`.
+    pub(super) unstarted: u32,
+    /// Since when no first token has come although one is awaited; set while `unstarted` is not 0.
+    stalled: Option<Instant>,
+    /// Slots that own observations leave believable, whatever is reported.
+    believed: f64,
     /// Measured tokens per second of one stream.
     rate: f64,
     /// Streams from which `rate` was measured.
@@ -72,6 +86,8 @@
 pub(super) struct Prior {
     /// Requests of others per slot.
     pub(super) others: f64,
+    /// Outstanding tokens of an own request; 0 if there is none.
+    pub(super) length: f64,
 }
 
 impl Flight {
@@ -92,6 +108,9 @@
             base: 0,
             flights: 0,
             work: 0,
+            unstarted: 0,
+            stalled: None,
+            believed: f64::MAX,
             rate: DEFAULT_RATE,
             measured: 0,
             prefill: DEFAULT_PREFILL,
@@ -161,11 +180,12 @@
     /// `hit` is the part of the prompt whose cache entries are expected to be there, in 0..=1.
     pub(super) fn predict(&self, ask: &Ask<'_>, prior: Prior, hit: f64, now: Instant) -> f64 {
         let fresh = self.freshness(now);
-        let slots = f64::from(self.slots());
-        let others = fresh * f64::from(self.others()) + (1.0 - fresh) * prior.others * slots;
-        let load = f64::from(self.flights) + others;
-        let waiting = (load + 1.0 - slots).max(0.0);
-        let length = self.length(ask);
+        let slots = self.effective_slots();
+        let load = self.load(prior, now);
+        let busy = (load / slots).min(1.0);
+        // Below saturation a queue still forms at times; the power stands for its probability.
+        let waiting = (load + 1.0 - slots).max(0.0) + busy.powi(QUEUE_POWER);
+        let length = self.length(ask, prior);
         let wait = waiting * length / (slots * self.rate());
         let prefill = f64::from(ask.prompt) * self.prefill * (1.0 - hit);
         let crowding = prefill * (load / slots);
@@ -173,10 +193,24 @@
         modelled.max(fresh * self.report.first.as_secs_f64())
     }
 
+    /// Returns the requests in flight, by the last report at its age and own ones.
+    pub(super) fn load(&self, prior: Prior, now: Instant) -> f64 {
+        let fresh = self.freshness(now);
+        let usual = prior.others * f64::from(self.slots());
+        f64::from(self.flights) + fresh * f64::from(self.others()) + (1.0 - fresh) * usual
+    }
+
+    /// Returns the slots reported, or fewer if own requests waited at a lesser load.
+    fn effective_slots(&self) -> f64 {
+        f64::from(self.slots()).min(self.believed)
+    }
+
     /// Returns the time by which own observations exceed predictions, in seconds.
     pub(super) fn excess(&self, now: Instant) -> f64 {
-        let Some(at) = self.renewed else { return 0.0 };
-        self.excess * halve(now.saturating_duration_since(at), HALF_EXCESS)
+        let since = |at: Instant| now.saturating_duration_since(at);
+        let measured = self.renewed.map_or(0.0, |at| self.excess * halve(since(at), HALF_EXCESS));
+        let stalled = self.stalled.map_or(0.0, |at| since(at).as_secs_f64());
+        measured.max(stalled)
     }
 
     /// Returns true if the last report, at its age, says that `tier` would be refused.
@@ -186,20 +220,47 @@
         refused && !displaces && self.freshness(now) > 0.25
     }
 
-    /// Returns the mean outstanding tokens of an own request here.
-    fn length(&self, ask: &Ask<'_>) -> f64 {
+    /// Returns the mean outstanding tokens of an own request here, or in the group if none is.
+    fn length(&self, ask: &Ask<'_>, prior: Prior) -> f64 {
         if self.flights == 0 {
-            return f64::from(ask.output);
+            return prior.length.max(f64::from(ask.output));
         }
         self.work as f64 / f64::from(self.flights)
     }
 
+    /// Counts the offer of an own request.
+    pub(super) fn begin(&mut self, flight: &Flight) {
+        self.flights += 1;
+        self.work += flight.work;
+        self.unstarted += 1;
+        self.stalled.get_or_insert(flight.begun);
+    }
+
+    /// Counts the end of an own request.
+    pub(super) fn end(&mut self, flight: &Flight, now: Instant) {
+        self.flights = self.flights.saturating_sub(1);
+        self.work = self.work.saturating_sub(flight.work);
+        if flight.first.is_none() {
+            self.start(now);
+        }
+    }
+
+    /// Counts that an own request no longer awaits its first token.
+    fn start(&mut self, now: Instant) {
+        self.unstarted = self.unstarted.saturating_sub(1);
+        self.stalled = (self.unstarted > 0).then_some(now);
+    }
+
     /// Takes in the time to the first token of an own request.
     pub(super) fn observe_first(&mut self, flight: &Flight, now: Instant) {
+        self.start(now);
         let seconds = now.saturating_duration_since(flight.begun).as_secs_f64();
         let over = (seconds - flight.predicted).max(0.0);
-        let before = self.excess(now);
-        self.excess = before + GAIN * (over - before);
+        self.believe(flight, over);
+        let before = self.excess;
+        let age = self.renewed.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
+        let faded = before * halve(age, HALF_EXCESS);
+        self.excess = faded + GAIN * (over - faded);
         self.renewed = Some(now);
         if flight.prompt > 0 {
             let unit = seconds / f64::from(flight.prompt);
@@ -208,6 +269,15 @@
         }
     }
 
+    /// Lowers the believed slots after a request that waited, raises them after one that did not.
+    fn believe(&mut self, flight: &Flight, over: f64) {
+        if over > WAITED.max(flight.predicted) {
+            self.believed = self.believed.min(flight.load.max(1.0));
+        } else if flight.load + 1.0 >= self.believed {
+            self.believed += SLOT_GAIN;
+        }
+    }
+
     /// Takes in the speed of an own stream that ended.
     pub(super) fn observe_stream(&mut self, tokens: u32, lasted: Duration) {
         if tokens < 2 || lasted.is_zero() {
