--- a/crates/egretgate-core/src/directory.rs
+++ b/crates/egretgate-core/src/directory.rs
@@ -1,6 +1,6 @@
 //! Index over declarations: from a caller's words to a team, tier, route and service.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
 use crate::declaration::{Declarations, Outage, RouteSpec, ServiceKind, TierSpec};
@@ -17,6 +17,8 @@
     models: HashMap<String, RouteId>,
     /// Path prefixes, longest first.
     paths: Vec<PathRoute>,
+    /// Versions that a move has brought into service.
+    serving: BTreeMap<RouteId, VersionId>,
 }
 
 #[derive(Debug, Clone)]
@@ -77,8 +79,8 @@
 }
 
 impl Directory {
-    /// Returns the index over `declared`.
-    pub fn new(declared: Declarations) -> Self {
+    /// Returns the index over `declared`, where moves have brought `serving` into service.
+    pub fn new(declared: Declarations, serving: BTreeMap<RouteId, VersionId>) -> Self {
         let mut keys = HashMap::new();
         for (name, team) in &declared.teams {
             for key in &team.keys {
@@ -96,7 +98,7 @@
             }
         }
         paths.sort_by_key(|path| std::cmp::Reverse(path.prefix.len()));
-        Self { declared, keys, models, paths }
+        Self { declared, keys, models, paths, serving }
     }
 
     /// Returns the declarations under the index.
@@ -140,7 +142,7 @@
             route: route_name.clone(),
             service: route.service.clone(),
             kind: service.kind,
-            version: service.version.clone(),
+            version: self.serving.get(route_name).unwrap_or(&service.version).clone(),
             once: route.once,
             outage: route.outage,
             window: route.window(),
--- a/crates/egretgate-core/src/fold/shared.rs
+++ b/crates/egretgate-core/src/fold/shared.rs
@@ -107,6 +107,11 @@
         self.moves.serving.get(route).or(declared)
     }
 
+    /// Returns the versions that moves have brought into service.
+    pub fn serving(&self) -> BTreeMap<RouteId, VersionId> {
+        self.moves.serving.clone()
+    }
+
     /// Returns the quarantine.
     pub const fn quarantine(&self) -> &Quarantine {
         &self.quarantine
--- a/crates/egretgate/src/entry.rs
+++ b/crates/egretgate/src/entry.rs
@@ -11,5 +11,6 @@
 mod serve;
 mod state;
 mod tally;
+mod traffic;
 
 pub use serve::{Entry, Options};
--- a/crates/egretgate/src/entry/evidence.rs
+++ b/crates/egretgate/src/entry/evidence.rs
@@ -26,6 +26,11 @@
             self.evidence.merge(life, cell, counts_of(sample));
         }
     }
+
+    /// Returns the measurements by process.
+    pub(crate) const fn evidence(&self) -> &Evidence {
+        &self.evidence
+    }
 }
 
 const fn counts_of(sample: &Sample) -> Counts {
--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -8,9 +8,11 @@
 use egretgate_core::choice::{self, Policy, Report, Upstream, UpstreamKey};
 use egretgate_core::gate::{Attempt, Gate, Signal, Verdict};
 use egretgate_core::membership::{Change, Listing, Membership, MembershipOptions};
+use egretgate_core::moves::{Outcome, Split};
 use egretgate_core::retry::{RetryBudget, come_back};
 use egretgate_core::{
-    Error, ErrorKind, Incarnation, PlaceId, Result, ServiceId, TeamId, Tier, UpstreamId, VersionId,
+    Error, ErrorKind, Incarnation, PlaceId, Result, RouteId, ServiceId, TeamId, Ticket, Tier,
+    UpstreamId, VersionId,
 };
 use egretgate_link::message::{Deaths, Heartbeat, Load, Records, Welcome};
 use egretgate_platform::{Instance, InstanceState};
@@ -23,6 +25,8 @@
 use crate::entry::evidence::SampleBook;
 use crate::entry::journal::JournalMessage;
 use crate::entry::link::{Identity, LINK_DEPTH, Link, LinkMessage};
+pub(crate) use crate::entry::traffic::RouteSplit;
+use crate::entry::traffic::Traffic;
 
 /// Depth of the fleet's message channel.
 pub(crate) const FLEET_DEPTH: usize = 8192;
@@ -36,6 +40,8 @@
 const RETRY_RESERVE: f64 = 50.0;
 /// Most retries saved up.
 const RETRY_CAP: f64 = 1000.0;
+/// Pause between two reports of evidence to the journal.
+const EVIDENCE_PAUSE: Duration = Duration::from_secs(1);
 /// Base of the time to come back while no upstream serves.
 const NO_UPSTREAM_AFTER: Duration = Duration::from_millis(500);
 
@@ -63,8 +69,10 @@
     Deaths { key: LinkKey, deaths: Deaths },
     /// A side process sent its configuration state.
     Snapshot(Bytes),
-    /// The instance list was read.
-    Listed(Vec<Instance>),
+    /// The instance list was read: the upstreams, and the number of entries.
+    Listed { upstreams: Vec<Instance>, entries: u32 },
+    /// How the traffic of moving routes is split.
+    Splits(Vec<RouteSplit>),
     /// The entry's configuration has a new offset.
     Offset(Heartbeat),
     /// Ask every side process for its configuration state.
@@ -75,6 +83,8 @@
     First { key: UpstreamKey, flight: choice::Flight, reply: oneshot::Sender<choice::Flight> },
     /// A request has ended, however it ended.
     Ended { key: UpstreamKey, flight: choice::Flight, tokens: u32 },
+    /// A request of a moving route has ended for good.
+    Tried { route: RouteId, version: VersionId, outcome: Outcome },
     /// A team's request has entered; refused if the team is at its limit.
     Enter { team: TeamId, limit: u32, reply: oneshot::Sender<bool> },
     /// A team's request has left.
@@ -86,10 +96,14 @@
 /// A request for which an upstream is wanted.
 #[derive(Debug, Clone)]
 pub(crate) struct Wish {
+    /// Name of the request.
+    pub ticket: Ticket,
+    /// Route that it takes.
+    pub route: RouteId,
     /// Service that must run it.
     pub service: ServiceId,
-    /// Version that must run it; `None` allows any.
-    pub version: Option<VersionId>,
+    /// Version that must run it; on the first try the one in force, which a move may replace.
+    pub version: VersionId,
     /// Rank of its tier.
     pub tier: Tier,
     /// Estimated prompt length, in tokens.
@@ -111,6 +125,8 @@
     pub key: UpstreamKey,
     /// Name of the upstream.
     pub upstream: UpstreamId,
+    /// Version that is to run the request.
+    pub version: VersionId,
     /// Link to its side process.
     pub link: mpsc::Sender<LinkMessage>,
     /// What must be given back at the end.
@@ -169,6 +185,11 @@
     budget: RetryBudget,
     teams: HashMap<TeamId, u32>,
     samples: SampleBook,
+    traffic: Traffic,
+    /// Entries that share the caps of moves; at least 1.
+    entries: u32,
+    /// When evidence was last sent to the journal.
+    reported: Instant,
     beat: Heartbeat,
     rng: ChaCha8Rng,
     log: Logger,
@@ -198,6 +219,9 @@
             budget: RetryBudget::new(RETRY_SHARE, RETRY_RESERVE, RETRY_CAP, now),
             teams: HashMap::new(),
             samples: SampleBook::default(),
+            traffic: Traffic::default(),
+            entries: 1,
+            reported: now,
             beat: Heartbeat::default(),
             rng,
             log,
@@ -237,10 +261,15 @@
             FleetMessage::Snapshot(state) => {
                 self.tell_journal(JournalMessage::PeerState(state)).await;
             }
-            FleetMessage::Listed(instances) => self.listed(&instances),
+            FleetMessage::Listed { upstreams, entries } => {
+                self.entries = entries;
+                self.listed(&upstreams);
+            }
+            FleetMessage::Splits(splits) => self.set_splits(splits),
             FleetMessage::Offset(beat) => self.beat(beat),
             FleetMessage::AskSnapshots => self.broadcast(|| LinkMessage::Snapshot),
-            FleetMessage::Choose { wish, reply } => {
+            FleetMessage::Choose { mut wish, reply } => {
+                self.split(&mut wish);
                 let _ = reply.send(self.choose(&wish));
             }
             FleetMessage::First { key, mut flight, reply } => {
@@ -250,6 +279,12 @@
             FleetMessage::Ended { key, flight, tokens } => {
                 self.choice.end(key, flight, tokens, Instant::now());
             }
+            FleetMessage::Tried { route, version, outcome } => {
+                if let Some(stop) = self.traffic.ended(&route, &version, outcome) {
+                    warn!(self.log, "version stopped here";
+                        "route" => route, "version" => version, "reason" => stop.as_str());
+                }
+            }
             FleetMessage::Enter { team, limit, reply } => {
                 let _ = reply.send(self.enter(team, limit));
             }
@@ -427,6 +462,7 @@
         let changes = self.membership.tick(Instant::now());
         self.note_changes(&changes);
         self.weigh_all();
+        self.report_evidence();
     }
 
     fn weigh_all(&mut self) {
@@ -470,6 +506,44 @@
         key.and_then(|key| self.begin(wish, key, now)).ok_or_else(|| self.none_left(wish))
     }
 
+    /// Gives the first try of a moving route's request its version.
+    fn split(&mut self, wish: &mut Wish) {
+        if !wish.tried.is_empty() {
+            return;
+        }
+        let version = self.traffic.pick(&wish.route, wish.ticket);
+        let Some(version) = version else { return };
+        let declared = std::mem::replace(&mut wish.version, version);
+        if !self.choice.iter().any(|(_, view)| serves(view, wish)) {
+            wish.version = declared;
+        }
+    }
+
+    fn set_splits(&mut self, splits: Vec<RouteSplit>) {
+        let (choice, entries) = (&self.choice, self.entries);
+        self.traffic.set(splits, |plan, progress| {
+            let of_service =
+                || choice.iter().filter(|(_, view)| view.upstream.service == plan.service);
+            let hosts = of_service().filter(|(_, view)| view.upstream.versions.contains(&plan.to));
+            let (hosts, upstreams) = (hosts.count() as u32, of_service().count() as u32);
+            Split::new(plan, progress, hosts, upstreams, entries)
+        });
+    }
+
+    /// Sends the journal the measurements on which moves are judged.
+    fn report_evidence(&mut self) {
+        let now = Instant::now();
+        if self.traffic.is_empty() || now.duration_since(self.reported) < EVIDENCE_PAUSE {
+            return;
+        }
+        self.reported = now;
+        let mut evidence = self.samples.evidence().clone();
+        if let Some(stop) = self.traffic.stopped() {
+            evidence.stop(self.identity.incarnation, stop);
+        }
+        let _ = self.journal.try_send(JournalMessage::Evidence(Box::new(evidence)));
+    }
+
     fn pick(&mut self, wish: &Wish, now: Instant) -> Option<UpstreamKey> {
         let ask = ask_of(wish, &self.place, &[]);
         self.choice.choose(&ask, now, &mut self.rng)
@@ -481,7 +555,7 @@
         let link = side.messages.clone();
         let upstream = side.name.clone();
         let flight = self.choice.begin(key, &ask, now);
-        Some(Chosen { key, upstream, link, flight })
+        Some(Chosen { key, upstream, version: wish.version.clone(), link, flight })
     }
 
     /// The first try fills the retry budget; a further one takes from it, unless its tier asks
@@ -550,9 +624,8 @@
 /// Returns whether the upstream could run the request now.
 fn serves(view: &choice::View, wish: &Wish) -> bool {
     let upstream = &view.upstream;
-    let holds = |version: &VersionId| upstream.versions.contains(version);
     upstream.service == wish.service
-        && wish.version.as_ref().is_none_or(holds)
+        && upstream.versions.contains(&wish.version)
         && view.weight() > 0.0
         && view.report().healthy
 }
@@ -560,7 +633,7 @@
 fn ask_of<'a>(wish: &'a Wish, place: &'a str, excluded: &'a [UpstreamKey]) -> choice::Ask<'a> {
     choice::Ask {
         service: &wish.service,
-        version: wish.version.as_deref(),
+        version: Some(&wish.version),
         tier: wish.tier,
         prompt: wish.prompt,
         output: wish.output,
--- a/crates/egretgate/src/entry/flight.rs
+++ b/crates/egretgate/src/entry/flight.rs
@@ -8,6 +8,7 @@
 use egretgate_core::directory::{Address, Claimed, Plan};
 use egretgate_core::gate::Attempt;
 use egretgate_core::intent;
+use egretgate_core::moves;
 use egretgate_core::poison::Verdict;
 use egretgate_core::{Digest, Error, ErrorKind, Ran, Result, Ticket};
 use egretgate_link::message::Offer;
@@ -221,11 +222,14 @@
                 return Err(Error::new(ErrorKind::DeadlinePassed, detail));
             }
             self.upstream.clone_from(&chosen.upstream);
+            wish.version.clone_from(&chosen.version);
             let key = chosen.key;
             let offer = self.offer(plan, &wish, alone);
             let deadline = self.begin + self.allowed(plan);
             let session = Session::start(chosen, offer, deadline).await;
-            match self.follow(session).await {
+            let offered = self.follow(session).await;
+            self.note_tried(&wish, &offered).await;
+            match offered {
                 Offered::Whole => return Ok(()),
                 Offered::Failed(error) => return Err(error),
                 Offered::Refused(error) if !may_retry(error.kind) => return Err(error),
@@ -237,10 +241,27 @@
         }
     }
 
+    /// Tells how a request ended, for the watch over a new version.
+    async fn note_tried(&self, wish: &Wish, offered: &Offered) {
+        let outcome = match offered {
+            Offered::Whole if self.head.as_ref().is_some_and(|head| head.status >= 500) => {
+                moves::Outcome::Error
+            }
+            Offered::Whole => moves::Outcome::Good,
+            Offered::Failed(error) if error.kind == ErrorKind::AnswerCut => moves::Outcome::Error,
+            Offered::Failed(_) | Offered::Refused(_) => return,
+        };
+        let (route, version) = (wish.route.clone(), wish.version.clone());
+        let tried = FleetMessage::Tried { route, version, outcome };
+        let _ = self.desks.fleet.send(tried).await;
+    }
+
     fn wish(&self, plan: &Plan) -> Wish {
         Wish {
+            ticket: self.ticket,
+            route: plan.route.clone(),
             service: plan.service.clone(),
-            version: Some(plan.version.clone()),
+            version: plan.version.clone(),
             tier: plan.tier,
             prompt: self.call.prompt,
             output: self.call.output.unwrap_or(DEFAULT_OUTPUT),
@@ -279,7 +300,7 @@
             team: plan.team.clone(),
             tier: plan.tier.into(),
             deadline_ms: left.as_millis() as u64,
-            version: wish.version.clone().unwrap_or_default(),
+            version: wish.version.clone(),
             prompt_tokens: self.call.prompt,
             output_tokens: wish.output,
             digest: Bytes::copy_from_slice(self.digest(plan).as_bytes()),
--- a/crates/egretgate/src/entry/instances.rs
+++ b/crates/egretgate/src/entry/instances.rs
@@ -19,10 +19,12 @@
     let mut known = true;
     while !fleet.is_closed() {
         match client.list().await {
-            Ok(mut instances) => {
+            Ok(mut upstreams) => {
                 known = true;
-                instances.retain(|instance| instance.service != ENTRY_SERVICE);
-                let _ = fleet.send(FleetMessage::Listed(instances)).await;
+                let all = upstreams.len();
+                upstreams.retain(|instance| instance.service != ENTRY_SERVICE);
+                let entries = (all - upstreams.len()).max(1) as u32;
+                let _ = fleet.send(FleetMessage::Listed { upstreams, entries }).await;
             }
             Err(error) => {
                 if known {
--- a/crates/egretgate/src/entry/journal.rs
+++ b/crates/egretgate/src/entry/journal.rs
@@ -8,8 +8,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use egretgate_core::directory::Directory;
 use egretgate_core::fold::{Applied, Effect as Folded, Part, State};
 use egretgate_core::intent::{self, Calls};
+use egretgate_core::moves::Evidence;
 use egretgate_core::poison::{Poison, PoisonOptions};
 use egretgate_core::record::outbox::{Append, Outbox};
 use egretgate_core::record::{Body, Class};
@@ -25,6 +27,9 @@
 
 mod calls;
 mod feeding;
+mod keeping;
+mod leases;
+mod moves;
 mod reading;
 
 pub(crate) use calls::{Grant, Recorded};
@@ -34,6 +39,8 @@
 pub(crate) const JOURNAL_DEPTH: usize = 8192;
 /// Pause between two rounds of upkeep.
 const TICK: Duration = Duration::from_millis(100);
+/// Pause between two looks at leases and moves.
+const STEER_PAUSE: Duration = Duration::from_millis(250);
 /// Time within which an operator's change is read back, or its answer is that it is unknown.
 const CONFIRM_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -64,6 +71,10 @@
     PeerState(Bytes),
     /// A side process reports deaths.
     Deaths { incarnation: Incarnation, deaths: Deaths },
+    /// Measurements of versions from every side process.
+    Evidence(Box<Evidence>),
+    /// The keeper's append has returned.
+    Kept,
     /// Look at the state, for operators.
     Inspect(Inspection),
 }
@@ -104,6 +115,12 @@
     log: Logger,
     started: Instant,
     reading: reading::Reading,
+    writer: Incarnation,
+    leases: leases::Leases,
+    trials: moves::Trials,
+    keeping: keeping::Keeping,
+    /// When moves were last judged.
+    steered: Instant,
 }
 
 impl Journal {
@@ -131,6 +148,11 @@
             log,
             started: Instant::now(),
             reading: reading::Reading::default(),
+            writer,
+            leases: leases::Leases::new(writer),
+            trials: moves::Trials::default(),
+            keeping: keeping::Keeping::new(Instant::now()),
+            steered: Instant::now(),
         }
     }
 
@@ -150,9 +172,22 @@
             self.calls.tick(Instant::now());
             self.expire_pending();
             self.carry_out();
+            self.steer();
         }
     }
 
+    /// Does what leases and moves ask for, once in a while.
+    fn steer(&mut self) {
+        let now = Instant::now();
+        if now.duration_since(self.steered) < STEER_PAUSE || !self.view.borrow().ready {
+            return;
+        }
+        self.steered = now;
+        self.tend_leases();
+        self.steer_moves();
+        self.keep();
+    }
+
     async fn handle(&mut self, message: JournalMessage) {
         match message {
             JournalMessage::Begin { call, reply } => self.begin(call, reply),
@@ -178,6 +213,8 @@
             JournalMessage::RecordsAsk { key, from } => self.feed(key, from).await,
             JournalMessage::PeerState(state) => self.take_peer_state(&state).await,
             JournalMessage::Deaths { incarnation, deaths } => self.deaths(incarnation, &deaths),
+            JournalMessage::Evidence(evidence) => self.trials.absorb(&evidence),
+            JournalMessage::Kept => self.kept(),
             JournalMessage::Inspect(Inspection(look)) => look(self),
         }
     }
@@ -291,13 +328,16 @@
     }
 
     /// Publishes the parts of the state that changed.
-    fn publish(&self, parts: &[Part]) {
+    async fn publish(&mut self, parts: &[Part]) {
+        if parts.contains(&Part::Moves) || parts.contains(&Part::Declarations) {
+            self.split_traffic().await;
+        }
         let shared = self.state.shared();
         self.view.send_modify(|view| {
             let view = Arc::make_mut(view);
             if parts.contains(&Part::Declarations) || parts.contains(&Part::Moves) {
                 let declared = shared.declarations().clone();
-                view.directory = Arc::new(egretgate_core::directory::Directory::new(declared));
+                view.directory = Arc::new(Directory::new(declared, shared.serving()));
             }
             if parts.contains(&Part::Quarantine) {
                 view.quarantine = Arc::new(shared.quarantine().clone());
--- /dev/null
+++ b/crates/egretgate/src/entry/journal/leases.rs
@@ -0,0 +1,73 @@
+//! Leases that this entry claims: the keeper's and those on version moves.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use egretgate_core::lease::{Holder, KEEPER, TTL, move_lease};
+use egretgate_core::{Fence, Incarnation, RouteId};
+
+use crate::entry::journal::Journal;
+
+/// This entry's view of the leases that it takes part in.
+#[derive(Debug)]
+pub(super) struct Leases {
+    own: Incarnation,
+    keeper: Holder,
+    /// One for each route with a move under way.
+    moves: BTreeMap<RouteId, Holder>,
+}
+
+impl Leases {
+    pub(super) fn new(own: Incarnation) -> Self {
+        Self { own, keeper: Holder::new(KEEPER, own, TTL), moves: BTreeMap::new() }
+    }
+
+    /// Returns the keeper's fencing number if this entry is the keeper now.
+    pub(super) fn keeper(&self, now: Instant) -> Option<Fence> {
+        self.keeper.holds(now)
+    }
+
+    /// Returns the fencing number of the lease on a route's move if this entry holds it now.
+    pub(super) fn steers(&self, route: &str, now: Instant) -> Option<Fence> {
+        self.moves.get(route)?.holds(now)
+    }
+
+    /// Takes part in the leases of exactly these routes.
+    fn follow(&mut self, routes: &[RouteId]) {
+        let own = self.own;
+        self.moves.retain(|route, _| routes.contains(route));
+        for route in routes {
+            let fresh = || Holder::new(move_lease(route), own, TTL);
+            self.moves.entry(route.clone()).or_insert_with(fresh);
+        }
+    }
+
+    fn all(&mut self) -> impl Iterator<Item = &mut Holder> {
+        std::iter::once(&mut self.keeper).chain(self.moves.values_mut())
+    }
+}
+
+impl Journal {
+    /// Reads every lease as folded, and claims or renews what is due. Nothing is appended while
+    /// the log is out or an append is under way, so that claims don't pile up.
+    pub(super) fn tend_leases(&mut self) {
+        let now = Instant::now();
+        let shared = self.state.shared();
+        let open: Vec<RouteId> = shared
+            .moves()
+            .values()
+            .filter(|one| one.is_open())
+            .map(|one| one.begin.route.clone())
+            .collect();
+        self.leases.follow(&open);
+        let may_append = self.reading.is_up() && self.config.is_idle();
+        for holder in self.leases.all() {
+            holder.read(self.state.shared().lease(holder.name()), now);
+            let Some(body) = holder.wants(now).filter(|_| may_append) else { continue };
+            if let Ok(sequence) = self.config.push(body) {
+                holder.sent(sequence, now);
+            }
+        }
+        self.send_config();
+    }
+}
--- /dev/null
+++ b/crates/egretgate/src/entry/journal/moves.rs
@@ -0,0 +1,181 @@
+//! Version moves: the holder of a move's lease judges the evidence and records each step.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use egretgate_core::moves::{
+    Budget, Cap, Controller, Decision, Evidence, Finding, Move, Progress, Reason, WHOLE,
+};
+use egretgate_core::record::body::{MoveStep, Verdict};
+use egretgate_core::record::{Body, MAX_TEXT_BYTES};
+use egretgate_core::{RouteId, fold};
+use slog::info;
+
+use crate::entry::fleet::{FleetMessage, RouteSplit};
+use crate::entry::journal::Journal;
+
+/// Parts per million.
+const PPM: f64 = 1e6;
+
+/// What this entry knows of one move beyond the log.
+#[derive(Debug)]
+struct Trial {
+    /// When this entry read the move's start.
+    begun: SystemTime,
+    /// Step last seen.
+    step: u32,
+    /// When this entry read that step.
+    since: SystemTime,
+    evidence: Evidence,
+}
+
+/// The moves under way, as this entry sees them.
+#[derive(Debug, Default)]
+pub(super) struct Trials {
+    open: BTreeMap<RouteId, Trial>,
+}
+
+impl Trials {
+    /// Follows what the log says of each move.
+    fn follow<'a>(&mut self, moves: impl Iterator<Item = &'a fold::Move>, now: SystemTime) {
+        let mut open = BTreeMap::new();
+        for one in moves.filter(|one| one.is_open()) {
+            let known = self.open.remove(&one.begin.route);
+            let mut trial = known.unwrap_or_else(|| Trial {
+                begun: now,
+                step: one.step,
+                since: now,
+                evidence: Evidence::default(),
+            });
+            if trial.step != one.step {
+                trial.step = one.step;
+                trial.since = now;
+                trial.evidence.mark();
+            }
+            open.insert(one.begin.route.clone(), trial);
+        }
+        self.open = open;
+    }
+
+    /// Takes in the measurements of every side process.
+    pub(super) fn absorb(&mut self, evidence: &Evidence) {
+        for trial in self.open.values_mut() {
+            trial.evidence.absorb(evidence);
+        }
+    }
+}
+
+impl Journal {
+    /// Tells the fleet how each moving route's traffic is split.
+    pub(super) async fn split_traffic(&mut self) {
+        self.trials.follow(self.state.shared().moves().values(), SystemTime::now());
+        let splits = self
+            .state
+            .shared()
+            .moves()
+            .values()
+            .filter(|one| one.is_open() && one.step > 0)
+            .filter_map(|one| {
+                let trial = self.trials.open.get(&one.begin.route)?;
+                let plan = self.plan_of(one, trial)?;
+                let progress = Progress::at(one.step as usize - 1, trial.since);
+                Some(RouteSplit { route: one.begin.route.clone(), plan, progress })
+            })
+            .collect();
+        let _ = self.fleet.send(FleetMessage::Splits(splits)).await;
+    }
+
+    /// Judges each move whose lease this entry holds, and records what is decided.
+    pub(super) fn steer_moves(&mut self) {
+        if !self.config.is_idle() {
+            return;
+        }
+        let routes: Vec<RouteId> = self.trials.open.keys().cloned().collect();
+        for route in routes {
+            let Some(step) = self.next_step(&route) else { continue };
+            info!(self.log, "version move";
+                "route" => &route, "step" => step.step, "share_ppm" => step.share_ppm,
+                "verdict" => format!("{:?}", step.verdict()));
+            if self.config.push(Body::MoveStep(step)).is_ok() {
+                self.send_config();
+            }
+        }
+    }
+
+    fn next_step(&self, route: &str) -> Option<MoveStep> {
+        let fence = self.leases.steers(route, Instant::now())?;
+        let one = self.state.shared().moves().get(route)?;
+        let trial = self.trials.open.get(route)?;
+        let plan = self.plan_of(one, trial)?;
+        let (verdict, share, evidence) = if one.step == 0 {
+            (Verdict::Proceed, plan.share(0), "started".to_owned())
+        } else {
+            let progress = Progress::at(one.step as usize - 1, trial.since);
+            let now = SystemTime::now();
+            match Controller.decide(&plan, progress, &trial.evidence, now) {
+                Decision::Hold => return None,
+                Decision::Step { share, .. } => (Verdict::Proceed, share, "enough".to_owned()),
+                Decision::TakeBack(reason, findings) => {
+                    (Verdict::TakenBack, 0, describe(reason_word(&reason), &findings))
+                }
+                Decision::Done(findings) => (Verdict::Done, WHOLE, describe("proven", &findings)),
+            }
+        };
+        Some(MoveStep {
+            route: route.to_owned(),
+            fence,
+            step: one.step + 1,
+            share_ppm: share,
+            verdict: verdict.into(),
+            evidence,
+        })
+    }
+
+    fn plan_of(&self, one: &fold::Move, trial: &Trial) -> Option<Move> {
+        let begin = &one.begin;
+        let declared = self.state.shared().declarations();
+        let margin = f64::from(begin.budget_ppm) / PPM;
+        let default = Budget::default();
+        let or_default = |value: f64| if margin > 0.0 { margin } else { value };
+        let end = UNIX_EPOCH + Duration::from_millis(begin.end_ms);
+        let whole = end.duration_since(trial.begun).unwrap_or_default();
+        let dwell = default.dwell.min(whole / (4 * begin.steps.len().max(1) as u32));
+        Some(Move {
+            service: declared.routes.get(&begin.route)?.service.clone(),
+            routes: vec![begin.route.clone()],
+            from: begin.from.clone(),
+            to: begin.to.clone(),
+            steps: begin.steps.clone(),
+            cap: Cap::InFlight(begin.cap.max(1)),
+            budget: Budget {
+                errors: or_default(default.errors),
+                first: or_default(default.first),
+                between: or_default(default.between),
+                dwell,
+                ..default
+            },
+            begin: trial.begun,
+            end,
+        })
+    }
+}
+
+fn reason_word(reason: &Reason) -> &'static str {
+    match reason {
+        Reason::Worse => "worse",
+        Reason::Stopped(_) => "stopped",
+        Reason::Unproven => "unproven at the end time",
+    }
+}
+
+fn describe(word: &str, findings: &[Finding]) -> String {
+    let mut text = word.to_owned();
+    for finding in findings {
+        let line = format!("; {finding}");
+        if text.len() + line.len() > MAX_TEXT_BYTES {
+            break;
+        }
+        text.push_str(&line);
+    }
+    text
+}
--- a/crates/egretgate/src/entry/journal/reading.rs
+++ b/crates/egretgate/src/entry/journal/reading.rs
@@ -129,7 +129,7 @@
             self.note(&applied);
         }
         if !parts.is_empty() {
-            self.publish(&parts);
+            self.publish(&parts).await;
         }
         if self.state.shared().next() != before {
             self.announce().await;
@@ -181,7 +181,7 @@
         info!(self.log, "snapshot read"; "offset" => state.next());
         self.state = state;
         self.recent.clear();
-        self.publish(&[Part::Declarations, Part::Moves, Part::Quarantine]);
+        self.publish(&[Part::Declarations, Part::Moves, Part::Quarantine]).await;
         self.announce().await;
     }
 
@@ -199,7 +199,7 @@
         }
         let Ok(shared) = Shared::decode(bytes) else { return };
         if self.state.adopt(shared) {
-            self.publish(&[Part::Declarations, Part::Moves, Part::Quarantine]);
+            self.publish(&[Part::Declarations, Part::Moves, Part::Quarantine]).await;
             self.announce().await;
         }
         if Instant::now().duration_since(self.started) >= PEER_WAIT {
--- /dev/null
+++ b/crates/egretgate/src/entry/traffic.rs
@@ -0,0 +1,77 @@
+//! How this entry splits the traffic of moving routes between two versions.
+
+use std::collections::BTreeMap;
+use std::time::{Instant, SystemTime};
+
+use egretgate_core::moves::{LocalStop, Move, Outcome, Progress, Quota, Split, Stop, pick_version};
+use egretgate_core::{RouteId, Ticket, VersionId};
+
+/// A route that moves, and how far it has come.
+#[derive(Debug, Clone)]
+pub(crate) struct RouteSplit {
+    /// Route.
+    pub route: RouteId,
+    /// The move.
+    pub plan: Move,
+    /// Step that the log records.
+    pub progress: Progress,
+}
+
+#[derive(Debug)]
+struct Lane {
+    split: Split,
+    quota: Quota,
+    watch: LocalStop,
+}
+
+/// The moving routes at this entry.
+#[derive(Debug, Default)]
+pub(crate) struct Traffic {
+    lanes: BTreeMap<RouteId, Lane>,
+}
+
+impl Traffic {
+    /// Follows the log's word; what this entry counted and stopped by itself stays.
+    pub(crate) fn set(
+        &mut self,
+        splits: Vec<RouteSplit>,
+        split_of: impl Fn(&Move, Progress) -> Split,
+    ) {
+        let mut lanes = BTreeMap::new();
+        for RouteSplit { route, plan, progress } in splits {
+            let split = split_of(&plan, progress);
+            let known = self.lanes.remove(&route).filter(|lane| lane.split.to == split.to);
+            let (quota, watch) = known.map(|lane| (lane.quota, lane.watch)).unwrap_or_default();
+            lanes.insert(route, Lane { split, quota, watch });
+        }
+        self.lanes = lanes;
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.lanes.is_empty()
+    }
+
+    /// Returns the version for a request of a moving route. A version that was stopped here gets
+    /// nothing more, before the log agrees.
+    pub(crate) fn pick(&mut self, route: &str, ticket: Ticket) -> Option<VersionId> {
+        let lane = self.lanes.get_mut(route)?;
+        if lane.watch.stopped().is_some() {
+            return Some(lane.split.from.clone());
+        }
+        let (now, wall) = (Instant::now(), SystemTime::now());
+        Some(pick_version(&lane.split, ticket, &mut lane.quota, now, wall).clone())
+    }
+
+    /// Counts the end of a request; returns why the new version is stopped here, if it just was.
+    pub(crate) fn ended(&mut self, route: &str, version: &str, outcome: Outcome) -> Option<Stop> {
+        let lane = self.lanes.get_mut(route).filter(|lane| lane.split.to == version)?;
+        lane.quota.end();
+        let before = lane.watch.stopped();
+        lane.watch.record(outcome).filter(|_| before.is_none())
+    }
+
+    /// Returns why a new version was stopped at this entry, if one was.
+    pub(crate) fn stopped(&self) -> Option<Stop> {
+        self.lanes.values().find_map(|lane| lane.watch.stopped())
+    }
+}
--- a/crates/egretgate/tests/processes.rs
+++ b/crates/egretgate/tests/processes.rs
@@ -4,6 +4,8 @@
 mod bed;
 #[path = "processes/caller.rs"]
 mod caller;
+#[path = "processes/moving.rs"]
+mod moving;
 #[path = "processes/stopping.rs"]
 mod stopping;
 #[path = "processes/whole.rs"]
--- a/crates/egretgate/tests/processes/bed.rs
+++ b/crates/egretgate/tests/processes/bed.rs
@@ -110,16 +110,21 @@
         Self { log, instances }
     }
 
-    /// Starts a side process before `upstream` and lists it.
+    /// Starts a side process before `upstream`, of version `v1`, and lists it.
     pub fn side(&self, name: &str, kind: Kind, upstream: SocketAddr) -> Process {
-        let side = Self::unlisted_side(name, kind, upstream);
+        self.side_of(name, kind, upstream, "v1")
+    }
+
+    /// Starts a side process before `upstream` of the given version, and lists it.
+    pub fn side_of(&self, name: &str, kind: Kind, upstream: SocketAddr, version: &str) -> Process {
+        let side = Self::unlisted_side(name, kind, upstream, version);
         self.list(name, kind, side.address("link"));
         side
     }
 
     /// Starts a side process that the instance list does not hold.
-    pub fn unlisted_side(name: &str, kind: Kind, upstream: SocketAddr) -> Process {
-        let engine = format!("{upstream}:v1");
+    pub fn unlisted_side(name: &str, kind: Kind, upstream: SocketAddr, version: &str) -> Process {
+        let engine = format!("{upstream}:{version}");
         let args = [
             "serve",
             "--instance",
--- /dev/null
+++ b/crates/egretgate/tests/processes/moving.rs
@@ -0,0 +1,94 @@
+//! A bad version is taken back, also when the holder of the move's lease dies.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use egretgate::operator::{Client, proto};
+use egretgate_fakes::engine::{Engine, EngineSpec, VersionFaults};
+use tokio::task::JoinSet;
+
+use crate::bed::{Bed, Kind};
+use crate::caller::complete;
+
+/// Time from the start of the move to its end: over one cycle of bursts.
+const WINDOW: Duration = Duration::from_secs(75);
+/// Time after the end by which the verdict must stand.
+const LATE: Duration = Duration::from_secs(30);
+/// Callers that ask one after the other.
+const CALLERS: usize = 8;
+/// Largest share of a route's traffic that a bad version may get.
+const MAX_SHARE: f64 = 0.05;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_version_is_taken_back_though_an_entry_dies() {
+    let bed = Bed::start().await;
+    let old = Engine::start(EngineSpec::new()).await.expect("loopback");
+    let new = Engine::start(EngineSpec::new().version("v2")).await.expect("loopback");
+    new.set_faults("v2", VersionFaults::new().errors(1.0));
+    let _old = bed.side("writer-1", Kind::Engine, old.address());
+    let _new = bed.side_of("writer-2", Kind::Engine, new.address(), "v2");
+    let first = bed.entry("entry-1");
+    let second = bed.entry("entry-2");
+    bed.declare(&first).await;
+    begin(first.address("operators")).await;
+
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut callers = JoinSet::new();
+    for index in 0..CALLERS {
+        callers.spawn(ask_on(second.address("callers"), index, Arc::clone(&stop)));
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    drop(first);
+    let state = verdict(second.address("operators")).await;
+    stop.store(true, Ordering::Relaxed);
+    callers.join_all().await;
+
+    assert_eq!(state.verdict, "taken back", "{state:?}");
+    assert!(!state.evidence.is_empty(), "{state:?}");
+    let (bad, good) = (new.counts().executions, old.counts().executions);
+    let share = bad as f64 / (bad + good) as f64;
+    assert!(share <= MAX_SHARE, "{bad} of {} requests met the bad version", bad + good);
+}
+
+async fn ask_on(entry: SocketAddr, index: usize, stop: Arc<AtomicBool>) {
+    let mut round = 0;
+    while !stop.load(Ordering::Relaxed) {
+        complete(entry, &format!("caller {index} round {round}"), 4).await;
+        round += 1;
+    }
+}
+
+async fn begin(operators: SocketAddr) {
+    let end = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970") + WINDOW;
+    let begin = proto::MoveBegin {
+        route: "reports".into(),
+        from: "v1".into(),
+        to: "v2".into(),
+        steps_ppm: vec![50_000, 1_000_000],
+        budget_ppm: 20_000,
+        end_ms: end.as_millis() as u64,
+        cap: 4,
+    };
+    let action = proto::move_request::Action::Begin(begin);
+    let author = proto::Author { operator: "tests".into(), reason: "try v2".into() };
+    let mut client = Client::connect(operators, None).await.expect("serving");
+    client.moves(Some(author), action).await.expect("the move begins");
+}
+
+/// Waits until the move has ended and returns its state.
+async fn verdict(operators: SocketAddr) -> proto::MoveState {
+    let mut client = Client::connect(operators, None).await.expect("serving");
+    let show = || proto::move_request::Action::Show(proto::MoveShow::default());
+    let pause = Duration::from_millis(250);
+    let tries = (WINDOW + LATE).as_millis() / pause.as_millis();
+    for _ in 0..tries {
+        let reply = client.moves(None, show()).await.expect("shown");
+        if let Some(ended) = reply.moves.into_iter().find(|one| one.verdict != "running") {
+            return ended;
+        }
+        tokio::time::sleep(pause).await;
+    }
+    panic!("no verdict after {tries} looks");
+}
