test: faults of upstream, service and platform clients, and of the fakes

Promises: a call told as not sent was not run; no call is written twice; a cut answer never looks whole; an append told as done stands at its offset, a refused one nowhere; tokens are counted the same however the stream is split.

The oracles are the fakes' own counts and contents.

Not provable by counts: hyper-util's own retry, which is turned off, only repeats what was never written.

--- a/crates/egretgate-engine/tests/complete.rs
+++ b/crates/egretgate-engine/tests/complete.rs
@@ -6,11 +6,14 @@
 use egretgate_engine::{Answer, Call, EngineClient, Error, TokenMeter};
 use egretgate_fakes::engine::{Engine, EngineSpec, chat_prompt, expected_completion};
 use serde_json::{Value, json};
-use tokio::time::Instant;
+use tokio::time::{self, Instant};
 
 /// Largest answer read, in bytes.
 const LIMIT: usize = 1 << 20;
 
+/// Time after which something counts as never happening.
+const NEVER: Duration = Duration::from_secs(10);
+
 struct Whole {
     name: &'static str,
     path: &'static str,
@@ -115,9 +118,10 @@
         let client = client.clone();
         async move { client.complete(stream_call("a", "p", 3)).await.map(|_| ()) }
     });
-    tokio::time::sleep(Duration::from_millis(50)).await;
+    time::sleep(Duration::from_millis(50)).await;
     engine.cut();
-    assert_matches!(calling.await.unwrap(), Err(Error::Sent(_)));
+    let called = time::timeout(NEVER, calling).await.expect("the call outlived its connection");
+    assert_matches!(called.unwrap(), Err(Error::Sent(_)));
 }
 
 #[tokio::test]
--- a/crates/egretgate-fakes/src/engine/batch.rs
+++ b/crates/egretgate-fakes/src/engine/batch.rs
@@ -55,7 +55,7 @@
     }
 
     fn is_over(&self) -> bool {
-        self.is_whole() || self.produced >= self.cut_at || self.sender.is_closed()
+        self.is_whole() || self.produced >= self.cut_at
     }
 }
 
--- a/crates/egretgate-fakes/src/engine/cache.rs
+++ b/crates/egretgate-fakes/src/engine/cache.rs
@@ -37,16 +37,12 @@
         Self { capacity, uses: HashMap::new(), order: BTreeMap::new(), clock: 0 }
     }
 
-    /// Returns how many blocks at the start of a prompt are held, and marks them as used.
-    pub(crate) fn find(&mut self, blocks: &[u64]) -> usize {
-        let held = blocks.iter().take_while(|block| self.uses.contains_key(block)).count();
-        for &block in &blocks[..held] {
-            self.touch(block);
-        }
-        held
+    /// Returns how many blocks at the start of a prompt are held.
+    pub(crate) fn find(&self, blocks: &[u64]) -> usize {
+        blocks.iter().take_while(|block| self.uses.contains_key(block)).count()
     }
 
-    /// Stores blocks and returns what changed.
+    /// Stores blocks, marks them as used and returns what changed.
     pub(crate) fn store(&mut self, blocks: &[u64]) -> Vec<CacheChange> {
         let mut changes = Vec::new();
         for &block in blocks {
--- /dev/null
+++ b/crates/egretgate-fakes/tests/relay.rs
@@ -0,0 +1,105 @@
+//! The relay: what it cuts, holds up and delays.
+
+use std::time::Duration;
+
+use egretgate_fakes::relay::{Block, Relay};
+use egretgate_fakes::service::Service;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time;
+
+/// Time after which something counts as held up.
+const HELD: Duration = Duration::from_millis(50);
+/// Time after which a condition counts as never met.
+const NEVER: Duration = Duration::from_secs(10);
+const REQUEST: &[u8] = b"POST /x HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
+
+async fn start() -> (Service, Relay, TcpStream) {
+    let service = Service::start().await.unwrap();
+    let relay = Relay::start(service.address()).await.unwrap();
+    let stream = TcpStream::connect(relay.address()).await.unwrap();
+    (service, relay, stream)
+}
+
+#[tokio::test]
+async fn what_is_held_up_passes_later() {
+    struct Case {
+        name: &'static str,
+        block: Block,
+        executed: u64,
+    }
+    let cases = [
+        Case { name: "forth", block: Block::Forth, executed: 0 },
+        Case { name: "back", block: Block::Back, executed: 1 },
+        Case { name: "both", block: Block::Both, executed: 0 },
+    ];
+    for Case { name, block, executed } in cases {
+        let (service, relay, mut stream) = start().await;
+        relay.set_block(block);
+        stream.write_all(REQUEST).await.unwrap();
+        let mut piece = [0; 4096];
+        let reached = async {
+            while service.total() < executed {
+                time::sleep(Duration::from_millis(1)).await;
+            }
+        };
+        time::timeout(NEVER, reached).await.expect(name);
+        assert!(time::timeout(HELD, stream.read(&mut piece)).await.is_err(), "{name}");
+        assert_eq!(service.total(), executed, "{name}");
+        relay.set_block(Block::None);
+        assert!(stream.read(&mut piece).await.unwrap() > 0, "{name}");
+        assert_eq!(service.total(), 1, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn cuts_close_what_is_open() {
+    struct Case {
+        name: &'static str,
+        cut: fn(&Relay),
+        open_after: bool,
+    }
+    let cases = [
+        Case { name: "cut", cut: Relay::cut, open_after: true },
+        Case { name: "down", cut: |relay| relay.set_down(true), open_after: false },
+        Case {
+            name: "down and up",
+            cut: |relay| {
+                relay.set_down(true);
+                relay.set_down(false);
+            },
+            open_after: true,
+        },
+    ];
+    for Case { name, cut, open_after } in cases {
+        let (_service, relay, mut stream) = start().await;
+        let mut piece = [0; 4096];
+        stream.write_all(REQUEST).await.unwrap();
+        assert!(stream.read(&mut piece).await.unwrap() > 0, "{name}");
+        cut(&relay);
+        let closed = stream.read(&mut piece).await;
+        assert!(!closed.is_ok_and(|bytes| bytes > 0), "{name}");
+        let mut next = TcpStream::connect(relay.address()).await.unwrap();
+        let _ = next.write_all(REQUEST).await;
+        let answered = next.read(&mut piece).await.is_ok_and(|bytes| bytes > 0);
+        assert_eq!(answered, open_after, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn delayed_bytes_arrive_whole_and_in_order() {
+    let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let relay = Relay::start(target.local_addr().unwrap()).await.unwrap();
+    relay.set_delay(Duration::from_millis(2));
+    let sent: Vec<u8> = (0..1_000_000_u32).map(|index| (index % 251) as u8).collect();
+    let mut near = TcpStream::connect(relay.address()).await.unwrap();
+    let (mut far, _) = target.accept().await.unwrap();
+    let write = async {
+        near.write_all(&sent).await.unwrap();
+        near.shutdown().await.unwrap();
+    };
+    let mut received = Vec::new();
+    let (read, ()) = tokio::join!(far.read_to_end(&mut received), write);
+    read.unwrap();
+    assert!(received == sent);
+}
--- /dev/null
+++ b/crates/egretgate-http/tests/client.rs
@@ -0,0 +1,162 @@
+//! Whether a failed call is told as sent, and that no call is written twice.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use egretgate_fakes::service::Service;
+use egretgate_http::{Call, Client, Error, Result};
+use http::Method;
+use http::header::HeaderName;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
+const TIMEOUT: Duration = Duration::from_secs(10);
+const SHORT: Duration = Duration::from_millis(100);
+
+/// What a peer does with a request that it has read.
+#[derive(Clone, Copy)]
+enum Peer {
+    /// Answers each request and keeps the connection.
+    Keep,
+    /// Answers and then closes the connection without having said so.
+    Close,
+    /// Closes the connection without an answer.
+    Cut,
+    /// Answers half a body and closes the connection.
+    Half,
+    /// Answers nothing.
+    Silent,
+}
+
+/// Starts a peer that counts the requests it reads.
+async fn start(peer: Peer) -> (SocketAddr, watch::Receiver<u64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (count, counted) = watch::channel(0);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let count = count.clone();
+            tokio::spawn(async move {
+                let mut piece = [0; 4096];
+                while stream.read(&mut piece).await.is_ok_and(|bytes| bytes > 0) {
+                    count.send_modify(|count| *count += 1);
+                    let answer: &[u8] = match peer {
+                        Peer::Keep | Peer::Close => {
+                            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+                        }
+                        Peer::Half => b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\no",
+                        Peer::Cut => return,
+                        Peer::Silent => continue,
+                    };
+                    let _ = stream.write_all(answer).await;
+                    if matches!(peer, Peer::Close | Peer::Half) {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, counted)
+}
+
+async fn fetch(client: &Client, timeout: Duration) -> Result<u16> {
+    let call = Call::post("/", "{}");
+    client.fetch(call, timeout).await.map(|fetched| fetched.status)
+}
+
+#[tokio::test]
+async fn a_request_that_was_read_is_told_as_sent() {
+    struct Case {
+        name: &'static str,
+        peer: Peer,
+        timeout: Duration,
+        answered: bool,
+    }
+    let cases = [
+        Case { name: "whole", peer: Peer::Keep, timeout: TIMEOUT, answered: true },
+        Case { name: "closes after", peer: Peer::Close, timeout: TIMEOUT, answered: true },
+        Case { name: "cut", peer: Peer::Cut, timeout: TIMEOUT, answered: false },
+        Case { name: "half a body", peer: Peer::Half, timeout: TIMEOUT, answered: false },
+        Case { name: "silent", peer: Peer::Silent, timeout: SHORT, answered: false },
+    ];
+    for Case { name, peer, timeout, answered } in cases {
+        let (address, counted) = start(peer).await;
+        let client = Client::new(address);
+        match fetch(&client, timeout).await {
+            Ok(status) => assert!(answered && status == 200, "{name}"),
+            Err(Error::Sent(_)) => assert!(!answered, "{name}"),
+            Err(Error::NotSent(detail)) => panic!("{name}: {detail}"),
+        }
+        assert_eq!(*counted.borrow(), 1, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn what_can_not_be_written_is_not_sent() {
+    let (address, counted) = start(Peer::Keep).await;
+    let closed = {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+        listener.local_addr().unwrap()
+    };
+    struct Case {
+        name: &'static str,
+        address: SocketAddr,
+        call: Call,
+    }
+    let cases = [
+        Case { name: "refused", address: closed, call: Call::get("/") },
+        Case { name: "header", address, call: Call::get("/").header(REQUEST_ID, "a\nb") },
+        Case { name: "path", address, call: Call::new(Method::GET, "no slash") },
+    ];
+    for Case { name, address, call } in cases {
+        let result = Client::new(address).fetch(call, TIMEOUT).await;
+        assert_matches!(result, Err(Error::NotSent(_)), "{name}");
+    }
+    assert_eq!(*counted.borrow(), 0);
+}
+
+/// The peer closes each connection after one answer, so that later calls race with the close.
+/// However the race goes, what was read is never more than what may have been written.
+#[tokio::test]
+async fn a_closed_connection_is_not_tried_again_in_silence() {
+    let (address, counted) = start(Peer::Close).await;
+    let client = Client::new(address);
+    let mut sent = 0;
+    for _ in 0..500 {
+        match fetch(&client, TIMEOUT).await {
+            Ok(_) | Err(Error::Sent(_)) => sent += 1,
+            Err(Error::NotSent(_)) => {}
+        }
+        assert!(*counted.borrow() <= sent);
+    }
+}
+
+#[tokio::test]
+async fn a_dropped_answer_closes_the_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let client = Client::new(listener.local_addr().unwrap());
+    let peer = async {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut piece = [0; 4096];
+        assert!(stream.read(&mut piece).await.unwrap() > 0);
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf").await.unwrap();
+        // Returns once the client has closed the connection.
+        while stream.read(&mut piece).await.is_ok_and(|bytes| bytes > 0) {}
+    };
+    let caller = async {
+        let mut answer = client.send(Call::get("/")).await.unwrap();
+        assert_eq!(answer.chunk().await.unwrap().unwrap(), "half");
+    };
+    tokio::join!(peer, caller);
+}
+
+#[tokio::test]
+async fn an_answer_over_the_limit_is_an_error() {
+    let service = Service::start().await.unwrap();
+    let client = Client::new(service.address());
+    let answer = client.send(Call::get("/")).await.unwrap();
+    assert_matches!(answer.collect(8).await, Err(Error::Sent(_)));
+}
--- /dev/null
+++ b/crates/egretgate-service/tests/once.rs
@@ -0,0 +1,139 @@
+//! Calls under faults: what is told as not sent was not run, and nothing runs twice.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use egretgate_fakes::relay::Relay;
+use egretgate_fakes::service::Service;
+use egretgate_service::{Call, Error, ServiceClient};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::task::JoinSet;
+use tokio::time;
+
+/// Largest answer read, in bytes.
+const LIMIT: usize = 4096;
+/// Time that a call may take, so that a frozen service does not hold the test.
+const TIMEOUT: Duration = Duration::from_millis(200);
+
+/// What the caller was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Told {
+    Done,
+    Failed(u16),
+    NotSent,
+    Sent,
+}
+
+async fn call(client: ServiceClient, id: String) -> (String, Told) {
+    let call = Call::new(&id, "POST", "/tags/book", "{}").key(format!("key-{id}"));
+    let whole = async {
+        let answer = client.call(call).await?;
+        let status = answer.status;
+        answer.collect(LIMIT).await.map(|_| status)
+    };
+    let told = match time::timeout(TIMEOUT, whole).await {
+        Ok(Ok(200)) => Told::Done,
+        Ok(Ok(status)) => Told::Failed(status),
+        Ok(Err(Error::NotSent(_))) => Told::NotSent,
+        Ok(Err(Error::Sent(_))) | Err(_) => Told::Sent,
+    };
+    (id, told)
+}
+
+#[tokio::test]
+async fn each_fault_is_told_truly() {
+    struct Case {
+        name: &'static str,
+        fault: fn(&Service),
+        told: Told,
+        executions: u64,
+    }
+    let cases = [
+        Case { name: "none", fault: |_| {}, told: Told::Done, executions: 1 },
+        Case {
+            name: "fails before",
+            fault: |service| service.fail_before(1),
+            told: Told::Failed(503),
+            executions: 0,
+        },
+        Case {
+            name: "fails after",
+            fault: |service| service.fail_after(1),
+            told: Told::Failed(500),
+            executions: 1,
+        },
+        Case {
+            name: "lost answer",
+            fault: |service| service.lose_answers(1),
+            told: Told::Sent,
+            executions: 1,
+        },
+        Case {
+            name: "frozen",
+            fault: |service| service.freeze(true),
+            told: Told::Sent,
+            executions: 0,
+        },
+    ];
+    for Case { name, fault, told, executions } in cases {
+        let service = Service::start().await.unwrap();
+        let client = ServiceClient::new(service.address());
+        fault(&service);
+        let (id, was) = call(client, name.replace(' ', "-")).await;
+        assert_eq!(was, told, "{name}");
+        assert_eq!(service.total(), executions, "{name}");
+        assert_eq!(service.executions(&format!("key-{id}")), executions, "{name}");
+    }
+}
+
+/// Calls run beside each other while connections are cut and the service crashes, freezes and
+/// loses answers. The oracle is the service's own count of executions by request name.
+#[tokio::test]
+async fn not_sent_is_never_run_and_nothing_runs_twice() {
+    let mut told = Vec::new();
+    for seed in 0..8 {
+        told.extend(fuzz(seed).await);
+    }
+    // The faults were met.
+    for outcome in [Told::Done, Told::NotSent, Told::Sent] {
+        assert!(told.contains(&outcome), "no call was {outcome:?}");
+    }
+}
+
+async fn fuzz(seed: u64) -> Vec<Told> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let service = Service::start().await.unwrap();
+    let relay = Relay::start(service.address()).await.unwrap();
+    let clients = [ServiceClient::new(service.address()), ServiceClient::new(relay.address())];
+    let mut calls = JoinSet::new();
+    for number in 0..400 {
+        let client = clients[rng.random_range(0..clients.len())].clone();
+        calls.spawn(call(client, format!("{seed}-{number}")));
+        match rng.random_range(0..40) {
+            0 => service.cut(),
+            1 => relay.cut(),
+            2 => service.crash(Duration::from_millis(rng.random_range(0..5))),
+            3 => service.lose_answers(rng.random_range(1..4)),
+            4 => service.fail_after(1),
+            5 => service.fail_before(1),
+            6 => service.freeze(true),
+            7..12 => service.freeze(false),
+            12..20 => time::sleep(Duration::from_millis(1)).await,
+            _ => tokio::task::yield_now().await,
+        }
+    }
+    service.freeze(false);
+    let told: BTreeMap<_, _> = calls.join_all().await.into_iter().collect();
+    let executions = service.ids();
+    for (id, told) in &told {
+        let executed = executions.get(id).copied().unwrap_or_default();
+        let allowed = match told {
+            Told::Done | Told::Failed(500) => 1..=1,
+            Told::NotSent | Told::Failed(_) => 0..=0,
+            Told::Sent => 0..=1,
+        };
+        assert!(allowed.contains(&executed), "seed {seed}: {id} {told:?} ran {executed} times");
+    }
+    told.into_values().collect()
+}
