fix(membership): a listing alone brings nothing back to work

Cause: the fuzz of membership against plain facts found that an upstream which the instance list called leaving and then live again took work at once, with its link cut or after seconds of silence; the mark of the cut was lost while it counted as leaving. A first mend that kept the mark still failed where the upstream had been unreachable behind a cut place. Now the list can only take work away: what it brings back takes work once it is heard, on the ramp.

A second fault came from the bound on the mean interval: at three times the expected heartbeat a silent upstream kept its work for 5.2 s. The bound is 1.7 times, so that at 500 ms a silent upstream loses its work within 3 s.

Broken on purpose, each seen to fail: goodbye forgotten, the list brings back to live at once, frames of a former life count, no place cut, one silent upstream is a place, the window ignored, no ramp, no suspicion.

--- a/crates/egretgate-core/src/membership.rs
+++ b/crates/egretgate-core/src/membership.rs
@@ -3,6 +3,20 @@
 //! The signs are heartbeats, a goodbye or a cut on the link, and the platform's instance list,
 //! which lags. Whichever comes first takes an upstream out of the choice; only silence for long,
 //! with no sign that its whole place was cut off, counts as its death.
+//!
+//! ```
+//! use std::time::Instant;
+//!
+//! use egretgate_core::membership::{Membership, MembershipOptions};
+//!
+//! let now = Instant::now();
+//! let mut members = Membership::new(MembershipOptions::default());
+//! members.heard("forecast-7", "olinda", 1, now);
+//! assert!(members.weight("forecast-7", now) > 0.0);
+//! members.goodbye("forecast-7", 1);
+//! members.heard("forecast-7", "olinda", 1, now);
+//! assert_eq!(members.eligible(now).count(), 0);
+//! ```
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
@@ -177,7 +191,8 @@
 
     /// Notes what the instance list says about an upstream.
     ///
-    /// The list lags, so that it can't bring back what said goodbye.
+    /// The list lags, so that it can't bring back what said goodbye, and whatever else it brings
+    /// back takes work only once it is heard.
     pub fn listed(&mut self, upstream: &str, listing: Listing, now: Instant) -> Vec<Change> {
         let Some(member) = self.members.get_mut(upstream) else { return Vec::new() };
         member.listed_leaving = listing == Listing::Leaving;
@@ -187,9 +202,9 @@
         if member.standing != Standing::Leaving || member.goodbye {
             return Vec::new();
         }
-        member.standing = Standing::Live;
+        member.standing = Standing::Suspect;
         member.joined = now;
-        vec![Change::Joined(upstream.to_owned())]
+        Vec::new()
     }
 
     /// Weighs the silences up to `now`; to be called a few times within a heartbeat's interval.
--- a/crates/egretgate-core/src/membership/suspicion.rs
+++ b/crates/egretgate-core/src/membership/suspicion.rs
@@ -5,7 +5,7 @@
 /// Share of each new interval in the mean.
 const SHARE: f64 = 0.1;
 /// Range of the mean around the expected interval, as factors.
-const RANGE: (f64, f64) = (1.0, 3.0);
+const RANGE: (f64, f64) = (1.0, 1.7);
 
 /// Accrual failure detector (Hayashibara et al., "The φ Accrual Failure Detector", SRDS '04), with
 /// exponentially distributed intervals.
