fix(limit): judge the limit only by what it caused

Found by models of unlike engines kept saturated, before this change: - After a sudden slowdown the limit was cut in each window down to one request, since what ran took seconds to end. Estimate::join adds up several engines behind one queue.

--- a/crates/egretgate-core/src/limit.rs
+++ b/crates/egretgate-core/src/limit.rs
@@ -2,6 +2,22 @@
 //!
 //! The limits come only from times that the side process measures itself, from dispatch to first
 //! token and between tokens; load reports of engines lag and are not used.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//!
+//! use egretgate_core::limit::{Limit, LimitOptions};
+//!
+//! let now = Instant::now();
+//! let mut limit = Limit::new(LimitOptions::default(), now);
+//! limit.started(420);
+//! limit.first_token(120, Duration::from_millis(40), now);
+//! limit.next_token(Duration::from_millis(12), now);
+//! assert_eq!(limit.room().requests, 3);
+//! assert_eq!(limit.estimate().between, 0.012);
+//! limit.ended(420, 122, Duration::from_millis(52));
+//! assert_eq!(limit.room().requests, 4);
+//! ```
 
 use std::time::{Duration, Instant};
 
@@ -33,14 +49,20 @@
 const BINDING: f64 = 0.8;
 /// Increase in one step after the slow start, as a share of the limit.
 const STEP: f64 = 1.0 / 32.0;
-/// Samples of one kind that a decision needs.
-const MIN_SAMPLES: u64 = 20;
+/// Samples of one kind on which a limit is cut.
+const CUT_SAMPLES: u64 = 20;
+/// First tokens without which no limit rises.
+const RAISE_FIRSTS: u64 = 4;
 /// Share of each new measurement in the running means.
 const SHARE: f64 = 0.05;
 /// Prompt tokens from which the time for a token is learned.
 const MIN_PROMPT: u32 = 32;
-/// Factor by which the unloaded time for a prompt token is forgotten at each decision.
-const DRIFT: f64 = 1.002;
+/// Limit in requests up to which what is measured counts as unloaded.
+const IDLE: f64 = 2.0;
+/// Factor of the unloaded time to a first token that is allowed at least.
+const UNLOADED: f64 = 2.0;
+/// Factor by which the unloaded time for a prompt token rises at each decision while unloaded.
+const DRIFT: f64 = 1.1;
 
 /// What may be started now.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -107,6 +129,18 @@
         self.wait(ahead) + self.service(prompt, 0)
     }
 
+    /// Returns what is expected of several upstreams behind one queue: the best time of each part,
+    /// so that nothing is refused which one of them could finish, and the sum of their rates.
+    pub fn join(estimates: impl IntoIterator<Item = Self>) -> Option<Self> {
+        estimates.into_iter().reduce(|one, other| Self {
+            base: one.base.min(other.base),
+            prefill: one.prefill.min(other.prefill),
+            between: one.between.min(other.between),
+            rate: one.rate + other.rate,
+            slot: one.slot.min(other.slot),
+        })
+    }
+
     /// Returns true if the parts of the time of service are within [`Estimate::TOLERANCE`] of
     /// those of `other`.
     pub fn is_near(&self, other: &Self) -> bool {
@@ -165,12 +199,16 @@
     used: f64,
     /// Largest amount in use since the last decision.
     peak: f64,
+    /// Mean amount in use at the measurements since the last decision, and their number.
+    mean: f64,
+    samples: f64,
 }
 
 impl Bound {
     fn new(initial: f64, least: f64, most: f64) -> Self {
         let most = most.max(least);
-        Self { value: initial.clamp(least, most), least, most, used: 0.0, peak: 0.0 }
+        let value = initial.clamp(least, most);
+        Self { value, least, most, used: 0.0, peak: 0.0, mean: 0.0, samples: 0.0 }
     }
 
     fn take(&mut self, amount: f64) {
@@ -186,8 +224,14 @@
         (self.value - self.used).max(0.0)
     }
 
-    fn raise(&mut self, fast: bool) {
-        if self.peak < BINDING * self.value {
+    fn sample(&mut self) {
+        self.samples += 1.0;
+        self.mean += (self.used - self.mean) / self.samples;
+    }
+
+    /// Raises the limit if it held something back. `unused` is what a full limit leaves free.
+    fn raise(&mut self, fast: bool, unused: f64) {
+        if self.mean < BINDING * (self.value - unused) {
             return;
         }
         let step = if fast { self.value } else { (self.value * STEP).max(self.least) };
@@ -199,8 +243,54 @@
         self.value = (from * factor).max(self.least);
     }
 
-    fn restart_peak(&mut self) {
+    fn open_window(&mut self) {
         self.peak = self.used;
+        self.mean = 0.0;
+        self.samples = 0.0;
+    }
+}
+
+/// What a window's measurements ask for.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// Nothing: more ran than the limit allows, as after a cut, so that its effect isn't seen yet.
+    Pass,
+    /// A decrease by this factor.
+    Cut(f64),
+    /// An increase.
+    Raise,
+    /// Nothing: the target is nearly reached, or first tokens are too few.
+    Hold,
+}
+
+/// Least times seen, in seconds; infinite until one is.
+#[derive(Debug, Clone, Copy)]
+struct Unloaded {
+    /// To a first token.
+    first: f64,
+    /// For a prompt token.
+    prompt: f64,
+}
+
+impl Unloaded {
+    const NONE: Self = Self { first: f64::INFINITY, prompt: f64::INFINITY };
+
+    fn add(&mut self, prompt: u32, seconds: f64) {
+        self.first = self.first.min(seconds);
+        if prompt >= MIN_PROMPT {
+            self.prompt = self.prompt.min(seconds / f64::from(prompt));
+        }
+    }
+
+    fn forget(&mut self) {
+        self.first *= DRIFT;
+        self.prompt *= DRIFT;
+    }
+
+    /// Returns the time to the first token of a prompt, as far as it is known.
+    fn time(&self, prompt: u32) -> f64 {
+        let known = |value: f64| if value.is_finite() { value } else { 0.0 };
+        known(self.first) + known(self.prompt) * f64::from(prompt)
     }
 }
 
@@ -208,9 +298,11 @@
 ///
 /// Additive increase and multiplicative decrease, where a decrease follows the excess of the 95th
 /// percentile over the target, as the credits of Breakwater do (Cho et al., OSDI '20). A limit
-/// rises only while it binds, and doubles until the first excess. The first-token target of a long
-/// prompt is at least twice its unloaded prefill, learned as TCP Vegas learns its base round trip
-/// (Brakmo and Peterson, 1995), the idea behind the gradient of Netflix's concurrency-limits.
+/// rises only while it binds, and doubles until the first excess. The first-token target is at
+/// least twice what the prompt takes without load, so that long prompts and slow calls cut nothing, learned as TCP Vegas learns its base round trip
+/// (Brakmo and Peterson, 1995), the idea behind the gradient of Netflix's concurrency-limits. It is
+/// learned anew only while the limit is so low that nothing delays a prompt: under load the least
+/// time would creep up with the delays that it is to judge.
 #[derive(Debug, Clone)]
 pub struct Limit {
     options: LimitOptions,
@@ -224,12 +316,10 @@
     fast: bool,
     /// Start of the present window.
     opened: Instant,
-    /// True in the window after a cut, whose measurements still show the load before it.
-    settling: bool,
     /// First-token time by prompt length, under the load of late.
     first: Line,
-    /// Least time for a prompt token seen, in seconds.
-    unloaded: Option<f64>,
+    /// Least time to a first token and for a prompt token seen without load.
+    unloaded: Unloaded,
     /// Mean time between tokens, in seconds.
     between: Option<f64>,
     /// Mean tokens of ended requests.
@@ -252,9 +342,8 @@
             gaps: scores(),
             fast: true,
             opened: now,
-            settling: false,
             first: Line::new(),
-            unloaded: None,
+            unloaded: Unloaded::NONE,
             between: None,
             cost: None,
             took: None,
@@ -280,10 +369,7 @@
     pub fn first_token(&mut self, prompt: u32, took: Duration, now: Instant) {
         let seconds = took.as_secs_f64();
         self.first.add(f64::from(prompt), seconds);
-        if prompt >= MIN_PROMPT {
-            let each = seconds / f64::from(prompt);
-            self.unloaded = Some(self.unloaded.map_or(each, |least| least.min(each)));
-        }
+        self.unloaded.add(prompt, seconds);
         let score = seconds / self.first_target(prompt);
         self.firsts.saturating_record(scaled(score));
         self.decide(now);
@@ -362,50 +448,73 @@
     }
 
     fn first_target(&self, prompt: u32) -> f64 {
-        let unloaded = self.unloaded.unwrap_or(0.0) * f64::from(prompt);
-        self.options.first.as_secs_f64().max(2.0 * unloaded)
+        let unloaded = self.unloaded.time(prompt);
+        self.options.first.as_secs_f64().max(UNLOADED * unloaded)
     }
 
     fn decide(&mut self, now: Instant) {
+        self.requests.sample();
+        self.tokens.sample();
         let passed = now.saturating_duration_since(self.opened);
-        if passed < self.options.window {
+        let samples = self.firsts.len().max(self.gaps.len());
+        if passed < self.options.window || samples < CUT_SAMPLES {
             return;
         }
-        let scores = [judge(&mut self.firsts), judge(&mut self.gaps)];
-        let Some(score) = scores.into_iter().flatten().reduce(f64::max) else { return };
-        if !std::mem::take(&mut self.settling) {
-            self.adjust(score);
-        }
+        self.adjust();
         self.opened = now;
-        self.requests.restart_peak();
-        self.tokens.restart_peak();
-        self.unloaded = self.unloaded.map(|least| least * DRIFT);
-    }
-
-    fn adjust(&mut self, score: f64) {
-        if score < CALM {
-            self.requests.raise(self.fast);
-            self.tokens.raise(self.fast);
-        } else if score > 1.0 {
-            let factor = (1.0 - BETA * (score - 1.0)).clamp(MAX_CUT, MIN_CUT);
-            self.requests.cut(factor);
-            self.tokens.cut(factor);
-            self.fast = false;
-            self.settling = true;
+        self.requests.open_window();
+        self.tokens.open_window();
+        if self.requests.value <= IDLE {
+            self.unloaded.forget();
+        }
+    }
+
+    fn adjust(&mut self) {
+        let step = self.step();
+        match step {
+            Step::Cut(factor) => self.cut(factor),
+            Step::Raise => self.raise(),
+            Step::Pass | Step::Hold => {}
+        }
+        self.gaps.reset();
+        if !matches!(step, Step::Hold) || self.firsts.len() >= CUT_SAMPLES {
             self.firsts.reset();
-            self.gaps.reset();
         }
     }
-}
 
-/// Takes the score at the quantile that the target names, once there are samples enough.
-fn judge(scores: &mut Histogram<u32>) -> Option<f64> {
-    if scores.len() < MIN_SAMPLES {
-        return None;
+    fn step(&self) -> Step {
+        let judged = |scores: &Histogram<u32>| {
+            if scores.len() < CUT_SAMPLES { 0.0 } else { worst(scores) }
+        };
+        let excess = judged(&self.firsts).max(judged(&self.gaps)) - 1.0;
+        let score = worst(&self.firsts).max(worst(&self.gaps));
+        if self.requests.peak > self.requests.value {
+            Step::Pass
+        } else if excess > 0.0 {
+            Step::Cut((1.0 - BETA * excess).clamp(MAX_CUT, MIN_CUT))
+        } else if score < CALM && self.firsts.len() >= RAISE_FIRSTS {
+            Step::Raise
+        } else {
+            Step::Hold
+        }
+    }
+
+    fn cut(&mut self, factor: f64) {
+        self.requests.cut(factor);
+        self.tokens.cut(factor);
+        self.fast = false;
     }
-    let score = scores.value_at_quantile(QUANTILE) as f64 / SCALE;
-    scores.reset();
-    Some(score)
+
+    fn raise(&mut self) {
+        let fraction = self.requests.value.fract();
+        self.requests.raise(self.fast, fraction);
+        self.tokens.raise(self.fast, self.cost.unwrap_or(0.0));
+    }
+}
+
+/// Returns the score at the quantile that the target names; 0 without samples.
+fn worst(scores: &Histogram<u32>) -> f64 {
+    scores.value_at_quantile(QUANTILE) as f64 / SCALE
 }
 
 fn scaled(score: f64) -> u64 {
--- /dev/null
+++ b/crates/egretgate-core/tests/limit.rs
@@ -0,0 +1,251 @@
+//! Learned limits against models of unlike engines, and the estimates that come with them.
+
+use std::time::{Duration, Instant};
+
+use egretgate_core::limit::{Estimate, Lengths, Limit, LimitOptions, Running, victim};
+use egretgate_core::{Ticket, Tier};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// An engine whose tokens slow down with what runs beside them; times in milliseconds.
+#[derive(Debug, Clone, Copy)]
+struct Engine {
+    name: &'static str,
+    /// Time between tokens with nothing else running, and for each request running.
+    between: (f64, f64),
+    /// Time to the first token for each prompt token, and its growth with each request running.
+    prefill: (f64, f64),
+}
+
+impl Engine {
+    fn gap(&self, running: usize) -> f64 {
+        self.between.0 + self.between.1 * running as f64
+    }
+
+    fn first(&self, prompt: u32, running: usize) -> f64 {
+        15.0 + f64::from(prompt) * (self.prefill.0 + self.prefill.1 * running as f64)
+    }
+
+    /// Most requests with which 95 in 100 of tokens stay within 34 ms.
+    fn ideal(&self) -> usize {
+        (1..256).take_while(|&running| self.gap(running) * 1.1 <= 34.0).count().max(1)
+    }
+}
+
+#[derive(Debug, Default)]
+struct Seen {
+    gaps: u32,
+    slow: u32,
+    /// Mean of the requests running.
+    running: f64,
+    /// Smallest limit in requests.
+    least: u32,
+}
+
+/// Keeps `limit` saturated on `engine` for `seconds` and returns what was seen in the second half.
+fn saturate(limit: &mut Limit, engine: Engine, seconds: u32, now: &mut Instant) -> Seen {
+    let mut rng = ChaCha8Rng::seed_from_u64(9);
+    let mut seen = Seen { least: u32::MAX, ..Seen::default() };
+    // Time of the next token, tokens left, tokens charged, start.
+    let mut running: Vec<(Instant, u32, u64, Instant)> = Vec::new();
+    let start = *now;
+    for step in 0..seconds * 200 {
+        *now = start + Duration::from_millis(5) * step;
+        while limit.room().requests > 0 {
+            let (prompt, output) = (rng.random_range(20..1500), rng.random_range(20..300));
+            let tokens = u64::from(prompt + output);
+            limit.started(tokens);
+            let took = engine.first(prompt, running.len()) * rng.random_range(0.9..1.1);
+            let first = *now + Duration::from_secs_f64(took / 1e3);
+            limit.first_token(prompt, Duration::from_secs_f64(took / 1e3), *now);
+            running.push((first, output, tokens, *now));
+        }
+        let count = running.len();
+        seen.least = seen.least.min(limit.requests());
+        running.retain_mut(|(due, left, tokens, started)| {
+            while *due <= *now && *left > 0 {
+                let gap = engine.gap(count) * rng.random_range(0.9..1.1);
+                limit.next_token(Duration::from_secs_f64(gap / 1e3), *now);
+                if step > seconds * 100 {
+                    seen.gaps += 1;
+                    seen.slow += u32::from(gap > 34.0);
+                }
+                *due += Duration::from_secs_f64(gap / 1e3);
+                *left -= 1;
+            }
+            if *left == 0 {
+                limit.ended(*tokens, *tokens, *now - *started);
+            }
+            *left > 0
+        });
+        if step > seconds * 100 {
+            seen.running += count as f64 / f64::from(seconds * 100);
+        }
+    }
+    for (.., tokens, _) in running {
+        limit.dropped(tokens);
+    }
+    seen
+}
+
+const FAST: Engine = Engine { name: "fast", between: (6.0, 0.2), prefill: (0.02, 0.0005) };
+const SLOW: Engine = Engine { name: "slow", between: (18.0, 1.0), prefill: (0.1, 0.002) };
+const SMALL: Engine = Engine { name: "small", between: (10.0, 5.0), prefill: (0.15, 0.01) };
+const PREFILL: Engine = Engine { name: "prefill-bound", between: (5.0, 0.1), prefill: (0.1, 0.01) };
+
+/// The limit finds how much each engine carries within 34 ms between tokens for 95 in 100, and
+/// follows when the engine slows down to a half.
+#[test]
+fn tokens_stay_within_the_objective() {
+    for engine in [FAST, SLOW, SMALL] {
+        let mut now = Instant::now();
+        let mut limit = Limit::new(LimitOptions::default(), now);
+        assert_eq!(limit.requests(), LimitOptions::default().initial);
+        let (between, prefill) = (engine.between, engine.prefill);
+        let (between, prefill) = ((between.0, between.1 * 2.0), (prefill.0 * 2.0, prefill.1));
+        let phases = [engine, Engine { between, prefill, ..engine }, engine];
+        for (phase, engine) in phases.into_iter().enumerate() {
+            let seen = saturate(&mut limit, engine, 120, &mut now);
+            let share = f64::from(seen.slow) / f64::from(seen.gaps);
+            let mean = seen.running / engine.ideal() as f64;
+            println!("{}: slow {share:.3}, running over ideal {mean:.2}", engine.name);
+            assert!(share <= 0.05, "{}: {share} of tokens are slow", engine.name);
+            assert!(mean >= 0.7, "{}: only {mean} of what it carries", engine.name);
+            let low = phase == 1 && f64::from(seen.least) < 0.5 * engine.ideal() as f64;
+            assert!(!low, "{}: cut to {} for a change", engine.name, seen.least);
+        }
+        limit.restart(now);
+        assert_eq!(limit.requests(), LimitOptions::default().initial);
+        assert_eq!(limit.room().running, 0);
+        saturate(&mut limit, engine, 10, &mut now);
+        let found = limit.requests() as usize;
+        assert!(found >= engine.ideal() / 2, "{}: slow start got to {found} only", engine.name);
+    }
+}
+
+/// Where prefill is the bottleneck, the first token sets the limit.
+#[test]
+fn first_tokens_stay_within_the_objective() {
+    let mut now = Instant::now();
+    let mut limit = Limit::new(LimitOptions::default(), now);
+    let seen = saturate(&mut limit, PREFILL, 240, &mut now);
+    let mean = seen.running;
+    let first = PREFILL.first(1400, mean as usize);
+    println!("prefill-bound: running {mean:.1}, first {first:.0} ms at 1400 prompt tokens");
+    assert!(first <= 380.0 * 1.1, "{first} ms to the first token");
+    let estimate = limit.estimate();
+    for prompt in [200, 700, 1400] {
+        let told = estimate.service(prompt, 5).as_secs_f64() * 1e3;
+        let real = PREFILL.first(prompt, mean as usize) + 5.0 * PREFILL.gap(mean as usize);
+        assert!((told / real - 1.0).abs() <= 0.25, "{prompt}: told {told} ms, was {real} ms");
+    }
+    let joined = Estimate::join([estimate, Estimate { rate: 1.0, ..estimate }]).expect("two");
+    assert!(joined.is_near(&estimate) && joined.rate > estimate.rate);
+}
+
+struct CallCase {
+    name: &'static str,
+    /// Calls kept running at most.
+    offered: u32,
+    /// Calls from which they slow each other down.
+    knee: u32,
+    /// Bounds of the limit in the end.
+    bounds: (u32, u32),
+}
+
+/// Calls of half a second, over the objective from the start: the limit follows what they delay
+/// each other, and doesn't rise beyond what is asked for.
+#[test]
+fn slow_calls_are_limited_by_their_delay() {
+    let cases = [
+        CallCase { name: "few calls", offered: 3, knee: 20, bounds: (3, 8) },
+        CallCase { name: "many calls", offered: 256, knee: 20, bounds: (15, 60) },
+    ];
+    for case in cases {
+        let mut rng = ChaCha8Rng::seed_from_u64(12);
+        let mut now = Instant::now();
+        let mut limit = Limit::new(LimitOptions::default(), now);
+        let mut running: Vec<(Instant, Duration)> = Vec::new();
+        for _ in 0..20_000 {
+            now += Duration::from_millis(10);
+            while limit.room().requests > 0 && running.len() < case.offered as usize {
+                limit.started(1);
+                let slow = f64::max(1.0, running.len() as f64 / f64::from(case.knee));
+                let took = Duration::from_secs_f64(0.5 * slow * rng.random_range(0.9..1.1));
+                running.push((now + took, took));
+            }
+            running.retain(|&(due, took)| {
+                if due <= now {
+                    limit.first_token(0, took, now);
+                    limit.ended(1, 1, took);
+                }
+                due > now
+            });
+        }
+        let (low, high) = case.bounds;
+        let found = limit.requests();
+        println!("{}: limit {found}", case.name);
+        assert!((low..=high).contains(&found), "{}: {found}", case.name);
+    }
+}
+
+struct LengthCase {
+    quantile: f64,
+    shortest: f64,
+    longest: f64,
+}
+
+#[test]
+fn lengths_follow_their_quantile() {
+    let cases = [
+        LengthCase { quantile: 0.5, shortest: 100.0, longest: 200.0 },
+        LengthCase { quantile: 0.5, shortest: 10.0, longest: 1000.0 },
+        LengthCase { quantile: 0.8, shortest: 10.0, longest: 1000.0 },
+    ];
+    for LengthCase { quantile, shortest, longest } in cases {
+        let mut rng = ChaCha8Rng::seed_from_u64(10);
+        let mut lengths = Lengths::new(quantile, 64);
+        assert_eq!(lengths.predict("route"), 64);
+        let mut draw = || rng.random_range(shortest.ln()..longest.ln()).exp() as u32;
+        (0..500).for_each(|_| lengths.observe("route", draw()));
+        let mut within = 0;
+        for _ in 0..4000 {
+            let length = draw();
+            within += u32::from(length <= lengths.predict("route"));
+            lengths.observe("route", length);
+        }
+        let share = f64::from(within) / 4000.0;
+        assert!((share - quantile).abs() <= 0.05, "{share} for {quantile}");
+    }
+}
+
+struct VictimCase {
+    waiting: Tier,
+    /// Tier, tokens generated and whether it can be resumed.
+    running: &'static [(Tier, u32, bool)],
+    victim: Option<u64>,
+}
+
+#[test]
+fn only_the_lowest_resumable_tier_gives_way() {
+    let cases = [
+        VictimCase { waiting: 0, running: &[], victim: None },
+        VictimCase {
+            waiting: 0,
+            running: &[(1, 9, true), (3, 9, true), (3, 2, true)],
+            victim: Some(2),
+        },
+        VictimCase { waiting: 0, running: &[(1, 9, true), (3, 2, false)], victim: Some(0) },
+        VictimCase { waiting: 1, running: &[(1, 9, true), (0, 2, true)], victim: None },
+    ];
+    for case in cases {
+        let row = |(at, &(tier, produced, resumable))| Running {
+            ticket: Ticket::new(0, at as u64),
+            tier,
+            produced,
+            resumable,
+        };
+        let running: Vec<_> = case.running.iter().enumerate().map(row).collect();
+        assert_eq!(victim(case.waiting, &running).map(|ticket| ticket.sequence), case.victim);
+    }
+}
