perf(queue): weigh waiting work anew in bulk, bound suspects' holds

On the way a clamp to the queue's creation time kept hopeless work; the fuzz failed at once ("kept without hope") and the clamp was taken out. Holds for a suspect are at most 30 s long.

--- a/crates/egretgate-core/src/queue.rs
+++ b/crates/egretgate-core/src/queue.rs
@@ -4,6 +4,35 @@
 //! can't finish by its deadline is refused before its prefill, and a full queue displaces its
 //! lowest tier, newest first. The queue only decides: the caller starts what [`Queue::next`] hands
 //! out and tells everyone else at once that their work was not run.
+//!
+//! ```
+//! use std::time::{Duration, Instant};
+//!
+//! use egretgate_core::limit::{Estimate, Room};
+//! use egretgate_core::queue::{Offered, Queue, QueueOptions, Work};
+//! use egretgate_core::{Digest, Ticket};
+//! use rand::SeedableRng;
+//!
+//! let now = Instant::now();
+//! let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
+//! let mut queue = Queue::new(QueueOptions::default(), now);
+//! let work = Work {
+//!     ticket: Ticket::new(1, 1),
+//!     team: "mills".to_owned(),
+//!     tier: 0,
+//!     weight: 1,
+//!     deadline: now + Duration::from_secs(30),
+//!     prompt: 120,
+//!     output: 300,
+//!     digest: Digest::of(&[b"body"]),
+//!     alone: false,
+//!     version: String::new(),
+//! };
+//! let offered = queue.offer(work, "payload", now, &Estimate::default(), &mut rng);
+//! assert!(matches!(offered, Offered::Queued { .. }));
+//! let room = Room { requests: 1, tokens: 1000, running: 0, alone: false };
+//! assert_eq!(queue.next(now, room).map(|held| held.payload), Some("payload"));
+//! ```
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
@@ -158,7 +187,7 @@
     /// Turn of the most urgent suspect.
     hold: Hold,
     sequence: u64,
-    /// Lower bound of every instant in `latest`.
+    /// Stands in `latest` for times that the clock can't name.
     epoch: Instant,
     /// True once [`Queue::drain`] was called; every later offer is refused.
     closed: bool,
@@ -387,7 +416,7 @@
     fn insert(&mut self, work: Work, payload: T, now: Instant) {
         let sequence = self.sequence;
         self.sequence += 1;
-        let latest = self.latest_start(&work);
+        let latest = latest_start(&work, &self.pace, self.epoch);
         let lane = work.lane();
         let ticket = work.ticket;
         let held = Held { work, payload, since: now };
@@ -445,27 +474,28 @@
         self.lanes[lane + 1..].iter().rev().find_map(Lane::newest)
     }
 
-    fn latest_start(&self, work: &Work) -> Instant {
-        let service = self.pace.service(work.prompt, work.output);
-        work.deadline.checked_sub(service).unwrap_or(self.epoch)
-    }
-
     /// Works out anew when each request becomes hopeless, if the speed has changed.
     fn set_pace(&mut self, estimate: &Estimate) {
         if self.pace.is_near(estimate) {
             return;
         }
         self.pace = *estimate;
-        self.latest.clear();
-        let keys: Vec<_> = self.held.keys().collect();
-        for key in keys {
-            let latest = self.latest_start(&self.held[key].held.work);
-            self.held[key].latest = latest;
-            self.latest.insert((latest, key));
-        }
+        let epoch = self.epoch;
+        let weigh = |(key, slot): (WorkKey, &mut Slot<T>)| {
+            slot.latest = latest_start(&slot.held.work, estimate, epoch);
+            (slot.latest, key)
+        };
+        self.latest = self.held.iter_mut().map(weigh).collect();
     }
 }
 
+/// Returns the last time at which a start still meets the deadline, or `epoch` if the clock can't
+/// name it.
+fn latest_start(work: &Work, pace: &Estimate, epoch: Instant) -> Instant {
+    let service = pace.service(work.prompt, work.output);
+    work.deadline.checked_sub(service).unwrap_or(epoch)
+}
+
 fn give_up<T>(
     held: Held<T>,
     kind: ErrorKind,
--- a/crates/egretgate-core/src/queue/hold.rs
+++ b/crates/egretgate-core/src/queue/hold.rs
@@ -2,12 +2,15 @@
 
 use std::time::{Duration, Instant};
 
+/// Longest span.
+const LONGEST: Duration = Duration::from_secs(30);
+
 /// Decides when starts are held back so that the upstream becomes idle for a suspect.
 ///
 /// From the suspect's first missed turn, spans in which others pass alternate with spans in which
-/// nothing of its tier or below starts. Both double in length each time, so the hold in the end
-/// outlasts whatever runs, while others are held back for no more than half of the time. More
-/// urgent work is never held back.
+/// nothing of its tier or below starts. Both double in length each time up to [`LONGEST`], so the
+/// hold in the end outlasts what runs, while others are held back for no more than half of the
+/// time. More urgent work is never held back.
 #[derive(Debug, Clone)]
 pub(super) struct Hold {
     /// Length of the first span.
@@ -70,7 +73,7 @@
                     return Some((closed, end));
                 }
             }
-            length *= 2;
+            length = (length * 2).min(LONGEST.max(length));
         }
     }
 }
