--- a/crates/egretgate-core/src/poison.rs
+++ b/crates/egretgate-core/src/poison.rs
@@ -3,6 +3,20 @@
 //! Each death of an upstream names the digests that were in flight. The first death makes them
 //! suspects, which run alone, so that a second death names its culprit and a completion clears an
 //! innocent. A digest in two deaths is quarantined.
+//!
+//! ```
+//! use egretgate_core::Digest;
+//! use egretgate_core::poison::{Death, Poison, PoisonOptions, Verdict};
+//!
+//! let (culprit, innocent) = (Digest::of(&[b"culprit"]), Digest::of(&[b"innocent"]));
+//! let mut table = Poison::new(PoisonOptions::default());
+//! table.died(Death::new("forecast-7", 1, 1), &[culprit, innocent], 0);
+//! assert_eq!(table.verdict(innocent), Verdict::Suspect);
+//! table.completed(innocent);
+//! table.died(Death::new("forecast-9", 4, 1), &[culprit], 100);
+//! assert_eq!(table.verdict(culprit), Verdict::Quarantined);
+//! assert_eq!(table.verdict(innocent), Verdict::Clear);
+//! ```
 
 use std::collections::{BTreeMap, VecDeque};
 
--- /dev/null
+++ b/crates/egretgate-core/tests/poison.rs
@@ -0,0 +1,283 @@
+//! Quarantine: a table fuzzed against sets, and innocents in a model of twenty upstreams.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use egretgate_core::Digest;
+use egretgate_core::poison::{Death, Entry, Poison, PoisonOptions, Verdict};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+#[derive(Debug, Clone)]
+enum Op {
+    /// Upstream, number of the death, digests.
+    Died(u8, u64, Vec<u8>),
+    Completed(u8),
+    Lift(u8),
+    Later(u64),
+    Snapshot,
+}
+
+fn ops() -> impl Strategy<Value = Vec<Op>> {
+    let digests = prop::collection::vec(0..24u8, 0..8);
+    let op = prop_oneof![
+        5 => (0..4u8, 0..40u64, digests).prop_map(|(at, sequence, all)| Op::Died(at, sequence, all)),
+        3 => (0..24u8).prop_map(Op::Completed),
+        1 => (0..24u8).prop_map(Op::Lift),
+        1 => (0..60u64).prop_map(Op::Later),
+        1 => Just(Op::Snapshot),
+    ];
+    prop::collection::vec(op, 1..80)
+}
+
+fn digest(name: u8) -> Digest {
+    Digest::of(&[&[name]])
+}
+
+fn death(upstream: u8, sequence: u64) -> Death {
+    Death::new(&format!("upstream-{upstream}"), 1, sequence)
+}
+
+fn apply(table: &mut Poison, op: &Op, at: &mut u64) {
+    match op {
+        Op::Died(upstream, sequence, digests) => {
+            let digests: Vec<_> = digests.iter().copied().map(digest).collect();
+            table.died(death(*upstream, *sequence), &digests, *at);
+        }
+        Op::Completed(name) => drop(table.completed(digest(*name))),
+        Op::Lift(name) => drop(table.lift(digest(*name))),
+        Op::Later(marks) => {
+            *at += marks;
+            table.expire(*at);
+        }
+        Op::Snapshot => {}
+    }
+}
+
+const LONG: PoisonOptions =
+    PoisonOptions { capacity: 100, deaths: 1000, suspect: 1 << 40, quarantined: 1 << 40 };
+const SHORT: PoisonOptions =
+    PoisonOptions { capacity: 6, deaths: 20, suspect: 50, quarantined: 90 };
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(8), failure_persistence: None, ..ProptestConfig::with_cases(2000)
+    })]
+
+    #[test]
+    fn two_deaths_quarantine_and_a_completion_clears(ops in ops()) {
+        let mut table = Poison::new(LONG);
+        let mut deaths = BTreeSet::new();
+        let mut counts: BTreeMap<u8, usize> = BTreeMap::new();
+        let mut at = 0;
+        for op in &ops {
+            apply(&mut table, op, &mut at);
+            match op {
+                Op::Died(upstream, sequence, digests) => {
+                    if deaths.insert((*upstream, *sequence)) {
+                        for name in digests.iter().collect::<BTreeSet<_>>() {
+                            *counts.entry(*name).or_default() += 1;
+                        }
+                    }
+                }
+                Op::Completed(name) => {
+                    if counts.get(name) == Some(&1) {
+                        counts.remove(name);
+                    }
+                }
+                Op::Lift(name) => drop(counts.remove(name)),
+                Op::Later(_) | Op::Snapshot => {}
+            }
+            for name in 0..24 {
+                let expected = match counts.get(&name) {
+                    None => Verdict::Clear,
+                    Some(1) => Verdict::Suspect,
+                    Some(_) => Verdict::Quarantined,
+                };
+                prop_assert_eq!(table.verdict(digest(name)), expected);
+            }
+        }
+    }
+
+    #[test]
+    fn a_small_table_keeps_what_is_quarantined(ops in ops()) {
+        let mut table = Poison::new(SHORT);
+        let mut copy = table.clone();
+        let mut at = 0;
+        for op in &ops {
+            let quarantined = |entry: &&Entry| entry.verdict() == Verdict::Quarantined;
+            let before: Vec<_> = table.entries().filter(quarantined).copied().collect();
+            apply(&mut copy, op, &mut at.clone());
+            apply(&mut table, op, &mut at);
+            if matches!(op, Op::Snapshot) {
+                let (entries, deaths) = (copy.entries().copied(), copy.deaths());
+                copy = Poison::from_entries(SHORT, entries, deaths);
+            }
+            prop_assert_eq!(&table, &copy, "a snapshot changes the fold");
+            prop_assert!(table.len() <= SHORT.capacity && table.deaths().count() <= SHORT.deaths);
+            let evicted = before.iter().any(|entry| {
+                let fresh = at - entry.at <= SHORT.quarantined;
+                fresh && table.verdict(entry.digest) == Verdict::Clear
+            });
+            let suspects = table.entries().any(|entry| entry.verdict() == Verdict::Suspect);
+            let lifted = matches!(op, Op::Lift(_));
+            prop_assert!(!evicted || lifted || !suspects, "a suspect outlived a quarantined one");
+        }
+    }
+
+    #[test]
+    fn order_and_doubles_of_deaths_change_no_verdict(ops in ops(), seed in any::<u64>()) {
+        let mut deaths: BTreeMap<(u8, u64), Op> = BTreeMap::new();
+        for op in ops {
+            if let Op::Died(upstream, sequence, _) = op {
+                deaths.entry((upstream, sequence)).or_insert(op);
+            }
+        }
+        let once: Vec<_> = deaths.into_values().collect();
+        let mut twice = [once.clone(), once.clone()].concat();
+        twice.shuffle(&mut ChaCha8Rng::seed_from_u64(seed));
+        let fold = |ops: &[Op]| {
+            let mut table = Poison::new(LONG);
+            for op in ops {
+                apply(&mut table, op, &mut 0);
+            }
+            (0..24).map(|name| table.verdict(digest(name))).collect::<Vec<_>>()
+        };
+        prop_assert_eq!(fold(&once), fold(&twice));
+    }
+}
+
+/// How requests are placed and how fast the table spreads.
+#[derive(Debug, Clone, Copy)]
+struct Fleet {
+    name: &'static str,
+    /// True if suspects run alone.
+    alone: bool,
+    /// Time from a death until every entry knows of it, in milliseconds.
+    spread: u64,
+}
+
+#[derive(Debug, Default)]
+struct Tally {
+    innocents: usize,
+    quarantined: usize,
+    deaths: usize,
+    most: usize,
+}
+
+const UPSTREAMS: usize = 20;
+const SLOTS: usize = 8;
+/// Requests of one run that kill their upstreams.
+const CULPRITS: usize = 20;
+
+#[derive(Debug)]
+struct Job {
+    id: u64,
+    ends: u64,
+    alone: bool,
+}
+
+/// Ten seeded minutes of arrivals at three quarters of the slots, in steps of 50 ms. Every 30 s a
+/// request comes that kills its upstream after 300 ms; callers send again within a second.
+fn run(fleet: Fleet, seed: u64) -> Tally {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut tally = Tally::default();
+    let mut table = Poison::new(PoisonOptions::default());
+    let mut known: Vec<(u64, Death, Vec<Digest>)> = Vec::new();
+    let mut upstreams: [Vec<Job>; UPSTREAMS] = Default::default();
+    let mut down = [0; UPSTREAMS];
+    let mut arrivals: Vec<(u64, u64)> = Vec::new();
+    let mut kills: BTreeMap<u64, usize> = BTreeMap::new();
+    let (mut next, mut sequence) = (0, 0);
+    let key = |id: u64| Digest::of(&[&id.to_le_bytes()]);
+    let is_culprit = |id: u64| id % 1_000_000 == 999_999;
+    for now in (0..CULPRITS as u64 * 30_000).step_by(50) {
+        if now % 30_000 == 0 {
+            arrivals.push((now, now * 1_000_000 + 999_999));
+        }
+        for _ in 0..rng.random_range(0..=6) {
+            next += 1;
+            arrivals.push((now, next));
+            tally.innocents += 1;
+        }
+        known.retain(|(at, death, digests)| {
+            if *at <= now {
+                table.died(*death, digests, now);
+            }
+            *at > now
+        });
+        for at in 0..UPSTREAMS {
+            let dies = upstreams[at].iter().find(|job| is_culprit(job.id) && job.ends <= now);
+            if let Some(culprit) = dies {
+                *kills.entry(culprit.id).or_default() += 1;
+                sequence += 1;
+                let digests = upstreams[at].iter().map(|job| key(job.id)).collect();
+                known.push((now + fleet.spread, Death::new(&at.to_string(), 1, sequence), digests));
+                for job in upstreams[at].drain(..) {
+                    arrivals.push((now + rng.random_range(100..1000), job.id));
+                }
+                down[at] = now + 5000;
+            }
+            upstreams[at].retain(|job| {
+                if job.ends <= now {
+                    table.completed(key(job.id));
+                }
+                job.ends > now
+            });
+        }
+        arrivals.retain(|&(at, id)| {
+            let verdict = table.verdict(key(id));
+            if at > now {
+                return true;
+            }
+            if verdict == Verdict::Quarantined {
+                tally.quarantined += usize::from(!is_culprit(id));
+                return false;
+            }
+            let alone = fleet.alone && verdict == Verdict::Suspect;
+            let most = if alone { 1 } else { SLOTS };
+            let open = |jobs: &[Job]| jobs.len() < most && jobs.iter().all(|job| !job.alone);
+            let free = |at: &usize| down[*at] <= now && open(&upstreams[*at]);
+            let free: Vec<_> = (0..UPSTREAMS).filter(free).collect();
+            if free.is_empty() {
+                return true;
+            }
+            let took = if is_culprit(id) { 300 } else { rng.random_range(200..4000) };
+            let at = free[rng.random_range(0..free.len())];
+            upstreams[at].push(Job { id, ends: now + took, alone });
+            false
+        });
+    }
+    let (deaths, most) = (kills.values().sum(), kills.values().copied().max().unwrap_or(0));
+    Tally { deaths, most, ..tally }
+}
+
+/// Prints how many innocents each way quarantines. Where suspects run alone and news is instant,
+/// there are none, and each culprit kills twice.
+#[test]
+fn innocents_are_spared() {
+    let cases = [
+        Fleet { name: "beside others, at once", alone: false, spread: 0 },
+        Fleet { name: "alone, at once", alone: true, spread: 0 },
+        Fleet { name: "alone, 250 ms", alone: true, spread: 250 },
+        Fleet { name: "alone, 1 s", alone: true, spread: 1000 },
+        Fleet { name: "alone, 5 s", alone: true, spread: 5000 },
+    ];
+    for case in cases {
+        let mut sum = Tally::default();
+        for seed in 0..2 {
+            let tally = run(case, seed);
+            sum.innocents += tally.innocents;
+            sum.quarantined += tally.quarantined;
+            sum.deaths += tally.deaths;
+            sum.most = sum.most.max(tally.most);
+        }
+        println!("{}: {sum:?}", case.name);
+        assert!(sum.deaths >= 2 * CULPRITS, "{}: the culprits did not kill", case.name);
+        if case.alone && case.spread == 0 {
+            assert_eq!((sum.quarantined, sum.most), (0, 2), "{}", case.name);
+        }
+    }
+}
