--- a/crates/egretgate-core/src/reply.rs
+++ b/crates/egretgate-core/src/reply.rs
@@ -2,6 +2,17 @@
 //!
 //! Chunks carry their index. Late and doubled ones are dropped, crossed ones are joined within a
 //! bounded window, and an answer is whole only if every chunk that its end counts has come.
+//!
+//! ```
+//! use bytes::Bytes;
+//! use egretgate_core::reply::{Assembly, State};
+//!
+//! let mut assembly = Assembly::new(8);
+//! assert_eq!(assembly.chunk(1, Bytes::from("b")), Ok(vec![]));
+//! assert_eq!(assembly.chunk(0, Bytes::from("a")), Ok(vec!["a".into(), "b".into()]));
+//! assert_eq!(assembly.end(2, None), Ok(()));
+//! assert_eq!(*assembly.state(), State::Whole);
+//! ```
 
 use std::collections::BTreeMap;
 
--- a/crates/egretgate-core/src/retry.rs
+++ b/crates/egretgate-core/src/retry.rs
@@ -1,4 +1,18 @@
 //! Retry budget and the time to come back.
+//!
+//! ```
+//! use std::time::Instant;
+//!
+//! use egretgate_core::retry::RetryBudget;
+//!
+//! let now = Instant::now();
+//! let mut budget = RetryBudget::new(0.1, 0.0, 10.0, now);
+//! for _ in 0..11 {
+//!     budget.deposit(now);
+//! }
+//! assert!(budget.withdraw(now));
+//! assert!(!budget.withdraw(now));
+//! ```
 
 use std::time::{Duration, Instant};
 
