test(core): fold and records against a simple model, quarantine through poison

Cause: the fold had no tests, kept its own quarantine table, and a peer's state taken in an outage would have changed the fold itself.

Quarantine folds through `poison`, with a record that clears suspects. A peer's configuration serves beside the fold until the fold has read as far, so the offset never goes back and the fold stays equal in every process. The queue of appends can take back what was never sent.

--- a/crates/egretgate-core/src/fold.rs
+++ b/crates/egretgate-core/src/fold.rs
@@ -97,6 +97,8 @@
     next: Offset,
     shared: Shared,
     keys: Keys,
+    /// Configuration of a peer that had read further, until the fold has read as far.
+    ahead: Option<Shared>,
 }
 
 impl State {
@@ -110,9 +112,29 @@
         self.next
     }
 
-    /// Returns the part that every process keeps.
-    pub const fn shared(&self) -> &Shared {
-        &self.shared
+    /// Returns the part that every process keeps: the folded one, or that of a peer that had
+    /// read further. Its offset never goes back.
+    pub fn shared(&self) -> &Shared {
+        self.ahead.as_ref().unwrap_or(&self.shared)
+    }
+
+    /// Serves the configuration of a peer, if it has read further, until the fold of the log has
+    /// read as far. The fold itself is not changed, so it stays equal in every process.
+    pub fn set_shared(&mut self, peer: Shared) {
+        if peer.next() > self.shared().next() {
+            self.ahead = Some(peer);
+        }
+    }
+
+    /// Goes on from a snapshot that has read further than the fold; returns false if it has not.
+    pub fn adopt(&mut self, snapshot: Self) -> bool {
+        if snapshot.next <= self.next {
+            return false;
+        }
+        let ahead = self.ahead.take();
+        *self = snapshot;
+        self.ahead = ahead.filter(|peer| peer.next() > self.shared.next());
+        true
     }
 
     /// Returns the intents and outcomes.
@@ -130,7 +152,11 @@
         }
         self.next = offset + 1;
         if record::is_config(bytes) {
-            return self.shared.apply(offset, bytes);
+            let applied = self.shared.apply(offset, bytes);
+            if self.ahead.as_ref().is_some_and(|peer| peer.next() <= self.shared.next()) {
+                self.ahead = None;
+            }
+            return applied;
         }
         match record::decode(bytes) {
             Ok(record) => {
@@ -174,7 +200,7 @@
         let image = image::StateImage::decode(bytes).map_err(|_| corrupt())?;
         let shared = Shared::from_image(image.shared.ok_or_else(corrupt)?)?;
         let keys = Keys::from_image(image.keys.ok_or_else(corrupt)?)?;
-        Ok(Self { next: image.next, shared, keys })
+        Ok(Self { next: image.next, shared, keys, ahead: None })
     }
 }
 
--- a/crates/egretgate-core/src/fold/image.rs
+++ b/crates/egretgate-core/src/fold/image.rs
@@ -82,15 +82,19 @@
 pub(crate) struct QuarantineImage {
     #[prost(message, repeated, tag = "1")]
     pub(crate) suspects: Vec<SuspectImage>,
+    #[prost(bytes = "vec", repeated, tag = "2")]
+    pub(crate) deaths: Vec<Vec<u8>>,
 }
 
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct SuspectImage {
     #[prost(bytes = "vec", tag = "1")]
     pub(crate) digest: Vec<u8>,
-    #[prost(uint32, tag = "2")]
-    pub(crate) deaths: u32,
-    #[prost(uint64, tag = "3")]
+    #[prost(bytes = "vec", tag = "2")]
+    pub(crate) first: Vec<u8>,
+    #[prost(bytes = "vec", optional, tag = "3")]
+    pub(crate) second: Option<Vec<u8>>,
+    #[prost(uint64, tag = "4")]
     pub(crate) offset: u64,
 }
 
--- a/crates/egretgate-core/src/fold/items.rs
+++ b/crates/egretgate-core/src/fold/items.rs
@@ -13,7 +13,7 @@
 /// Declarations with the revision of each item.
 ///
 /// Invariant: an item is declared exactly if its revision is here.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Items {
     declared: Declarations,
     revisions: BTreeMap<Kind, BTreeMap<String, Revision>>,
--- a/crates/egretgate-core/src/fold/moves.rs
+++ b/crates/egretgate-core/src/fold/moves.rs
@@ -25,7 +25,7 @@
 }
 
 /// Moves by route, and the versions that they brought into service.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Moves {
     pub(crate) last: BTreeMap<RouteId, Move>,
     pub(crate) serving: BTreeMap<RouteId, VersionId>,
--- a/crates/egretgate-core/src/fold/quarantine.rs
+++ b/crates/egretgate-core/src/fold/quarantine.rs
@@ -1,96 +1,86 @@
-//! Quarantine of request digests, as folded from deaths and lifts.
-//!
-//! A digest that was in flight in two deaths is quarantined; after one death it is a suspect.
-//! Both tables are bounded: the entry with the oldest offset gives way.
-
-use std::collections::BTreeMap;
+//! Quarantine of request digests, as folded from deaths, clearings and lifts.
 
 use crate::fold::image::{QuarantineImage, SuspectImage};
 use crate::ids::{Digest, Offset};
-use crate::record::body::{Death, Lift};
+use crate::poison::{self, Poison, PoisonOptions, Verdict};
+use crate::record::body::{Clear, Death, Lift};
 
-/// Most suspects and most quarantined digests kept.
-const MAX_DIGESTS: usize = 4_096;
-/// Deaths after which a digest is quarantined.
-const DEATHS: u32 = 2;
+/// Bounds of the table; marks count log offsets, so that every process forgets alike.
+const OPTIONS: PoisonOptions =
+    PoisonOptions { capacity: 4_096, deaths: 1_024, suspect: 1_000_000, quarantined: 30_000_000 };
 
 /// Digests that were in flight when upstreams died.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Quarantine {
-    suspects: BTreeMap<Digest, Suspect>,
+    table: Poison,
 }
 
-/// A digest's record.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Suspect {
-    deaths: u32,
-    offset: Offset,
+impl Default for Quarantine {
+    fn default() -> Self {
+        Self { table: Poison::new(OPTIONS) }
+    }
 }
 
 impl Quarantine {
     /// Returns true if requests with this digest are refused.
     pub fn is_quarantined(&self, digest: &Digest) -> bool {
-        self.suspects.get(digest).is_some_and(|suspect| suspect.deaths >= DEATHS)
+        self.table.verdict(*digest) == Verdict::Quarantined
     }
 
     /// Returns true if requests with this digest run alone.
     pub fn is_suspect(&self, digest: &Digest) -> bool {
-        self.suspects.get(digest).is_some_and(|suspect| suspect.deaths < DEATHS)
+        self.table.verdict(*digest) == Verdict::Suspect
     }
 
     /// Returns the quarantined digests in order.
     pub fn quarantined(&self) -> impl Iterator<Item = Digest> {
-        let held = self.suspects.iter().filter(|(_, suspect)| suspect.deaths >= DEATHS);
-        held.map(|(digest, _)| *digest)
+        let held = self.table.entries().filter(|entry| entry.second.is_some());
+        held.map(|entry| entry.digest)
     }
 
     /// Notes a death.
     pub(crate) fn death(&mut self, offset: Offset, death: &Death) {
         let digests = death.digests.iter().filter_map(|bytes| Digest::from_slice(bytes));
-        let mut digests = digests.collect::<Vec<_>>();
-        digests.sort_unstable();
-        digests.dedup();
-        for digest in digests {
-            let suspect = self.suspects.entry(digest).or_insert(Suspect { deaths: 0, offset });
-            suspect.deaths += 1;
-            suspect.offset = offset;
-        }
-        self.shrink();
+        let digests = digests.collect::<Vec<_>>();
+        let name = poison::Death::new(&death.upstream, death.incarnation, death.sequence);
+        self.table.died(name, &digests, offset);
     }
 
-    /// Ends a quarantine; returns false if the digest is not known.
-    pub(crate) fn lift(&mut self, lift: &Lift) -> bool {
-        let digest = Digest::from_slice(&lift.digest);
-        digest.is_some_and(|digest| self.suspects.remove(&digest).is_some())
+    /// Clears suspects that completed.
+    pub(crate) fn clear(&mut self, clear: &Clear) {
+        for digest in clear.digests.iter().filter_map(|bytes| Digest::from_slice(bytes)) {
+            self.table.completed(digest);
+        }
     }
 
-    fn shrink(&mut self) {
-        while self.suspects.len() > MAX_DIGESTS {
-            let key = |(digest, suspect): &(&Digest, &Suspect)| {
-                (suspect.deaths, suspect.offset, **digest)
-            };
-            let Some(digest) = self.suspects.iter().min_by_key(key).map(|(digest, _)| *digest)
-            else {
-                return;
-            };
-            self.suspects.remove(&digest);
-        }
+    /// Ends a quarantine; returns false if the digest is not held.
+    pub(crate) fn lift(&mut self, lift: &Lift) -> bool {
+        Digest::from_slice(&lift.digest).is_some_and(|digest| self.table.lift(digest))
     }
 
     pub(crate) fn image(&self) -> QuarantineImage {
-        let image = |(digest, suspect): (&Digest, &Suspect)| SuspectImage {
-            digest: digest.as_bytes().to_vec(),
-            deaths: suspect.deaths,
-            offset: suspect.offset,
+        let bytes = |digest: Digest| digest.as_bytes().to_vec();
+        let suspect = |entry: &poison::Entry| SuspectImage {
+            digest: bytes(entry.digest),
+            first: bytes(entry.first.digest()),
+            second: entry.second.map(|death| bytes(death.digest())),
+            offset: entry.at,
         };
-        QuarantineImage { suspects: self.suspects.iter().map(image).collect() }
+        QuarantineImage {
+            suspects: self.table.entries().map(suspect).collect(),
+            deaths: self.table.deaths().map(|death| bytes(death.digest())).collect(),
+        }
     }
 
     pub(crate) fn from_image(image: QuarantineImage) -> Self {
-        let suspect = |image: SuspectImage| {
+        let death = |bytes: &Vec<u8>| Digest::from_slice(bytes).map(poison::Death::from_digest);
+        let entry = |image: &SuspectImage| {
             let digest = Digest::from_slice(&image.digest)?;
-            Some((digest, Suspect { deaths: image.deaths, offset: image.offset }))
+            let second = image.second.as_ref().and_then(death);
+            Some(poison::Entry { digest, first: death(&image.first)?, second, at: image.offset })
         };
-        Self { suspects: image.suspects.into_iter().filter_map(suspect).collect() }
+        let entries = image.suspects.iter().filter_map(entry);
+        let deaths = image.deaths.iter().filter_map(death);
+        Self { table: Poison::from_entries(OPTIONS, entries, deaths) }
     }
 }
--- a/crates/egretgate-core/src/fold/shared.rs
+++ b/crates/egretgate-core/src/fold/shared.rs
@@ -25,7 +25,7 @@
 const MAX_LEASES: usize = 4_096;
 
 /// Declarations, leases, moves, quarantine and acts.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Shared {
     next: Offset,
     chain: Hash,
@@ -179,6 +179,10 @@
                 self.quarantine.death(place.offset, death);
                 Ok(Part::Quarantine)
             }
+            Body::Clear(clear) => {
+                self.quarantine.clear(clear);
+                Ok(Part::Quarantine)
+            }
             Body::Lift(lift) => self.lift(lift).map(|()| Part::Quarantine),
             Body::Calls(_) | Body::Tick(_) | Body::Chunk(_) => {
                 Err(Error::new(ErrorKind::Internal, "not a configuration record"))
--- a/crates/egretgate-core/src/fold/writers.rs
+++ b/crates/egretgate-core/src/fold/writers.rs
@@ -11,7 +11,7 @@
 const MAX_WRITERS: usize = 16_384;
 
 /// Last sequence of each writer.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Writers {
     last: BTreeMap<Incarnation, Seen>,
     /// Writers by the offset of their last record.
--- a/crates/egretgate-core/src/record.rs
+++ b/crates/egretgate-core/src/record.rs
@@ -12,7 +12,8 @@
 pub mod outbox;
 
 use body::{
-    Calls, Change, Claim, Death, Lift, MoveBegin, MoveStep, Release, Renew, SnapshotChunk, Tick,
+    Calls, Change, Claim, Clear, Death, Lift, MoveBegin, MoveStep, Release, Renew, SnapshotChunk,
+    Tick,
 };
 
 use crate::error::{Error, ErrorKind, Result};
@@ -61,7 +62,7 @@
     #[prost(enumeration = "Class", tag = "4")]
     pub class: i32,
     /// What the record says.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20")]
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21")]
     pub body: Option<Body>,
 }
 
@@ -101,6 +102,9 @@
     /// Part of a snapshot.
     #[prost(message, tag = "20")]
     Chunk(SnapshotChunk),
+    /// Suspects that are cleared.
+    #[prost(message, tag = "21")]
+    Clear(Clear),
 }
 
 /// The fields of a record that keep their meaning in every schema.
@@ -148,7 +152,8 @@
             | Self::MoveBegin(_)
             | Self::MoveStep(_)
             | Self::Death(_)
-            | Self::Lift(_) => Class::Config,
+            | Self::Lift(_)
+            | Self::Clear(_) => Class::Config,
             Self::Calls(_) => Class::Calls,
             Self::Tick(_) | Self::Chunk(_) => Class::Keeper,
         }
@@ -165,6 +170,7 @@
             Self::MoveStep(_) => "move_step",
             Self::Death(_) => "death",
             Self::Lift(_) => "lift",
+            Self::Clear(_) => "clear",
             Self::Calls(_) => "calls",
             Self::Tick(_) => "tick",
             Self::Chunk(_) => "snapshot",
--- a/crates/egretgate-core/src/record/body.rs
+++ b/crates/egretgate-core/src/record/body.rs
@@ -201,6 +201,14 @@
     pub digests: Vec<Bytes>,
 }
 
+/// Suspects that completed and are cleared.
+#[derive(Clone, PartialEq, Message)]
+pub struct Clear {
+    /// Digests of the requests, 16 bytes each.
+    #[prost(bytes = "bytes", repeated, tag = "1")]
+    pub digests: Vec<Bytes>,
+}
+
 /// The end of a quarantine, asked for by an operator.
 #[derive(Clone, PartialEq, Message)]
 pub struct Lift {
@@ -400,7 +408,7 @@
         }
         Body::Death(death) => named("upstream", &death.upstream),
         Body::Calls(calls) => calls.outcomes.iter().try_for_each(check_outcome),
-        Body::Lift(_) | Body::Tick(_) | Body::Chunk(_) => Ok(()),
+        Body::Lift(_) | Body::Clear(_) | Body::Tick(_) | Body::Chunk(_) => Ok(()),
     }
 }
 
--- a/crates/egretgate-core/src/record/outbox.rs
+++ b/crates/egretgate-core/src/record/outbox.rs
@@ -65,6 +65,11 @@
         self.waiting.len() < held
     }
 
+    /// Takes back every record that was never sent.
+    pub fn clear(&mut self) {
+        self.waiting.clear();
+    }
+
     /// Notes that the answer to an append was lost: it may have taken effect.
     pub fn lost(&mut self, sequence: u64) {
         if let Some(sent) = self.sent.as_mut().filter(|sent| sent.append.sequence == sequence) {
--- /dev/null
+++ b/crates/egretgate-core/tests/fold.rs
@@ -0,0 +1,574 @@
+//! The fold: every reader of the same records has the same state, and a simple model agrees.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use egretgate_core::fold::{Applied, Effect, MAX_ACTS, Part, Shared, Standing, State};
+use egretgate_core::lease::{KEEPER, move_lease};
+use egretgate_core::record::body::{
+    Calls, Change, Claim, Clear, Death, Delete, Item, Kind, Lift, MoveBegin, MoveStep, Release,
+    Renew, Tick, Verdict,
+};
+use egretgate_core::record::{self, Body, Fault, MAX_RECORD_BYTES, Record};
+use egretgate_core::{Digest, Error, ErrorKind, Incarnation};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const KINDS: [Kind; 4] = [Kind::Tier, Kind::Team, Kind::Service, Kind::Route];
+
+fn spec(kind: Kind, name: &str, refers: &str) -> String {
+    match kind {
+        Kind::Tier => format!(r#"{{"rank":{},"objective":0.9373}}"#, name.len() - 1),
+        Kind::Team => format!(r#"{{"tier":"{refers}"}}"#),
+        Kind::Service => format!(r#"{{"kind":"engine","version":"{refers}"}}"#),
+        _ => format!(r#"{{"service":"{refers}","model":"{name}"}}"#),
+    }
+}
+
+fn put(kind: Kind, name: &str, refers: &str, expects: u64) -> Item {
+    Item { kind: kind as i32, name: name.into(), spec: spec(kind, name, refers), expects }
+}
+
+fn delete(kind: Kind, name: &str, expects: u64) -> Delete {
+    Delete { kind: kind as i32, name: name.into(), expects }
+}
+
+fn change(puts: Vec<Item>, deletes: Vec<Delete>) -> Body {
+    Body::Change(Change { operator: "ana".into(), reason: "test".into(), puts, deletes })
+}
+
+/// A log with a state folded from it.
+#[derive(Default)]
+struct Log {
+    records: Vec<Vec<u8>>,
+    state: State,
+    sequences: BTreeMap<Incarnation, u64>,
+}
+
+impl Log {
+    fn push(&mut self, writer: Incarnation, body: Body) -> Applied {
+        let sequence = self.sequences.entry(writer).or_default();
+        *sequence += 1;
+        let record = Record::new(writer, *sequence, body);
+        self.push_bytes(prost::Message::encode_to_vec(&record))
+    }
+
+    fn push_bytes(&mut self, bytes: Vec<u8>) -> Applied {
+        let applied = self.state.apply(self.records.len() as u64, &bytes);
+        self.records.push(bytes);
+        applied
+    }
+
+    /// Tiers `a` and `aa`, a team, a service at version `v1` and a route.
+    fn declared() -> Self {
+        let mut log = Self::default();
+        let puts = vec![
+            put(Kind::Tier, "a", "", 0),
+            put(Kind::Team, "shop", "a", 0),
+            put(Kind::Service, "llm", "v1", 0),
+            put(Kind::Route, "chat", "llm", 0),
+        ];
+        assert_accepted(&log.push(1, change(puts, vec![])), Part::Declarations);
+        log
+    }
+
+    fn claim(&mut self, writer: Incarnation, name: &str) -> Applied {
+        let expects = self.state.shared().lease(name).map(|lease| lease.last);
+        let name = name.into();
+        self.push(writer, Body::Claim(Claim { name, holder: writer, expects, ttl_ms: 1_000 }))
+    }
+}
+
+fn assert_accepted(applied: &Applied, part: Part) {
+    assert_eq!(applied.effect, Effect::Accepted(part));
+}
+
+fn refusal(applied: &Applied) -> ErrorKind {
+    match &applied.effect {
+        Effect::Refused(Error { kind, .. }) => *kind,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Declared items in the plainest form, checked whole at each change.
+#[derive(Default, Clone)]
+struct Model {
+    items: BTreeMap<(Kind, String), (String, u64)>,
+    floor: u64,
+    leases: BTreeMap<String, (Option<Incarnation>, u64)>,
+    last: BTreeMap<Incarnation, u64>,
+}
+
+impl Model {
+    /// Returns whether the record is accepted; `None` if it is a double or unreadable.
+    fn apply(&mut self, offset: u64, bytes: &[u8]) -> Option<bool> {
+        let record = record::decode(bytes).ok()?;
+        let last = self.last.entry(record.writer).or_default();
+        if record.sequence <= *last {
+            return None;
+        }
+        *last = record.sequence;
+        match record.body? {
+            Body::Change(change) => Some(self.change(&change)),
+            Body::Claim(claim) => {
+                let current = self.leases.get(&claim.name).map(|(_, last)| *last);
+                let fits = current == claim.expects;
+                Some(self.lease(fits, claim.name, Some(record.writer), offset))
+            }
+            Body::Renew(renew) => {
+                let fits = self.leases.get(&renew.name);
+                let fits = fits == Some(&(Some(record.writer), renew.expects));
+                Some(self.lease(fits, renew.name, Some(record.writer), offset))
+            }
+            Body::Release(release) => {
+                let fits = self.leases.get(&release.name);
+                let fits = fits == Some(&(Some(record.writer), release.expects));
+                Some(self.lease(fits, release.name, None, offset))
+            }
+            _ => None,
+        }
+    }
+
+    fn lease(&mut self, fits: bool, name: String, holder: Option<Incarnation>, at: u64) -> bool {
+        if fits {
+            self.leases.insert(name, (holder, at));
+        }
+        fits
+    }
+
+    fn change(&mut self, change: &Change) -> bool {
+        let mut after = self.clone();
+        let mut named = BTreeSet::new();
+        for delete in &change.deletes {
+            let key = (delete.kind(), delete.name.clone());
+            let before = after.items.remove(&key);
+            let revision = before.map_or(0, |(_, revision)| revision);
+            if revision == 0 || revision != delete.expects || !named.insert(key) {
+                return false;
+            }
+            after.floor = after.floor.max(revision);
+        }
+        for item in &change.puts {
+            let key = (item.kind(), item.name.clone());
+            let revision = self.items.get(&key).map_or(0, |(_, revision)| *revision);
+            if revision != item.expects || !named.insert(key.clone()) {
+                return false;
+            }
+            let next = if revision == 0 { after.floor + 1 } else { revision + 1 };
+            after.items.insert(key, (item.spec.clone(), next));
+        }
+        let named = !change.operator.is_empty() && !change.reason.is_empty();
+        let valid = named && after.is_whole();
+        if valid {
+            *self = after;
+        }
+        valid
+    }
+
+    fn is_whole(&self) -> bool {
+        self.items.iter().all(|((kind, _), (spec, _))| {
+            let spec: serde_json::Value = serde_json::from_str(spec).unwrap();
+            let refers = |field: &str| spec[field].as_str().unwrap().to_owned();
+            match kind {
+                Kind::Team => self.items.contains_key(&(Kind::Tier, refers("tier"))),
+                Kind::Route => self.items.contains_key(&(Kind::Service, refers("service"))),
+                _ => true,
+            }
+        })
+    }
+
+    fn agrees(&self, shared: &Shared) {
+        let all = shared.declarations();
+        let len = all.tiers.len() + all.teams.len() + all.services.len() + all.routes.len();
+        assert_eq!(len, self.items.len());
+        for ((kind, name), (_, revision)) in &self.items {
+            assert_eq!(shared.revision(*kind, name), *revision, "{kind:?} {name}");
+        }
+        for (name, (holder, last)) in &self.leases {
+            let lease = shared.lease(name).unwrap();
+            assert_eq!((lease.holder, lease.last), (*holder, *last), "{name}");
+        }
+    }
+}
+
+/// Draws records as racing operators would write them, from views that may be stale.
+struct Writers {
+    rng: ChaCha8Rng,
+    sequences: BTreeMap<Incarnation, u64>,
+}
+
+impl Writers {
+    fn name(&mut self) -> String {
+        "a".repeat(self.rng.random_range(1..4))
+    }
+
+    fn record(&mut self, stale: &Model, now: &Model) -> Vec<u8> {
+        let view = if self.rng.random_bool(0.2) { stale } else { now };
+        let writer = self.rng.random_range(1..5);
+        let body = match self.rng.random_range(0..10) {
+            0..6 => self.change(view),
+            6 | 7 => self.lease(view, writer),
+            8 => self.death(),
+            _ => Body::Calls(Calls::default()),
+        };
+        let sequence = self.sequences.entry(writer).or_default();
+        *sequence += self.rng.random_range(1..3);
+        prost::Message::encode_to_vec(&Record::new(writer, *sequence, body))
+    }
+
+    fn change(&mut self, view: &Model) -> Body {
+        let mut change =
+            Change { operator: "ana".into(), reason: "test".into(), ..Change::default() };
+        if self.rng.random_bool(0.05) {
+            change.operator.clear();
+        }
+        for _ in 0..self.rng.random_range(1..5) {
+            let kind = KINDS[self.rng.random_range(0..KINDS.len())];
+            let (name, refers) = (self.name(), self.name());
+            let current = view.items.get(&(kind, name.clone())).map_or(0, |item| item.1);
+            if self.rng.random_bool(0.25) {
+                change.deletes.push(delete(kind, &name, current));
+            } else {
+                change.puts.push(put(kind, &name, &refers, current));
+            }
+        }
+        Body::Change(change)
+    }
+
+    fn lease(&mut self, view: &Model, holder: Incarnation) -> Body {
+        let name = self.name();
+        let expects = view.leases.get(&name).map(|lease| lease.1);
+        match (self.rng.random_range(0..3), expects) {
+            (0, Some(expects)) => Body::Renew(Renew { name, holder, expects }),
+            (1, Some(expects)) => Body::Release(Release { name, holder, expects }),
+            _ => Body::Claim(Claim { name, holder, expects, ttl_ms: 1_000 }),
+        }
+    }
+
+    fn death(&mut self) -> Body {
+        let digest = Digest::of(&[&[self.rng.random_range(0..6)]]);
+        let digests = vec![Bytes::copy_from_slice(digest.as_bytes())];
+        let sequence = self.rng.random_range(1..9);
+        match self.rng.random_range(0..3) {
+            0 => Body::Clear(Clear { digests }),
+            1 => Body::Lift(Lift {
+                operator: "ana".into(),
+                digest: digests[0].clone(),
+                reason: "test".into(),
+            }),
+            _ => Body::Death(Death { upstream: "u".into(), incarnation: 1, sequence, digests }),
+        }
+    }
+}
+
+#[test]
+fn all_readers_and_a_model_agree_on_random_records() {
+    let (mut accepted, mut refused, mut doubles) = (0, 0, 0);
+    for seed in 0..150 {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut writers = Writers { rng, sequences: BTreeMap::new() };
+        let mut log = Log::default();
+        let (mut model, mut stale) = (Model::default(), Model::default());
+        let mut side = Shared::default();
+        for step in 0..400 {
+            let bytes = match writers.rng.random_range(0..20) {
+                0 | 1 if !log.records.is_empty() => {
+                    log.records[writers.rng.random_range(0..log.records.len())].clone()
+                }
+                2 => vec![writers.rng.random(); writers.rng.random_range(0..40)],
+                _ => writers.record(&stale, &model),
+            };
+            let offset = log.records.len() as u64;
+            let expected = model.apply(offset, &bytes);
+            let before = *log.state.shared().digest();
+            let early = log.state.apply(offset + 1, &bytes);
+            assert_eq!(early.effect, Effect::Gap { next: offset });
+            let applied = log.push_bytes(bytes.clone());
+            match expected {
+                Some(true) => assert_matches!(applied.effect, Effect::Accepted(_)),
+                Some(false) => assert_matches!(applied.effect, Effect::Refused(_)),
+                None => {}
+            }
+            accepted += u32::from(matches!(applied.effect, Effect::Accepted(_)));
+            refused += u32::from(matches!(applied.effect, Effect::Refused(_)));
+            doubles += u32::from(applied.effect == Effect::Double);
+            model.agrees(log.state.shared());
+            if record::is_config(&bytes) {
+                assert_eq!(side.apply_after(&before, offset, &bytes), applied);
+                assert_eq!(side.apply_after(&before, offset, &bytes).effect, Effect::Old);
+            }
+            assert_eq!(side.digest(), log.state.shared().digest());
+            match writers.rng.random_range(0..40) {
+                0 => log.state = State::decode(&log.state.encode()).unwrap(),
+                1 => side = Shared::decode(&side.encode()).unwrap(),
+                2 => stale = model.clone(),
+                3 => assert_eq!(side.encode(), log.state.shared().encode(), "step {step}"),
+                _ => {}
+            }
+        }
+        let mut fresh = State::new();
+        for (offset, bytes) in log.records.iter().enumerate() {
+            fresh.apply(offset as u64, bytes);
+        }
+        assert_eq!(fresh.encode(), log.state.encode(), "seed {seed}");
+    }
+    println!("accepted {accepted}, refused {refused}, doubles {doubles}");
+    assert!(accepted > 1_000 && refused > 1_000 && doubles > 1_000);
+}
+
+#[test]
+fn a_refused_change_leaves_no_trace_but_its_act() {
+    struct Case {
+        name: &'static str,
+        body: Body,
+        kind: ErrorKind,
+    }
+    let unnamed = |operator: &str, reason: &str| {
+        let (operator, reason) = (operator.into(), reason.into());
+        let puts = vec![put(Kind::Tier, "aa", "", 0)];
+        Body::Change(Change { operator, reason, puts, deletes: vec![] })
+    };
+    let twice = vec![put(Kind::Tier, "aa", "", 0), put(Kind::Tier, "aa", "", 0)];
+    let half = vec![put(Kind::Tier, "aa", "", 0), put(Kind::Team, "b", "absent", 0)];
+    let broken = Item { kind: Kind::Tier as i32, name: "b".into(), spec: "{".into(), expects: 0 };
+    let long = "x".repeat(10_000);
+    let invalid = ErrorKind::InvalidDeclaration;
+    let cases = [
+        Case { name: "no operator", body: unnamed(" ", "why"), kind: invalid },
+        Case { name: "no reason", body: unnamed("ana", ""), kind: invalid },
+        Case { name: "long reason", body: unnamed("ana", &long), kind: ErrorKind::TooLarge },
+        Case { name: "named twice", body: change(twice, vec![]), kind: invalid },
+        Case { name: "half valid", body: change(half, vec![]), kind: invalid },
+        Case { name: "not JSON", body: change(vec![broken], vec![]), kind: invalid },
+        Case {
+            name: "old revision",
+            body: change(vec![put(Kind::Tier, "a", "", 0)], vec![]),
+            kind: ErrorKind::Conflict,
+        },
+        Case {
+            name: "rank taken",
+            body: change(vec![put(Kind::Tier, "b", "", 0)], vec![]),
+            kind: invalid,
+        },
+        Case {
+            name: "tier in use",
+            body: change(vec![], vec![delete(Kind::Tier, "a", 1)]),
+            kind: invalid,
+        },
+        Case {
+            name: "service in use",
+            body: change(vec![], vec![delete(Kind::Service, "llm", 1)]),
+            kind: invalid,
+        },
+        Case {
+            name: "delete of an absent item",
+            body: change(vec![], vec![delete(Kind::Team, "b", 0)]),
+            kind: invalid,
+        },
+    ];
+    for Case { name, body, kind } in cases {
+        let mut log = Log::declared();
+        let before = log.state.shared().declarations().clone();
+        let applied = log.push(2, body);
+        assert_eq!(refusal(&applied), kind, "{name}");
+        let shared = log.state.shared();
+        assert_eq!(*shared.declarations(), before, "{name}");
+        assert_eq!(shared.revision(Kind::Tier, "aa"), 0, "{name}");
+        assert_eq!(shared.acts().last().unwrap().refused, Some(kind), "{name}");
+    }
+}
+
+#[test]
+fn a_revision_never_names_two_states_of_an_item() {
+    let mut log = Log::declared();
+    log.push(1, change(vec![], vec![delete(Kind::Team, "shop", 1)]));
+    log.push(1, change(vec![put(Kind::Team, "shop", "a", 0)], vec![]));
+    let late = log.push(2, change(vec![put(Kind::Team, "shop", "a", 1)], vec![]));
+    assert_eq!(refusal(&late), ErrorKind::Conflict);
+}
+
+#[test]
+fn numbers_survive_every_encoding() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut log = Log::declared();
+    for revision in 1..5_000 {
+        let objective: f64 = rng.random();
+        let spec = format!(r#"{{"rank":0,"objective":{objective}}}"#);
+        let item = Item { kind: Kind::Tier as i32, name: "a".into(), spec, expects: revision };
+        log.push(1, change(vec![item], vec![]));
+        let tier = &log.state.shared().declarations().tiers["a"];
+        assert!(tier.objective.to_bits() == objective.to_bits(), "{objective}");
+    }
+}
+
+#[test]
+fn unreadable_records_never_stop_the_fold() {
+    struct Case {
+        name: &'static str,
+        bytes: Vec<u8>,
+        fault: Fault,
+        chained: bool,
+    }
+    let tier = change(vec![put(Kind::Tier, "aa", "", 0)], vec![]);
+    let newer = Record { schema: 9, ..Record::new(7, 1, tier.clone()) };
+    let empty = Record { body: None, ..Record::new(7, 1, tier.clone()) };
+    let mixed = Record { class: 2, ..Record::new(7, 1, tier) };
+    let bytes = |record: &Record| prost::Message::encode_to_vec(record);
+    let large = MAX_RECORD_BYTES + 1;
+    let cases = [
+        Case {
+            name: "newer",
+            bytes: bytes(&newer),
+            fault: Fault::Newer { schema: 9 },
+            chained: true,
+        },
+        Case { name: "empty", bytes: bytes(&empty), fault: Fault::Corrupt, chained: true },
+        Case { name: "mixed", bytes: bytes(&mixed), fault: Fault::Corrupt, chained: false },
+        Case { name: "garbage", bytes: vec![255; 30], fault: Fault::Corrupt, chained: false },
+        Case { name: "nothing", bytes: vec![], fault: Fault::Corrupt, chained: false },
+        Case {
+            name: "large",
+            bytes: vec![0; large],
+            fault: Fault::TooLarge { bytes: large },
+            chained: false,
+        },
+    ];
+    for Case { name, bytes, fault, chained } in cases {
+        let mut log = Log::declared();
+        let before = *log.state.shared().digest();
+        assert_eq!(log.push_bytes(bytes).effect, Effect::Skipped(fault), "{name}");
+        assert_eq!(*log.state.shared().digest() != before, chained, "{name}");
+        let next = log.push(1, change(vec![put(Kind::Tier, "aa", "", 0)], vec![]));
+        assert_accepted(&next, Part::Declarations);
+    }
+}
+
+#[test]
+fn a_move_follows_the_newest_claim_and_ends_once() {
+    let mut log = Log::declared();
+    let begin = |from: &str, to: &str| {
+        Body::MoveBegin(MoveBegin {
+            operator: "ana".into(),
+            reason: "new weights".into(),
+            route: "chat".into(),
+            from: from.into(),
+            to: to.into(),
+            steps: vec![10_000, 1_000_000],
+            budget_ppm: 10_000,
+            end_ms: 1,
+            cap: 4,
+        })
+    };
+    let step = |fence, step, verdict: Verdict| {
+        let (share_ppm, verdict) = (10_000, verdict as i32);
+        let evidence = "errors 0 of 9".into();
+        Body::MoveStep(MoveStep { route: "chat".into(), fence, step, share_ppm, verdict, evidence })
+    };
+    assert_eq!(refusal(&log.push(1, begin("v0", "v2"))), ErrorKind::Conflict);
+    assert_accepted(&log.push(1, begin("v1", "v2")), Part::Moves);
+    assert_eq!(refusal(&log.push(1, begin("v1", "v3"))), ErrorKind::Conflict);
+    let busy = log.push(1, change(vec![put(Kind::Service, "llm", "v9", 1)], vec![]));
+    assert_eq!(refusal(&busy), ErrorKind::Conflict);
+
+    let old = log.claim(7, &move_lease("chat")).offset;
+    assert_accepted(&log.push(7, step(old, 1, Verdict::Proceed)), Part::Moves);
+    let new = log.claim(8, &move_lease("chat")).offset;
+    assert_eq!(refusal(&log.push(7, step(old, 2, Verdict::Done))), ErrorKind::Fenced);
+    assert_eq!(refusal(&log.push(7, step(new, 2, Verdict::Done))), ErrorKind::Fenced);
+    assert_eq!(refusal(&log.push(8, step(new, 3, Verdict::Done))), ErrorKind::Conflict);
+    assert_eq!(log.state.shared().version("chat").unwrap(), "v1");
+    assert_accepted(&log.push(8, step(new, 2, Verdict::Done)), Part::Moves);
+    assert_eq!(refusal(&log.push(8, step(new, 3, Verdict::TakenBack))), ErrorKind::Conflict);
+
+    let shared = Shared::decode(&log.state.shared().encode()).unwrap();
+    assert_eq!(shared.version("chat").unwrap(), "v2");
+    assert_eq!(shared.moves()["chat"].verdict, Verdict::Done);
+    let act = shared.acts().find(|act| act.verdict == "done" && act.refused.is_none()).unwrap();
+    assert_eq!((act.operator.as_str(), act.detail.as_str()), ("ana", "errors 0 of 9"));
+    log.push(1, change(vec![put(Kind::Service, "llm", "v3", 1)], vec![]));
+    assert_eq!(log.state.shared().version("chat").unwrap(), "v3");
+}
+
+#[test]
+fn an_older_keeper_does_not_advance_log_time() {
+    let mut log = Log::default();
+    let tick = |fence, expects| Body::Tick(Tick { fence, expects, elapsed_ms: 10 });
+    let old = log.claim(1, KEEPER).offset;
+    let first = log.push(1, tick(old, None));
+    assert_matches!(first.effect, Effect::Keys(_));
+    let new = log.claim(2, KEEPER).offset;
+    let late = log.push(1, tick(old, Some(first.offset)));
+    assert_eq!(refusal(&late), ErrorKind::Fenced);
+    assert_matches!(log.push(2, tick(new, Some(first.offset))).effect, Effect::Keys(_));
+    assert_eq!(log.state.keys().clock().as_millis(), 20);
+}
+
+#[test]
+fn quarantine_takes_two_deaths_and_ends_by_an_operator() {
+    let mut log = Log::default();
+    let digest = Digest::of(&[b"poison"]);
+    let digests = vec![Bytes::copy_from_slice(digest.as_bytes())];
+    let death = |sequence| {
+        let (upstream, digests) = ("u".into(), digests.clone());
+        Body::Death(Death { upstream, incarnation: 5, sequence, digests })
+    };
+    log.push(1, death(1));
+    log.push(2, death(1));
+    assert!(log.state.shared().quarantine().is_suspect(&digest), "one death, told twice");
+    log.push(1, death(2));
+    log.push(1, Body::Clear(Clear { digests: digests.clone() }));
+    assert!(log.state.shared().quarantine().is_quarantined(&digest));
+    let (operator, reason) = ("ana".into(), "fixed".into());
+    log.push(1, Body::Lift(Lift { operator, digest: digests[0].clone(), reason }));
+    assert_eq!(log.state.shared().quarantine().quarantined().count(), 0);
+}
+
+#[test]
+fn a_side_process_sees_what_it_lacks() {
+    let mut log = Log::declared();
+    let mut side = Shared::decode(&log.state.shared().encode()).unwrap();
+    log.push(1, Body::Calls(Calls::default()));
+    let skipped = *log.state.shared().digest();
+    log.push(1, change(vec![put(Kind::Tier, "aa", "", 0)], vec![]));
+    let prev = *log.state.shared().digest();
+    log.push(1, change(vec![put(Kind::Tier, "aaa", "", 0)], vec![]));
+    let (next, digest) = (log.state.shared().next(), *log.state.shared().digest());
+
+    assert_eq!(side.compare(next, digest.as_bytes()), Standing::Behind { from: 1 });
+    let gap = side.apply_after(&prev, 3, &log.records[3]);
+    assert_eq!(gap.effect, Effect::Gap { next: 1 });
+    side.apply_after(&skipped, 2, &log.records[2]);
+    assert_eq!(side.compare(1, &[]), Standing::Ahead);
+    side.apply_after(&prev, 3, &log.records[3]);
+    assert_eq!(side.compare(next, digest.as_bytes()), Standing::Same);
+    assert_eq!(side.compare(next, prev.as_bytes()), Standing::Diverged);
+}
+
+#[test]
+fn configuration_of_a_peer_serves_until_the_fold_has_read_as_far() {
+    let mut log = Log::declared();
+    let mut starting = State::new();
+    starting.set_shared(Shared::decode(&log.state.shared().encode()).unwrap());
+    starting.set_shared(Shared::default());
+    assert_eq!(starting.shared().next(), 1);
+    log.push(1, change(vec![put(Kind::Tier, "aa", "", 0)], vec![]));
+    let mut next = starting.shared().next();
+    for (offset, bytes) in log.records.iter().enumerate() {
+        starting.apply(offset as u64, bytes);
+        assert!(starting.shared().next() >= next, "the offset went back");
+        next = starting.shared().next();
+    }
+    assert_eq!(starting.encode(), log.state.encode());
+}
+
+#[test]
+fn acts_are_bounded_and_newest_last() {
+    let mut log = Log::declared();
+    for _ in 0..2 * MAX_ACTS {
+        log.push(1, change(vec![put(Kind::Tier, "a", "", 0)], vec![]));
+    }
+    let acts = log.state.shared().acts();
+    assert_eq!(acts.len(), MAX_ACTS);
+    assert_eq!(acts.last().unwrap().offset, 2 * MAX_ACTS as u64);
+}
