--- a/crates/egretgate-core/src/lease.rs
+++ b/crates/egretgate-core/src/lease.rs
@@ -243,6 +243,13 @@
         self.sent.push_back(Sent { sequence, at: now });
     }
 
+    /// Returns the fencing number of this process's last claim, as far as it has read; it may
+    /// have lapsed.
+    pub fn fence(&self) -> Option<Fence> {
+        let seen = self.seen.as_ref().filter(|seen| seen.lease.holder == Some(self.own))?;
+        Some(seen.lease.fence)
+    }
+
     /// Returns the fencing number if the lease is held at `now`.
     pub fn holds(&self, now: Instant) -> Option<Fence> {
         let until = self.from? + self.held_for();
--- a/crates/egretgate-core/src/snapshot.rs
+++ b/crates/egretgate-core/src/snapshot.rs
@@ -8,6 +8,10 @@
 
 use bytes::Bytes;
 
+mod keeper;
+
+pub use keeper::{Keeper, TICK_INTERVAL};
+
 use crate::error::{Error, ErrorKind, Result};
 use crate::fold::State;
 use crate::ids::{Incarnation, Offset};
@@ -24,15 +28,21 @@
 
 /// Returns the records of a snapshot of `state`; `id` is unique within the writer's life.
 pub fn split(state: &State, id: u64) -> Result<Vec<Body>> {
+    split_by(state, id, CHUNK_BYTES)
+}
+
+/// Returns the records of a snapshot of `state` in chunks of at most `size` bytes.
+pub fn split_by(state: &State, id: u64, size: usize) -> Result<Vec<Body>> {
+    let size = size.clamp(1, CHUNK_BYTES);
     let whole = Bytes::from(state.encode());
-    let count = whole.len().div_ceil(CHUNK_BYTES).max(1) as u32;
+    let count = whole.len().div_ceil(size).max(1) as u32;
     if count > MAX_CHUNKS {
         return Err(Error::new(ErrorKind::TooLarge, "the state is too large for a snapshot"));
     }
     let hash = Bytes::copy_from_slice(blake3::hash(&whole).as_bytes());
     let chunk = |index: u32| {
-        let start = index as usize * CHUNK_BYTES;
-        let data = whole.slice(start..whole.len().min(start + CHUNK_BYTES));
+        let start = index as usize * size;
+        let data = whole.slice(start..whole.len().min(start + size));
         let up_to = state.next();
         Body::Chunk(SnapshotChunk { id, index, count, up_to, hash: hash.clone(), data })
     };
--- /dev/null
+++ b/crates/egretgate-core/tests/lease.rs
@@ -0,0 +1,220 @@
+//! Leases: never two valid holders, under clocks that drift and processes that freeze.
+
+use std::time::{Duration, Instant};
+
+use egretgate_core::declaration::Fencing;
+use egretgate_core::fold::State;
+use egretgate_core::lease::{Holder, MARGIN_PART, RENEWALS, TTL};
+use egretgate_core::record::outbox::{Append, Outbox};
+use egretgate_core::record::{Body, Class};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const NAME: &str = "move/chat";
+
+struct Process {
+    state: State,
+    holder: Holder,
+    outbox: Outbox,
+    sent: Vec<Append>,
+    frozen: bool,
+    rate: f64,
+}
+
+impl Process {
+    fn new(own: u64, rate: f64) -> Self {
+        Self {
+            state: State::new(),
+            holder: Holder::new(NAME, own, TTL),
+            outbox: Outbox::new(own),
+            sent: Vec::new(),
+            frozen: false,
+            rate,
+        }
+    }
+
+    fn read(&mut self, log: &[Vec<u8>], most: usize, now: Instant) {
+        for _ in 0..most {
+            let next = self.state.next();
+            let Some(bytes) = log.get(next as usize) else { return };
+            let applied = self.state.apply(next, bytes);
+            if let Some(author) = applied.author.filter(|author| author.class == Class::Config) {
+                self.outbox.read(author.writer, author.sequence);
+            }
+            self.holder.read(self.state.shared().lease(NAME), now);
+        }
+    }
+
+    /// Sends what the holder wants, unless an append is under way.
+    fn send(&mut self, now: Instant) {
+        if !self.outbox.is_idle() {
+            return;
+        }
+        let Some(body) = self.holder.wants(now) else { return };
+        let sequence = self.outbox.push(body).unwrap();
+        self.holder.sent(sequence, now);
+        self.sent.extend(self.outbox.pop());
+    }
+}
+
+struct World {
+    rng: ChaCha8Rng,
+    base: Instant,
+    elapsed: Duration,
+    log: Vec<Vec<u8>>,
+    processes: Vec<Process>,
+    writers: u64,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            base: Instant::now(),
+            elapsed: Duration::ZERO,
+            log: Vec::new(),
+            processes: Vec::new(),
+            writers: 0,
+        };
+        for _ in 0..3 {
+            let process = world.fresh();
+            world.processes.push(process);
+        }
+        world
+    }
+
+    fn fresh(&mut self) -> Process {
+        self.writers += 1;
+        Process::new(self.writers, self.rng.random_range(0.91..1.09))
+    }
+
+    fn now(&self, process: usize) -> Instant {
+        self.base + self.elapsed.mul_f64(self.processes[process].rate)
+    }
+
+    fn step(&mut self) {
+        let index = self.rng.random_range(0..self.processes.len());
+        let now = self.now(index);
+        let frozen = self.processes[index].frozen;
+        match self.rng.random_range(0..40) {
+            0..14 if !frozen => {
+                let most = self.rng.random_range(1..9);
+                self.processes[index].read(&self.log, most, now);
+            }
+            14..24 if !frozen => self.processes[index].send(now),
+            24..34 => self.land(index),
+            34 => self.processes[index].frozen = true,
+            35 => self.processes[index].frozen = false,
+            36 if self.rng.random_bool(0.1) => self.processes[index] = self.fresh(),
+            _ => {}
+        }
+        let most = if self.rng.random_bool(0.01) { 8_000 } else { 150 };
+        self.elapsed += Duration::from_millis(self.rng.random_range(0..most));
+    }
+
+    /// An append lands, is lost before or after its effect, or lands late as a double.
+    fn land(&mut self, index: usize) {
+        let process = &mut self.processes[index];
+        if process.sent.is_empty() {
+            return;
+        }
+        let append = process.sent.remove(self.rng.random_range(0..process.sent.len()));
+        let fate = self.rng.random_range(0..10);
+        if fate < 8 {
+            self.log.push(append.data.clone());
+        }
+        if fate > 6 {
+            process.sent.push(append);
+        }
+    }
+
+    fn valid(&self) -> Vec<(usize, u64)> {
+        let all = self.processes.iter().enumerate();
+        all.filter_map(|(index, process)| Some((index, process.holder.holds(self.now(index))?)))
+            .collect()
+    }
+}
+
+#[test]
+fn never_two_valid_holders() {
+    let (mut held, mut grants) = (0, 0);
+    for seed in 0..300 {
+        let mut world = World::new(seed);
+        let mut fence = None;
+        for step in 0..3_000 {
+            world.step();
+            let valid = world.valid();
+            assert!(valid.len() < 2, "seed {seed} step {step}: {valid:?}");
+            let Some((_, now)) = valid.first() else { continue };
+            assert!(fence <= Some(*now), "seed {seed}: the fencing number went back");
+            held += 1;
+            grants += u32::from(fence != Some(*now));
+            fence = Some(*now);
+        }
+    }
+    println!("steps with a holder {held}, grants {grants}");
+    assert!(held > 10_000 && grants > 1_000);
+}
+
+/// One process that holds the lease from `base` on, and a rival that has read it.
+fn granted(base: Instant) -> (Process, Process, Vec<Vec<u8>>) {
+    let (mut own, mut rival) = (Process::new(1, 1.0), Process::new(2, 1.0));
+    own.send(base);
+    let log = own.sent.drain(..).map(|append| append.data).collect::<Vec<_>>();
+    own.read(&log, 9, base + TTL / 4);
+    rival.read(&log, 9, base + TTL / 4);
+    (own, rival, log)
+}
+
+#[test]
+fn a_holder_counts_from_the_send_and_a_rival_from_the_read() {
+    let base = Instant::now();
+    let (own, rival, _) = granted(base);
+    let margin = TTL / MARGIN_PART;
+    let tick = Duration::from_millis(1);
+    let held = TTL.saturating_sub(margin);
+    assert_eq!(own.holder.holds(base + held.saturating_sub(tick)), Some(0));
+    assert_eq!(own.holder.holds(base + held), None);
+    let free = TTL / 4 + TTL + margin;
+    assert_eq!(rival.holder.wants(base + free.saturating_sub(tick)), None);
+    assert!(matches!(rival.holder.wants(base + free), Some(Body::Claim(_))));
+}
+
+#[test]
+fn a_holder_renews_in_time_and_a_release_frees_at_once() {
+    let base = Instant::now();
+    let (mut own, mut rival, mut log) = granted(base);
+    let pace = TTL / RENEWALS;
+    let due = base + pace;
+    assert_eq!(own.holder.wants(base + pace.saturating_sub(Duration::from_millis(1))), None);
+    assert!(matches!(own.holder.wants(due), Some(Body::Renew(_))));
+    let release = own.holder.release().unwrap();
+    assert_eq!(own.holder.holds(due), None, "holds after its release");
+    assert_eq!(own.holder.wants(due + TTL), None, "claims after its release");
+    own.outbox.push(release).unwrap();
+    log.push(own.outbox.pop().unwrap().data);
+    rival.read(&log, 9, due);
+    assert!(matches!(rival.holder.wants(due), Some(Body::Claim(_))));
+}
+
+#[test]
+fn a_claimant_waits_out_orders_where_fencing_is_ignored() {
+    struct Case {
+        fencing: Fencing,
+        longest: Duration,
+        allowed: bool,
+    }
+    let base = Instant::now();
+    let (own, ..) = granted(base);
+    let now = base + TTL / 2;
+    let (short, long) = (TTL / 8, TTL / 2);
+    let cases = [
+        Case { fencing: Fencing::Checked, longest: long, allowed: true },
+        Case { fencing: Fencing::Ignored, longest: short, allowed: true },
+        Case { fencing: Fencing::Ignored, longest: long, allowed: false },
+    ];
+    for Case { fencing, longest, allowed } in cases {
+        let order = own.holder.may_order(fencing, longest, now);
+        assert_eq!(order.is_some(), allowed, "{fencing:?} {longest:?}");
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/tests/snapshot.rs
@@ -0,0 +1,276 @@
+//! Snapshots: a start from a snapshot and the tail equals the whole fold, whatever is torn.
+
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use egretgate_core::fold::State;
+use egretgate_core::lease::KEEPER;
+use egretgate_core::record::body::{
+    Calls, Change, Claim, Done, Ending, Intent, Item, Kind, Outcome, TicketId,
+};
+use egretgate_core::record::outbox::Outbox;
+use egretgate_core::record::{Body, Record};
+use egretgate_core::snapshot::{CHUNK_BYTES, Keeper, Recovery, TICK_INTERVAL, split, split_by};
+use egretgate_core::{Digest, ErrorKind};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// A log with its whole fold, and its writer's sequences.
+struct Log {
+    rng: ChaCha8Rng,
+    records: Vec<Vec<u8>>,
+    state: State,
+    sequence: u64,
+}
+
+impl Log {
+    fn new(seed: u64) -> Self {
+        let rng = ChaCha8Rng::seed_from_u64(seed);
+        Self { rng, records: Vec::new(), state: State::new(), sequence: 0 }
+    }
+
+    fn push(&mut self, body: Body) {
+        self.sequence += 1;
+        let bytes = Record::new(1, self.sequence, body).to_bytes().unwrap();
+        self.state.apply(self.records.len() as u64, &bytes);
+        self.records.push(bytes);
+    }
+
+    fn work(&mut self) {
+        let body = match self.rng.random_range(0..4) {
+            0 => self.change(),
+            1 => {
+                let expects = self.state.shared().lease(KEEPER).map(|lease| lease.last);
+                Body::Claim(Claim { name: KEEPER.into(), holder: 1, expects, ttl_ms: 1 })
+            }
+            _ => self.calls(),
+        };
+        self.push(body);
+    }
+
+    /// A tier and a new team.
+    fn change(&mut self) -> Body {
+        let rank = self.rng.random_range(0..7);
+        let name = format!("tier{rank}");
+        let expects = self.state.shared().revision(Kind::Tier, &name);
+        let objective = self.rng.random_range(0.1..0.9);
+        let spec = format!(r#"{{"rank":{rank},"objective":{objective}}}"#);
+        let tier = Item { kind: Kind::Tier as i32, name: name.clone(), spec, expects };
+        let team = format!("team{}", self.rng.random::<u32>());
+        let keys = vec!["0".repeat(64)];
+        let spec = serde_json::json!({ "tier": name, "keys": keys }).to_string();
+        let team = Item { kind: Kind::Team as i32, name: team, spec, expects: 0 };
+        let (operator, reason) = ("ana".into(), "test".into());
+        Body::Change(Change { operator, reason, puts: vec![tier, team], deletes: vec![] })
+    }
+
+    fn calls(&mut self) -> Body {
+        let digest = Digest::of(&[&[self.rng.random()]]);
+        let key = Bytes::copy_from_slice(digest.as_bytes());
+        let ticket = TicketId { entry: 1, sequence: self.sequence };
+        let body = key.clone();
+        let intent = Intent { key: key.clone(), body, ticket: Some(ticket), window_s: 60 };
+        let held = self.state.keys().get(&digest).map(|held| TicketId::from(held.ticket));
+        let done = Done::new(200, "text/plain", Bytes::from_static(b"booked"));
+        let outcome = Outcome { key, ticket: held, ending: Some(Ending::Done(done)) };
+        Body::Calls(Calls { outcomes: vec![outcome], intents: vec![intent] })
+    }
+
+    /// Returns the state of a process that starts with records from `oldest` on.
+    fn start(&self, oldest: usize) -> egretgate_core::Result<State> {
+        let mut recovery = Recovery::new(oldest as u64);
+        for bytes in &self.records[oldest..] {
+            recovery.scan(bytes);
+        }
+        let mut state = recovery.finish()?;
+        for offset in state.next()..self.records.len() as u64 {
+            state.apply(offset, &self.records[offset as usize]);
+        }
+        Ok(state)
+    }
+}
+
+#[test]
+fn a_start_at_any_cut_equals_the_whole_fold() {
+    let (mut started, mut refused) = (0, 0);
+    for seed in 0..12 {
+        let mut log = Log::new(seed);
+        let mut snapshots = Vec::new();
+        for id in 0..3 {
+            (0..40).for_each(|_| log.work());
+            let chunks = split_by(&log.state, id, 1_024).unwrap();
+            assert!(chunks.len() > 1, "the state fits one chunk");
+            snapshots.push(log.state.next());
+            (0..4).for_each(|_| log.work());
+            let torn = log.rng.random_bool(0.3);
+            let most = chunks.len() - usize::from(torn);
+            for chunk in chunks.into_iter().take(most) {
+                log.push(chunk);
+                if log.rng.random_bool(0.5) {
+                    log.work();
+                }
+            }
+            if torn {
+                snapshots.pop();
+            }
+        }
+        let whole = log.state.encode();
+        for oldest in (0..log.records.len()).step_by(2) {
+            let usable = oldest == 0 || snapshots.iter().any(|up_to| *up_to >= oldest as u64);
+            match log.start(oldest) {
+                Ok(state) => {
+                    assert!(usable, "seed {seed}: started at {oldest}");
+                    assert_eq!(state.shared().digest(), log.state.shared().digest());
+                    assert!(state.encode() == whole, "seed {seed}: other state from {oldest}");
+                    started += 1;
+                }
+                Err(error) => {
+                    assert!(!usable, "seed {seed}: no start at {oldest}");
+                    assert_eq!(error.kind, ErrorKind::NotReady);
+                    refused += 1;
+                }
+            }
+        }
+    }
+    assert!(started > 100 && refused > 100, "{started} {refused}");
+}
+
+#[test]
+fn chunks_stay_within_a_record() {
+    let mut log = Log::new(3);
+    let spec = serde_json::json!({ "rank": 0, "first_token_ms": 1 }).to_string();
+    let item = Item { kind: Kind::Tier as i32, name: "a".into(), spec, expects: 0 };
+    let keys = vec!["0".repeat(64); 3_000];
+    let spec = serde_json::json!({ "tier": "a", "keys": keys }).to_string();
+    let team = Item { kind: Kind::Team as i32, name: "b".into(), spec, expects: 0 };
+    let (operator, reason) = ("ana".into(), "test".into());
+    let puts = vec![item, team];
+    log.push(Body::Change(Change { operator, reason, puts, deletes: vec![] }));
+    let chunks = split(&log.state, 1).unwrap();
+    assert_eq!(chunks.len(), log.state.encode().len().div_ceil(CHUNK_BYTES));
+    for chunk in chunks {
+        log.push(chunk);
+    }
+    assert_eq!(log.start(1).unwrap().encode(), log.state.encode());
+}
+
+#[test]
+fn a_changed_chunk_does_not_count() {
+    let mut log = Log::new(5);
+    (0..40).for_each(|_| log.work());
+    let mut chunks = split_by(&log.state, 1, 1_024).unwrap();
+    let Body::Chunk(chunk) = &mut chunks[1] else { unreachable!("a snapshot is all chunks") };
+    let mut data = chunk.data.to_vec();
+    let text = data.windows(8).position(|bytes| bytes == b"00000000").unwrap();
+    data[text] = b'1';
+    chunk.data = data.into();
+    for chunk in chunks {
+        log.push(chunk);
+    }
+    assert_eq!(log.start(1).unwrap_err().kind, ErrorKind::NotReady);
+}
+
+#[test]
+fn interleaved_doubled_and_foreign_chunks_do_not_mix() {
+    let mut log = Log::new(9);
+    (0..40).for_each(|_| log.work());
+    let mut first = split_by(&log.state, 1, 1_024).unwrap();
+    (0..40).for_each(|_| log.work());
+    let second = split_by(&log.state, 1, 1_024).unwrap();
+    if let Body::Chunk(chunk) = &mut first[0] {
+        chunk.data = vec![0; 1_024].into();
+    }
+    let up_to = log.state.next();
+    let mut first = first.into_iter().rev();
+    for chunk in second.into_iter().rev() {
+        if let Some(other) = first.next() {
+            log.push(other);
+        }
+        log.push(chunk.clone());
+        log.push(chunk);
+    }
+    let mut recovery = Recovery::new(1);
+    log.records.iter().for_each(|bytes| recovery.scan(bytes));
+    assert_eq!(recovery.finish().unwrap().next(), up_to);
+}
+
+/// An entry that may keep the log.
+struct Entry {
+    state: State,
+    keeper: Keeper,
+    config: Outbox,
+    alive: bool,
+}
+
+impl Entry {
+    fn new(own: u64, interval: Duration) -> Self {
+        let keeper = Keeper::new(own, interval);
+        Self { state: State::new(), keeper, config: Outbox::new(own), alive: true }
+    }
+
+    /// Reads the log and appends what is due; answers are lost now and then.
+    fn run(&mut self, log: &mut Vec<Vec<u8>>, rng: &mut ChaCha8Rng, now: Instant) {
+        while let Some(bytes) = log.get(self.state.next() as usize) {
+            let applied = self.state.apply(self.state.next(), bytes);
+            if let Some(author) = applied.author {
+                self.config.read(author.writer, author.sequence);
+            }
+            self.keeper.read(&applied, &self.state, now);
+        }
+        if self.config.is_idle()
+            && let Some(body) = self.keeper.wants(now)
+        {
+            self.keeper.sent(self.config.push(body).unwrap(), now);
+            log.extend(self.config.pop().map(|append| append.data));
+        }
+        let due = self.keeper.pop(&self.state, now).unwrap();
+        let due = due.or_else(|| self.keeper.caught_up());
+        if let Some(append) = due {
+            if rng.random_bool(0.9) {
+                log.push(append.data.clone());
+            }
+            if rng.random_bool(0.2) {
+                log.push(append.data);
+            }
+            self.keeper.lost(append.sequence);
+        }
+    }
+}
+
+#[test]
+fn keepers_advance_log_time_no_faster_than_time_and_leave_snapshots() {
+    for seed in 0..40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let interval = Duration::from_mins(5);
+        let mut entries = [1, 2, 3].map(|own| Entry::new(own, interval));
+        let (mut log, mut real, mut kept) = (Vec::new(), Duration::ZERO, Duration::ZERO);
+        let base = Instant::now();
+        let mut snapshots = 0;
+        for _ in 0..4_000 {
+            real += Duration::from_millis(rng.random_range(0..1_000));
+            let now = base + real;
+            let at = rng.random_range(0..entries.len());
+            if rng.random_bool(0.005) {
+                entries[at].alive = !entries[at].alive;
+            }
+            let before = log.len();
+            if entries[at].alive {
+                entries[at].run(&mut log, &mut rng, now);
+            }
+            let last = log.get(before..).unwrap_or_default().iter().any(|bytes| is_last(bytes));
+            snapshots += u32::from(last);
+            let state = &entries[at].state;
+            assert!(state.keys().clock() <= real, "seed {seed}: log time runs ahead");
+            kept = kept.max(state.keys().clock());
+            let keepers = entries.iter().filter(|entry| entry.keeper.is_keeper(now)).count();
+            assert!(keepers <= 1, "seed {seed}: two keepers");
+        }
+        assert!(kept > TICK_INTERVAL * 10, "seed {seed}: {kept:?} of {real:?}");
+        assert!(snapshots > 1, "seed {seed}: {snapshots} snapshots in {real:?}");
+    }
+}
+
+fn is_last(bytes: &[u8]) -> bool {
+    let record = egretgate_core::record::decode(bytes).unwrap();
+    matches!(record.body, Some(Body::Chunk(chunk)) if chunk.index + 1 == chunk.count)
+}
