test(core): at most one run for a key, with several entries over one log

Three entries on one simulated log: answers lost after the effect, late copies, lagging readers, crashes with all memory lost, freezes before dispatch, outages, false reports of dead processes, and drifting clocks; 300 seeds of 2000 steps. The oracle counts executions, checks each "not run", each recorded answer, that no request outlives its deadline without a final answer, that no living process leaves a given-up key reserved, and that all readers end equal.

Breaks that failed first: dispatch without the deadline; without the window (only in the directed test: the fuzz seldom freezes a process for longer than a window); keys that expire early; an intent that dispatches after losing; a given-up intent that is not freed; an outcome that replaces an earlier one; an outage that leaves calls waiting; deadlines passed over. Not shown by a break, as a second check covers it: the fold's check of doubles for intents (the entry also ignores intents that it has not under way).

--- /dev/null
+++ b/crates/egretgate-core/tests/intent.rs
@@ -0,0 +1,721 @@
+//! At most one run for a key: several simulated entries over one simulated log.
+//!
+//! The oracle counts each execution. Answers are lost after the effect, copies land late, readers
+//! lag, processes crash and lose everything, freeze between read-back and dispatch, and the log
+//! has outages.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use bytes::Bytes;
+use egretgate_core::fold::{KeyState, State};
+use egretgate_core::intent::{
+    COMMIT_BUDGET, COMMIT_INTERVAL, Call, Calls, Effect, Reply, commit_interval,
+};
+use egretgate_core::lease::KEEPER;
+use egretgate_core::record::body::{self, Claim, Done, Ending, Tick};
+use egretgate_core::record::outbox::Append;
+use egretgate_core::record::{Body, Record};
+use egretgate_core::{Digest, ErrorKind, Incarnation, Ticket};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const WINDOW: Duration = Duration::from_mins(1);
+const SEEDS: u64 = 300;
+const STEPS: usize = 2_000;
+const ENTRIES: usize = 3;
+const KEYS: u8 = 3;
+
+/// An append on its way, or a copy of one that will land late.
+#[derive(Debug, Clone)]
+struct InFlight {
+    append: Append,
+    copy: bool,
+}
+
+#[derive(Debug)]
+struct Entry {
+    writer: Incarnation,
+    calls: Calls,
+    state: State,
+    sequence: u64,
+    in_flight: Vec<InFlight>,
+    ready: Vec<Ticket>,
+    running: Vec<Ticket>,
+    /// Requests without a final answer, with their deadlines.
+    open: BTreeMap<Ticket, Instant>,
+    frozen: bool,
+    rate: f64,
+}
+
+#[derive(Debug, Default)]
+struct Oracle {
+    keys: BTreeMap<Ticket, u8>,
+    /// Executions by key: the request and the earliest moment at which the key may be free.
+    runs: BTreeMap<u8, Vec<(Ticket, Duration)>>,
+    executed: BTreeSet<Ticket>,
+    not_run: BTreeSet<Ticket>,
+    answered: BTreeSet<Ticket>,
+    sent: BTreeMap<Ticket, Duration>,
+}
+
+#[derive(Debug)]
+struct World {
+    rng: ChaCha8Rng,
+    base: Instant,
+    elapsed: Duration,
+    log: Vec<Vec<u8>>,
+    log_up: bool,
+    entries: Vec<Entry>,
+    writers: u64,
+    keeper: Keeper,
+    oracle: Oracle,
+}
+
+/// The keeper of log time, whose own clock starts at the append of its last record.
+#[derive(Debug, Default)]
+struct Keeper {
+    writer: u64,
+    sequence: u64,
+    fence: u64,
+    last: Option<u64>,
+    tick: Option<u64>,
+    at: Duration,
+}
+
+impl Entry {
+    fn new(writer: Incarnation, rate: f64) -> Self {
+        Self {
+            writer,
+            calls: Calls::new(writer, COMMIT_INTERVAL),
+            state: State::new(),
+            sequence: 0,
+            in_flight: Vec::new(),
+            ready: Vec::new(),
+            running: Vec::new(),
+            open: BTreeMap::new(),
+            frozen: false,
+            rate,
+        }
+    }
+
+    fn read(&mut self, log: &[Vec<u8>], most: usize) {
+        for _ in 0..most {
+            let next = self.state.next();
+            let Some(bytes) = log.get(next as usize) else { return };
+            let applied = self.state.apply(next, bytes);
+            self.calls.read(&applied, self.state.keys());
+        }
+    }
+}
+
+impl Oracle {
+    fn execute(&mut self, ticket: Ticket, now: Duration, timely: bool) {
+        assert!(timely, "{ticket} was dispatched past its deadline");
+        assert!(self.executed.insert(ticket), "{ticket} was dispatched twice");
+        assert!(!self.not_run.contains(&ticket), "{ticket} ran after it was answered as not run");
+        let runs = self.runs.entry(self.keys[&ticket]).or_default();
+        if let Some((other, free)) = runs.last() {
+            assert!(now >= *free, "{ticket} ran in the window of {other}");
+        }
+        runs.push((ticket, self.sent[&ticket] + WINDOW));
+    }
+
+    fn answer(&mut self, ticket: Ticket, reply: &Reply) {
+        assert!(self.answered.insert(ticket), "{ticket} was answered twice");
+        match reply {
+            Reply::NotRun(_) | Reply::KeyReused => {
+                assert!(!self.executed.contains(&ticket), "{ticket} ran but was denied");
+                self.not_run.insert(ticket);
+            }
+            Reply::Recorded(done) => {
+                let runs = &self.runs[&self.keys[&ticket]];
+                let known = runs.iter().any(|(ran, _)| answer_of(*ran) == *done);
+                assert!(known, "{ticket} got the answer of no execution");
+            }
+            Reply::Unknown => {}
+        }
+    }
+}
+
+fn answer_of(ticket: Ticket) -> Done {
+    Done::new(200, "text/plain", Bytes::from(ticket.to_string()))
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let mut world = Self {
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            base: Instant::now(),
+            elapsed: Duration::ZERO,
+            log: Vec::new(),
+            log_up: true,
+            entries: Vec::new(),
+            writers: 0,
+            keeper: Keeper::default(),
+            oracle: Oracle::default(),
+        };
+        for _ in 0..ENTRIES {
+            let entry = world.fresh();
+            world.entries.push(entry);
+        }
+        world.claim();
+        world
+    }
+
+    fn fresh(&mut self) -> Entry {
+        self.writers += 1;
+        Entry::new(self.writers, self.rng.random_range(0.95..1.05))
+    }
+
+    fn now(&self, entry: usize) -> Instant {
+        self.base + self.elapsed.mul_f64(self.entries[entry].rate)
+    }
+
+    fn append(&mut self, bytes: Vec<u8>) -> u64 {
+        self.log.push(bytes);
+        self.log.len() as u64 - 1
+    }
+
+    fn claim(&mut self) {
+        self.keeper.writer += 1 << 32;
+        self.keeper.sequence = 1;
+        let name = KEEPER.into();
+        let (holder, expects) = (self.keeper.writer, self.keeper.last);
+        let body = Body::Claim(Claim { name, holder, expects, ttl_ms: 9_000 });
+        let record = Record::new(self.keeper.writer, 1, body).to_bytes().unwrap();
+        self.keeper.fence = self.append(record);
+        self.keeper.last = Some(self.keeper.fence);
+        self.keeper.at = self.elapsed;
+    }
+
+    fn tick(&mut self) {
+        let elapsed = self.elapsed.saturating_sub(self.keeper.at);
+        let (fence, expects) = (self.keeper.fence, self.keeper.tick);
+        let elapsed_ms = elapsed.mul_f64(0.95).as_millis() as u64;
+        let body = Body::Tick(Tick { fence, expects, elapsed_ms });
+        let record = Record::new(self.keeper.writer, 1, body).to_bytes().unwrap();
+        self.keeper.tick = Some(self.append(record));
+        self.keeper.at = self.elapsed;
+    }
+
+    fn step(&mut self) {
+        let entry = self.rng.random_range(0..ENTRIES);
+        let frozen = self.entries[entry].frozen;
+        match self.rng.random_range(0..100) {
+            0..10 if !frozen => self.begin(entry),
+            10..38 => self.land(entry),
+            38..63 if !frozen => {
+                let most = self.rng.random_range(1..20);
+                let log = &self.log;
+                self.entries[entry].read(log, most);
+            }
+            63..75 if !frozen => self.dispatch(entry),
+            75..83 if !frozen => self.end(entry),
+            83 if !frozen => self.abandon(entry),
+            84 => self.crash(entry),
+            85..87 if frozen => self.wake(entry),
+            87 => self.freeze(entry),
+            89..95 if !self.log_up => self.outage(),
+            89 => self.outage(),
+            90..94 if self.log_up => self.tick(),
+            95 if self.log_up => self.claim(),
+            96 if !frozen => self.gone(entry),
+            _ => {}
+        }
+        let most = if self.rng.random_bool(0.02) { 80_000 } else { 100 };
+        self.elapsed += Duration::from_millis(self.rng.random_range(0..most));
+        for entry in 0..ENTRIES {
+            self.run(entry);
+        }
+    }
+
+    fn begin(&mut self, entry: usize) {
+        let key = self.rng.random_range(0..KEYS);
+        let body = u8::from(self.rng.random_bool(0.05));
+        let wait = Duration::from_millis(self.rng.random_range(100..90_000));
+        let now = self.now(entry);
+        let held = &mut self.entries[entry];
+        held.sequence += 1;
+        let ticket = Ticket::new(held.writer, held.sequence);
+        let call = Call {
+            ticket,
+            key: Digest::of(&[&[key]]),
+            body: Digest::of(&[&[body]]),
+            window: WINDOW,
+            deadline: now + wait,
+        };
+        held.open.insert(ticket, call.deadline);
+        held.calls.begin(call, held.state.keys(), now);
+        self.oracle.keys.insert(ticket, key);
+        self.run(entry);
+    }
+
+    /// An append reaches the log or not, and its answer arrives or not.
+    fn land(&mut self, entry: usize) {
+        let held = &mut self.entries[entry];
+        if held.in_flight.is_empty() {
+            return;
+        }
+        let one = held.in_flight.remove(self.rng.random_range(0..held.in_flight.len()));
+        let lost = !self.log_up || self.rng.random_bool(0.2);
+        let effect = self.log_up && (!lost || self.rng.random_bool(0.5));
+        if lost && !one.copy {
+            held.calls.append_lost(one.append.sequence);
+            if !effect && self.rng.random_bool(0.5) {
+                held.in_flight.push(InFlight { copy: true, ..one.clone() });
+            }
+        }
+        if effect {
+            if self.rng.random_bool(0.1) {
+                held.in_flight.push(InFlight { copy: true, ..one.clone() });
+            }
+            self.append(one.append.data);
+        }
+    }
+
+    fn dispatch(&mut self, entry: usize) {
+        if self.entries[entry].ready.is_empty() {
+            return;
+        }
+        let now = self.now(entry);
+        let held = &mut self.entries[entry];
+        let ticket = held.ready.remove(0);
+        if held.calls.dispatch(ticket, now) {
+            if self.rng.random_bool(0.2) {
+                held.calls.not_run(ticket, ErrorKind::Overloaded);
+            } else if self.rng.random_bool(0.1) {
+                held.ready.push(ticket);
+            } else {
+                held.running.push(ticket);
+                let timely = now < held.open[&ticket];
+                self.oracle.execute(ticket, self.elapsed, timely);
+            }
+        } else {
+            held.calls.not_run(ticket, ErrorKind::DeadlinePassed);
+        }
+        self.run(entry);
+    }
+
+    fn end(&mut self, entry: usize) {
+        let held = &mut self.entries[entry];
+        if held.running.is_empty() {
+            return;
+        }
+        let ticket = held.running.remove(self.rng.random_range(0..held.running.len()));
+        let known = self.rng.random_bool(0.8);
+        held.calls.ended(ticket, known.then(|| answer_of(ticket)));
+        held.open.remove(&ticket);
+        self.run(entry);
+    }
+
+    fn abandon(&mut self, entry: usize) {
+        let held = &mut self.entries[entry];
+        if let Some((&ticket, _)) = held.open.first_key_value()
+            && !held.running.contains(&ticket)
+        {
+            held.calls.abandon(ticket);
+            if !held.ready.contains(&ticket) {
+                held.open.remove(&ticket);
+            }
+        }
+    }
+
+    /// The process loses all its memory; what it sent may still land.
+    fn crash(&mut self, entry: usize) {
+        let mut fresh = self.fresh();
+        let old = &mut self.entries[entry];
+        fresh.in_flight =
+            old.in_flight.drain(..).map(|one| InFlight { copy: true, ..one }).collect();
+        let writer = old.writer;
+        if self.rng.random_bool(0.5) {
+            fresh.state = State::decode(&old.state.encode()).unwrap();
+        }
+        *old = fresh;
+        if self.rng.random_bool(0.5) {
+            for other in self.entries.iter_mut().filter(|other| !other.frozen) {
+                other.calls.gone(writer, other.state.keys());
+            }
+        }
+    }
+
+    /// Stops a process for a while, if possible one that is about to dispatch.
+    fn freeze(&mut self, entry: usize) {
+        let ready = self.entries.iter().position(|held| !held.ready.is_empty());
+        self.entries[ready.unwrap_or(entry)].frozen = true;
+    }
+
+    /// A frozen process wakes, and goes on with whatever it was about to do.
+    fn wake(&mut self, entry: usize) {
+        self.entries[entry].frozen = false;
+        if self.rng.random_bool(0.5) {
+            self.entries[entry].read(&self.log, 3);
+        }
+        if self.rng.random_bool(0.7) {
+            self.dispatch(entry);
+        }
+    }
+
+    /// Membership is wrong about a living process.
+    fn gone(&mut self, entry: usize) {
+        let other = self.entries[self.rng.random_range(0..ENTRIES)].writer;
+        let held = &mut self.entries[entry];
+        held.calls.gone(other, held.state.keys());
+    }
+
+    fn outage(&mut self) {
+        self.log_up = !self.log_up;
+        for held in self.entries.iter_mut().filter(|held| !held.frozen) {
+            held.calls.log_up(self.log_up);
+        }
+    }
+
+    /// Runs one process as far as it goes by itself.
+    fn run(&mut self, entry: usize) {
+        let now = self.now(entry);
+        let held = &mut self.entries[entry];
+        if held.frozen {
+            return;
+        }
+        held.calls.tick(now);
+        if held.calls.is_lost() && held.state.next() == self.log.len() as u64 && self.log_up {
+            held.calls.caught_up();
+        }
+        for effect in held.calls.effects() {
+            match effect {
+                Effect::Append(append) => {
+                    for ticket in tickets(&append) {
+                        self.oracle.sent.entry(ticket).or_insert(self.elapsed);
+                    }
+                    held.in_flight.push(InFlight { append, copy: false });
+                }
+                Effect::Dispatch(ticket) => held.ready.push(ticket),
+                Effect::Join(ticket) => assert!(held.open.contains_key(&ticket)),
+                Effect::Answer(ticket, reply) => {
+                    self.oracle.answer(ticket, &reply);
+                    held.open.remove(&ticket);
+                }
+            }
+        }
+        let late = held.open.iter().find(|(_, deadline)| now >= **deadline);
+        assert_eq!(late, None, "a request past its deadline has no final answer");
+    }
+
+    fn heal(&mut self) {
+        self.log_up = true;
+        for held in &mut self.entries {
+            held.frozen = false;
+            held.calls.log_up(true);
+        }
+        for _ in 0..400 {
+            for entry in 0..ENTRIES {
+                let sent = std::mem::take(&mut self.entries[entry].in_flight);
+                for one in sent {
+                    self.append(one.append.data);
+                }
+                while !self.entries[entry].ready.is_empty() {
+                    self.dispatch(entry);
+                }
+                while !self.entries[entry].running.is_empty() {
+                    self.end(entry);
+                }
+            }
+            self.elapsed += Duration::from_millis(250);
+            for entry in 0..ENTRIES {
+                self.entries[entry].read(&self.log, usize::MAX);
+                self.run(entry);
+            }
+        }
+        let whole = self.entries[0].state.encode();
+        for held in &self.entries {
+            assert!(held.open.is_empty(), "unanswered: {:?}", held.open);
+            assert!(held.calls.is_idle(), "not idle: {:?}", held.calls);
+            assert_eq!(held.state.encode(), whole);
+        }
+        for key in
+            (0..KEYS).filter_map(|key| self.entries[0].state.keys().get(&Digest::of(&[&[key]])))
+        {
+            let living = self.entries.iter().any(|held| held.writer == key.ticket.entry);
+            assert!(key.state != KeyState::Open || !living, "a given-up key was not freed");
+        }
+        let outcomes =
+            self.log.iter().filter_map(|bytes| calls(bytes)).flat_map(|calls| calls.outcomes);
+        let not_run = outcomes.filter(|outcome| matches!(outcome.ending, Some(Ending::NotRun(_))));
+        for ticket in not_run.filter_map(|outcome| outcome.ticket) {
+            let ran = self.oracle.executed.contains(&Ticket::from(ticket));
+            assert!(!ran, "{ticket:?} ran but is recorded as not run");
+        }
+    }
+}
+
+fn calls(bytes: &[u8]) -> Option<body::Calls> {
+    match egretgate_core::record::decode(bytes).ok()?.body {
+        Some(Body::Calls(calls)) => Some(calls),
+        _ => None,
+    }
+}
+
+fn tickets(append: &Append) -> Vec<Ticket> {
+    let intents = calls(&append.data).map(|calls| calls.intents).unwrap_or_default();
+    intents.into_iter().filter_map(|intent| intent.ticket.map(Ticket::from)).collect()
+}
+
+#[test]
+fn no_key_runs_twice_and_every_answer_is_true() {
+    let (mut runs, mut denied, mut repeated) = (0, 0, 0);
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed);
+        for _ in 0..STEPS {
+            world.step();
+        }
+        world.heal();
+        runs += world.oracle.executed.len();
+        denied += world.oracle.not_run.len();
+        repeated +=
+            world.oracle.runs.values().map(|runs| runs.len().saturating_sub(1)).sum::<usize>();
+        for ticket in &world.oracle.not_run {
+            assert!(!world.oracle.executed.contains(ticket), "seed {seed}: {ticket}");
+        }
+    }
+    println!("executions {runs}, not run {denied}, again after the window {repeated}");
+    // The seeds must reach executions, refusals and windows that pass, or nothing is shown.
+    assert!(runs > SEEDS as usize && denied > SEEDS as usize && repeated > SEEDS as usize);
+}
+
+/// Two entries over a log that answers at once.
+struct Pair {
+    log: Vec<Vec<u8>>,
+    entries: [Entry; 2],
+    now: Instant,
+    replies: BTreeMap<Ticket, Reply>,
+}
+
+const FIRST: Ticket = Ticket::new(1, 1);
+const SECOND: Ticket = Ticket::new(2, 1);
+const THIRD: Ticket = Ticket::new(2, 2);
+
+impl Pair {
+    fn new() -> Self {
+        let entries = [Entry::new(1, 1.0), Entry::new(2, 1.0)];
+        Self { log: Vec::new(), entries, now: Instant::now(), replies: BTreeMap::new() }
+    }
+
+    fn entry(&mut self, ticket: Ticket) -> &mut Entry {
+        &mut self.entries[ticket.entry as usize - 1]
+    }
+
+    fn begin(&mut self, ticket: Ticket, body: u8) {
+        let (key, body) = (Digest::of(&[b"key"]), Digest::of(&[&[body]]));
+        let (now, deadline) = (self.now, self.now + 10 * WINDOW);
+        let held = self.entry(ticket);
+        let call = Call { ticket, key, body, window: WINDOW, deadline };
+        held.calls.begin(call, held.state.keys(), now);
+    }
+
+    fn settle(&mut self) {
+        for _ in 0..8 {
+            self.now += COMMIT_INTERVAL;
+            for held in &mut self.entries {
+                held.calls.tick(self.now);
+                held.read(&self.log, usize::MAX);
+                for effect in held.calls.effects() {
+                    match effect {
+                        Effect::Append(append) => self.log.push(append.data),
+                        Effect::Dispatch(ticket) => held.ready.push(ticket),
+                        Effect::Join(_) => {}
+                        Effect::Answer(ticket, reply) => {
+                            assert_eq!(self.replies.insert(ticket, reply), None);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn dispatch(&mut self, ticket: Ticket) -> bool {
+        let now = self.now;
+        self.entry(ticket).calls.dispatch(ticket, now)
+    }
+
+    /// Lets the key's window pass in log time.
+    fn pass(&mut self) {
+        let claim = Claim { name: KEEPER.into(), holder: 9, expects: None, ttl_ms: 9_000 };
+        let fence = self.log.len() as u64;
+        self.log.push(Record::new(9, 1, Body::Claim(claim)).to_bytes().unwrap());
+        let mut expects = None;
+        for elapsed_ms in [0, WINDOW.as_millis() as u64] {
+            let tick = Body::Tick(Tick { fence, expects, elapsed_ms });
+            expects = Some(self.log.len() as u64);
+            self.log.push(Record::new(9, 2, tick).to_bytes().unwrap());
+        }
+        self.now += WINDOW;
+    }
+}
+
+struct Case {
+    name: &'static str,
+    run: fn(&mut Pair),
+    /// The last answer to the second entry's request.
+    reply: Option<Reply>,
+}
+
+#[test]
+fn a_second_call_is_answered_from_the_first() {
+    let started: fn(&mut Pair) = |pair| {
+        pair.begin(FIRST, 0);
+        pair.settle();
+        assert!(pair.dispatch(FIRST));
+    };
+    let cases = [
+        Case { name: "joins a running call", run: started, reply: None },
+        Case {
+            name: "gets the recorded answer",
+            run: |pair| {
+                pair.begin(FIRST, 0);
+                pair.settle();
+                assert!(pair.dispatch(FIRST));
+                pair.entry(FIRST).calls.ended(FIRST, Some(answer_of(FIRST)));
+            },
+            reply: Some(Reply::Recorded(answer_of(FIRST))),
+        },
+        Case {
+            name: "keeps the first outcome, whatever is recorded later",
+            run: |pair| {
+                pair.begin(FIRST, 0);
+                pair.settle();
+                assert!(pair.dispatch(FIRST));
+                pair.entry(FIRST).calls.ended(FIRST, Some(answer_of(FIRST)));
+                pair.settle();
+                let outcome = body::Outcome {
+                    key: Bytes::copy_from_slice(Digest::of(&[b"key"]).as_bytes()),
+                    ticket: Some(FIRST.into()),
+                    ending: Some(Ending::NotRun(body::NotRun {})),
+                };
+                let calls = body::Calls { outcomes: vec![outcome], intents: Vec::new() };
+                pair.log.push(Record::new(1, 99, Body::Calls(calls)).to_bytes().unwrap());
+            },
+            reply: Some(Reply::Recorded(answer_of(FIRST))),
+        },
+        Case {
+            name: "is not repeated after an unknown end",
+            run: |pair| {
+                pair.begin(FIRST, 0);
+                pair.settle();
+                assert!(pair.dispatch(FIRST));
+                pair.entry(FIRST).calls.ended(FIRST, None);
+            },
+            reply: Some(Reply::Unknown),
+        },
+        Case {
+            name: "is not repeated after the writer is gone",
+            run: |pair| {
+                pair.begin(FIRST, 0);
+                pair.settle();
+                let held = pair.entry(SECOND);
+                held.calls.gone(1, held.state.keys());
+            },
+            reply: Some(Reply::Unknown),
+        },
+        Case {
+            name: "is refused with another body",
+            run: |pair| {
+                pair.begin(FIRST, 1);
+                pair.settle();
+            },
+            reply: Some(Reply::KeyReused),
+        },
+        Case {
+            name: "is refused at once in an outage",
+            run: |pair| pair.entry(SECOND).calls.log_up(false),
+            reply: Some(Reply::NotRun(ErrorKind::LogOutage)),
+        },
+    ];
+    for Case { name, run, reply } in cases {
+        let mut pair = Pair::new();
+        run(&mut pair);
+        pair.settle();
+        pair.begin(SECOND, 0);
+        pair.settle();
+        assert_eq!(pair.replies.get(&SECOND), reply.as_ref(), "{name}");
+        assert!(!pair.dispatch(SECOND), "{name}");
+    }
+}
+
+#[test]
+fn a_proof_of_not_run_frees_the_key() {
+    let mut pair = Pair::new();
+    pair.begin(FIRST, 0);
+    pair.settle();
+    assert!(pair.dispatch(FIRST));
+    pair.begin(SECOND, 0);
+    pair.settle();
+    pair.entry(FIRST).calls.not_run(FIRST, ErrorKind::Overloaded);
+    pair.settle();
+    assert_eq!(pair.replies[&FIRST], Reply::NotRun(ErrorKind::Overloaded));
+    assert_matches!(pair.replies[&SECOND], Reply::NotRun(_));
+    pair.begin(THIRD, 0);
+    pair.settle();
+    assert!(!pair.dispatch(FIRST) && pair.dispatch(THIRD));
+}
+
+#[test]
+fn an_outage_answers_waiting_calls_at_once_and_truly() {
+    let mut pair = Pair::new();
+    pair.begin(FIRST, 0);
+    let now = pair.now;
+    let held = pair.entry(FIRST);
+    held.calls.tick(now);
+    let sent = held.calls.effects();
+    held.calls.log_up(false);
+    let reply = Reply::NotRun(ErrorKind::LogOutage);
+    assert_eq!(held.calls.effects(), [Effect::Answer(FIRST, reply)]);
+    let [Effect::Append(append)] = sent.as_slice() else { panic!("{sent:?}") };
+    pair.log.push(append.data.clone());
+    pair.entry(FIRST).calls.log_up(true);
+    pair.settle();
+    assert!(pair.entries[0].ready.is_empty() && !pair.dispatch(FIRST));
+    pair.begin(SECOND, 0);
+    pair.settle();
+    assert!(pair.dispatch(SECOND));
+}
+
+#[test]
+fn a_process_that_wakes_after_the_window_does_not_dispatch() {
+    let mut pair = Pair::new();
+    pair.begin(FIRST, 0);
+    pair.settle();
+    assert_eq!(pair.entries[0].ready, [FIRST]);
+    pair.pass();
+    pair.entries[1].read(&pair.log, usize::MAX);
+    pair.begin(SECOND, 0);
+    let now = pair.now;
+    pair.entries[1].calls.tick(now);
+    for effect in pair.entries[1].calls.effects() {
+        if let Effect::Append(append) = effect {
+            pair.log.push(append.data);
+        }
+    }
+    pair.entries[1].read(&pair.log, usize::MAX);
+    assert!(pair.dispatch(SECOND));
+    assert!(!pair.dispatch(FIRST), "dispatched again within the window of another call");
+    pair.settle();
+    assert_eq!(pair.replies[&FIRST], Reply::NotRun(ErrorKind::DeadlinePassed));
+}
+
+#[test]
+fn groups_stay_within_the_budget_of_the_log() {
+    struct Case {
+        entries: u32,
+        interval: Duration,
+    }
+    let cases = [
+        Case { entries: 7, interval: COMMIT_INTERVAL },
+        Case { entries: 38, interval: COMMIT_INTERVAL },
+        Case { entries: 95, interval: Duration::from_millis(250) },
+    ];
+    for Case { entries, interval } in cases {
+        assert_eq!(commit_interval(entries), interval, "{entries} entries");
+        assert!(f64::from(entries) / interval.as_secs_f64() <= f64::from(COMMIT_BUDGET));
+    }
+}
