--- a/crates/egretgate-core/src/fold.rs
+++ b/crates/egretgate-core/src/fold.rs
@@ -118,16 +118,19 @@
         self.ahead.as_ref().unwrap_or(&self.shared)
     }
 
-    /// Serves the configuration of a peer, if it has read further, until the fold of the log has
-    /// read as far. The fold itself is not changed, so it stays equal in every process.
-    pub fn set_shared(&mut self, peer: Shared) {
-        if peer.next() > self.shared().next() {
+    /// Serves the configuration of a peer until the fold of the log has read as far; returns
+    /// false if the peer has not read further. The fold itself is not changed, so it stays equal
+    /// in every process.
+    pub fn adopt(&mut self, peer: Shared) -> bool {
+        let newer = peer.next() > self.shared().next();
+        if newer {
             self.ahead = Some(peer);
         }
+        newer
     }
 
     /// Goes on from a snapshot that has read further than the fold; returns false if it has not.
-    pub fn adopt(&mut self, snapshot: Self) -> bool {
+    pub fn resume(&mut self, snapshot: Self) -> bool {
         if snapshot.next <= self.next {
             return false;
         }
--- a/crates/egretgate-core/src/fold/quarantine.rs
+++ b/crates/egretgate-core/src/fold/quarantine.rs
@@ -32,6 +32,11 @@
         self.table.verdict(*digest) == Verdict::Suspect
     }
 
+    /// Returns every digest held with the number of its deaths, at most two, in order.
+    pub fn iter(&self) -> impl Iterator<Item = (Digest, u32)> {
+        self.table.entries().map(|entry| (entry.digest, 1 + u32::from(entry.second.is_some())))
+    }
+
     /// Returns the quarantined digests in order.
     pub fn quarantined(&self) -> impl Iterator<Item = Digest> {
         let held = self.table.entries().filter(|entry| entry.second.is_some());
--- a/crates/egretgate-core/tests/fold.rs
+++ b/crates/egretgate-core/tests/fold.rs
@@ -549,8 +549,8 @@
 fn configuration_of_a_peer_serves_until_the_fold_has_read_as_far() {
     let mut log = Log::declared();
     let mut starting = State::new();
-    starting.set_shared(Shared::decode(&log.state.shared().encode()).unwrap());
-    starting.set_shared(Shared::default());
+    assert!(starting.adopt(Shared::decode(&log.state.shared().encode()).unwrap()));
+    assert!(!starting.adopt(Shared::default()));
     assert_eq!(starting.shared().next(), 1);
     log.push(1, change(vec![put(Kind::Tier, "aa", "", 0)], vec![]));
     let mut next = starting.shared().next();
@@ -560,6 +560,12 @@
         next = starting.shared().next();
     }
     assert_eq!(starting.encode(), log.state.encode());
+
+    let mut resumed = State::new();
+    assert!(resumed.adopt(Shared::decode(&log.state.shared().encode()).unwrap()));
+    assert!(resumed.resume(State::decode(&Log::declared().state.encode()).unwrap()));
+    assert_eq!((resumed.next(), resumed.shared().next()), (1, 2), "the offset went back");
+    assert!(!resumed.resume(State::new()));
 }
 
 #[test]
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -3,7 +3,6 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use egretgate_core::declaration::ServiceKind;
 use egretgate_core::limit::Lengths;
 use egretgate_core::queue::{GivenUp, Offered, Queue, QueueOptions, Work};
 use egretgate_core::{
@@ -86,8 +85,6 @@
     pub place: PlaceId,
     /// Service that the upstream serves.
     pub service: ServiceId,
-    /// Kind of the upstream.
-    pub kind: ServiceKind,
 }
 
 /// A waiting request's frame and origin.
@@ -141,6 +138,7 @@
     stopping: Option<oneshot::Sender<()>>,
     stopped: bool,
     last_beat: Instant,
+    started: Instant,
 }
 
 impl Desk {
@@ -173,6 +171,7 @@
             stopping: None,
             stopped: false,
             last_beat: now,
+            started: now,
         }
     }
 
@@ -242,7 +241,11 @@
                     self.entries.send(entry, to_entry::Body::RecordsAsk(ask));
                 }
             }
-            to_side::Body::Records(records) => self.feed.take(&records),
+            to_side::Body::Records(records) => {
+                if self.feed.take(&records) {
+                    self.beat();
+                }
+            }
             to_side::Body::SnapshotAsk(_) => {
                 let snapshot = Snapshot { state: self.feed.encode() };
                 self.entries.send(entry, to_entry::Body::Snapshot(snapshot));
