--- a/crates/egretgate-core/src/fold.rs
+++ b/crates/egretgate-core/src/fold.rs
@@ -97,6 +97,8 @@
     next: Offset,
     shared: Shared,
     keys: Keys,
+    /// Configuration of a peer that had read further, until the fold has read as far.
+    ahead: Option<Shared>,
 }
 
 impl State {
@@ -110,20 +112,34 @@
         self.next
     }
 
-    /// Returns the part that every process keeps.
-    pub const fn shared(&self) -> &Shared {
-        &self.shared
+    /// Returns the part that every process keeps: the folded one, or that of a peer that had
+    /// read further. Its offset never goes back.
+    pub fn shared(&self) -> &Shared {
+        self.ahead.as_ref().unwrap_or(&self.shared)
     }
 
-    /// Takes a peer's configuration, if it is ahead of this one. Offsets never go back.
-    pub fn adopt(&mut self, shared: Shared) -> bool {
-        let newer = shared.next() > self.shared.next();
+    /// Serves the configuration of a peer until the fold of the log has read as far; returns
+    /// false if the peer has not read further. The fold itself is not changed, so it stays equal
+    /// in every process.
+    pub fn adopt(&mut self, peer: Shared) -> bool {
+        let newer = peer.next() > self.shared().next();
         if newer {
-            self.shared = shared;
+            self.ahead = Some(peer);
         }
         newer
     }
 
+    /// Goes on from a snapshot that has read further than the fold; returns false if it has not.
+    pub fn resume(&mut self, snapshot: Self) -> bool {
+        if snapshot.next <= self.next {
+            return false;
+        }
+        let ahead = self.ahead.take();
+        *self = snapshot;
+        self.ahead = ahead.filter(|peer| peer.next() > self.shared.next());
+        true
+    }
+
     /// Returns the intents and outcomes.
     pub const fn keys(&self) -> &Keys {
         &self.keys
@@ -139,7 +155,11 @@
         }
         self.next = offset + 1;
         if record::is_config(bytes) {
-            return self.shared.apply(offset, bytes);
+            let applied = self.shared.apply(offset, bytes);
+            if self.ahead.as_ref().is_some_and(|peer| peer.next() <= self.shared.next()) {
+                self.ahead = None;
+            }
+            return applied;
         }
         match record::decode(bytes) {
             Ok(record) => {
@@ -183,7 +203,7 @@
         let image = image::StateImage::decode(bytes).map_err(|_| corrupt())?;
         let shared = Shared::from_image(image.shared.ok_or_else(corrupt)?)?;
         let keys = Keys::from_image(image.keys.ok_or_else(corrupt)?)?;
-        Ok(Self { next: image.next, shared, keys })
+        Ok(Self { next: image.next, shared, keys, ahead: None })
     }
 }
 
