feat(check): faults of one item, for changes that are folded one by one

Two operators can each apply a file without fault whose union has one: the same model, path, key or rank under two names, which no expected revision catches. item_faults finds these in the state after a put without walking every item's rules; a property over 2,000 states shows that it finds a fault exactly where the whole check does.

--- a/crates/egretgate-core/src/check.rs
+++ b/crates/egretgate-core/src/check.rs
@@ -13,7 +13,7 @@
 use std::fmt;
 
 pub use file::parse;
-pub use rules::{faults, name_fault};
+pub use rules::{faults, item_faults, name_fault};
 
 /// Result of reading a declaration file.
 pub type Result<T> = std::result::Result<T, Vec<Fault>>;
--- a/crates/egretgate-core/src/check/rules.rs
+++ b/crates/egretgate-core/src/check/rules.rs
@@ -10,7 +10,8 @@
 use crate::declaration::{
     Declarations, Outage, RouteSpec, ServiceKind, ServiceSpec, TeamSpec, TierSpec,
 };
-use crate::ids::MAX_TIERS;
+use crate::diff::Section;
+use crate::ids::{MAX_TIERS, Tier};
 
 /// Length of a BLAKE3 hash in hexadecimal digits.
 const KEY_DIGITS: usize = 64;
@@ -18,7 +19,9 @@
 /// Returns every fault of `declarations`; empty if they may be applied.
 pub fn faults(declarations: &Declarations) -> Vec<Fault> {
     let mut check = Check { declarations, faults: Vec::new() };
-    check.sizes();
+    for section in Section::ALL {
+        check.size(section);
+    }
     check.tiers();
     check.services();
     check.teams();
@@ -26,6 +29,26 @@
     check.faults
 }
 
+/// Returns every fault of one item in the state `declarations`, and none of other items.
+///
+/// For a state without fault, into which one item was put, these are all the faults there are.
+/// The cost grows with the item's section only where names must be unique.
+pub fn item_faults(declarations: &Declarations, section: Section, name: &str) -> Vec<Fault> {
+    let mut check = Check { declarations, faults: Vec::new() };
+    check.size(section);
+    match section {
+        Section::Tiers => check.one_tier(name),
+        Section::Services => {
+            if let Some(service) = declarations.services.get(name) {
+                check.service(name, service);
+            }
+        }
+        Section::Teams => check.one_team(name),
+        Section::Routes => check.one_route(name),
+    }
+    check.faults
+}
+
 /// Returns what is wrong with a name: it has 1 to [`MAX_NAME_BYTES`] letters, digits, `-`, `_`
 /// or `.`, in ASCII.
 pub fn name_fault(name: &str) -> Option<String> {
@@ -69,27 +92,80 @@
         }
     }
 
-    fn sizes(&mut self) {
-        let sizes = [
-            ("tiers", self.declarations.tiers.len(), MAX_TIERS),
-            ("teams", self.declarations.teams.len(), MAX_TEAMS),
-            ("services", self.declarations.services.len(), MAX_SERVICES),
-            ("routes", self.declarations.routes.len(), MAX_ROUTES),
-        ];
-        for (section, size, most) in sizes {
-            if size > most {
-                self.fault(&[section], format!("{size} are declared, at most {most} may be"));
+    fn size(&mut self, section: Section) {
+        let all = self.declarations;
+        let (size, most) = match section {
+            Section::Tiers => (all.tiers.len(), MAX_TIERS),
+            Section::Teams => (all.teams.len(), MAX_TEAMS),
+            Section::Services => (all.services.len(), MAX_SERVICES),
+            Section::Routes => (all.routes.len(), MAX_ROUTES),
+        };
+        if size > most {
+            self.fault(&[section.as_str()], format!("{size} are declared, at most {most} may be"));
+        }
+    }
+
+    fn one_tier(&mut self, name: &str) {
+        let all = self.declarations;
+        let Some(tier) = all.tiers.get(name) else { return };
+        self.tier(name, tier);
+        let same = |(other, spec): &(&String, &TierSpec)| *other != name && spec.rank == tier.rank;
+        if let Some((other, _)) = all.tiers.iter().find(same) {
+            self.rank_taken(name, tier.rank, other);
+        }
+    }
+
+    fn one_team(&mut self, name: &str) {
+        let all = self.declarations;
+        let Some(team) = all.teams.get(name) else { return };
+        self.team(name, team);
+        for (index, key) in team.keys.iter().enumerate() {
+            if team.keys[..index].contains(key) {
+                self.key_taken(name, name);
+            }
+            let same =
+                |(other, spec): &(&String, &TeamSpec)| *other != name && spec.keys.contains(key);
+            if let Some((other, _)) = all.teams.iter().find(same) {
+                self.key_taken(name, other);
             }
         }
     }
 
+    fn one_route(&mut self, name: &str) {
+        let all = self.declarations;
+        let Some(route) = all.routes.get(name) else { return };
+        self.route(name, route);
+        let others = || all.routes.iter().filter(|(other, _)| *other != name);
+        let model = |(_, other): &(&String, &RouteSpec)| other.model == route.model;
+        if let (Some(text), Some((other, _))) = (&route.model, others().find(model)) {
+            self.selector_taken(name, "model", text, other);
+        }
+        let path = |(_, other): &(&String, &RouteSpec)| other.path == route.path;
+        if let (Some(text), Some((other, _))) = (&route.path, others().find(path)) {
+            self.selector_taken(name, "path", text, other);
+        }
+    }
+
+    fn rank_taken(&mut self, name: &str, rank: Tier, other: &str) {
+        self.fault(&["tiers", name, "rank"], format!("rank {rank} is taken by tier `{other}`"));
+    }
+
+    /// A doubled key would let one team's requests run on another's account.
+    fn key_taken(&mut self, name: &str, other: &str) {
+        self.fault(&["teams", name, "keys"], format!("a key is also a key of team `{other}`"));
+    }
+
+    fn selector_taken(&mut self, name: &str, field: &str, text: &str, other: &str) {
+        let what = format!("`{text}` already selects route `{other}`");
+        self.fault(&["routes", name, field], what);
+    }
+
     fn tiers(&mut self) {
         let mut ranks = BTreeMap::new();
         for (name, tier) in &self.declarations.tiers {
             self.tier(name, tier);
             if let Some(other) = ranks.insert(tier.rank, name) {
-                let what = format!("rank {} is taken by tier `{other}`", tier.rank);
-                self.fault(&["tiers", name, "rank"], what);
+                self.rank_taken(name, tier.rank, other);
             }
         }
     }
@@ -131,10 +207,8 @@
         for (name, team) in &self.declarations.teams {
             self.team(name, team);
             for key in &team.keys {
-                // A doubled key would let one team's requests run on another's account.
                 if let Some(other) = keys.insert(key.as_str(), name.as_str()) {
-                    let what = format!("a key is also a key of team `{other}`");
-                    self.fault(&["teams", name, "keys"], what);
+                    self.key_taken(name, other);
                 }
             }
         }
@@ -189,8 +263,7 @@
     ) {
         let Some(value) = value else { return };
         if let Some(other) = seen.insert(value, name) {
-            let what = format!("`{value}` already selects route `{other}`");
-            self.fault(&["routes", name, field], what);
+            self.selector_taken(name, field, value, other);
         }
     }
 
--- a/crates/egretgate-core/tests/check.rs
+++ b/crates/egretgate-core/tests/check.rs
@@ -4,8 +4,15 @@
 use std::fs;
 use std::path::Path;
 
-use egretgate_core::check::{MAX_FILE_BYTES, faults, parse};
-use egretgate_core::declaration::Declarations;
+use egretgate_core::check::{Fault, MAX_FILE_BYTES, faults, item_faults, parse};
+use egretgate_core::declaration::{
+    Declarations, Fencing, Outage, RouteSpec, ServiceKind, ServiceSpec, TeamSpec, TierSpec,
+};
+use egretgate_core::diff::{Section, diff};
+use proptest::collection::{btree_map, vec};
+use proptest::option;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 /// A file without fault; each case changes one part of it.
 const BASE: &str = "\
@@ -268,7 +275,7 @@
     let fields: Vec<String> = parse(&text)
         .expect_err("two faults")
         .iter()
-        .map(egretgate_core::check::Fault::field)
+        .map(Fault::field)
         .collect();
     assert_eq!(fields, ["tiers.door.rank", "routes.tags.path"]);
     let text = BASE.replace("rank = 0", "rnak = 0").replace("once = true", "once = 1");
@@ -310,3 +317,80 @@
     let declared: Declarations = parse(&text).expect("no fault");
     assert_eq!(declared.teams.len(), 7_401);
 }
+
+/// Declarations from few names and values, so that doubles and missing names are common.
+fn declarations() -> impl Strategy<Value = Declarations> {
+    let hash = |key: u8| format!("{key:064x}");
+    let tier = (0..9_u8, 0..3_u8).prop_map(|(rank, tenths)| TierSpec {
+        rank,
+        objective: f64::from(tenths) / 2.0,
+        first_token_ms: 1,
+        between_tokens_ms: 1,
+        deadline_ms: u64::from(rank % 7),
+    });
+    let team = ("[ab]", vec(0..4_u8, 0..3)).prop_map(move |(tier, keys)| TeamSpec {
+        tier,
+        tiers: Vec::new(),
+        keys: keys.into_iter().map(hash).collect(),
+        weight: 1,
+        in_flight: 0,
+    });
+    let service = (any::<bool>(), 0..4_u32).prop_map(|(plain, queue)| ServiceSpec {
+        kind: if plain { ServiceKind::Plain } else { ServiceKind::Engine },
+        version: "v1".to_owned(),
+        fencing: Fencing::Ignored,
+        queue,
+        concurrency: 1,
+    });
+    let route = ("[ab]", option::of("[ab]"), option::of("/[ab]/"), any::<bool>());
+    let route = route.prop_map(|(service, model, path, once)| RouteSpec {
+        service,
+        model,
+        path,
+        once,
+        outage: Outage::Refuse,
+        window_s: 1,
+    });
+    let sections = (
+        btree_map("[ab]", tier, 0..3),
+        btree_map("[abc]", team, 0..4),
+        btree_map("[ab]", service, 0..3),
+        btree_map("[abc]", route, 0..4),
+    );
+    sections.prop_map(|(tiers, teams, services, routes)| Declarations {
+        tiers,
+        teams,
+        services,
+        routes,
+    })
+}
+
+fn items(declared: &Declarations) -> Vec<(Section, String)> {
+    let changes = diff(&Declarations::default(), declared);
+    changes.into_iter().map(|change| (change.section, change.name)).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(13),
+        failure_persistence: None,
+        cases: 2_000,
+        ..ProptestConfig::default()
+    })]
+
+    /// A state has a fault exactly if one of its items has one, so that a fold may check only
+    /// the items that a change puts.
+    #[test]
+    fn item_by_item_finds_what_the_whole_finds(declared in declarations()) {
+        let whole = faults(&declared);
+        let single: Vec<Fault> = items(&declared)
+            .iter()
+            .flat_map(|(section, name)| item_faults(&declared, *section, name))
+            .collect();
+        prop_assert_eq!(whole.is_empty(), single.is_empty(), "{:?} {:?}", whole, single);
+        for fault in &whole {
+            let at = |other: &Fault| other.path == fault.path;
+            prop_assert!(single.iter().any(at), "{} is missing in {:?}", fault, single);
+        }
+    }
+}
