feat(egretside): limits and queue follow the declarations

Cause: declared queue, concurrency and objectives were not passed on, and the estimate of one engine stood for all behind one queue, which refused in vain. Change: Estimate::join over live engines; declared bounds set at each change.

--- a/crates/egretgate-core/src/limit.rs
+++ b/crates/egretgate-core/src/limit.rs
@@ -350,6 +350,13 @@
         }
     }
 
+    /// Sets the targets, and the upper bound in requests, at least 1.
+    pub fn set_targets(&mut self, first: Duration, between: Duration, requests: u32) {
+        self.options = LimitOptions { first, between, requests, ..self.options };
+        self.requests.most = f64::from(requests.max(1));
+        self.requests.value = self.requests.value.min(self.requests.most);
+    }
+
     /// Goes back to slow start, after the upstream has restarted; nothing runs any more.
     pub fn restart(&mut self, now: Instant) {
         let fresh = Self::new(self.options, now);
--- a/crates/egretgate-core/src/queue.rs
+++ b/crates/egretgate-core/src/queue.rs
@@ -356,6 +356,11 @@
         if self.closed { Some(0) } else { self.lowest().filter(|_| self.is_full()) }
     }
 
+    /// Sets the most requests that wait, at least 1. What waits beyond it stays.
+    pub fn set_capacity(&mut self, capacity: usize) {
+        self.options.capacity = capacity.max(1);
+    }
+
     /// Returns the number of requests that wait.
     pub fn len(&self) -> usize {
         self.held.len()
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -243,6 +243,7 @@
             }
             to_side::Body::Records(records) => {
                 if self.feed.take(&records) {
+                    self.follow_declarations();
                     self.beat();
                 }
             }
--- a/crates/egretside/src/desk/life.rs
+++ b/crates/egretside/src/desk/life.rs
@@ -12,6 +12,7 @@
 use crate::desk::{Desk, DeskMessage, Identity, Running, Unconfirmed, Waiting};
 use crate::engines::{EngineKey, PROBE_PAUSE, Verdict};
 use crate::run::{Finish, Report, Run};
+use crate::samples::Key;
 
 impl Desk {
     /// Gives up what can't finish any more and starts what fits.
@@ -100,7 +101,12 @@
         } else {
             limit.dropped(charged);
         }
-        self.samples.note(&running.route, &running.version, running.level, report);
+        let place = Key {
+            route: running.route.clone(),
+            version: running.version.clone(),
+            level: running.level,
+        };
+        self.samples.note(place, self.feed.targets(running.tier), report);
         self.log_end(&running, report);
         let cut = matches!(report.finish, Finish::Cut);
         let doubted = self.engines.ended(running.engine, report.ticket, cut);
--- a/crates/egretside/src/desk/upkeep.rs
+++ b/crates/egretside/src/desk/upkeep.rs
@@ -32,6 +32,15 @@
         self.gauge();
     }
 
+    /// Takes over what the declarations say of the service and its most urgent tier.
+    pub(crate) fn follow_declarations(&mut self) {
+        let Some(service) = self.feed.service(&self.identity.service) else { return };
+        let (queue, concurrency) = (service.queue, service.concurrency);
+        let targets = self.feed.targets(0);
+        self.queue.set_capacity(queue as usize);
+        self.engines.set_targets(targets, concurrency);
+    }
+
     /// Sends the load to every entry.
     pub(crate) fn beat(&mut self) {
         self.last_beat = Instant::now();
--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -7,6 +7,7 @@
 use egretgate_core::{Digest, Ticket, VersionId};
 use slotmap::SlotMap;
 
+use crate::feed::Targets;
 use crate::upstream::Upstream;
 
 /// Pause between two probes of an engine that doesn't answer.
@@ -214,14 +215,17 @@
         Verdict::Died { digests, back: alive }
     }
 
-    /// Returns the estimate of the emptiest live engine.
+    /// Returns what is expected of all live engines behind the one queue.
     pub(crate) fn estimate(&self) -> Estimate {
-        self.engines
-            .values()
-            .filter(|engine| engine.health != Health::Down)
-            .min_by_key(|engine| engine.limit.estimate().slot)
-            .map(|engine| engine.limit.estimate())
-            .unwrap_or_default()
+        let live = self.engines.values().filter(|engine| engine.health != Health::Down);
+        Estimate::join(live.map(|engine| engine.limit.estimate())).unwrap_or_default()
+    }
+
+    /// Sets the targets of every limit, and its upper bound in requests.
+    pub(crate) fn set_targets(&mut self, targets: Targets, requests: u32) {
+        for engine in self.engines.values_mut() {
+            engine.limit.set_targets(targets.first, targets.between, requests);
+        }
     }
 
     /// Returns the number of requests in flight.
--- a/crates/egretside/src/feed.rs
+++ b/crates/egretside/src/feed.rs
@@ -4,14 +4,30 @@
 
 use blake3::Hash;
 use bytes::Bytes;
+use egretgate_core::declaration::ServiceSpec;
 use egretgate_core::fold::{Effect, Shared, Standing};
 use egretgate_core::poison::{Death, Poison, PoisonOptions, Verdict};
-use egretgate_core::{Digest, Incarnation, Offset, UpstreamId};
+use egretgate_core::{Digest, Incarnation, Offset, Tier, UpstreamId};
 use egretgate_link::message::{Deaths, Heartbeat, Records, RecordsAsk};
 
 /// Time after which an unanswered ask is given up and put to another entry.
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Longest times of a good request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Targets {
+    /// Time to the first token.
+    pub first: Duration,
+    /// Mean time between tokens.
+    pub between: Duration,
+}
+
+impl Default for Targets {
+    fn default() -> Self {
+        Self { first: Duration::from_millis(380), between: Duration::from_millis(34) }
+    }
+}
+
 /// Configuration as far as it was fed, and what this process knows of deaths before the log does.
 #[derive(Debug)]
 pub(crate) struct Feed {
@@ -98,6 +114,22 @@
         self.shared.declarations().teams.get(team).map_or(1, |team| team.weight)
     }
 
+    /// Returns the declaration of a service.
+    pub(crate) fn service(&self, name: &str) -> Option<&ServiceSpec> {
+        self.shared.declarations().services.get(name)
+    }
+
+    /// Returns the targets of a tier, or those of the most urgent one if it is not declared.
+    pub(crate) fn targets(&self, tier: Tier) -> Targets {
+        let tiers = || self.shared.declarations().tiers.values();
+        let spec =
+            tiers().find(|spec| spec.rank == tier).or_else(|| tiers().min_by_key(|spec| spec.rank));
+        spec.map_or_else(Targets::default, |spec| Targets {
+            first: Duration::from_millis(spec.first_token_ms),
+            between: Duration::from_millis(spec.between_tokens_ms),
+        })
+    }
+
     /// Returns whether a request is refused because upstreams died while running it.
     pub(crate) fn is_quarantined(&self, digest: Digest) -> bool {
         self.shared.quarantine().is_quarantined(&digest)
--- a/crates/egretside/src/samples.rs
+++ b/crates/egretside/src/samples.rs
@@ -1,25 +1,25 @@
 //! Cumulative measurements per version, route and load level, for version moves.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use egretgate_core::{RouteId, VersionId};
 use egretgate_link::message::Sample;
 
+use crate::feed::Targets;
 use crate::run::{Finish, Report};
 
-/// Longest time to a good first token.
-const FIRST_TARGET: Duration = Duration::from_millis(380);
-/// Longest good mean time between tokens.
-const BETWEEN_TARGET: Duration = Duration::from_millis(34);
 /// Most rows kept.
 const MAX_ROWS: usize = 256;
 
+/// What is counted together.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-struct Key {
-    route: RouteId,
-    version: VersionId,
-    level: u32,
+pub(crate) struct Key {
+    /// Route.
+    pub route: RouteId,
+    /// Version.
+    pub version: VersionId,
+    /// Load level when the request started; 0 is the lightest.
+    pub level: u32,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -38,19 +38,18 @@
 
 impl Samples {
     /// Counts an ended run. Cancelled runs and those never sent say nothing of a version.
-    pub(crate) fn note(&mut self, route: &str, version: &str, level: u32, report: &Report) {
+    pub(crate) fn note(&mut self, place: Key, targets: Targets, report: &Report) {
         if matches!(report.finish, Finish::Cancelled | Finish::NotSent) {
             return;
         }
-        let key = Key { route: route.to_owned(), version: version.to_owned(), level };
-        if self.rows.len() >= MAX_ROWS && !self.rows.contains_key(&key) {
+        if self.rows.len() >= MAX_ROWS && !self.rows.contains_key(&place) {
             return;
         }
-        let counts = self.rows.entry(key).or_default();
+        let counts = self.rows.entry(place).or_default();
         counts.total += 1;
         counts.errors += u64::from(matches!(report.finish, Finish::Failed | Finish::Cut));
-        counts.slow_first += u64::from(report.first.is_some_and(|time| time > FIRST_TARGET));
-        counts.slow_between += u64::from(report.between.is_some_and(|time| time > BETWEEN_TARGET));
+        counts.slow_first += u64::from(report.first.is_some_and(|time| time > targets.first));
+        counts.slow_between += u64::from(report.between.is_some_and(|time| time > targets.between));
     }
 
     /// Returns the counters as frames carry them.
