--- a/crates/egretgate-core/benches/fold.rs
+++ b/crates/egretgate-core/benches/fold.rs
@@ -1,3 +1,185 @@
-//! Costs of the fold.
+//! Costs of the fold at the target's number of teams, and appends of group commit on paper.
+//!
+//! `cargo bench -p egretgate-core --bench fold`
 
-fn main() {}
+use std::hint::black_box;
+
+use bytes::Bytes;
+use divan::{AllocProfiler, Bencher};
+use egretgate_core::Digest;
+use egretgate_core::fold::{Shared, State};
+use egretgate_core::intent::{COMMIT_BUDGET, commit_interval};
+use egretgate_core::record::body::{
+    Calls, Change, Done, Ending, Intent, Item, Kind, Outcome, TicketId,
+};
+use egretgate_core::record::{Body, Record};
+use egretgate_core::snapshot::split;
+
+#[global_allocator]
+static ALLOC: AllocProfiler = AllocProfiler::system();
+
+/// Numbers of teams: today and the target.
+const TEAMS: [u32; 2] = [10, 7_400];
+/// Teams in one change while the state is built.
+const TEAMS_PER_CHANGE: u32 = 1_000;
+/// Calls in one group.
+const GROUP: u64 = 50;
+/// Keys held while groups are folded.
+const KEYS: u64 = 100_000;
+const WRITER: u64 = 1;
+
+fn item(kind: Kind, name: &str, spec: String, expects: u64) -> Item {
+    Item { kind: kind as i32, name: name.into(), spec, expects }
+}
+
+fn team(index: u32, expects: u64) -> Item {
+    let key = blake3::hash(&index.to_le_bytes()).to_hex();
+    let spec = format!(r#"{{"tier":"tier0","keys":["{key}"],"weight":{}}}"#, 1 + expects % 9);
+    item(Kind::Team, &format!("team-{index:05}"), spec, expects)
+}
+
+fn change(sequence: u64, puts: Vec<Item>) -> Vec<u8> {
+    let (operator, reason) = ("operator".into(), "weights for the season".into());
+    let body = Body::Change(Change { operator, reason, puts, deletes: Vec::new() });
+    Record::new(WRITER, sequence, body).to_bytes().expect("within the limits")
+}
+
+/// Returns a state with `teams` teams and the records that made it.
+fn declared(teams: u32) -> State {
+    let mut state = State::new();
+    let tier =
+        |rank: u32| item(Kind::Tier, &format!("tier{rank}"), format!(r#"{{"rank":{rank}}}"#), 0);
+    state.apply(0, &change(1, (0..4).map(tier).collect()));
+    let mut index = 0;
+    while index < teams {
+        let end = teams.min(index + TEAMS_PER_CHANGE);
+        let puts = (index..end).map(|index| team(index, 0)).collect();
+        let offset = state.next();
+        state.apply(offset, &change(offset + 1, puts));
+        index = end;
+    }
+    assert_eq!(state.shared().declarations().teams.len(), teams as usize);
+    state
+}
+
+fn key(index: u64) -> Bytes {
+    Bytes::copy_from_slice(Digest::of(&[&index.to_le_bytes()]).as_bytes())
+}
+
+/// Returns a group with intents for the keys from `first` on, and outcomes of the group before.
+fn group(sequence: u64, first: u64) -> Vec<u8> {
+    let ticket = |index| Some(TicketId { entry: WRITER, sequence: index });
+    let done = Done::new(200, "application/json", Bytes::from_static(&[b'x'; 256]));
+    let outcome = |index| Outcome {
+        key: key(index),
+        ticket: ticket(index),
+        ending: Some(Ending::Done(done.clone())),
+    };
+    let intent = |index| Intent {
+        key: key(index),
+        body: key(index),
+        ticket: ticket(index),
+        window_s: 86_400,
+    };
+    let outcomes = (first.saturating_sub(GROUP)..first).map(outcome).collect();
+    let intents = (first..first + GROUP).map(intent).collect();
+    let body = Body::Calls(Calls { outcomes, intents });
+    Record::new(WRITER, sequence, body).to_bytes().expect("within the limits")
+}
+
+/// One change of one team, as each entry and side process folds it.
+#[divan::bench(args = TEAMS)]
+fn apply_change(bencher: Bencher<'_, '_>, teams: u32) {
+    let mut state = declared(teams);
+    let mut made = state.next();
+    let mut revision = 0;
+    bencher
+        .with_inputs(|| {
+            made += 1;
+            revision += 1;
+            change(made, vec![team(0, revision)])
+        })
+        .bench_local_values(|bytes| {
+            let offset = state.next();
+            state.apply(offset, &bytes)
+        });
+    assert!(state.shared().acts().all(|act| act.refused.is_none()));
+}
+
+/// A group of 50 intents and 50 outcomes, with 100,000 keys held.
+#[divan::bench]
+fn apply_group(bencher: Bencher<'_, '_>) {
+    let mut state = State::new();
+    let mut first = 0;
+    while first < KEYS {
+        let offset = state.next();
+        state.apply(offset, &group(offset + 1, first));
+        first += GROUP;
+    }
+    let mut made = state.next();
+    bencher
+        .with_inputs(|| {
+            made += 1;
+            first += GROUP;
+            group(made, first - GROUP)
+        })
+        .bench_local_values(|bytes| {
+            let offset = state.next();
+            state.apply(offset, &bytes)
+        });
+}
+
+#[divan::bench(args = TEAMS)]
+fn encode_shared(bencher: Bencher<'_, '_>, teams: u32) {
+    let state = declared(teams);
+    bencher.bench_local(|| state.shared().encode());
+}
+
+/// "max alloc" is the heap that a process needs for the shared state.
+#[divan::bench(args = TEAMS)]
+fn decode_shared(bencher: Bencher<'_, '_>, teams: u32) {
+    let bytes = declared(teams).shared().encode();
+    bencher.bench_local(|| Shared::decode(black_box(&bytes)).expect("encoded above"));
+}
+
+#[divan::bench(args = TEAMS)]
+fn split_snapshot(bencher: Bencher<'_, '_>, teams: u32) {
+    let state = declared(teams);
+    bencher.bench_local(|| split(&state, 1));
+}
+
+/// What an entry pays to hand its readers a new copy of the declarations.
+#[divan::bench(args = TEAMS)]
+fn clone_declarations(bencher: Bencher<'_, '_>, teams: u32) {
+    let state = declared(teams);
+    bencher.bench_local(|| state.shared().declarations().clone());
+}
+
+fn print_sizes() {
+    for teams in TEAMS {
+        let state = declared(teams);
+        let chunks = split(&state, 1).expect("within the limits").len();
+        let bytes = state.shared().encode().len();
+        let one = change(1, vec![team(0, 0)]).len();
+        println!("{teams} teams: state {bytes} bytes, {chunks} chunks; one change {one} bytes");
+    }
+    println!("100 intents and outcomes: {} bytes", group(1, GROUP).len());
+}
+
+fn print_appends() {
+    for (name, entries) in [("today, Recife", 3), ("today, Ulaanbaatar", 4), ("target", 38)] {
+        let interval = commit_interval(entries);
+        let appends = f64::from(entries) / interval.as_secs_f64();
+        println!("{name}: {entries} entries every {interval:?}: at most {appends:.0} appends/s");
+    }
+    for entries in [95, 630] {
+        let interval = commit_interval(entries);
+        println!("{entries} committers share {COMMIT_BUDGET} appends/s at {interval:?}");
+    }
+}
+
+fn main() {
+    print_sizes();
+    print_appends();
+    divan::main();
+}
