--- a/crates/egretgate-core/src/intent.rs
+++ b/crates/egretgate-core/src/intent.rs
@@ -381,6 +381,55 @@
         }
     }
 
+    /// Notes that the fold went on from a snapshot, so that records in between were not read.
+    ///
+    /// A call whose intent was among them is dispatched, joined or answered by what the keys say.
+    /// One that they don't show keeps waiting for its append, which is tried again.
+    pub fn resync(&mut self, keys: &Keys) {
+        for digest in self.keys.keys().copied().collect::<Vec<_>>() {
+            let Some(held) = self.keys.get(&digest) else {
+                continue;
+            };
+            let own = held.own.as_ref().map(|own| (own.call.ticket, own.stage.clone()));
+            match own {
+                Some((ticket, Stage::Sent)) => self.resync_sent(digest, ticket, keys),
+                Some((ticket, Stage::Ended(_))) => self.resync_ended(digest, ticket, keys),
+                Some(_) => {}
+                None => self.resync_joined(digest, keys),
+            }
+        }
+    }
+
+    fn resync_sent(&mut self, key: Digest, ticket: Ticket, keys: &Keys) {
+        let Some(holder) = keys.get(&key).map(|held| held.ticket) else {
+            return;
+        };
+        if holder == ticket {
+            self.read_first(KeyEvent { key, ticket, change: KeyChange::First });
+        } else {
+            self.read_lost(KeyEvent { key, ticket, change: KeyChange::Lost }, keys);
+        }
+    }
+
+    fn resync_ended(&mut self, key: Digest, ticket: Ticket, keys: &Keys) {
+        let open = keys.get(&key).is_some_and(|held| held.state == KeyState::Open);
+        if !open {
+            self.read_ended(KeyEvent { key, ticket, change: KeyChange::Ended }, keys);
+        }
+    }
+
+    /// Answers requests that wait for another process's call, or lets them wait on.
+    fn resync_joined(&mut self, key: Digest, keys: &Keys) {
+        let Some(held) = keys.get(&key) else {
+            let event = KeyEvent { key, ticket: Ticket::default(), change: KeyChange::Expired };
+            return self.close(event, Reply::Unknown);
+        };
+        if held.state != KeyState::Open {
+            let event = KeyEvent { key, ticket: held.ticket, change: KeyChange::Ended };
+            self.read_ended(event, keys);
+        }
+    }
+
     fn own_mut(&mut self, key: Digest, ticket: Ticket) -> Option<&mut Own> {
         let own = self.keys.get_mut(&key)?.own.as_mut()?;
         (own.call.ticket == ticket).then_some(own)
--- a/crates/egretgate-core/tests/intent.rs
+++ b/crates/egretgate-core/tests/intent.rs
@@ -46,6 +46,8 @@
     /// Requests without a final answer, with their deadlines.
     open: BTreeMap<Ticket, Instant>,
     frozen: bool,
+    /// Moment until which it stays frozen.
+    thaw: Duration,
     rate: f64,
 }
 
@@ -96,6 +98,7 @@
             running: Vec::new(),
             open: BTreeMap::new(),
             frozen: false,
+            thaw: Duration::ZERO,
             rate,
         }
     }
@@ -215,7 +218,7 @@
             75..83 if !frozen => self.end(entry),
             83 if !frozen => self.abandon(entry),
             84 => self.crash(entry),
-            85..87 if frozen => self.wake(entry),
+            85..87 if frozen && self.elapsed >= self.entries[entry].thaw => self.wake(entry),
             87 => self.freeze(entry),
             89..95 if !self.log_up => self.outage(),
             89 => self.outage(),
@@ -234,7 +237,7 @@
     fn begin(&mut self, entry: usize) {
         let key = self.rng.random_range(0..KEYS);
         let body = u8::from(self.rng.random_bool(0.05));
-        let wait = Duration::from_millis(self.rng.random_range(100..90_000));
+        let wait = Duration::from_millis(self.rng.random_range(100..300_000));
         let now = self.now(entry);
         let held = &mut self.entries[entry];
         held.sequence += 1;
@@ -343,7 +346,9 @@
     /// Stops a process for a while, if possible one that is about to dispatch.
     fn freeze(&mut self, entry: usize) {
         let ready = self.entries.iter().position(|held| !held.ready.is_empty());
-        self.entries[ready.unwrap_or(entry)].frozen = true;
+        let held = &mut self.entries[ready.unwrap_or(entry)];
+        held.frozen = true;
+        held.thaw = self.elapsed + WINDOW.mul_f64(self.rng.random_range(0.0..3.0));
     }
 
     /// A frozen process wakes, and goes on with whatever it was about to do.
@@ -421,7 +426,7 @@
                     self.end(entry);
                 }
             }
-            self.elapsed += Duration::from_millis(250);
+            self.elapsed += Duration::from_secs(1);
             for entry in 0..ENTRIES {
                 self.entries[entry].read(&self.log, usize::MAX);
                 self.run(entry);
@@ -703,6 +708,68 @@
     assert_eq!(pair.replies[&FIRST], Reply::NotRun(ErrorKind::DeadlinePassed));
 }
 
+#[test]
+fn a_process_that_skipped_records_goes_on_from_the_keys() {
+    struct Case {
+        name: &'static str,
+        /// What the other entry does with the key before the first one sends its intent.
+        before: fn(&mut Pair),
+        dispatches: bool,
+        reply: Option<Reply>,
+    }
+    let cases = [
+        Case { name: "first", before: |_| {}, dispatches: true, reply: None },
+        Case {
+            name: "lost to an answered call",
+            before: |pair| {
+                pair.begin(SECOND, 0);
+                pair.settle();
+                assert!(pair.dispatch(SECOND));
+                pair.entry(SECOND).calls.ended(SECOND, Some(answer_of(SECOND)));
+                pair.settle();
+            },
+            dispatches: false,
+            reply: Some(Reply::Recorded(answer_of(SECOND))),
+        },
+        Case {
+            name: "lost to another body",
+            before: |pair| {
+                pair.begin(SECOND, 1);
+                pair.settle();
+            },
+            dispatches: false,
+            reply: Some(Reply::KeyReused),
+        },
+    ];
+    for Case { name, before, dispatches, reply } in cases {
+        let mut pair = Pair::new();
+        let mut slow = Entry::new(3, 1.0);
+        before(&mut pair);
+        let ticket = Ticket::new(3, 1);
+        let (key, body) = (Digest::of(&[b"key"]), Digest::of(&[&[0]]));
+        let deadline = pair.now + WINDOW;
+        let call = Call { ticket, key, body, window: WINDOW, deadline };
+        slow.calls.begin(call, slow.state.keys(), pair.now);
+        slow.calls.tick(pair.now);
+        for effect in slow.calls.effects() {
+            let Effect::Append(append) = effect else { panic!("{effect:?}") };
+            pair.log.push(append.data);
+        }
+        pair.settle();
+        let snapshot = State::decode(&pair.entries[0].state.encode()).unwrap();
+        assert!(slow.state.resume(snapshot));
+        slow.calls.resync(slow.state.keys());
+        slow.calls.resync(slow.state.keys());
+        let effects = slow.calls.effects();
+        let expected = match reply {
+            Some(reply) => vec![Effect::Answer(ticket, reply)],
+            None => vec![Effect::Dispatch(ticket)],
+        };
+        assert_eq!(effects, expected, "{name}");
+        assert_eq!(slow.calls.dispatch(ticket, pair.now), dispatches, "{name}");
+    }
+}
+
 #[test]
 fn groups_stay_within_the_budget_of_the_log() {
     struct Case {
