--- a/crates/egretgate-core/tests/intent.rs
+++ b/crates/egretgate-core/tests/intent.rs
@@ -538,6 +538,13 @@
         }
     }
 
+    /// Dispatches the first call.
+    fn start(&mut self) {
+        self.begin(FIRST, 0);
+        self.settle();
+        assert!(self.dispatch(FIRST));
+    }
+
     fn dispatch(&mut self, ticket: Ticket) -> bool {
         let now = self.now;
         self.entry(ticket).calls.dispatch(ticket, now)
@@ -567,19 +574,12 @@
 
 #[test]
 fn a_second_call_is_answered_from_the_first() {
-    let started: fn(&mut Pair) = |pair| {
-        pair.begin(FIRST, 0);
-        pair.settle();
-        assert!(pair.dispatch(FIRST));
-    };
     let cases = [
-        Case { name: "joins a running call", run: started, reply: None },
+        Case { name: "joins a running call", run: Pair::start, reply: None },
         Case {
             name: "gets the recorded answer",
             run: |pair| {
-                pair.begin(FIRST, 0);
-                pair.settle();
-                assert!(pair.dispatch(FIRST));
+                pair.start();
                 pair.entry(FIRST).calls.ended(FIRST, Some(answer_of(FIRST)));
             },
             reply: Some(Reply::Recorded(answer_of(FIRST))),
@@ -587,9 +587,7 @@
         Case {
             name: "keeps the first outcome, whatever is recorded later",
             run: |pair| {
-                pair.begin(FIRST, 0);
-                pair.settle();
-                assert!(pair.dispatch(FIRST));
+                pair.start();
                 pair.entry(FIRST).calls.ended(FIRST, Some(answer_of(FIRST)));
                 pair.settle();
                 let outcome = body::Outcome {
@@ -605,9 +603,7 @@
         Case {
             name: "is not repeated after an unknown end",
             run: |pair| {
-                pair.begin(FIRST, 0);
-                pair.settle();
-                assert!(pair.dispatch(FIRST));
+                pair.start();
                 pair.entry(FIRST).calls.ended(FIRST, None);
             },
             reply: Some(Reply::Unknown),
@@ -650,9 +646,7 @@
 #[test]
 fn a_proof_of_not_run_frees_the_key() {
     let mut pair = Pair::new();
-    pair.begin(FIRST, 0);
-    pair.settle();
-    assert!(pair.dispatch(FIRST));
+    pair.start();
     pair.begin(SECOND, 0);
     pair.settle();
     pair.entry(FIRST).calls.not_run(FIRST, ErrorKind::Overloaded);
