feat(core): a smaller bound of keys, tests of bounded memory

Cause: the bound of 2^20 keys was never weighed against memory.

Tests that answers and writers are bounded, that the oldest answers go first and the encoded state stays equal, and that an outage still gives recorded answers.

--- a/crates/egretgate-core/benches/fold.rs
+++ b/crates/egretgate-core/benches/fold.rs
@@ -87,6 +87,15 @@
     Record::new(WRITER, sequence, body).to_bytes().expect("within the limits")
 }
 
+fn keys_held() -> State {
+    let mut state = State::new();
+    for first in (0..KEYS).step_by(GROUP as usize) {
+        let offset = state.next();
+        state.apply(offset, &group(offset + 1, first));
+    }
+    state
+}
+
 /// One change of one team, as each entry and side process folds it.
 #[divan::bench(args = TEAMS)]
 fn apply_change(bencher: Bencher<'_, '_>, teams: u32) {
@@ -109,13 +118,8 @@
 /// A group of 50 intents and 50 outcomes, with 100,000 keys held.
 #[divan::bench]
 fn apply_group(bencher: Bencher<'_, '_>) {
-    let mut state = State::new();
-    let mut first = 0;
-    while first < KEYS {
-        let offset = state.next();
-        state.apply(offset, &group(offset + 1, first));
-        first += GROUP;
-    }
+    let mut state = keys_held();
+    let mut first = KEYS;
     let mut made = state.next();
     bencher
         .with_inputs(|| {
@@ -129,6 +133,13 @@
         });
 }
 
+/// "max alloc" is the heap that an entry needs for 100,000 keys with answers of 256 bytes.
+#[divan::bench]
+fn decode_keys(bencher: Bencher<'_, '_>) {
+    let bytes = keys_held().encode();
+    bencher.bench_local(|| State::decode(black_box(&bytes)).expect("encoded above"));
+}
+
 #[divan::bench(args = TEAMS)]
 fn encode_shared(bencher: Bencher<'_, '_>, teams: u32) {
     let state = declared(teams);
--- a/crates/egretgate-core/src/fold/keys.rs
+++ b/crates/egretgate-core/src/fold/keys.rs
@@ -19,7 +19,7 @@
 use crate::record::body::{Calls, Done, Ending, Intent, Outcome, Tick};
 
 /// Most keys kept; beyond it new intents are refused as not run.
-pub const MAX_KEYS: usize = 1 << 20;
+pub const MAX_KEYS: usize = 1 << 18;
 /// Most bytes of recorded answers kept; beyond it the oldest are kept by digest only.
 pub const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Most log time that one tick adds.
--- a/crates/egretgate-core/tests/fold.rs
+++ b/crates/egretgate-core/tests/fold.rs
@@ -4,13 +4,15 @@
 
 use assert_matches::assert_matches;
 use bytes::Bytes;
-use egretgate_core::fold::{Applied, Effect, MAX_ACTS, Part, Shared, Standing, State};
+use egretgate_core::fold::{
+    Applied, Effect, KeyState, MAX_ACTS, MAX_BODY_BYTES, Part, Shared, Standing, State,
+};
 use egretgate_core::lease::{KEEPER, move_lease};
 use egretgate_core::record::body::{
-    Calls, Change, Claim, Clear, Death, Delete, Item, Kind, Lift, MoveBegin, MoveStep, Release,
-    Renew, Tick, Verdict,
+    Calls, Change, Claim, Clear, Death, Delete, Done, Ending, Intent, Item, Kind, Lift, MoveBegin,
+    MoveStep, Outcome, Release, Renew, Tick, TicketId, Verdict,
 };
-use egretgate_core::record::{self, Body, Fault, MAX_RECORD_BYTES, Record};
+use egretgate_core::record::{self, Body, Fault, MAX_OUTCOME_BYTES, MAX_RECORD_BYTES, Record};
 use egretgate_core::{Digest, Error, ErrorKind, Incarnation};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -568,6 +570,44 @@
     assert!(!resumed.resume(State::new()));
 }
 
+#[test]
+fn recorded_answers_are_bounded_and_oldest_dropped() {
+    let mut log = Log::default();
+    let key = |index: u64| Digest::of(&[&index.to_le_bytes()]);
+    let bytes = |index| Bytes::copy_from_slice(key(index).as_bytes());
+    let done = Done::new(200, "text/plain", vec![7; MAX_OUTCOME_BYTES].into());
+    let most = (MAX_BODY_BYTES / MAX_OUTCOME_BYTES) as u64;
+    for index in 0..most + 9 {
+        let ticket = Some(TicketId { entry: 1, sequence: index });
+        let (key, body) = (bytes(index), bytes(index));
+        let intents = vec![Intent { key: key.clone(), body, ticket, window_s: 1 }];
+        log.push(1, Body::Calls(Calls { outcomes: vec![], intents }));
+        let outcomes = vec![Outcome { key, ticket, ending: Some(Ending::Done(done.clone())) }];
+        log.push(1, Body::Calls(Calls { outcomes, intents: vec![] }));
+    }
+    let decoded = State::decode(&log.state.encode()).unwrap();
+    for index in 0..most + 9 {
+        let state = &decoded.keys().get(&key(index)).unwrap().state;
+        let KeyState::Done(done) = state else { panic!("{state:?}") };
+        assert_eq!(done.body.is_some(), index >= 9, "{index}");
+    }
+    assert_eq!(decoded.encode(), log.state.encode());
+}
+
+#[test]
+fn writers_are_bounded() {
+    let mut log = Log::default();
+    let mut sizes = Vec::new();
+    for writer in 1..=60_000 {
+        log.push(writer, Body::Calls(Calls::default()));
+        if writer % 30_000 == 0 {
+            sizes.push(log.state.encode().len());
+        }
+    }
+    assert!(sizes[1] < sizes[0] * 11 / 10, "{sizes:?}");
+    assert_eq!(log.push_bytes(log.records[59_000].clone()).effect, Effect::Double);
+}
+
 #[test]
 fn acts_are_bounded_and_newest_last() {
     let mut log = Log::declared();
--- a/crates/egretgate-core/tests/intent.rs
+++ b/crates/egretgate-core/tests/intent.rs
@@ -521,18 +521,22 @@
     fn settle(&mut self) {
         for _ in 0..8 {
             self.now += COMMIT_INTERVAL;
-            for held in &mut self.entries {
-                held.calls.tick(self.now);
-                held.read(&self.log, usize::MAX);
-                for effect in held.calls.effects() {
-                    match effect {
-                        Effect::Append(append) => self.log.push(append.data),
-                        Effect::Dispatch(ticket) => held.ready.push(ticket),
-                        Effect::Join(_) => {}
-                        Effect::Answer(ticket, reply) => {
-                            assert_eq!(self.replies.insert(ticket, reply), None);
-                        }
-                    }
+            self.run(0);
+            self.run(1);
+        }
+    }
+
+    fn run(&mut self, entry: usize) {
+        let held = &mut self.entries[entry];
+        held.calls.tick(self.now);
+        held.read(&self.log, usize::MAX);
+        for effect in held.calls.effects() {
+            match effect {
+                Effect::Append(append) => self.log.push(append.data),
+                Effect::Dispatch(ticket) => held.ready.push(ticket),
+                Effect::Join(_) => {}
+                Effect::Answer(ticket, reply) => {
+                    assert_eq!(self.replies.insert(ticket, reply), None);
                 }
             }
         }
@@ -584,6 +588,16 @@
             },
             reply: Some(Reply::Recorded(answer_of(FIRST))),
         },
+        Case {
+            name: "gets the recorded answer in an outage",
+            run: |pair| {
+                pair.start();
+                pair.entry(FIRST).calls.ended(FIRST, Some(answer_of(FIRST)));
+                pair.settle();
+                pair.entry(SECOND).calls.log_up(false);
+            },
+            reply: Some(Reply::Recorded(answer_of(FIRST))),
+        },
         Case {
             name: "keeps the first outcome, whatever is recorded later",
             run: |pair| {
@@ -686,16 +700,10 @@
     pair.settle();
     assert_eq!(pair.entries[0].ready, [FIRST]);
     pair.pass();
-    pair.entries[1].read(&pair.log, usize::MAX);
+    pair.run(1);
     pair.begin(SECOND, 0);
-    let now = pair.now;
-    pair.entries[1].calls.tick(now);
-    for effect in pair.entries[1].calls.effects() {
-        if let Effect::Append(append) = effect {
-            pair.log.push(append.data);
-        }
-    }
-    pair.entries[1].read(&pair.log, usize::MAX);
+    pair.run(1);
+    pair.run(1);
     assert!(pair.dispatch(SECOND));
     assert!(!pair.dispatch(FIRST), "dispatched again within the window of another call");
     pair.settle();
