--- a/crates/egretgate-core/examples/choices.rs
+++ b/crates/egretgate-core/examples/choices.rs
@@ -8,10 +8,10 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Places, each with one entry and a third of the upstreams.
+/// Places, each with a third of the entries and upstreams.
 const PLACES: [&str; 3] = ["boa-viagem", "santo-amaro", "olinda"];
-/// Speeds of the upstreams, four of each.
-const SPEEDS: [f64; 12] = [1.0, 1.0, 1.0, 1.0, 2.0, 2.0, 2.0, 2.0, 4.0, 4.0, 4.0, 4.0];
+/// Speeds of the upstreams, equally many of each.
+const SPEEDS: [f64; 3] = [1.0, 2.0, 4.0];
 /// The upstream that always reports to be idle; one of the slowest.
 const LIAR: usize = 0;
 /// Requests that run at once at an upstream.
@@ -35,9 +35,18 @@
 const OBJECTIVES: [f64; 4] = [0.38, 1.0, 3.0, 10.0];
 /// Seconds simulated.
 const LENGTH: f64 = 600.0;
-/// Requests per second that all upstreams can serve with the lengths drawn here.
-const CAPACITY: f64 = 31.0;
+/// Requests per second that an upstream can serve on average with the lengths drawn here.
+const CAPACITY: f64 = 2.6;
 const SEEDS: u64 = 5;
+/// Sizes compared: few entries that each see much of the load, and many that see little.
+const SCENES: [Scene; 2] =
+    [Scene { entries: 3, upstreams: 18 }, Scene { entries: 36, upstreams: 36 }];
+
+#[derive(Debug, Clone, Copy)]
+struct Scene {
+    entries: usize,
+    upstreams: usize,
+}
 
 #[derive(Debug, Clone)]
 struct Request {
@@ -85,6 +94,7 @@
 }
 
 struct World {
+    scene: Scene,
     start: Instant,
     fleets: Vec<Fleet>,
     keys: Vec<UpstreamKey>,
@@ -98,30 +108,43 @@
 
 fn main() {
     println!(
-        "| load | policy | tier 0 good | tier 1 | tier 2 | tier 3 | p95 first token | refused | wasted prefill | prefix hits | to the liar |"
+        "| entries | upstreams | load | policy | tier 0 good | tier 1 | tier 2 | tier 3 | p95 first token | refused | wasted prefill | prefix hits | to the liar |"
     );
-    println!("|---|---|---|---|---|---|---|---|---|---|---|");
-    for load in [0.5, 0.8, 1.1] {
-        for policy in Policy::ALL {
-            let mut figures = Figures::default();
-            for seed in 0..SEEDS {
-                let mut world = World::new(policy, load, seed, figures);
-                world.run();
-                figures = world.figures;
+    println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    for scene in SCENES {
+        for load in [0.5, 0.8, 1.1] {
+            for policy in Policy::ALL {
+                compare(scene, policy, load);
             }
-            figures.print(policy, load);
         }
     }
 }
 
+fn compare(scene: Scene, policy: Policy, load: f64) {
+    let mut figures = Figures::default();
+    for seed in 0..SEEDS {
+        let mut world = World::new(scene, policy, load, seed, figures);
+        world.run();
+        figures = world.figures;
+    }
+    figures.print(scene, policy, load);
+}
+
+/// Returns the speed of an upstream.
+fn speed(server: usize) -> f64 {
+    SPEEDS[server / PLACES.len() % SPEEDS.len()]
+}
+
 impl Figures {
-    fn print(mut self, policy: Policy, load: f64) {
+    fn print(mut self, scene: Scene, policy: Policy, load: f64) {
         self.firsts.sort_by(f64::total_cmp);
         let p95 = self.firsts[self.firsts.len() * 95 / 100];
         let good = |tier: usize| 100.0 * self.good[tier] as f64 / self.offered[tier] as f64;
         let offered: u64 = self.offered.iter().sum();
         println!(
-            "| {load} | {} | {:.1}% | {:.1}% | {:.1}% | {:.1}% | {p95:.3} s | {:.1}% | {:.1}% | {:.1}% | {:.1}% |",
+            "| {} | {} | {load} | {} | {:.1}% | {:.1}% | {:.1}% | {:.1}% | {p95:.3} s | {:.1}% | {:.1}% | {:.1}% | {:.1}% |",
+            scene.entries,
+            scene.upstreams,
             policy.as_str(),
             good(0),
             good(1),
@@ -136,10 +159,10 @@
 }
 
 impl World {
-    fn new(policy: Policy, load: f64, seed: u64, figures: Figures) -> Self {
-        let mut fleets: Vec<Fleet> = PLACES.iter().map(|_| Fleet::new(policy)).collect();
+    fn new(scene: Scene, policy: Policy, load: f64, seed: u64, figures: Figures) -> Self {
+        let mut fleets: Vec<Fleet> = (0..scene.entries).map(|_| Fleet::new(policy)).collect();
         let mut keys = Vec::new();
-        for index in 0..SPEEDS.len() {
+        for index in 0..scene.upstreams {
             for fleet in &mut fleets {
                 let key = fleet.insert(Upstream {
                     id: format!("forecast-{index}"),
@@ -153,10 +176,11 @@
             }
         }
         let mut world = Self {
+            scene,
             start: Instant::now(),
             fleets,
             keys,
-            servers: SPEEDS.iter().map(|_| Server::default()).collect(),
+            servers: (0..scene.upstreams).map(|_| Server::default()).collect(),
             requests: Vec::new(),
             events: BinaryHeap::new(),
             pending: Vec::new(),
@@ -164,8 +188,8 @@
             figures,
         };
         world.arrive(load, seed);
-        for server in 0..SPEEDS.len() {
-            world.at(0.1 * server as f64, Event::Measure(server));
+        for server in 0..scene.upstreams {
+            world.at(server as f64 / scene.upstreams as f64, Event::Measure(server));
         }
         world
     }
@@ -175,13 +199,14 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let mut arrived = 0.0;
         while arrived < LENGTH {
-            arrived -= (1.0 - rng.random::<f64>()).ln() / (CAPACITY * load);
+            arrived -=
+                (1.0 - rng.random::<f64>()).ln() / (CAPACITY * self.scene.upstreams as f64 * load);
             let long = rng.random_bool(0.2);
             let output = if long { rng.random_range(800..2_000) } else { rng.random_range(8..40) };
             let popular: f64 = rng.random::<f64>() * rng.random::<f64>();
             let prefix = (popular * PREFIXES as f64) as u64;
             self.requests.push(Request {
-                entry: rng.random_range(0..PLACES.len()),
+                entry: rng.random_range(0..self.scene.entries),
                 tier: rng.random_range(0..4),
                 prompt: rng.random_range(200..2_000),
                 output,
@@ -235,7 +260,7 @@
             prompt: request.prompt,
             output: request.guess,
             prefix: request.prefix,
-            place: PLACES[request.entry],
+            place: PLACES[request.entry % PLACES.len()],
             excluded: &request.tried,
         };
         let fleet = &mut self.fleets[request.entry];
@@ -276,7 +301,7 @@
             server.cache.pop_front();
         }
         let tokens = f64::from(request.prompt) * if hit { 1.0 - SHARED } else { 1.0 };
-        let first = time + tokens * PREFILL / SPEEDS[index];
+        let first = time + tokens * PREFILL / speed(index);
         let objective = OBJECTIVES[usize::from(request.tier)];
         self.figures.prefilled += tokens;
         self.figures.wasted += if first - request.arrived > objective { tokens } else { 0.0 };
@@ -297,7 +322,7 @@
         if let Some(flight) = &mut request.flight {
             self.fleets[request.entry].first(self.keys[server], flight, now);
         }
-        let lasts = f64::from(request.output) * BETWEEN / SPEEDS[server];
+        let lasts = f64::from(request.output) * BETWEEN / speed(server);
         self.at(time + lasts, Event::End(server, index));
     }
 
@@ -317,7 +342,7 @@
     /// Sends the load to every entry, late.
     fn measure(&mut self, server: usize, time: f64) {
         let report = self.load(server);
-        for entry in 0..PLACES.len() {
+        for entry in 0..self.scene.entries {
             let lag = self.rng.random_range(0.0..REPORT_LAG);
             self.at(time + lag, Event::Report(server, entry, report));
         }
@@ -332,7 +357,7 @@
         if index == LIAR {
             return Report { limit: 64, first: Duration::from_millis(1), ..idle };
         }
-        let between = BETWEEN / SPEEDS[index];
+        let between = BETWEEN / speed(index);
         let waiting = &server.queue;
         let tokens: u64 = waiting.iter().map(|&r| u64::from(self.requests[r].output)).sum();
         let wait = tokens as f64 * between / SLOTS as f64;
@@ -340,7 +365,7 @@
             queued: waiting.len() as u32,
             running: server.running as u32,
             tokens,
-            first: Duration::from_secs_f64(wait + 1_100.0 * PREFILL / SPEEDS[index]),
+            first: Duration::from_secs_f64(wait + 1_100.0 * PREFILL / speed(index)),
             between: Duration::from_secs_f64(between),
             ..idle
         }
--- a/crates/egretgate-core/examples/moves.rs
+++ b/crates/egretgate-core/examples/moves.rs
@@ -3,6 +3,7 @@
 #[path = "support/moves_model.rs"]
 mod model;
 
+use std::process::ExitCode;
 use std::thread;
 
 use model::{Deaths, Kind, Run, run};
@@ -12,16 +13,33 @@
 /// Threads that share the runs.
 const THREADS: u64 = 4;
 
-fn main() {
+fn main() -> ExitCode {
     println!(
-        "| version | holder dies | runs | done | taken back | of these unproven | served p50 | served max | harmed p50 | minutes p50 | minutes max | share max | minute share max | after verdict |"
+        "| version | holder dies | runs | done | taken back | of these unproven | served p50 | \
+         served max | harmed p50 | minutes p50 | minutes max | share max | minute share max | \
+         after verdict |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|");
+    let mut met = true;
     for kind in Kind::ALL {
         for deaths in [Deaths::None, Deaths::Always] {
-            print(kind, deaths, &runs(kind, deaths));
+            let runs = runs(kind, deaths);
+            print(kind, deaths, &runs);
+            met &= meets(kind, &runs);
         }
     }
+    println!("targets met: {met}");
+    if met { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+/// Returns true if at most 1% of good moves were taken back, or if every bad one was, after at
+/// most 5% of its routes' requests.
+fn meets(kind: Kind, runs: &[Run]) -> bool {
+    let done = runs.iter().filter(|run| run.done).count();
+    if kind == Kind::Good {
+        return (runs.len() - done) * 100 <= runs.len();
+    }
+    done == 0 && runs.iter().all(|run| run.share <= 0.05 && run.late == 0)
 }
 
 /// Runs every seed of a fake version.
--- a/crates/egretgate-core/examples/support/moves_model.rs
+++ b/crates/egretgate-core/examples/support/moves_model.rs
@@ -136,13 +136,12 @@
     fn odds(self, route: usize, load: f64, second: u64, onset: u64) -> Odds {
         let mut odds = Odds::old(load);
         match self {
-            Self::Good => {}
             Self::FailsAtOnce => odds.error = 0.2,
             Self::FailsLater if second >= onset => odds.error = 0.2,
             Self::SlowAtOnce => odds.first = 0.2,
             Self::SlowUnderLoad if load >= 0.75 => odds.first = 0.33,
             Self::BadOnRoute if route == 1 => odds.error = 0.125,
-            Self::FailsLater | Self::SlowUnderLoad | Self::BadOnRoute => {}
+            Self::Good | Self::FailsLater | Self::SlowUnderLoad | Self::BadOnRoute => {}
             Self::Crashing => odds.crash = 0.002,
             Self::SlightlyBad => odds.error += 0.06,
             Self::JustOver => odds.error += 0.025,
@@ -251,6 +250,13 @@
     }
 }
 
+/// Returns the largest share of the new version on a route that had at least `least` requests.
+fn share(counts: &[[u64; ROUTES.len()]; 2], least: u64) -> f64 {
+    let [old, new] = counts;
+    let routes = old.iter().zip(new).filter(|&(&old, &new)| old + new >= least);
+    routes.map(|(&old, &new)| new as f64 / (old + new) as f64).fold(0.0, f64::max)
+}
+
 /// Runs one move of a fake version.
 pub fn run(kind: Kind, seed: u64, deaths: Deaths) -> Run {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -320,15 +326,9 @@
         let all = sent[1] == 0 && hosts == UPSTREAMS;
         gauges[0].turn(sent[0], if all { UPSTREAMS } else { UPSTREAMS - hosts });
         gauges[1].turn(sent[1], hosts);
-        for route in 0..ROUTES.len() {
-            let all = (seen[0][route] + seen[1][route]) as f64;
-            run.share = run.share.max(if all < 100.0 { 0.0 } else { seen[1][route] as f64 / all });
-        }
+        run.share = run.share.max(share(&seen, 100));
         if second % 60 == 59 {
-            for route in 0..ROUTES.len() {
-                let all = (minute[0][route] + minute[1][route]).max(1) as f64;
-                run.minute = run.minute.max(minute[1][route] as f64 / all);
-            }
+            run.minute = run.minute.max(share(&minute, 1));
             minute = Default::default();
         }
         if verdict.is_some_and(|(since, done)| done || second > since + AFTER) {
--- a/crates/egretgate-core/src/choice/fleet.rs
+++ b/crates/egretgate-core/src/choice/fleet.rs
@@ -8,16 +8,16 @@
 use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::view::Prior;
+use super::view::{Prior, rank};
 use super::{Ask, Flight, Policy, Report, Upstream, UpstreamKey, View};
-use crate::ids::{PlaceId, ServiceId, VersionId};
+use crate::ids::{MAX_TIERS, PlaceId, ServiceId, Tier, VersionId};
 
 /// Points of one upstream on the hash ring of its group.
 const POINTS: u64 = 16;
 /// Upstreams looked at along the ring before affinity is given up.
 const RING_STEPS: usize = 4;
 /// Members of a pool up to which a choice looks at all of them.
-const SMALL_POOL: usize = 16;
+const SMALL_POOL: usize = 24;
 /// Random candidates from the own place.
 const NEAR_SAMPLES: usize = 4;
 /// Random candidates from other places.
@@ -54,6 +54,8 @@
     work: u64,
     /// Sum of the members' own requests in flight.
     flights: u64,
+    /// Sums of the members' own requests without first token, by tier.
+    unstarted: [u64; MAX_TIERS],
     /// Sum of the members' capacity, in tokens per second.
     capacity: u64,
     /// Sum of the members' slots.
@@ -76,6 +78,7 @@
 struct Part {
     work: u64,
     flights: u64,
+    unstarted: [u64; MAX_TIERS],
     capacity: u64,
     slots: u64,
     others: u64,
@@ -199,9 +202,16 @@
     /// Counts a request as in flight from its offer on.
     pub fn begin(&mut self, key: UpstreamKey, ask: &Ask<'_>, now: Instant) -> Flight {
         let work = Flight::weigh(ask);
-        let prior = self.prior_of(key);
-        let mut flight =
-            Flight { work, prompt: ask.prompt, predicted: 0.0, load: 0.0, begun: now, first: None };
+        let prior = self.prior_of(key, ask.tier);
+        let mut flight = Flight {
+            work,
+            tier: ask.tier,
+            prompt: ask.prompt,
+            predicted: 0.0,
+            load: 0.0,
+            begun: now,
+            first: None,
+        };
         let Some(member) = self.members.get_mut(key) else { return flight };
         flight.predicted = member.view.predict(ask, prior, 0.0, now);
         flight.load = member.view.load(prior, now);
@@ -218,6 +228,7 @@
         flight.first = Some(now);
         let Some(member) = self.members.get_mut(key) else { return };
         member.view.observe_first(flight, now);
+        self.refresh(key);
     }
 
     /// Ends a request, however it ended, after `tokens` generated tokens.
@@ -369,10 +380,10 @@
         let hottest = views().map(|(_, view)| view.in_flight()).max()?;
         let coldest = views().map(|(_, view)| view.in_flight()).min()?;
         if hottest == coldest {
-            return least_by(views(), |view| latency(view, now));
+            return least_by(views(), |view| latency(view, ask.tier, now));
         }
         let cold = views().filter(|(_, view)| view.in_flight() < hottest);
-        least_by(cold, |view| latency(view, now))
+        least_by(cold, |view| latency(view, ask.tier, now))
     }
 
     fn affinity<R: Rng + ?Sized>(
@@ -390,28 +401,29 @@
         };
         let own = pool.places.get(ask.place).map(|&index| pool.groups[index]);
         let own = own.filter(|&group| !self.groups[group].members.is_empty());
-        if let Some(group) = own.map(|key| &self.groups[key])
-            && let Some(key) = self.on_ring(group, ask, rng)
-        {
-            offer(key, self.score(key, group, ask, EXPECTED_HIT, now));
+        let near = own.map(|key| &self.groups[key]);
+        let prior = near.map(|group| group.prior(ask.tier)).unwrap_or_default();
+        if let Some(key) = near.and_then(|group| self.on_ring(group, ask, rng)) {
+            offer(key, self.score(key, prior, ask, EXPECTED_HIT, now));
         }
         if pool.members.len() <= SMALL_POOL {
             for &group in &pool.groups {
                 let group = &self.groups[group];
+                let prior = group.prior(ask.tier);
                 let away = if group.place == ask.place { 0.0 } else { self.distance(group) };
                 for &key in &group.members {
                     let Some(view) = self.allowed(key, ask) else { continue };
                     if admitted(view, rng) {
-                        offer(key, self.score(key, group, ask, 0.0, now) + away);
+                        offer(key, self.score(key, prior, ask, 0.0, now) + away);
                     }
                 }
             }
             return best.map(|(_, key)| key);
         }
-        if let Some(group) = own.map(|key| &self.groups[key]) {
+        if let Some(group) = near {
             for _ in 0..NEAR_SAMPLES {
                 let Some(key) = self.draw(group, ask, rng) else { continue };
-                offer(key, self.score(key, group, ask, 0.0, now));
+                offer(key, self.score(key, prior, ask, 0.0, now));
             }
         }
         let samples = if own.is_some() { FAR_SAMPLES } else { NEAR_SAMPLES + FAR_SAMPLES };
@@ -422,7 +434,8 @@
             }
             let group = &self.groups[key];
             let Some(key) = self.draw(group, ask, rng) else { continue };
-            offer(key, self.score(key, group, ask, 0.0, now) + self.distance(group));
+            let prior = group.prior(ask.tier);
+            offer(key, self.score(key, prior, ask, 0.0, now) + self.distance(group));
         }
         best.map(|(_, key)| key)
     }
@@ -466,9 +479,9 @@
     }
 
     /// Returns the predicted seconds to first token, with what weighs against the member.
-    fn score(&self, key: UpstreamKey, group: &Group, ask: &Ask<'_>, hit: f64, now: Instant) -> f64 {
+    fn score(&self, key: UpstreamKey, prior: Prior, ask: &Ask<'_>, hit: f64, now: Instant) -> f64 {
         let view = &self.members[key].view;
-        let predicted = view.predict(ask, group.prior(), hit, now) + view.excess(now);
+        let predicted = view.predict(ask, prior, hit, now) + view.excess(ask.tier, now);
         let shed = if view.sheds(ask.tier, now) { SHED_PENALTY } else { 0.0 };
         predicted + shed
     }
@@ -479,10 +492,10 @@
         2.0 * latency.as_secs_f64() + SPILL_MARGIN
     }
 
-    fn prior_of(&self, key: UpstreamKey) -> Prior {
+    fn prior_of(&self, key: UpstreamKey, tier: Tier) -> Prior {
         let Some(member) = self.members.get(key) else { return Prior::default() };
         let Some(&group) = member.groups.first() else { return Prior::default() };
-        self.groups[group].prior()
+        self.groups[group].prior(tier)
     }
 
     /// Enters a member into its groups.
@@ -562,6 +575,7 @@
     fn add(&mut self, part: Part) {
         self.work += part.work;
         self.flights += part.flights;
+        self.unstarted.iter_mut().zip(part.unstarted).for_each(|(sum, part)| *sum += part);
         self.capacity += part.capacity;
         self.slots += part.slots;
         self.others += part.others;
@@ -570,15 +584,19 @@
     fn subtract(&mut self, part: Part) {
         self.work -= part.work;
         self.flights -= part.flights;
+        self.unstarted.iter_mut().zip(part.unstarted).for_each(|(sum, part)| *sum -= part);
         self.capacity -= part.capacity;
         self.slots -= part.slots;
         self.others -= part.others;
     }
 
-    fn prior(&self) -> Prior {
+    fn prior(&self, tier: Tier) -> Prior {
+        let urgent: u64 = self.unstarted[..=rank(tier)].iter().sum();
+        let all: u64 = self.unstarted.iter().sum();
         Prior {
             others: self.others as f64 / self.slots.max(1) as f64,
             length: self.work as f64 / self.flights.max(1) as f64,
+            ahead: (urgent + 1) as f64 / (all + 1) as f64,
         }
     }
 }
@@ -590,6 +608,7 @@
         Self {
             work: view.work,
             flights: u64::from(view.flights),
+            unstarted: view.unstarted.map(u64::from),
             capacity: capacity as u64,
             slots,
             others: u64::from(view.others()),
@@ -603,8 +622,8 @@
 }
 
 /// Returns the latency that a Prequal-style decision compares, in seconds.
-fn latency(view: &View, now: Instant) -> f64 {
-    view.report.first.as_secs_f64().max(view.excess(now))
+fn latency(view: &View, tier: Tier, now: Instant) -> f64 {
+    view.report.first.as_secs_f64().max(view.excess(tier, now))
 }
 
 fn least_by<'a>(
--- a/crates/egretgate-core/src/choice/view.rs
+++ b/crates/egretgate-core/src/choice/view.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::{Ask, Report, Upstream};
+use crate::ids::{MAX_TIERS, Tier};
 
 /// Age at which a report weighs half as much as a fresh one.
 const HALF_AGE: Duration = Duration::from_secs(1);
@@ -20,12 +21,14 @@
 const DEFAULT_PREFILL: f64 = 0.000_2;
 /// Own streams measured before they go before the reported speed.
 const TRUSTED: u32 = 3;
+/// Weight of a report down to which its shed level is heeded.
+const SHED_FRESHNESS: f64 = 0.25;
 /// Excess over the prediction from which a request counts as having waited, in seconds.
 const WAITED: f64 = 0.1;
 /// Slots regained for each request that did not wait.
 const SLOT_GAIN: f64 = 0.1;
 /// Power of the utilization that approximates the probability of waiting.
-const QUEUE_POWER: i32 = 4;
+const QUEUE_POWER: i32 = 8;
 /// Prompt tokens that weigh as much as one generated token.
 const PROMPT_WEIGHT: u64 = 16;
 
@@ -34,6 +37,8 @@
 pub struct Flight {
     /// Outstanding tokens that it adds to the upstream, weighted.
     pub(super) work: u64,
+    /// Tier.
+    pub(super) tier: Tier,
     /// Prompt length in tokens.
     pub(super) prompt: u32,
     /// Time to first token predicted from reports and own work, without the measured excess.
@@ -63,10 +68,8 @@
     pub(super) flights: u32,
     /// Own outstanding tokens, weighted.
     pub(super) work: u64,
-    /// Own requests that have no first token yet. At most `flights`.
-    pub(super) unstarted: u32,
-    /// Since when no first token has come although one is awaited; set while `unstarted` is not 0.
-    stalled: Option<Instant>,
+    /// Own requests that have no first token yet, by tier. Their sum is at most `flights`.
+    pub(super) unstarted: [u32; MAX_TIERS],
     /// Slots that own observations leave believable, whatever is reported.
     believed: f64,
     /// Measured tokens per second of one stream.
@@ -75,10 +78,20 @@
     measured: u32,
     /// Moving lower bound of seconds to first token per prompt token.
     prefill: f64,
-    /// Average of measured minus predicted time to first token, in seconds; at least 0.
-    excess: f64,
-    /// When `excess` was last renewed.
+    /// Excess over the prediction, by tier: a lower tier may wait for reasons that do not hold
+    /// for a higher one.
+    excess: [Excess; MAX_TIERS],
+}
+
+/// How much longer than predicted the first tokens of a tier take.
+#[derive(Debug, Clone, Copy, Default)]
+struct Excess {
+    /// Average of measured minus predicted time to first token, in seconds; may be negative.
+    average: f64,
+    /// When `average` was last renewed.
     renewed: Option<Instant>,
+    /// Since when no first token has come although one is awaited.
+    stalled: Option<Instant>,
 }
 
 /// Averages of a group, which stand in for what an old report no longer says.
@@ -88,6 +101,8 @@
     pub(super) others: f64,
     /// Outstanding tokens of an own request; 0 if there is none.
     pub(super) length: f64,
+    /// Share of waiting requests that go before one of the tier asked for, or with it.
+    pub(super) ahead: f64,
 }
 
 impl Flight {
@@ -108,14 +123,12 @@
             base: 0,
             flights: 0,
             work: 0,
-            unstarted: 0,
-            stalled: None,
+            unstarted: [0; MAX_TIERS],
             believed: f64::MAX,
             rate: DEFAULT_RATE,
             measured: 0,
             prefill: DEFAULT_PREFILL,
-            excess: 0.0,
-            renewed: None,
+            excess: [Excess::default(); MAX_TIERS],
         }
     }
 
@@ -181,21 +194,37 @@
     pub(super) fn predict(&self, ask: &Ask<'_>, prior: Prior, hit: f64, now: Instant) -> f64 {
         let fresh = self.freshness(now);
         let slots = self.effective_slots();
-        let load = self.load(prior, now);
+        let load = self.load_at(prior, fresh);
         let busy = (load / slots).min(1.0);
         // Below saturation a queue still forms at times; the power stands for its probability.
-        let waiting = (load + 1.0 - slots).max(0.0) + busy.powi(QUEUE_POWER);
-        let length = self.length(ask, prior);
+        let queue = (load - slots).max(0.0);
+        let ahead = if queue > 0.0 { self.ahead(ask.tier, queue, prior) } else { 0.0 };
+        // The next slot to fall free is waited for by every tier alike.
+        let slot = (load + 1.0 - slots).clamp(0.0, 1.0);
+        let waiting = slot + ahead + busy.powi(QUEUE_POWER);
+        let length = if prior.length > 0.0 { prior.length } else { f64::from(ask.output) };
         let wait = waiting * length / (slots * self.rate());
         let prefill = f64::from(ask.prompt) * self.prefill * (1.0 - hit);
         let crowding = prefill * (load / slots);
         let modelled = wait + prefill + crowding;
-        modelled.max(fresh * self.report.first.as_secs_f64())
+        // A reported wait says nothing of how long a given tier waits, unless nothing is queued.
+        let reported = if self.report.queued == 0 { self.report.first } else { Duration::ZERO };
+        modelled.max(fresh * reported.as_secs_f64())
+    }
+
+    /// Returns how many of `queue` waiting requests go before one of `tier`, or with it.
+    fn ahead(&self, tier: Tier, queue: f64, prior: Prior) -> f64 {
+        let own: u32 = self.unstarted.iter().sum();
+        let urgent: u32 = self.unstarted[..=rank(tier)].iter().sum();
+        f64::from(urgent).min(queue) + (queue - f64::from(own)).max(0.0) * prior.ahead
     }
 
     /// Returns the requests in flight, by the last report at its age and own ones.
     pub(super) fn load(&self, prior: Prior, now: Instant) -> f64 {
-        let fresh = self.freshness(now);
+        self.load_at(prior, self.freshness(now))
+    }
+
+    fn load_at(&self, prior: Prior, fresh: f64) -> f64 {
         let usual = prior.others * f64::from(self.slots());
         f64::from(self.flights) + fresh * f64::from(self.others()) + (1.0 - fresh) * usual
     }
@@ -205,35 +234,25 @@
         f64::from(self.slots()).min(self.believed)
     }
 
-    /// Returns the time by which own observations exceed predictions, in seconds.
-    pub(super) fn excess(&self, now: Instant) -> f64 {
-        let since = |at: Instant| now.saturating_duration_since(at);
-        let measured = self.renewed.map_or(0.0, |at| self.excess * halve(since(at), HALF_EXCESS));
-        let stalled = self.stalled.map_or(0.0, |at| since(at).as_secs_f64());
-        measured.max(stalled)
+    /// Returns the time by which own observations of `tier` and of more urgent ones, which wait
+    /// no longer, exceed predictions, in seconds.
+    pub(super) fn excess(&self, tier: Tier, now: Instant) -> f64 {
+        self.excess[..=rank(tier)].iter().map(|excess| excess.at(now)).fold(0.0, f64::max)
     }
 
     /// Returns true if the last report, at its age, says that `tier` would be refused.
     pub(super) fn sheds(&self, tier: u8, now: Instant) -> bool {
-        let refused = self.report.shed.is_some_and(|shed| shed <= tier);
+        let Some(shed) = self.report.shed else { return false };
         let displaces = self.report.lowest.is_some_and(|lowest| lowest > tier);
-        refused && !displaces && self.freshness(now) > 0.25
-    }
-
-    /// Returns the mean outstanding tokens of an own request here, or in the group if none is.
-    fn length(&self, ask: &Ask<'_>, prior: Prior) -> f64 {
-        if self.flights == 0 {
-            return prior.length.max(f64::from(ask.output));
-        }
-        self.work as f64 / f64::from(self.flights)
+        shed <= tier && !displaces && self.freshness(now) > SHED_FRESHNESS
     }
 
     /// Counts the offer of an own request.
     pub(super) fn begin(&mut self, flight: &Flight) {
         self.flights += 1;
         self.work += flight.work;
-        self.unstarted += 1;
-        self.stalled.get_or_insert(flight.begun);
+        self.unstarted[rank(flight.tier)] += 1;
+        self.excess[rank(flight.tier)].stalled.get_or_insert(flight.begun);
     }
 
     /// Counts the end of an own request.
@@ -241,28 +260,27 @@
         self.flights = self.flights.saturating_sub(1);
         self.work = self.work.saturating_sub(flight.work);
         if flight.first.is_none() {
-            self.start(now);
+            self.start(flight.tier, now);
         }
     }
 
     /// Counts that an own request no longer awaits its first token.
-    fn start(&mut self, now: Instant) {
-        self.unstarted = self.unstarted.saturating_sub(1);
-        self.stalled = (self.unstarted > 0).then_some(now);
+    fn start(&mut self, tier: Tier, now: Instant) {
+        let unstarted = &mut self.unstarted[rank(tier)];
+        *unstarted = unstarted.saturating_sub(1);
+        let awaited = *unstarted > 0;
+        self.excess[rank(tier)].stalled = awaited.then_some(now);
     }
 
     /// Takes in the time to the first token of an own request.
     pub(super) fn observe_first(&mut self, flight: &Flight, now: Instant) {
-        self.start(now);
+        self.start(flight.tier, now);
         let seconds = now.saturating_duration_since(flight.begun).as_secs_f64();
-        let over = (seconds - flight.predicted).max(0.0);
+        let over = seconds - flight.predicted;
         self.believe(flight, over);
-        let before = self.excess;
-        let age = self.renewed.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-        let faded = before * halve(age, HALF_EXCESS);
-        self.excess = faded + GAIN * (over - faded);
-        self.renewed = Some(now);
-        if flight.prompt > 0 {
+        self.excess[rank(flight.tier)].observe(over, now);
+        let idle = flight.load + 1.0 <= self.effective_slots();
+        if flight.prompt > 0 && idle {
             let unit = seconds / f64::from(flight.prompt);
             let gain = if unit < self.prefill { GAIN } else { RISE };
             self.prefill += gain * (unit.min(self.prefill * 4.0) - self.prefill);
@@ -271,7 +289,8 @@
 
     /// Lowers the believed slots after a request that waited, raises them after one that did not.
     fn believe(&mut self, flight: &Flight, over: f64) {
-        if over > WAITED.max(flight.predicted) {
+        let queued = flight.load >= f64::from(self.slots());
+        if over > WAITED.max(flight.predicted) && !queued {
             self.believed = self.believed.min(flight.load.max(1.0));
         } else if flight.load + 1.0 >= self.believed {
             self.believed += SLOT_GAIN;
@@ -290,6 +309,27 @@
     }
 }
 
+impl Excess {
+    fn at(self, now: Instant) -> f64 {
+        let since = |at: Instant| now.saturating_duration_since(at);
+        let measured = self.renewed.map_or(0.0, |at| self.average * halve(since(at), HALF_EXCESS));
+        let stalled = self.stalled.map_or(0.0, |at| since(at).as_secs_f64());
+        measured.max(stalled)
+    }
+
+    fn observe(&mut self, over: f64, now: Instant) {
+        let age = self.renewed.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        let faded = self.average * halve(age, HALF_EXCESS);
+        self.average = faded + GAIN * (over - faded);
+        self.renewed = Some(now);
+    }
+}
+
+/// Returns the index of a tier.
+pub(super) fn rank(tier: Tier) -> usize {
+    usize::from(tier).min(MAX_TIERS - 1)
+}
+
 /// Returns a weight that falls with age: 1 at none, one half at `half`.
 fn halve(age: Duration, half: Duration) -> f64 {
     1.0 / (1.0 + age.as_secs_f64() / half.as_secs_f64())
--- a/crates/egretgate-core/src/gate.rs
+++ b/crates/egretgate-core/src/gate.rs
@@ -28,12 +28,12 @@
     pub shed: Option<Tier>,
 }
 
-/// An upstream that refused the request.
+/// An upstream that refused or displaced the request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Attempt {
     /// The upstream.
     pub key: UpstreamKey,
-    /// When its refusal arrived.
+    /// When its refusal arrived; the load that it carried is heard with the same time.
     pub at: Instant,
 }
 
@@ -54,6 +54,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Heard {
     signal: Signal,
+    /// When it arrived. Later than every earlier signal and refusal, also within one reading of
+    /// the clock.
     at: Instant,
 }
 
@@ -80,6 +82,8 @@
     admitting: [u32; MAX_TIERS],
     /// When this entry last refused each tier.
     refused: [Option<Instant>; MAX_TIERS],
+    /// Time of the last event. Never goes back.
+    last: Option<Instant>,
 }
 
 impl Signal {
@@ -107,12 +111,14 @@
             signals: SecondaryMap::new(),
             admitting: [0; MAX_TIERS],
             refused: [None; MAX_TIERS],
+            last: None,
         }
     }
 
     /// Takes in what a side process published.
     pub fn hear(&mut self, key: UpstreamKey, signal: Signal, now: Instant) {
-        let old = self.signals.insert(key, Heard { signal, at: now });
+        let at = self.turn(now);
+        let old = self.signals.insert(key, Heard { signal, at });
         self.count(old.map(|heard| heard.signal), Some(signal));
     }
 
@@ -134,7 +140,7 @@
         now: Instant,
         rng: &mut R,
     ) -> Verdict {
-        let closed = self.closed(tier);
+        let closed = self.closed(tier, now);
         let heard = self.admitting[rank(tier)] > 0 || self.signals.is_empty();
         if tried.is_empty() && closed.is_none() && heard {
             return Verdict::Offer;
@@ -144,16 +150,18 @@
             .filter_map(|key| Some((self.chance(key, tier, tried, closed, now)?, key)))
             .collect();
         if left.is_empty() {
-            self.refused[rank(tier)] = Some(now);
+            self.refused[rank(tier)] = Some(self.turn(now));
             return Verdict::Refuse { after: spread(tier, rng) };
         }
         left.sort_by_key(|&(chance, _)| chance);
         Verdict::Probe(left.into_iter().map(|(_, key)| key).collect())
     }
 
-    /// Returns when a higher tier was last refused here, which closes the gate of `tier`.
-    fn closed(&self, tier: Tier) -> Option<Instant> {
-        self.refused[..rank(tier)].iter().flatten().max().copied()
+    /// Returns the last refusal of a higher tier here, which closes the gate of `tier` until
+    /// signals show room, or for [`Gate::FRESH`] if none come.
+    fn closed(&self, tier: Tier, now: Instant) -> Option<Instant> {
+        let refused = self.refused[..rank(tier)].iter().flatten().copied();
+        refused.filter(|&at| now.saturating_duration_since(at) <= Self::FRESH).max()
     }
 
     /// Returns how likely `key` is to take the request, or `None` if it must not be asked.
@@ -167,9 +175,11 @@
     ) -> Option<Chance> {
         let heard = self.signals.get(key);
         let refused = tried.iter().filter(|attempt| attempt.key == key).map(|a| a.at).max();
-        // Only a signal from after these moments shows room that nobody was denied.
+        // Only a signal from after these events shows room that nobody was denied.
         let since = refused.max(closed);
-        let Some(heard) = heard.filter(|heard| now - heard.at <= Self::FRESH) else {
+        let Some(heard) =
+            heard.filter(|heard| now.saturating_duration_since(heard.at) <= Self::FRESH)
+        else {
             return since.is_none().then_some(Chance::Unknown);
         };
         let newer = since.is_none_or(|since| heard.at > since);
@@ -183,6 +193,14 @@
         probes.then_some(Chance::Full)
     }
 
+    /// Returns the time of a new event: `now`, or just after the last event if that is later.
+    fn turn(&mut self, now: Instant) -> Instant {
+        let after = self.last.map(|last| last + Duration::from_nanos(1));
+        let at = after.map_or(now, |after| after.max(now));
+        self.last = Some(at);
+        at
+    }
+
     fn count(&mut self, old: Option<Signal>, new: Option<Signal>) {
         for (tier, count) in self.admitting.iter_mut().enumerate() {
             let admits = |signal: Option<Signal>| signal.is_some_and(|s| s.admits(tier as Tier));
--- /dev/null
+++ b/crates/egretgate-core/tests/gate.rs
@@ -0,0 +1,258 @@
+//! Tier gates: verdicts, and fuzzing of several entries before bounded queues.
+
+use std::collections::VecDeque;
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use egretgate_core::Tier;
+use egretgate_core::choice::UpstreamKey;
+use egretgate_core::gate::{Attempt, Gate, Signal, Verdict};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slotmap::SlotMap;
+
+const TIERS: Tier = 4;
+const ENTRIES: usize = 3;
+
+/// A side process: a bounded queue that displaces its lowest tier, newest first.
+#[derive(Debug, Clone, Default)]
+struct Side {
+    queue: Vec<Tier>,
+}
+
+impl Side {
+    const CAPACITY: usize = 3;
+
+    fn signal(&self) -> Signal {
+        let lowest = self.queue.iter().max().copied();
+        let full = self.queue.len() >= Self::CAPACITY;
+        Signal { lowest, shed: if full { lowest } else { None } }
+    }
+
+    /// Takes a request and returns the one refused, if any.
+    fn offer(&mut self, tier: Tier) -> Option<Tier> {
+        self.queue.push(tier);
+        if self.queue.len() <= Self::CAPACITY {
+            return None;
+        }
+        let lowest = *self.queue.iter().max().expect("not empty");
+        let newest = self.queue.iter().rposition(|&held| held == lowest).expect("held");
+        Some(self.queue.remove(newest))
+    }
+}
+
+struct World {
+    now: Instant,
+    rng: ChaCha8Rng,
+    keys: Vec<UpstreamKey>,
+    sides: Vec<Side>,
+    gates: Vec<Gate>,
+    /// What each entry was told last by each side process.
+    told: Vec<Vec<Option<Signal>>>,
+    /// Signals under way, in order for each entry and side process.
+    wires: Vec<Vec<VecDeque<Signal>>>,
+    delayed: bool,
+}
+
+impl World {
+    fn new(seed: u64, delayed: bool) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let sides = rng.random_range(1..5);
+        let mut slots: SlotMap<UpstreamKey, ()> = SlotMap::with_key();
+        Self {
+            now: Instant::now(),
+            keys: (0..sides).map(|_| slots.insert(())).collect(),
+            sides: vec![Side::default(); sides],
+            gates: vec![Gate::new(1); ENTRIES],
+            told: vec![vec![None; sides]; ENTRIES],
+            wires: vec![vec![VecDeque::new(); sides]; ENTRIES],
+            delayed,
+            rng,
+        }
+    }
+
+    fn hear(&mut self, entry: usize, side: usize, signal: Signal) {
+        self.gates[entry].hear(self.keys[side], signal, self.now);
+        self.told[entry][side] = Some(signal);
+    }
+
+    /// Publishes the state of a side process to every entry.
+    fn publish(&mut self, side: usize) {
+        let signal = self.sides[side].signal();
+        for entry in 0..ENTRIES {
+            self.wires[entry][side].push_back(signal);
+            if !self.delayed {
+                self.deliver(entry, side);
+            }
+        }
+    }
+
+    fn deliver(&mut self, entry: usize, side: usize) {
+        while let Some(signal) = self.wires[entry][side].pop_front() {
+            self.hear(entry, side, signal);
+        }
+    }
+
+    /// Brings one request to its end: queued or refused. Returns true if it was queued.
+    fn request(&mut self, entry: usize, tier: Tier, log: &str) -> bool {
+        let mut tried: Vec<Attempt> = Vec::new();
+        for _ in 0..50 {
+            self.now += Duration::from_millis(1);
+            let verdict = self.gates[entry].decide(
+                tier,
+                &tried,
+                self.keys.iter().copied(),
+                self.now,
+                &mut self.rng,
+            );
+            let side = match verdict {
+                Verdict::Offer => self.rng.random_range(0..self.sides.len()),
+                Verdict::Probe(left) => {
+                    self.keys.iter().position(|&key| key == left[0]).expect("a known key")
+                }
+                Verdict::Refuse { after } => {
+                    assert!(after >= Gate::AFTER);
+                    self.check(entry, tier, &tried, log);
+                    return false;
+                }
+            };
+            let refused = self.sides[side].offer(tier);
+            let signal = self.sides[side].signal();
+            if refused != Some(tier) {
+                self.publish(side);
+                return true;
+            }
+            // The refusal comes after what was sent before it, and carries the load.
+            self.deliver(entry, side);
+            self.told[entry][side] = Some(signal);
+            self.gates[entry].hear(self.keys[side], signal, self.now);
+            tried.push(Attempt { key: self.keys[side], at: self.now });
+            if self.delayed && self.rng.random_bool(0.3) {
+                self.disturb();
+            }
+        }
+        panic!("{log}: no end of probes");
+    }
+
+    /// Something happens elsewhere: a queue moves on, or a signal arrives.
+    fn disturb(&mut self) {
+        let side = self.rng.random_range(0..self.sides.len());
+        if self.rng.random_bool(0.5) {
+            let queue = &mut self.sides[side].queue;
+            if !queue.is_empty() {
+                let first = queue.iter().min().copied().expect("not empty");
+                let index = queue.iter().position(|&tier| tier == first).expect("held");
+                queue.remove(index);
+            }
+            self.publish(side);
+        } else {
+            let entry = self.rng.random_range(0..ENTRIES);
+            self.deliver(entry, side);
+        }
+    }
+
+    /// The oracle, asked at each refusal.
+    fn check(&self, entry: usize, tier: Tier, tried: &[Attempt], log: &str) {
+        for (index, side) in self.sides.iter().enumerate() {
+            let open = |signal: Signal| signal.admits(tier) || signal.displaces(tier);
+            if !self.delayed {
+                assert!(!open(side.signal()), "{log}: tier {tier} refused, {side:?}");
+                continue;
+            }
+            // What the entry was told last showed no room, so that room came later.
+            let told = self.told[entry][index];
+            assert!(told.is_some_and(|told| !open(told)), "{log}: tier {tier}, told {told:?}");
+            let asked = tried.iter().any(|attempt| attempt.key == self.keys[index]);
+            assert!(tier > 0 || asked, "{log}: the top tier asks every one");
+        }
+    }
+}
+
+#[test]
+fn no_tier_is_refused_while_a_lower_one_waits() {
+    for (delayed, seeds) in [(false, 200), (true, 400)] {
+        for seed in 0..seeds {
+            let mut world = World::new(seed, delayed);
+            for step in 0..200 {
+                let log = format!("delayed {delayed} seed {seed} step {step}");
+                match world.rng.random_range(0..10) {
+                    0..6 => {
+                        let entry = world.rng.random_range(0..ENTRIES);
+                        let tier = world.rng.random_range(0..TIERS);
+                        let queued = world.request(entry, tier, &log);
+                        // Without delays no entry admits a lower tier after a refusal.
+                        for lower in tier + 1..TIERS {
+                            if queued || delayed {
+                                break;
+                            }
+                            let other = world.rng.random_range(0..ENTRIES);
+                            assert!(!world.request(other, lower, &log), "{log}: tier {lower}");
+                        }
+                    }
+                    6..9 => world.disturb(),
+                    _ => world.now += Duration::from_millis(world.rng.random_range(0..3_000)),
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn verdicts() {
+    struct Case {
+        name: &'static str,
+        tier: Tier,
+        signals: [(Option<Tier>, Option<Tier>); 2],
+        age: Duration,
+        want: &'static [usize],
+    }
+    const NOW: Duration = Duration::ZERO;
+    let full = (Some(1), Some(1));
+    let cases = [
+        Case { name: "full of higher", tier: 2, signals: [full, full], age: NOW, want: &[] },
+        Case {
+            name: "top probes all",
+            tier: 0,
+            signals: [(Some(0), Some(0)); 2],
+            age: NOW,
+            want: &[0, 1],
+        },
+        Case {
+            name: "displaces",
+            tier: 2,
+            signals: [full, (Some(3), Some(2))],
+            age: NOW,
+            want: &[1],
+        },
+        Case {
+            name: "lowest first",
+            tier: 1,
+            signals: [(Some(2), Some(1)), (Some(3), Some(1))],
+            age: NOW,
+            want: &[1, 0],
+        },
+        Case {
+            name: "old signals are probed",
+            tier: 2,
+            signals: [full, full],
+            age: Duration::from_secs(3),
+            want: &[0, 1],
+        },
+    ];
+    for case in cases {
+        let mut slots: SlotMap<UpstreamKey, ()> = SlotMap::with_key();
+        let keys = [slots.insert(()), slots.insert(())];
+        let (start, mut gate) = (Instant::now(), Gate::new(1));
+        for (key, (lowest, shed)) in keys.into_iter().zip(case.signals) {
+            gate.hear(key, Signal { lowest, shed }, start);
+        }
+        let mut rng = ChaCha8Rng::seed_from_u64(1);
+        let verdict = gate.decide(case.tier, &[], keys, start + case.age, &mut rng);
+        if case.want.is_empty() {
+            assert_matches!(verdict, Verdict::Refuse { .. }, "{}", case.name);
+            continue;
+        }
+        let want = case.want.iter().map(|&index| keys[index]).collect();
+        assert_eq!(verdict, Verdict::Probe(want), "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/tests/moves.rs
@@ -0,0 +1,366 @@
+//! Version moves: the table of fake versions, the intervals, the split and the local stop.
+
+#[path = "../examples/support/moves_model.rs"]
+mod model;
+
+use std::thread;
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use egretgate_core::Ticket;
+use egretgate_core::moves::{
+    Cap, Cell, Controller, Counts, Decision, Evidence, Interval, LoadPlan, LocalStop, Move,
+    Outcome, Progress, Quota, Reason, Split, Stop, may_unload, pick_version,
+};
+use model::{Deaths, Kind, Run, at, plan, run};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// Stated rate of false alarms, and of good moves taken back.
+const FALSE_ALARMS: f64 = 0.01;
+/// The example `moves` runs 200 seeds.
+const SEEDS: u64 = 24;
+const THREADS: u64 = 4;
+
+fn runs(kind: Kind, deaths: Deaths, seeds: u64) -> Vec<Run> {
+    let part = |first: u64| {
+        let seeds = (first..seeds).step_by(THREADS as usize);
+        seeds.map(|seed| run(kind, seed, deaths)).collect::<Vec<_>>()
+    };
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|n| scope.spawn(move || part(n))).collect();
+        threads.into_iter().flat_map(|thread| thread.join().expect("no panic")).collect()
+    })
+}
+
+#[test]
+fn bad_versions_are_taken_back_within_their_share() {
+    for kind in Kind::ALL.into_iter().filter(|&kind| kind != Kind::Good) {
+        for (seed, run) in runs(kind, Deaths::None, SEEDS).into_iter().enumerate() {
+            assert!(!run.done, "{} seed {seed}: {run:?}", kind.as_str());
+            assert!(run.share <= 0.05, "{} seed {seed}: {run:?}", kind.as_str());
+            assert_eq!(run.late, 0, "{} seed {seed}: {run:?}", kind.as_str());
+        }
+    }
+}
+
+#[test]
+fn good_versions_finish_in_time() {
+    let runs = runs(Kind::Good, Deaths::None, SEEDS);
+    let back = runs.iter().filter(|run| !run.done).count();
+    assert!(back as f64 <= FALSE_ALARMS * SEEDS as f64, "{back} taken back");
+}
+
+#[test]
+fn another_holder_continues_after_any_death() {
+    struct Case {
+        kind: Kind,
+        done: bool,
+    }
+    let cases = [
+        Case { kind: Kind::Good, done: true },
+        Case { kind: Kind::FailsLater, done: false },
+        Case { kind: Kind::SlowUnderLoad, done: false },
+    ];
+    for case in cases {
+        for seed in 0..3 {
+            let lost = run(case.kind, seed, Deaths::Recorded);
+            let always = run(case.kind, seed, Deaths::Always);
+            assert_eq!((lost.done, lost.seconds), (always.done, always.seconds), "seed {seed}");
+            let again = run(case.kind, seed, Deaths::Unrecorded);
+            for run in [&lost, &always, &again] {
+                assert_eq!(run.done, case.done, "{:?} seed {seed}: {run:?}", case.kind);
+            }
+        }
+    }
+}
+
+#[test]
+fn intervals_hold_at_all_times_at_once() {
+    struct Case {
+        share: f64,
+        alpha: f64,
+    }
+    let cases = [
+        Case { share: 0.005, alpha: 0.05 },
+        Case { share: 0.1, alpha: 0.05 },
+        Case { share: 0.5, alpha: 0.2 },
+    ];
+    for Case { share, alpha } in cases {
+        let mut rng = ChaCha8Rng::seed_from_u64(11);
+        let mut left = 0;
+        const RUNS: u64 = 300;
+        for _ in 0..RUNS {
+            let mut hits = 0;
+            left += u64::from((1..=600).any(|total| {
+                hits += u64::from(rng.random_bool(share));
+                let bounds = Interval::new(hits, total, alpha);
+                share < bounds.low || share > bounds.high
+            }));
+        }
+        assert!(left as f64 <= alpha * RUNS as f64, "{left} runs left {share}");
+    }
+}
+
+/// Counts of `total` requests of which `errors` failed.
+fn counts(total: u64, errors: u64) -> Counts {
+    Counts { total, errors, slow_first: 0, slow_between: 0 }
+}
+
+fn evidence(new: [Counts; 2], level: u32) -> Evidence {
+    let mut evidence = Evidence::default();
+    for (route, new) in ["report", "quote"].into_iter().zip(new) {
+        for old in 0..=3 {
+            evidence.merge(1, Cell::new(route, "v1", old), counts(50_000, 250));
+        }
+        evidence.merge(2, Cell::new(route, "v2", level), new);
+    }
+    evidence
+}
+
+#[test]
+fn verdicts_follow_from_the_evidence() {
+    struct Case {
+        name: &'static str,
+        step: usize,
+        second: u64,
+        new: [Counts; 2],
+        level: u32,
+        want: fn(&Decision) -> bool,
+    }
+    let good = counts(4_000, 20);
+    let cases = [
+        Case {
+            name: "proven at the heaviest level after the soak",
+            step: 2,
+            second: 3_700,
+            new: [good, good],
+            level: 3,
+            want: |decision| *decision == Decision::Step { step: 3, share: 250_000 },
+        },
+        Case {
+            name: "not before the soak",
+            step: 2,
+            second: 3_500,
+            new: [good, good],
+            level: 3,
+            want: |decision| *decision == Decision::Hold,
+        },
+        Case {
+            name: "not without the heaviest level",
+            step: 2,
+            second: 3_700,
+            new: [good, good],
+            level: 2,
+            want: |decision| *decision == Decision::Hold,
+        },
+        Case {
+            name: "not with one route unproven",
+            step: 2,
+            second: 3_700,
+            new: [good, counts(100, 0)],
+            level: 3,
+            want: |decision| *decision == Decision::Hold,
+        },
+        Case {
+            name: "a worse route takes it back",
+            step: 2,
+            second: 100,
+            new: [good, counts(300, 60)],
+            level: 0,
+            want: |decision| {
+                let Decision::TakeBack(Reason::Worse, found) = decision else { return false };
+                found.iter().all(|finding| finding.route == "quote")
+            },
+        },
+        Case {
+            name: "unproven at the end is taken back",
+            step: 2,
+            second: 7_200,
+            new: [good, good],
+            level: 2,
+            want: |decision| matches!(decision, Decision::TakeBack(Reason::Unproven, _)),
+        },
+        Case {
+            name: "proven but short of the whole at the end is taken back",
+            step: 4,
+            second: 7_200,
+            new: [good, good],
+            level: 3,
+            want: |decision| matches!(decision, Decision::TakeBack(Reason::Unproven, _)),
+        },
+        Case {
+            name: "proven at the whole is done",
+            step: 5,
+            second: 7_200,
+            new: [good, good],
+            level: 3,
+            want: |decision| matches!(decision, Decision::Done(found) if !found.is_empty()),
+        },
+    ];
+    for case in cases {
+        let progress = Progress::at(case.step, at(0));
+        let decision =
+            Controller.decide(&plan(), progress, &evidence(case.new, case.level), at(case.second));
+        assert!((case.want)(&decision), "{}: {decision:?}", case.name);
+    }
+}
+
+#[test]
+fn a_local_stop_takes_the_move_back() {
+    let mut evidence = evidence([counts(4_000, 20); 2], 3);
+    evidence.stop(7, Stop::Run);
+    let decision = Controller.decide(&plan(), Progress::new(at(0)), &evidence, at(10));
+    assert_matches!(decision, Decision::TakeBack(Reason::Stopped(Stop::Run), _));
+}
+
+#[test]
+fn local_stops() {
+    struct Case {
+        outcomes: Vec<Outcome>,
+        want: Option<Stop>,
+    }
+    let mut broken = vec![Outcome::Error; 9];
+    broken.push(Outcome::Good);
+    broken.extend([Outcome::Error; 9]);
+    let cases = [
+        Case { outcomes: vec![Outcome::Error; 10], want: Some(Stop::Run) },
+        Case { outcomes: broken, want: None },
+        Case { outcomes: vec![Outcome::Crash], want: None },
+        Case {
+            outcomes: vec![Outcome::Crash, Outcome::Good, Outcome::Crash],
+            want: Some(Stop::Crash),
+        },
+    ];
+    for case in cases {
+        let mut local = LocalStop::new();
+        case.outcomes.iter().for_each(|&outcome| {
+            local.record(outcome);
+        });
+        assert_eq!(local.stopped(), case.want, "{:?}", case.outcomes);
+        local.record(Outcome::Good);
+        assert_eq!(local.stopped(), case.want, "a stop lasts");
+    }
+}
+
+#[test]
+fn loads_keep_to_the_rate_and_unloads_wait() {
+    let start = Instant::now();
+    let ids = ["a", "b", "c"].map(String::from);
+    // Weights of 100 bytes at 10 bytes per second: one load each 10 seconds, two at once.
+    let mut plan = LoadPlan::new(ids, 100, 10, 2);
+    let after = |seconds| start + Duration::from_secs(seconds);
+    assert_eq!(plan.start(after(0)).as_deref(), Some("a"));
+    assert_eq!(plan.start(after(9)), None, "the rate");
+    assert_eq!(plan.start(after(10)).as_deref(), Some("b"));
+    assert_eq!(plan.start(after(30)), None, "two at once");
+    plan.failed("a", after(30));
+    plan.loaded("b");
+    assert_eq!(plan.start(after(30)).as_deref(), Some("c"));
+    assert_eq!(plan.start(after(45)), None, "a failed load waits");
+    assert_eq!(plan.start(after(60)).as_deref(), Some("a"));
+    plan.loaded("a");
+    assert!(!plan.is_done());
+    plan.loaded("c");
+    assert!(plan.is_done());
+    assert!(may_unload(false, 0, 0));
+    assert!(!may_unload(true, 0, 0) && !may_unload(false, 1, 0) && !may_unload(false, 0, 1));
+}
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        cases: 64,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// At every moment the new version has had at most its share, and its cap in flight.
+    #[test]
+    fn share_and_cap_are_never_exceeded(
+        step in 0_usize..3,
+        hosts in 1_u32..4,
+        most in 1_u32..20,
+        ends in proptest::collection::vec(0_u8..4, 400..4_000),
+    ) {
+        let plan = Move { cap: Cap::InFlight(most), ..plan() };
+        let split = Split::new(&plan, Progress::at(step, at(0)), hosts, 12, 1);
+        let share = f64::from(plan.share(step)) / 1e6;
+        let (mut quota, mut flights, mut sent) = (Quota::default(), 0, 0_u64);
+        let now = Instant::now();
+        for (index, end) in ends.into_iter().enumerate() {
+            let ticket = Ticket::new(9, index as u64);
+            if *pick_version(&split, ticket, &mut quota, now, at(index as u64 / 20)) == plan.to {
+                sent += 1;
+                flights += 1;
+            }
+            prop_assert!(sent as f64 <= share * (index + 1) as f64);
+            prop_assert!(flights <= most);
+            if end == 0 && flights > 0 {
+                quota.end();
+                flights -= 1;
+            }
+        }
+    }
+
+    /// Reports that are late, doubled or out of order change nothing.
+    #[test]
+    fn evidence_does_not_depend_on_delivery(
+        reports in proptest::collection::vec((0_u64..3, 0_u32..3, 1_u64..50, 0_u64..5), 1..40),
+        order in any::<u64>(),
+    ) {
+        let mut sent = Vec::new();
+        let mut held = std::collections::BTreeMap::new();
+        for (process, level, total, errors) in reports {
+            let sum: &mut Counts = held.entry((process, level)).or_default();
+            sum.add(counts(total, errors.min(total)));
+            sent.push((process, Cell::new("r", "v", level), *sum));
+        }
+        let mut want = std::collections::BTreeMap::<Cell, Counts>::new();
+        for ((_, level), sum) in held {
+            want.entry(Cell::new("r", "v", level)).or_default().add(sum);
+        }
+        let mut rng = ChaCha8Rng::seed_from_u64(order);
+        let mut evidence = Evidence::default();
+        for _ in 0..3 {
+            let mut shuffled = sent.clone();
+            while !shuffled.is_empty() {
+                let (process, cell, sum) = shuffled.swap_remove(rng.random_range(0..shuffled.len()));
+                evidence.merge(process, cell, sum);
+            }
+        }
+        prop_assert_eq!(evidence.totals(), want);
+    }
+}
+
+#[test]
+fn bursts_load_the_new_hosts_like_the_others() {
+    let plan = Move { cap: Cap::PerSecond(1_000), ..plan() };
+    let split = Split::new(&plan, Progress::at(2, at(0)), 1, 12, 1);
+    let (mut quota, now) = (Quota::default(), Instant::now());
+    let mut most = 0;
+    for minute in 0..10 {
+        let sent = |second: u64, quota: &mut Quota| {
+            let picked = (0..60).filter(|index| {
+                let ticket = Ticket::new(3, second * 60 + index);
+                *pick_version(&split, ticket, quota, now, at(second)) == plan.to
+            });
+            picked.count()
+        };
+        let late: usize = (0..60).map(|s| sent(minute * 60 + s, &mut quota)).skip(30).sum();
+        most = most.max(late);
+    }
+    // A twelfth of 60 requests a second would be 150 in half a minute; the mean share gives 90.
+    assert!(most >= 130, "{most} in the second half of a minute");
+    let back = Split::taken_back(&plan);
+    let none = (0..100_000).all(|index| {
+        *pick_version(&back, Ticket::new(3, index), &mut quota, now, at(index)) == plan.from
+    });
+    assert!(none, "nothing after a move was taken back");
+}
