--- /dev/null
+++ b/crates/egretgate-core/tests/choice.rs
@@ -0,0 +1,272 @@
+//! Choice of an upstream: every policy against a simple oracle, and the promises of affinity.
+
+use std::time::{Duration, Instant};
+
+use egretgate_core::choice::{Ask, Fleet, Flight, Policy, Report, Upstream, UpstreamKey};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const PLACES: [&str; 3] = ["boa-viagem", "santo-amaro", "olinda"];
+const VERSIONS: [&str; 2] = ["v1", "v2"];
+
+fn upstream(index: usize, versions: &[&str]) -> Upstream {
+    Upstream {
+        id: format!("forecast-{index}"),
+        place: PLACES[index % PLACES.len()].into(),
+        service: "forecast-llm".into(),
+        versions: versions.iter().map(ToString::to_string).collect(),
+    }
+}
+
+fn ask() -> Ask<'static> {
+    Ask {
+        service: "forecast-llm",
+        version: Some("v1"),
+        tier: 1,
+        prompt: 1_000,
+        output: 200,
+        prefix: 42,
+        place: PLACES[0],
+        excluded: &[],
+    }
+}
+
+fn idle() -> Report {
+    Report { limit: 8, healthy: true, ..Report::default() }
+}
+
+/// Returns a fleet of `size` idle upstreams, one place after the other.
+fn fleet(policy: Policy, size: usize, now: Instant) -> (Fleet, Vec<UpstreamKey>) {
+    let mut fleet = Fleet::new(policy);
+    let keys: Vec<_> = (0..size).map(|index| fleet.insert(upstream(index, &["v1"]))).collect();
+    keys.iter().for_each(|&key| fleet.report(key, idle(), now));
+    (fleet, keys)
+}
+
+/// What the oracle knows of an upstream.
+#[derive(Debug)]
+struct Known {
+    key: UpstreamKey,
+    versions: Vec<&'static str>,
+    eligible: bool,
+    weight: f64,
+    healthy: bool,
+}
+
+fn some_versions(rng: &mut ChaCha8Rng) -> Vec<&'static str> {
+    VERSIONS.into_iter().filter(|_| rng.random_bool(0.6)).collect()
+}
+
+#[test]
+fn each_policy_finds_an_eligible_upstream_if_there_is_one() {
+    for policy in Policy::ALL {
+        for seed in 0..20 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let start = Instant::now();
+            let mut fleet = Fleet::new(policy);
+            let mut known: Vec<Known> = Vec::new();
+            let mut flights: Vec<(UpstreamKey, Flight)> = Vec::new();
+            for step in 0..400 {
+                let now = start + Duration::from_millis(50 * step);
+                let any = rng.random_range(0..known.len().max(1));
+                match rng.random_range(0..12) {
+                    0 if known.len() < 60 => {
+                        let versions = some_versions(&mut rng);
+                        let key = fleet.insert(upstream(step as usize, &versions));
+                        known.push(Known {
+                            key,
+                            versions,
+                            eligible: true,
+                            weight: 1.0,
+                            healthy: true,
+                        });
+                    }
+                    1 if known.len() > 3 => assert!(fleet.remove(known.swap_remove(any).key)),
+                    2 if !known.is_empty() => {
+                        known[any].weight = [0.0, 0.1, 1.0][rng.random_range(0..3)];
+                        fleet.set_weight(known[any].key, known[any].weight);
+                    }
+                    3 if !known.is_empty() => {
+                        known[any].healthy = rng.random_bool(0.7);
+                        let report = Report { healthy: known[any].healthy, ..idle() };
+                        fleet.report(known[any].key, report, now);
+                    }
+                    4 if !known.is_empty() => {
+                        known[any].versions = some_versions(&mut rng);
+                        let versions = known[any].versions.iter().map(ToString::to_string);
+                        fleet.set_versions(known[any].key, versions.collect());
+                    }
+                    5 | 6 if !flights.is_empty() => {
+                        let index = rng.random_range(0..flights.len());
+                        let (key, mut flight) = flights.swap_remove(index);
+                        if rng.random_bool(0.7) {
+                            fleet.first(key, &mut flight, now);
+                        }
+                        fleet.end(key, flight, rng.random_range(0..100), now);
+                    }
+                    _ => {
+                        let version =
+                            rng.random_bool(0.8).then(|| VERSIONS[rng.random_range(0..2)]);
+                        let excluded: Vec<_> =
+                            known.iter().filter(|_| rng.random_bool(0.4)).map(|k| k.key).collect();
+                        let ask = Ask {
+                            version,
+                            prefix: rng.random(),
+                            place: PLACES[rng.random_range(0..3)],
+                            excluded: &excluded,
+                            ..ask()
+                        };
+                        for upstream in &mut known {
+                            let holds = version.is_none_or(|v| upstream.versions.contains(&v));
+                            let free = !excluded.contains(&upstream.key);
+                            upstream.eligible =
+                                holds && free && upstream.weight > 0.0 && upstream.healthy;
+                        }
+                        let chosen = fleet.choose(&ask, now, &mut rng);
+                        let log = format!("{policy:?} seed {seed} step {step}");
+                        let Some(key) = chosen else {
+                            assert!(known.iter().all(|k| !k.eligible), "{log}: none chosen");
+                            continue;
+                        };
+                        let found = known.iter().find(|k| k.key == key);
+                        assert!(found.is_some_and(|k| k.eligible), "{log}: {found:?}");
+                        flights.push((key, fleet.begin(key, &ask, now)));
+                    }
+                }
+                let held = known.iter().map(|k| fleet.view(k.key).expect("known").flights()).sum();
+                let live = |key: UpstreamKey| fleet.view(key).is_some();
+                let counted = flights.iter().filter(|&&(key, _)| live(key)).count() as u32;
+                assert_eq!(counted, held, "{policy:?} seed {seed} step {step}");
+            }
+        }
+    }
+}
+
+#[test]
+fn an_idle_fleet_keeps_a_prefix_at_one_upstream_of_the_own_place() {
+    for size in [9, 90, 600] {
+        let now = Instant::now();
+        let (mut fleet, _) = fleet(Policy::Affinity, size, now);
+        let mut rng = ChaCha8Rng::seed_from_u64(3);
+        let mut used = std::collections::BTreeSet::new();
+        for prefix in 0..50 {
+            let ask = Ask { prefix: xxhash_rust::xxh3::xxh3_64(&[prefix]), ..ask() };
+            let first = fleet.choose(&ask, now, &mut rng).expect("an upstream");
+            assert_eq!(fleet.view(first).expect("known").upstream.place, PLACES[0]);
+            for _ in 0..5 {
+                let flight = fleet.begin(first, &ask, now);
+                fleet.end(first, flight, 0, now);
+                assert_eq!(fleet.choose(&ask, now, &mut rng), Some(first), "size {size}");
+            }
+            used.insert(first);
+        }
+        assert!(used.len() > 2, "prefixes spread over upstreams");
+    }
+}
+
+#[test]
+fn a_popular_prefix_overloads_no_upstream() {
+    for size in [12, 120] {
+        let now = Instant::now();
+        let (mut fleet, keys) = fleet(Policy::Affinity, size, now);
+        let mut rng = ChaCha8Rng::seed_from_u64(4);
+        // Each upstream of the own place has slots for 8; all requests share one prefix.
+        let own = size / PLACES.len();
+        for _ in 0..own * 8 {
+            let key = fleet.choose(&ask(), now, &mut rng).expect("an upstream");
+            fleet.begin(key, &ask(), now);
+        }
+        let most = keys.iter().map(|&key| fleet.view(key).expect("known").flights()).max();
+        assert!(most <= Some(8 * 3 / 2), "size {size}: {most:?} at one upstream");
+    }
+}
+
+#[test]
+fn load_in_the_own_place_spills_to_others() {
+    for size in [9, 90] {
+        let now = Instant::now();
+        let (mut fleet, keys) = fleet(Policy::Affinity, size, now);
+        let busy = Report {
+            queued: 30,
+            running: 8,
+            tokens: 10_000,
+            between: Duration::from_millis(30),
+            ..idle()
+        };
+        keys.iter().step_by(3).for_each(|&key| fleet.report(key, busy, now));
+        let mut rng = ChaCha8Rng::seed_from_u64(5);
+        let mut away = 0;
+        for _ in 0..200 {
+            let key = fleet.choose(&ask(), now, &mut rng).expect("an upstream");
+            away += u32::from(fleet.view(key).expect("known").upstream.place != PLACES[0]);
+        }
+        // A sample of two places in three misses the others one time in nine.
+        assert!(away >= 150, "size {size}: {away} of 200 elsewhere");
+    }
+}
+
+/// How an upstream differs from honest, fresh and equal ones.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Fault {
+    /// Reports to be idle with many slots; requests take seconds to start.
+    Lies,
+    /// Its last report, from before it became slow, says idle.
+    Silent,
+    /// In slow start at a tenth of its weight.
+    Starts,
+    /// Says that it refuses the tier.
+    Sheds,
+}
+
+#[test]
+fn a_faulty_upstream_does_not_collect_the_load() {
+    struct Case {
+        fault: Fault,
+        /// Most requests of 3,000 that one of 9 upstreams may get; an equal share is 333.
+        most: u64,
+    }
+    let cases = [
+        Case { fault: Fault::Lies, most: 333 },
+        Case { fault: Fault::Silent, most: 333 },
+        Case { fault: Fault::Starts, most: 333 / 2 },
+        Case { fault: Fault::Sheds, most: 0 },
+    ];
+    for Case { fault, most } in cases {
+        let start = Instant::now();
+        let (mut fleet, keys) = fleet(Policy::Affinity, 9, start);
+        let bad = keys[0];
+        if fault == Fault::Starts {
+            fleet.set_weight(bad, 0.1);
+        }
+        let mut rng = ChaCha8Rng::seed_from_u64(6);
+        let mut waiting: Vec<(Duration, UpstreamKey, Flight)> = Vec::new();
+        let mut count = 0;
+        for step in 0..3_000_u64 {
+            let time = Duration::from_millis(10 * step);
+            let now = start + time;
+            for (_, key, mut flight) in waiting.extract_if(.., |(due, ..)| *due <= time) {
+                fleet.first(key, &mut flight, now);
+                fleet.end(key, flight, 0, now);
+            }
+            if step % 20 == 0 {
+                let slots = if fault == Fault::Lies { 64 } else { 8 };
+                let shed = (fault == Fault::Sheds).then_some(1);
+                for &key in &keys {
+                    let report = Report { running: 4, ..idle() };
+                    let lie = Report { limit: slots, shed, ..idle() };
+                    match fault {
+                        Fault::Silent if key == bad => {}
+                        _ => fleet.report(key, if key == bad { lie } else { report }, now),
+                    }
+                }
+            }
+            let ask = Ask { prefix: rng.random(), ..ask() };
+            let key = fleet.choose(&ask, now, &mut rng).expect("an upstream");
+            let slow = key == bad && matches!(fault, Fault::Lies | Fault::Silent);
+            let takes = Duration::from_millis(if slow { 4_000 } else { 150 });
+            waiting.push((time + takes, key, fleet.begin(key, &ask, now)));
+            count += u64::from(key == bad);
+        }
+        assert!(count <= most, "{fault:?}: {count} of 3000 at the faulty one, at most {most}");
+    }
+}
