--- a/crates/egretgate/tests/processes.rs
+++ b/crates/egretgate/tests/processes.rs
@@ -6,6 +6,8 @@
 mod caller;
 #[path = "processes/moving.rs"]
 mod moving;
+#[path = "processes/once.rs"]
+mod once;
 #[path = "processes/stopping.rs"]
 mod stopping;
 #[path = "processes/whole.rs"]
--- a/crates/egretgate/tests/processes/bed.rs
+++ b/crates/egretgate/tests/processes/bed.rs
@@ -239,3 +239,12 @@
 fn side_program() -> PathBuf {
     Path::new(env!("CARGO_BIN_EXE_egretgate")).with_file_name("egretside")
 }
+
+/// Waits until a condition holds.
+pub async fn until(what: &str, holds: impl Fn() -> bool) {
+    let end = Instant::now() + START;
+    while !holds() {
+        assert!(Instant::now() < end, "not in time: {what}");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
--- a/crates/egretgate/tests/processes/caller.rs
+++ b/crates/egretgate/tests/processes/caller.rs
@@ -23,6 +23,8 @@
         code: String,
         /// Whether the request was run.
         ran: String,
+        /// Whether the caller was told when to come back.
+        back: bool,
     },
     /// The connection broke.
     Broken,
@@ -41,6 +43,16 @@
         Some(text)
     }
 
+    /// Returns the code of the error; empty if there is none.
+    pub fn code(&self) -> &str {
+        if let Self::Error { code, .. } = self { code } else { "" }
+    }
+
+    /// Returns whether the caller was told when to come back.
+    pub const fn is_back(&self) -> bool {
+        matches!(self, Self::Error { back: true, .. })
+    }
+
     /// Returns whether the caller was told that its request was not run.
     pub fn is_not_run(&self) -> bool {
         matches!(self, Self::Error { ran, .. } if ran == "no")
@@ -57,8 +69,14 @@
 
 /// Makes a call that may not be repeated.
 pub async fn tag(entry: SocketAddr, key: &str) -> Told {
-    let call = Call::post("/tags/book", format!("{{\"tag\":\"{key}\"}}"))
-        .header(HeaderName::from_static("idempotency-key"), key);
+    tag_within(entry, key, key, LIMIT).await
+}
+
+/// Makes a call that may not be repeated, with a deadline.
+pub async fn tag_within(entry: SocketAddr, key: &str, tag: &str, deadline: Duration) -> Told {
+    let call = Call::post("/tags/book", format!("{{\"tag\":\"{tag}\"}}"))
+        .header(HeaderName::from_static("idempotency-key"), key)
+        .header(HeaderName::from_static("x-egret-deadline-ms"), &deadline.as_millis().to_string());
     send(entry, call).await
 }
 
@@ -70,6 +88,7 @@
 async fn follow(entry: SocketAddr, call: Call) -> Told {
     let Ok(answer) = Client::new(entry).send(call).await else { return Told::Broken };
     let status = answer.status;
+    let back = answer.retry_after().is_some();
     let Ok(body) = answer.collect(MAX_BODY).await else { return Told::Broken };
     let body = String::from_utf8_lossy(&body).into_owned();
     let error = if status == 200 { cut_event(&body) } else { serde_json::from_str(&body).ok() };
@@ -77,6 +96,7 @@
         Some(error) => Told::Error {
             code: error["error"]["code"].as_str().unwrap_or_default().to_owned(),
             ran: error["error"]["ran"].as_str().unwrap_or_default().to_owned(),
+            back,
         },
         None => Told::Whole(body),
     }
