--- a/crates/egretgate-core/tests/choice.rs
+++ b/crates/egretgate-core/tests/choice.rs
@@ -39,7 +39,9 @@
 fn fleet(policy: Policy, size: usize, now: Instant) -> (Fleet, Vec<UpstreamKey>) {
     let mut fleet = Fleet::new(policy);
     let keys: Vec<_> = (0..size).map(|index| fleet.insert(upstream(index, &["v1"]))).collect();
-    keys.iter().for_each(|&key| fleet.report(key, idle(), now));
+    for &key in &keys {
+        fleet.report(key, idle(), now);
+    }
     (fleet, keys)
 }
 
@@ -133,7 +135,8 @@
                         flights.push((key, fleet.begin(key, &ask, now)));
                     }
                 }
-                let held = known.iter().map(|k| fleet.view(k.key).expect("known").flights()).sum();
+                let held: u32 =
+                    known.iter().map(|k| fleet.view(k.key).expect("known").flights()).sum();
                 let live = |key: UpstreamKey| fleet.view(key).is_some();
                 let counted = flights.iter().filter(|&&(key, _)| live(key)).count() as u32;
                 assert_eq!(counted, held, "{policy:?} seed {seed} step {step}");
--- a/crates/egretgate/tests/processes/once.rs
+++ b/crates/egretgate/tests/processes/once.rs
@@ -256,7 +256,7 @@
     async fn intent_unread(&self, key: &str) -> JoinHandle<Told> {
         let before = intents(&self.bed.log);
         self.relay.set_block(Block::Back);
-        let call = spawn_tag(self.one(), key, DEADLINE - Duration::from_secs(1));
+        let call = spawn_tag(self.one(), key, DEADLINE.saturating_sub(Duration::from_secs(1)));
         until("the intent is in the log", || intents(&self.bed.log) > before).await;
         assert_eq!(self.service.executions(key), 0, "the intent is not read back");
         call
