--- a/crates/egretgate-core/tests/intent.rs
+++ b/crates/egretgate-core/tests/intent.rs
@@ -46,6 +46,8 @@
     /// Requests without a final answer, with their deadlines.
     open: BTreeMap<Ticket, Instant>,
     frozen: bool,
+    /// Moment until which it stays frozen.
+    thaw: Duration,
     rate: f64,
 }
 
@@ -96,6 +98,7 @@
             running: Vec::new(),
             open: BTreeMap::new(),
             frozen: false,
+            thaw: Duration::ZERO,
             rate,
         }
     }
@@ -215,7 +218,7 @@
             75..83 if !frozen => self.end(entry),
             83 if !frozen => self.abandon(entry),
             84 => self.crash(entry),
-            85..87 if frozen => self.wake(entry),
+            85..87 if frozen && self.elapsed >= self.entries[entry].thaw => self.wake(entry),
             87 => self.freeze(entry),
             89..95 if !self.log_up => self.outage(),
             89 => self.outage(),
@@ -234,7 +237,7 @@
     fn begin(&mut self, entry: usize) {
         let key = self.rng.random_range(0..KEYS);
         let body = u8::from(self.rng.random_bool(0.05));
-        let wait = Duration::from_millis(self.rng.random_range(100..90_000));
+        let wait = Duration::from_millis(self.rng.random_range(100..300_000));
         let now = self.now(entry);
         let held = &mut self.entries[entry];
         held.sequence += 1;
@@ -343,7 +346,9 @@
     /// Stops a process for a while, if possible one that is about to dispatch.
     fn freeze(&mut self, entry: usize) {
         let ready = self.entries.iter().position(|held| !held.ready.is_empty());
-        self.entries[ready.unwrap_or(entry)].frozen = true;
+        let held = &mut self.entries[ready.unwrap_or(entry)];
+        held.frozen = true;
+        held.thaw = self.elapsed + WINDOW.mul_f64(self.rng.random_range(0.0..3.0));
     }
 
     /// A frozen process wakes, and goes on with whatever it was about to do.
@@ -421,7 +426,7 @@
                     self.end(entry);
                 }
             }
-            self.elapsed += Duration::from_millis(250);
+            self.elapsed += Duration::from_secs(1);
             for entry in 0..ENTRIES {
                 self.entries[entry].read(&self.log, usize::MAX);
                 self.run(entry);
@@ -516,23 +521,34 @@
     fn settle(&mut self) {
         for _ in 0..8 {
             self.now += COMMIT_INTERVAL;
-            for held in &mut self.entries {
-                held.calls.tick(self.now);
-                held.read(&self.log, usize::MAX);
-                for effect in held.calls.effects() {
-                    match effect {
-                        Effect::Append(append) => self.log.push(append.data),
-                        Effect::Dispatch(ticket) => held.ready.push(ticket),
-                        Effect::Join(_) => {}
-                        Effect::Answer(ticket, reply) => {
-                            assert_eq!(self.replies.insert(ticket, reply), None);
-                        }
-                    }
+            self.run(0);
+            self.run(1);
+        }
+    }
+
+    fn run(&mut self, entry: usize) {
+        let held = &mut self.entries[entry];
+        held.calls.tick(self.now);
+        held.read(&self.log, usize::MAX);
+        for effect in held.calls.effects() {
+            match effect {
+                Effect::Append(append) => self.log.push(append.data),
+                Effect::Dispatch(ticket) => held.ready.push(ticket),
+                Effect::Join(_) => {}
+                Effect::Answer(ticket, reply) => {
+                    assert_eq!(self.replies.insert(ticket, reply), None);
                 }
             }
         }
     }
 
+    /// Dispatches the first call.
+    fn start(&mut self) {
+        self.begin(FIRST, 0);
+        self.settle();
+        assert!(self.dispatch(FIRST));
+    }
+
     fn dispatch(&mut self, ticket: Ticket) -> bool {
         let now = self.now;
         self.entry(ticket).calls.dispatch(ticket, now)
@@ -562,29 +578,30 @@
 
 #[test]
 fn a_second_call_is_answered_from_the_first() {
-    let started: fn(&mut Pair) = |pair| {
-        pair.begin(FIRST, 0);
-        pair.settle();
-        assert!(pair.dispatch(FIRST));
-    };
     let cases = [
-        Case { name: "joins a running call", run: started, reply: None },
+        Case { name: "joins a running call", run: Pair::start, reply: None },
         Case {
             name: "gets the recorded answer",
             run: |pair| {
-                pair.begin(FIRST, 0);
-                pair.settle();
-                assert!(pair.dispatch(FIRST));
+                pair.start();
                 pair.entry(FIRST).calls.ended(FIRST, Some(answer_of(FIRST)));
             },
             reply: Some(Reply::Recorded(answer_of(FIRST))),
         },
         Case {
-            name: "keeps the first outcome, whatever is recorded later",
+            name: "gets the recorded answer in an outage",
             run: |pair| {
-                pair.begin(FIRST, 0);
+                pair.start();
+                pair.entry(FIRST).calls.ended(FIRST, Some(answer_of(FIRST)));
                 pair.settle();
-                assert!(pair.dispatch(FIRST));
+                pair.entry(SECOND).calls.log_up(false);
+            },
+            reply: Some(Reply::Recorded(answer_of(FIRST))),
+        },
+        Case {
+            name: "keeps the first outcome, whatever is recorded later",
+            run: |pair| {
+                pair.start();
                 pair.entry(FIRST).calls.ended(FIRST, Some(answer_of(FIRST)));
                 pair.settle();
                 let outcome = body::Outcome {
@@ -600,9 +617,7 @@
         Case {
             name: "is not repeated after an unknown end",
             run: |pair| {
-                pair.begin(FIRST, 0);
-                pair.settle();
-                assert!(pair.dispatch(FIRST));
+                pair.start();
                 pair.entry(FIRST).calls.ended(FIRST, None);
             },
             reply: Some(Reply::Unknown),
@@ -645,9 +660,7 @@
 #[test]
 fn a_proof_of_not_run_frees_the_key() {
     let mut pair = Pair::new();
-    pair.begin(FIRST, 0);
-    pair.settle();
-    assert!(pair.dispatch(FIRST));
+    pair.start();
     pair.begin(SECOND, 0);
     pair.settle();
     pair.entry(FIRST).calls.not_run(FIRST, ErrorKind::Overloaded);
@@ -687,22 +700,78 @@
     pair.settle();
     assert_eq!(pair.entries[0].ready, [FIRST]);
     pair.pass();
-    pair.entries[1].read(&pair.log, usize::MAX);
+    pair.run(1);
     pair.begin(SECOND, 0);
-    let now = pair.now;
-    pair.entries[1].calls.tick(now);
-    for effect in pair.entries[1].calls.effects() {
-        if let Effect::Append(append) = effect {
-            pair.log.push(append.data);
-        }
-    }
-    pair.entries[1].read(&pair.log, usize::MAX);
+    pair.run(1);
+    pair.run(1);
     assert!(pair.dispatch(SECOND));
     assert!(!pair.dispatch(FIRST), "dispatched again within the window of another call");
     pair.settle();
     assert_eq!(pair.replies[&FIRST], Reply::NotRun(ErrorKind::DeadlinePassed));
 }
 
+#[test]
+fn a_process_that_skipped_records_goes_on_from_the_keys() {
+    struct Case {
+        name: &'static str,
+        /// What the other entry does with the key before the first one sends its intent.
+        before: fn(&mut Pair),
+        dispatches: bool,
+        reply: Option<Reply>,
+    }
+    let cases = [
+        Case { name: "first", before: |_| {}, dispatches: true, reply: None },
+        Case {
+            name: "lost to an answered call",
+            before: |pair| {
+                pair.begin(SECOND, 0);
+                pair.settle();
+                assert!(pair.dispatch(SECOND));
+                pair.entry(SECOND).calls.ended(SECOND, Some(answer_of(SECOND)));
+                pair.settle();
+            },
+            dispatches: false,
+            reply: Some(Reply::Recorded(answer_of(SECOND))),
+        },
+        Case {
+            name: "lost to another body",
+            before: |pair| {
+                pair.begin(SECOND, 1);
+                pair.settle();
+            },
+            dispatches: false,
+            reply: Some(Reply::KeyReused),
+        },
+    ];
+    for Case { name, before, dispatches, reply } in cases {
+        let mut pair = Pair::new();
+        let mut slow = Entry::new(3, 1.0);
+        before(&mut pair);
+        let ticket = Ticket::new(3, 1);
+        let (key, body) = (Digest::of(&[b"key"]), Digest::of(&[&[0]]));
+        let deadline = pair.now + WINDOW;
+        let call = Call { ticket, key, body, window: WINDOW, deadline };
+        slow.calls.begin(call, slow.state.keys(), pair.now);
+        slow.calls.tick(pair.now);
+        for effect in slow.calls.effects() {
+            let Effect::Append(append) = effect else { panic!("{effect:?}") };
+            pair.log.push(append.data);
+        }
+        pair.settle();
+        let snapshot = State::decode(&pair.entries[0].state.encode()).unwrap();
+        assert!(slow.state.resume(snapshot));
+        slow.calls.resync(slow.state.keys());
+        slow.calls.resync(slow.state.keys());
+        let effects = slow.calls.effects();
+        let expected = match reply {
+            Some(reply) => vec![Effect::Answer(ticket, reply)],
+            None => vec![Effect::Dispatch(ticket)],
+        };
+        assert_eq!(effects, expected, "{name}");
+        assert_eq!(slow.calls.dispatch(ticket, pair.now), dispatches, "{name}");
+    }
+}
+
 #[test]
 fn groups_stay_within_the_budget_of_the_log() {
     struct Case {
