feat(egretgate): tell lost records and differing processes

records says when older records are no longer held; status names a process with another state at the same offset and ends with 1. The guide is checked to have every command.

--- a/crates/egretgate/src/command/records.rs
+++ b/crates/egretgate/src/command/records.rs
@@ -74,6 +74,11 @@
                 "offset {offset}: a record before it is missing"
             )));
         }
+        if prev.is_none() && from == 0 && link.prev != chain::START.to_string() {
+            // The entry holds, and the log keeps, records for a limited time only.
+            let offset = link.offset;
+            output.progress(format_args!("records before offset {offset} are no longer held"));
+        }
         if json {
             let (outcome, detail) = (record.outcome.as_str(), record.detail.as_str());
             output.json(&Line { link: &link, outcome, detail })?;
--- a/crates/egretgate/src/command/status.rs
+++ b/crates/egretgate/src/command/status.rs
@@ -5,7 +5,7 @@
 
 use super::args::{Flag, Parsed, Spec};
 use super::connect;
-use super::failure::Result;
+use super::failure::{Failure, Result};
 use super::output::{Output, hex};
 
 /// `status`.
@@ -17,6 +17,9 @@
     remote: true,
 };
 
+/// State of a process that folded other records than the entry up to the same offset.
+const DIFFERS: &str = "differs";
+
 /// State of all processes as JSON.
 #[derive(Serialize)]
 struct Report {
@@ -49,8 +52,19 @@
         processes: reply.processes.iter().map(|process| describe(process, &reply)).collect(),
     };
     if parsed.has("json") {
-        return output.json(&report);
+        output.json(&report)?;
+    } else {
+        print(&report, output)?;
+    }
+    let differing = report.processes.iter().filter(|process| process.state == DIFFERS);
+    let names: Vec<&str> = differing.map(|process| process.instance.as_str()).collect();
+    if names.is_empty() {
+        return Ok(());
     }
+    Err(Failure::refused(format!("other state at the same offset: {}", names.join(", "))))
+}
+
+fn print(report: &Report, output: &mut Output<'_>) -> Result<()> {
     let log = if report.log_reachable { "reachable" } else { "not reachable" };
     output.line(format_args!("offset {}, digest {}, log {log}", report.offset, report.digest))?;
     let row = |process: &Process| {
@@ -72,7 +86,7 @@
         std::cmp::Ordering::Less => "behind",
         std::cmp::Ordering::Greater => "ahead",
         std::cmp::Ordering::Equal if process.digest == reply.digest => "in force",
-        std::cmp::Ordering::Equal => "differs",
+        std::cmp::Ordering::Equal => DIFFERS,
     };
     Process {
         role: process.role.clone(),
--- a/crates/egretgate/tests/command/fixture.rs
+++ b/crates/egretgate/tests/command/fixture.rs
@@ -23,6 +23,10 @@
 pub struct Behaviour {
     /// A side process that never folds a record.
     pub laggard: bool,
+    /// A side process at the entry's offset with another digest.
+    pub differing: bool,
+    /// Offset of the oldest record held.
+    pub oldest: usize,
     /// Another operator deletes this team right after each Get.
     pub rival: Option<&'static str>,
     /// Apply takes effect, and its answer is lost.
@@ -83,7 +87,8 @@
                 }
             }
             Call::Records(page, reply) => {
-                let offsets = page.from as usize..self.records.len();
+                let from = self.behaviour.oldest.max(page.from as usize);
+                let offsets = from..self.records.len();
                 let records = offsets.take(page.limit).map(|offset| self.record(offset));
                 drop(reply.send(Ok(records.collect())));
             }
@@ -198,6 +203,10 @@
         if self.behaviour.laggard {
             processes.push(process("side", "engine-9", 0));
         }
+        if self.behaviour.differing {
+            let other = process("side", "engine-8", offset);
+            processes.push(proto::Process { digest: vec![1; 32], ..other });
+        }
         proto::StatusReply { offset, digest: digest.clone(), log_reachable: true, processes }
     }
 }
--- a/crates/egretgate/tests/command/main.rs
+++ b/crates/egretgate/tests/command/main.rs
@@ -14,6 +14,9 @@
 use fixture::{Behaviour, TOKEN, run, run_with, start};
 use tempfile::NamedTempFile;
 
+/// The operators' guide.
+const GUIDE: &str = include_str!("../../../../docs/OPERATORS.md");
+
 /// A port of loopback where nothing listens.
 const NOWHERE: &str = "127.0.0.1:1";
 
@@ -198,6 +201,29 @@
     assert!(text.out.starts_with("1 ") && text.out.lines().count() == 1, "{}", text.out);
 }
 
+#[tokio::test]
+async fn records_that_are_no_longer_held_are_told() {
+    let entry = start(Behaviour { oldest: 1, ..Behaviour::default() }).await;
+    run(&[entry.address], &["apply", &recife()]).await;
+    run(&[entry.address], &["apply", name(&file(""))]).await;
+    let export = run(&[entry.address], &["records", "--json"]).await;
+    assert_eq!(export.err, "records before offset 1 are no longer held\n");
+    let kept = file(&export.out);
+    let verified = run_with(&[], &["records", "--verify", name(&kept)]).await;
+    assert!(verified.out.contains("1 records verify from a later record"), "{verified:?}");
+}
+
+#[tokio::test]
+async fn status_tells_a_process_that_differs() {
+    let entry = start(Behaviour { differing: true, ..Behaviour::default() }).await;
+    for form in [&["status"][..], &["status", "--json"]] {
+        let ran = run(&[entry.address], form).await;
+        assert_eq!(ran.exit, Exit::Refused, "{ran:?}");
+        assert_eq!(ran.err, "other state at the same offset: engine-8\n");
+        assert!(ran.out.contains("differs") && ran.out.contains("in force"), "{}", ran.out);
+    }
+}
+
 fn behaviour(incarnation: u64, good: u64, bad: u64) -> Behaviour {
     let counts = [Count { good, bad }; 4];
     let row = Row { tier: "door".into(), team: "rounds".into(), objective: 0.99, counts };
@@ -301,7 +327,7 @@
 }
 
 #[tokio::test]
-async fn every_command_prints_its_help() {
+async fn every_command_prints_its_help_and_is_in_the_guide() {
     let help = run_with(&[], &["--help"]).await;
     assert_eq!(help.exit, Exit::Done);
     let commands: Vec<&str> = help
@@ -314,6 +340,11 @@
     for command in commands.filter(|line| !line.starts_with(char::is_numeric)) {
         let words = command.split(' ').filter(|word| word.chars().all(char::is_lowercase));
         let args: Vec<&str> = words.chain(["--help"]).collect();
+        let heading = GUIDE.lines().find(|line| {
+            let names = args[..args.len() - 1].iter();
+            line.starts_with("### `egretgate ") && names.clone().all(|name| line.contains(name))
+        });
+        assert!(heading.is_some(), "{command} is missing in the guide");
         let ran = run_with(&[], &args).await;
         assert_eq!(ran.exit, Exit::Done, "{args:?}: {ran:?}");
         assert!(ran.out.starts_with("Usage: egretgate "), "{}", ran.out);
