--- a/crates/egretgate-core/src/fold/moves.rs
+++ b/crates/egretgate-core/src/fold/moves.rs
@@ -5,7 +5,7 @@
 use crate::error::{Error, ErrorKind, Result};
 use crate::fold::image::MoveImage;
 use crate::ids::{Offset, RouteId, VersionId};
-use crate::record::body::{MoveBegin, MoveStep, Verdict};
+use crate::record::body::{MoveBegin, MoveCancel, MoveStep, Verdict};
 
 /// The last version move of a route.
 #[derive(Debug, Clone, PartialEq)]
@@ -121,6 +121,17 @@
         Ok(state)
     }
 
+    /// Takes a move back on an operator's word, or says why not.
+    pub(crate) fn cancel(&mut self, cancel: &MoveCancel) -> Result<()> {
+        let none = || Error::new(ErrorKind::Conflict, "no move of this route is under way");
+        let state = self.last.get_mut(&cancel.route).filter(|state| state.is_open());
+        let state = state.ok_or_else(none)?;
+        state.verdict = Verdict::TakenBack;
+        state.share_ppm = 0;
+        state.evidence = format!("cancelled by {}: {}", cancel.operator, cancel.reason);
+        Ok(())
+    }
+
     pub(crate) fn images(&self) -> Vec<MoveImage> {
         self.last.values().map(Move::image).collect()
     }
--- a/crates/egretgate-core/src/fold/shared.rs
+++ b/crates/egretgate-core/src/fold/shared.rs
@@ -179,6 +179,7 @@
             Body::Renew(renew) => self.renew(renew, place).map(|()| Part::Leases),
             Body::Release(release) => self.release(release, place).map(|()| Part::Leases),
             Body::MoveBegin(begin) => self.begin_move(begin, place).map(|()| Part::Moves),
+            Body::MoveCancel(cancel) => self.moves.cancel(cancel).map(|()| Part::Moves),
             Body::MoveStep(step) => self.step_move(step, place).map(|()| Part::Moves),
             Body::Death(death) => {
                 self.quarantine.death(place.offset, death);
--- a/crates/egretgate-core/src/record.rs
+++ b/crates/egretgate-core/src/record.rs
@@ -12,8 +12,8 @@
 pub mod outbox;
 
 use body::{
-    Calls, Change, Claim, Clear, Death, Lift, MoveBegin, MoveStep, Release, Renew, SnapshotChunk,
-    Tick,
+    Calls, Change, Claim, Clear, Death, Lift, MoveBegin, MoveCancel, MoveStep, Release, Renew,
+    SnapshotChunk, Tick,
 };
 
 use crate::error::{Error, ErrorKind, Result};
@@ -62,7 +62,7 @@
     #[prost(enumeration = "Class", tag = "4")]
     pub class: i32,
     /// What the record says.
-    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21")]
+    #[prost(oneof = "Body", tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22")]
     pub body: Option<Body>,
 }
 
@@ -105,6 +105,9 @@
     /// Suspects that are cleared.
     #[prost(message, tag = "21")]
     Clear(Clear),
+    /// The end of a version move, asked for by an operator.
+    #[prost(message, tag = "22")]
+    MoveCancel(MoveCancel),
 }
 
 /// The fields of a record that keep their meaning in every schema.
@@ -153,6 +156,7 @@
             | Self::MoveStep(_)
             | Self::Death(_)
             | Self::Lift(_)
+            | Self::MoveCancel(_)
             | Self::Clear(_) => Class::Config,
             Self::Calls(_) => Class::Calls,
             Self::Tick(_) | Self::Chunk(_) => Class::Keeper,
@@ -171,6 +175,7 @@
             Self::Death(_) => "death",
             Self::Lift(_) => "lift",
             Self::Clear(_) => "clear",
+            Self::MoveCancel(_) => "move_cancel",
             Self::Calls(_) => "calls",
             Self::Tick(_) => "tick",
             Self::Chunk(_) => "snapshot",
@@ -182,6 +187,7 @@
         match self {
             Self::Change(change) => Some((&change.operator, &change.reason)),
             Self::MoveBegin(begin) => Some((&begin.operator, &begin.reason)),
+            Self::MoveCancel(cancel) => Some((&cancel.operator, &cancel.reason)),
             Self::Lift(lift) => Some((&lift.operator, &lift.reason)),
             _ => None,
         }
--- a/crates/egretgate-core/src/record/body.rs
+++ b/crates/egretgate-core/src/record/body.rs
@@ -147,6 +147,24 @@
     /// Most requests in flight on the new version during the first step.
     #[prost(uint32, tag = "9")]
     pub cap: u32,
+    /// Time at which the entry took the request, in milliseconds since the Unix epoch; read by
+    /// the holder of the move's lease only.
+    #[prost(uint64, tag = "10")]
+    pub begin_ms: u64,
+}
+
+/// The end of a version move, asked for by an operator: it is taken back.
+#[derive(Clone, PartialEq, Message)]
+pub struct MoveCancel {
+    /// Operator who asks for it.
+    #[prost(string, tag = "1")]
+    pub operator: String,
+    /// Why it is asked for.
+    #[prost(string, tag = "2")]
+    pub reason: String,
+    /// Route whose traffic moves.
+    #[prost(string, tag = "3")]
+    pub route: String,
 }
 
 /// What a step of a move decides.
@@ -406,6 +424,7 @@
             named("route", &step.route)?;
             short("evidence", &step.evidence, MAX_TEXT_BYTES)
         }
+        Body::MoveCancel(cancel) => named("route", &cancel.route),
         Body::Death(death) => named("upstream", &death.upstream),
         Body::Calls(calls) => calls.outcomes.iter().try_for_each(check_outcome),
         Body::Lift(_) | Body::Clear(_) | Body::Tick(_) | Body::Chunk(_) => Ok(()),
--- a/crates/egretgate-core/tests/fold.rs
+++ b/crates/egretgate-core/tests/fold.rs
@@ -460,6 +460,7 @@
             budget_ppm: 10_000,
             end_ms: 1,
             cap: 4,
+            begin_ms: 0,
         })
     };
     let step = |fence, step, verdict: Verdict| {
--- a/crates/egretgate/src/entry/journal/keeping.rs
+++ b/crates/egretgate/src/entry/journal/keeping.rs
@@ -13,8 +13,11 @@
 
 /// Pause between two ticks of log time.
 const TICK_PAUSE: Duration = Duration::from_secs(10);
-/// Records after which the state is appended again as a snapshot.
-const SNAPSHOT_RECORDS: Offset = 10_000;
+/// Fewest records between two snapshots.
+const SNAPSHOT_RECORDS: Offset = 256;
+/// Bytes of records between two snapshots for each byte of the last, so that snapshots add at
+/// most a quarter to the log.
+const SNAPSHOT_FACTOR: u64 = 4;
 /// Time after which a snapshot is due if there was any record since the last.
 const SNAPSHOT_PAUSE: Duration = Duration::from_mins(10);
 
@@ -25,9 +28,15 @@
     ticked: Instant,
     /// Offset of the last accepted tick read.
     last_tick: Option<Offset>,
+    /// Sequence of the keeper's last record.
+    sequence: u64,
     snapshot_at: Offset,
     snapshot_time: Instant,
     snapshots: u64,
+    /// Size of the last snapshot, in bytes.
+    snapshot_bytes: u64,
+    /// Bytes of records read since the last snapshot.
+    read_bytes: u64,
     /// True while an append of the keeper is under way.
     busy: bool,
 }
@@ -37,12 +46,20 @@
         Self {
             ticked: now,
             last_tick: None,
+            sequence: 0,
             snapshot_at: 0,
             snapshot_time: now,
             snapshots: 0,
+            snapshot_bytes: 0,
+            read_bytes: 0,
             busy: false,
         }
     }
+
+    /// Notes a record that was read.
+    pub(super) fn note_read(&mut self, bytes: usize) {
+        self.read_bytes += bytes as u64;
+    }
 }
 
 impl Journal {
@@ -73,16 +90,19 @@
     fn snapshot_due(&self, now: Instant) -> bool {
         let records = self.state.next().saturating_sub(self.keeping.snapshot_at);
         let old = now.duration_since(self.keeping.snapshot_time) >= SNAPSHOT_PAUSE;
-        records >= SNAPSHOT_RECORDS || old && records > 0
+        let grown = self.keeping.read_bytes >= SNAPSHOT_FACTOR * self.keeping.snapshot_bytes;
+        records >= SNAPSHOT_RECORDS && grown || old && records > 0
     }
 
     fn append_snapshot(&mut self, now: Instant) {
         self.keeping.snapshots += 1;
         self.keeping.snapshot_at = self.state.next();
         self.keeping.snapshot_time = now;
+        self.keeping.read_bytes = 0;
         match snapshot::split(&self.state, self.keeping.snapshots) {
             Ok(chunks) => {
                 info!(self.log, "snapshot"; "chunks" => chunks.len(), "offset" => self.state.next());
+                self.keeping.snapshot_bytes = size_of(&chunks);
                 self.append_kept(chunks);
             }
             Err(error) => warn!(self.log, "no snapshot"; "error" => error.to_string()),
@@ -92,11 +112,16 @@
     /// Appends records that are safe to double, one request for each.
     fn append_kept(&mut self, bodies: Vec<Body>) {
         self.keeping.busy = true;
-        let records: Vec<Bytes> = bodies
-            .into_iter()
-            .filter_map(|body| Record::new(self.writer, 0, body).to_bytes().ok())
-            .map(Bytes::from)
-            .collect();
+        let mut records = Vec::with_capacity(bodies.len());
+        for body in bodies {
+            self.keeping.sequence += 1;
+            match Record::new(self.writer, self.keeping.sequence, body).to_bytes() {
+                Ok(record) => records.push(Bytes::from(record)),
+                Err(error) => {
+                    warn!(self.log, "keeper's record refused"; "error" => error.to_string());
+                }
+            }
+        }
         let client = self.client.clone();
         let own = self.own.clone();
         tokio::spawn(async move {
@@ -114,3 +139,11 @@
         self.keeping.busy = false;
     }
 }
+
+fn size_of(chunks: &[Body]) -> u64 {
+    let size = |body: &Body| match body {
+        Body::Chunk(chunk) => chunk.data.len() as u64,
+        _ => 0,
+    };
+    chunks.iter().map(size).sum()
+}
--- a/crates/egretgate/src/entry/journal/moves.rs
+++ b/crates/egretgate/src/entry/journal/moves.rs
@@ -20,8 +20,6 @@
 /// What this entry knows of one move beyond the log.
 #[derive(Debug)]
 struct Trial {
-    /// When this entry read the move's start.
-    begun: SystemTime,
     /// Step last seen.
     step: u32,
     /// When this entry read that step.
@@ -42,7 +40,6 @@
         for one in moves.filter(|one| one.is_open()) {
             let known = self.open.remove(&one.begin.route);
             let mut trial = known.unwrap_or_else(|| Trial {
-                begun: now,
                 step: one.step,
                 since: now,
                 evidence: Evidence::default(),
@@ -77,7 +74,7 @@
             .filter(|one| one.is_open() && one.step > 0)
             .filter_map(|one| {
                 let trial = self.trials.open.get(&one.begin.route)?;
-                let plan = self.plan_of(one, trial)?;
+                let plan = self.plan_of(one)?;
                 let progress = Progress::at(one.step as usize - 1, trial.since);
                 Some(RouteSplit { route: one.begin.route.clone(), plan, progress })
             })
@@ -106,7 +103,7 @@
         let fence = self.leases.steers(route, Instant::now())?;
         let one = self.state.shared().moves().get(route)?;
         let trial = self.trials.open.get(route)?;
-        let plan = self.plan_of(one, trial)?;
+        let plan = self.plan_of(one)?;
         let (verdict, share, evidence) = if one.step == 0 {
             (Verdict::Proceed, plan.share(0), "started".to_owned())
         } else {
@@ -131,14 +128,15 @@
         })
     }
 
-    fn plan_of(&self, one: &fold::Move, trial: &Trial) -> Option<Move> {
+    fn plan_of(&self, one: &fold::Move) -> Option<Move> {
         let begin = &one.begin;
         let declared = self.state.shared().declarations();
         let margin = f64::from(begin.budget_ppm) / PPM;
         let default = Budget::default();
         let or_default = |value: f64| if margin > 0.0 { margin } else { value };
+        let start = UNIX_EPOCH + Duration::from_millis(begin.begin_ms);
         let end = UNIX_EPOCH + Duration::from_millis(begin.end_ms);
-        let whole = end.duration_since(trial.begun).unwrap_or_default();
+        let whole = end.duration_since(start).unwrap_or_default();
         let dwell = default.dwell.min(whole / (4 * begin.steps.len().max(1) as u32));
         Some(Move {
             service: declared.routes.get(&begin.route)?.service.clone(),
@@ -154,7 +152,7 @@
                 dwell,
                 ..default
             },
-            begin: trial.begun,
+            begin: start,
             end,
         })
     }
--- a/crates/egretgate/src/entry/journal/reading.rs
+++ b/crates/egretgate/src/entry/journal/reading.rs
@@ -116,6 +116,7 @@
         for record in &batch.records {
             let prev = *self.state.shared().digest();
             let applied = self.state.apply(record.offset, &record.data);
+            self.keeping.note_read(record.data.len());
             if self.state.shared().digest() != &prev {
                 self.recent.push(record.offset, prev, record.data.clone());
             }
--- a/crates/egretgate/src/entry/operator/show.rs
+++ b/crates/egretgate/src/entry/operator/show.rs
@@ -1,11 +1,13 @@
 //! What operators look at.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use egretgate_core::declaration::Declarations;
 use egretgate_core::diff::{Item, Section};
 use egretgate_core::fold::{Act, Shared};
 use egretgate_core::record::body::{self, MoveBegin, Verdict};
 use egretgate_core::record::{self, Body, chain};
-use egretgate_core::{Error, ErrorKind, Result};
+use egretgate_core::{ErrorKind, Result};
 use egretgate_link::message::LogRecord;
 use egretgate_operator::{Page, proto};
 use tokio::sync::oneshot;
@@ -48,9 +50,13 @@
                 let route = begin.route.clone();
                 (self.append(Body::MoveBegin(begin_of(author, begin))).await?, route)
             }
-            Some(Action::Cancel(_)) => {
-                let detail = "a move can't be cancelled yet; it ends at its end time";
-                return Err(Error::new(ErrorKind::BadRequest, detail));
+            Some(Action::Cancel(cancel)) => {
+                let cancelled = body::MoveCancel {
+                    operator: author.operator,
+                    reason: author.reason,
+                    route: cancel.route.clone(),
+                };
+                (self.append(Body::MoveCancel(cancelled)).await?, cancel.route)
             }
             Some(Action::Show(show)) => (0, show.route),
             None => (0, String::new()),
@@ -205,9 +211,14 @@
         budget_ppm: begin.budget_ppm,
         end_ms: begin.end_ms,
         cap: begin.cap,
+        begin_ms: unix_ms(SystemTime::now()),
     }
 }
 
+fn unix_ms(time: SystemTime) -> u64 {
+    time.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
 fn moves_of(shared: &Shared, route: &str) -> Vec<proto::MoveState> {
     let wanted = |one: &&egretgate_core::fold::Move| route.is_empty() || one.begin.route == route;
     shared.moves().values().filter(wanted).map(move_of).collect()
--- a/crates/egretgate/tests/processes.rs
+++ b/crates/egretgate/tests/processes.rs
@@ -4,6 +4,8 @@
 mod bed;
 #[path = "processes/caller.rs"]
 mod caller;
+#[path = "processes/horizon.rs"]
+mod horizon;
 #[path = "processes/moving.rs"]
 mod moving;
 #[path = "processes/once.rs"]
--- a/crates/egretgate/tests/processes/moving.rs
+++ b/crates/egretgate/tests/processes/moving.rs
@@ -52,6 +52,26 @@
     assert!(share <= MAX_SHARE, "{bad} of {} requests met the bad version", bad + good);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_operator_cancels_a_move() {
+    let bed = Bed::start().await;
+    let entry = bed.entry("entry-1");
+    bed.declare(&entry).await;
+    let operators = entry.address("operators");
+    begin(operators).await;
+    let mut client = Client::connect(operators, None).await.expect("serving");
+    let author = proto::Author { operator: "tests".into(), reason: "second thoughts".into() };
+    let cancel = || {
+        let cancel = proto::MoveCancel { route: "reports".into() };
+        proto::move_request::Action::Cancel(cancel)
+    };
+    let reply = client.moves(Some(author.clone()), cancel()).await.expect("cancelled");
+    assert_eq!(reply.moves.len(), 1);
+    assert_eq!(reply.moves[0].verdict, "taken back");
+    assert!(reply.moves[0].evidence.contains("second thoughts"), "{reply:?}");
+    assert!(client.moves(Some(author), cancel()).await.is_err(), "nothing is left to cancel");
+}
+
 async fn ask_on(entry: SocketAddr, index: usize, stop: Arc<AtomicBool>) {
     let mut round = 0;
     while !stop.load(Ordering::Relaxed) {
