--- a/crates/egretgate-core/tests/check.rs
+++ b/crates/egretgate-core/tests/check.rs
@@ -272,11 +272,8 @@
 #[test]
 fn all_faults_are_told_at_once() {
     let text = BASE.replace("rank = 0", "rank = 9").replace("\"/tags/\"", "\"tags\"");
-    let fields: Vec<String> = parse(&text)
-        .expect_err("two faults")
-        .iter()
-        .map(Fault::field)
-        .collect();
+    let fields: Vec<String> =
+        parse(&text).expect_err("two faults").iter().map(Fault::field).collect();
     assert_eq!(fields, ["tiers.door.rank", "routes.tags.path"]);
     let text = BASE.replace("rank = 0", "rnak = 0").replace("once = true", "once = 1");
     assert_eq!(parse(&text).expect_err("two items can't be read").len(), 2);
