--- a/crates/egretgate-core/src/choice/view.rs
+++ b/crates/egretgate-core/src/choice/view.rs
@@ -291,8 +291,9 @@
     fn believe(&mut self, flight: &Flight, over: f64) {
         let queued = flight.load >= f64::from(self.slots());
         if over > WAITED.max(flight.predicted) && !queued {
-            self.believed = self.believed.min(flight.load.max(1.0));
-        } else if flight.load + 1.0 >= self.believed {
+            let slots = self.effective_slots();
+            self.believed = f64::midpoint(slots, flight.load.min(slots).max(1.0));
+        } else {
             self.believed += SLOT_GAIN;
         }
     }
--- a/crates/egretgate-core/tests/gate.rs
+++ b/crates/egretgate-core/tests/gate.rs
@@ -256,3 +256,26 @@
         assert_eq!(verdict, Verdict::Probe(want), "{}", case.name);
     }
 }
+
+#[test]
+fn a_refusal_closes_lower_tiers_until_room_shows() {
+    let mut slots: SlotMap<UpstreamKey, ()> = SlotMap::with_key();
+    let key = slots.insert(());
+    let (start, mut gate) = (Instant::now(), Gate::new(1));
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut decide = |gate: &mut Gate, tier, tried: &[Attempt], millis| {
+        gate.decide(tier, tried, [key], at(millis), &mut rng)
+    };
+    let room = Signal { lowest: Some(3), shed: Some(3) };
+    gate.hear(key, room, at(0));
+    let tried = [Attempt { key, at: at(10) }];
+    assert_matches!(decide(&mut gate, 0, &tried, 11), Verdict::Refuse { .. });
+    // The room shown before is no longer there for the top tier, so not for a lower one either.
+    assert_matches!(decide(&mut gate, 1, &[], 12), Verdict::Refuse { .. });
+    gate.hear(key, room, at(13));
+    assert_eq!(decide(&mut gate, 1, &[], 14), Verdict::Probe(vec![key]));
+    assert_eq!(decide(&mut gate, 0, &tried, 15), Verdict::Probe(vec![key]));
+    let later = Gate::FRESH.as_millis() as u64 + 20;
+    assert_eq!(decide(&mut gate, 2, &[], later), Verdict::Offer);
+}
