--- a/crates/egretgate-core/src/lib.rs
+++ b/crates/egretgate-core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod choice;
 pub mod declaration;
 pub mod diff;
+pub mod directory;
 mod error;
 pub mod fold;
 pub mod gate;
@@ -30,6 +31,7 @@
 pub mod record;
 pub mod reply;
 pub mod retry;
+pub mod snapshot;
 
 pub use error::{Answer, Error, ErrorKind, Ran, Result};
 pub use ids::{
--- /dev/null
+++ b/crates/egretside/src/run.rs
@@ -0,0 +1,282 @@
+//! One started request: calls the upstream and streams its answer to the entry.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use egretgate_core::{ErrorKind, Ticket};
+use egretgate_engine::{Fed, TokenMeter};
+use egretgate_http::Answer;
+use egretgate_link::message::{End, Load, Offer, Refused, Started, ToEntry, to_entry};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout};
+
+use crate::desk::{DeskMessage, Pace};
+use crate::outbox::{CUT_GRACE, Outbox};
+use crate::upstream::{Failure, Upstream};
+
+/// Pause between two reports of the time between tokens.
+const PACE_PAUSE: Duration = Duration::from_millis(100);
+/// Depth of a run's control channel.
+const CONTROL_DEPTH: usize = 64;
+
+/// Orders to a running request.
+#[derive(Debug)]
+pub(crate) enum Control {
+    /// The entry took this many more chunks.
+    Credit(u32),
+    /// The entry came back on another connection and lacks the chunks from `next` on.
+    Resume { frames: mpsc::Sender<ToEntry>, next: u64 },
+    /// The caller is gone: stop the upstream.
+    Cancel,
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Finish {
+    /// The upstream gave a whole answer.
+    Whole,
+    /// The upstream answered with a server error.
+    Failed,
+    /// No byte was written to the upstream.
+    NotSent,
+    /// The upstream broke the answer off, or never gave one.
+    Cut,
+    /// Cancelled on request of the entry, or for want of it.
+    Cancelled,
+}
+
+/// What a run measured.
+#[derive(Debug, Clone)]
+pub(crate) struct Report {
+    /// Name of the request.
+    pub ticket: Ticket,
+    /// How it ended.
+    pub finish: Finish,
+    /// Time from dispatch to the end.
+    pub whole: Duration,
+    /// Time from dispatch to the first token of a streamed answer.
+    pub first: Option<Duration>,
+    /// Mean time between tokens of a streamed answer.
+    pub between: Option<Duration>,
+    /// Tokens generated.
+    pub tokens: u32,
+}
+
+/// A request that is being run.
+#[derive(Debug)]
+pub(crate) struct Run {
+    offer: Offer,
+    upstream: Upstream,
+    outbox: Outbox,
+    control: mpsc::Receiver<Control>,
+    finish: Finish,
+    tokens: u32,
+}
+
+enum Step {
+    Control(Option<Control>),
+    Data(Option<egretgate_http::Result<Bytes>>),
+    Abandoned,
+}
+
+impl Run {
+    /// Returns a run and the sender that controls it.
+    pub(crate) fn new(
+        ticket: Ticket,
+        offer: Offer,
+        upstream: Upstream,
+        frames: mpsc::Sender<ToEntry>,
+    ) -> (Self, mpsc::Sender<Control>) {
+        let (sender, control) = mpsc::channel(CONTROL_DEPTH);
+        let outbox = Outbox::new(ticket, frames, offer.credit);
+        (Self { offer, upstream, outbox, control, finish: Finish::Cancelled, tokens: 0 }, sender)
+    }
+
+    /// Calls the upstream and streams its answer. The final frame waits for [`Run::deliver`].
+    pub(crate) async fn run(&mut self, desk: &mpsc::Sender<DeskMessage>) -> Report {
+        let ticket = self.outbox.ticket();
+        let version = self.upstream.version().to_owned();
+        let started = Started { ticket: Some(ticket.into()), version };
+        self.outbox.send(to_entry::Body::Started(started)).await;
+        let begin = Instant::now();
+        let mut meter = TokenMeter::new();
+        self.finish = match self.call().await {
+            Ok(answer) => {
+                self.outbox.set_head(answer.status, answer.content_type.clone());
+                let mut watch = Watch::new(ticket, begin, desk.clone());
+                self.stream(answer, &mut meter, &mut watch).await
+            }
+            Err(failure) => failure.into(),
+        };
+        self.tokens = meter.tokens();
+        Report {
+            ticket,
+            finish: self.finish,
+            whole: begin.elapsed(),
+            first: meter.first().map(|first| first.duration_since(begin)),
+            between: meter.mean(),
+            tokens: self.tokens,
+        }
+    }
+
+    /// Sends the last frame with `load`, and again after a cut, until the entry has all of the
+    /// answer or is given up.
+    pub(crate) async fn deliver(mut self, load: Load) {
+        let last = self.last_frame(load);
+        let deadline = Instant::now() + CUT_GRACE;
+        self.outbox.send(last.clone()).await;
+        while !self.outbox.settled() {
+            let left = deadline.saturating_duration_since(Instant::now());
+            match timeout(left, self.control.recv()).await {
+                Ok(Some(Control::Credit(chunks))) => self.outbox.credit(chunks),
+                Ok(Some(Control::Resume { frames, next })) => {
+                    self.outbox.resume(frames, next).await;
+                    self.outbox.send(last.clone()).await;
+                }
+                Ok(Some(Control::Cancel) | None) | Err(_) => return,
+            }
+        }
+    }
+
+    async fn call(&mut self) -> Result<Answer, Failure> {
+        let call = self.upstream.clone().call(self.outbox.ticket(), self.offer.clone());
+        tokio::pin!(call);
+        loop {
+            tokio::select! {
+                answer = &mut call => return answer,
+                control = self.control.recv() => match control {
+                    Some(Control::Credit(chunks)) => self.outbox.credit(chunks),
+                    Some(Control::Resume { frames, next }) => {
+                        self.outbox.resume(frames, next).await;
+                    }
+                    Some(Control::Cancel) | None => return Err(Failure::Cancelled),
+                },
+            }
+        }
+    }
+
+    async fn stream(
+        &mut self,
+        mut answer: Answer,
+        meter: &mut TokenMeter,
+        watch: &mut Watch,
+    ) -> Finish {
+        loop {
+            match self.step(&mut answer).await {
+                Step::Control(Some(Control::Credit(chunks))) => self.outbox.credit(chunks),
+                Step::Control(Some(Control::Resume { frames, next })) => {
+                    if !self.outbox.resume(frames, next).await {
+                        return Finish::Cancelled;
+                    }
+                }
+                Step::Control(Some(Control::Cancel) | None) | Step::Abandoned => {
+                    return Finish::Cancelled;
+                }
+                Step::Data(Some(Ok(data))) => {
+                    watch.note(meter.feed(&data, Instant::now()), Instant::now());
+                    self.outbox.push(data).await;
+                }
+                Step::Data(Some(Err(error))) => return Failure::from(error).into(),
+                Step::Data(None) if self.outbox.status() >= 500 => return Finish::Failed,
+                Step::Data(None) => return Finish::Whole,
+            }
+        }
+    }
+
+    async fn step(&mut self, answer: &mut Answer) -> Step {
+        let open = self.outbox.open();
+        let give_up = self.outbox.give_up();
+        let abandoned = sleep_until(give_up.unwrap_or_else(Instant::now));
+        tokio::select! {
+            control = self.control.recv() => Step::Control(control),
+            data = answer.chunk(), if open => Step::Data(data),
+            () = abandoned, if give_up.is_some() => Step::Abandoned,
+        }
+    }
+
+    fn last_frame(&self, load: Load) -> to_entry::Body {
+        let ticket = Some(self.outbox.ticket().into());
+        let code = match self.finish {
+            Finish::Whole | Finish::Failed => "",
+            Finish::Cut => ErrorKind::AnswerCut.code(),
+            Finish::Cancelled => ErrorKind::CallerGone.code(),
+            Finish::NotSent => {
+                let code = ErrorKind::NoUpstream.code().to_owned();
+                let refused = Refused { ticket, code, after_ms: 0, load: Some(load) };
+                return to_entry::Body::Refused(refused);
+            }
+        };
+        to_entry::Body::End(End {
+            ticket,
+            chunks: self.outbox.chunks(),
+            code: code.to_owned(),
+            tokens: self.tokens,
+            load: Some(load),
+            status: self.outbox.status().into(),
+        })
+    }
+}
+
+impl Finish {
+    /// Returns the word used in logs and metrics.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Failed => "failed",
+            Self::NotSent => "not_sent",
+            Self::Cut => "cut",
+            Self::Cancelled => "cancelled",
+        }
+    }
+}
+
+/// Passes the times of a stream on to the desk while it runs.
+#[derive(Debug)]
+struct Watch {
+    ticket: Ticket,
+    begin: Instant,
+    desk: mpsc::Sender<DeskMessage>,
+    first: bool,
+    /// Tokens and time since the last report.
+    tokens: u32,
+    since: Instant,
+}
+
+impl Watch {
+    fn new(ticket: Ticket, begin: Instant, desk: mpsc::Sender<DeskMessage>) -> Self {
+        Self { ticket, begin, desk, first: true, tokens: 0, since: begin }
+    }
+
+    fn note(&mut self, fed: Fed, now: Instant) {
+        if fed.tokens == 0 {
+            return;
+        }
+        if self.first {
+            self.first = false;
+            self.since = now;
+            return self.tell(Pace::First(now.duration_since(self.begin)));
+        }
+        self.tokens += fed.tokens;
+        let passed = now.duration_since(self.since);
+        if passed >= PACE_PAUSE {
+            self.tell(Pace::Gap(passed / self.tokens));
+            self.tokens = 0;
+            self.since = now;
+        }
+    }
+
+    /// Drops the report if the desk is behind: a measurement is not worth waiting for.
+    fn tell(&self, pace: Pace) {
+        let _ = self.desk.try_send(DeskMessage::Pace { ticket: self.ticket, pace });
+    }
+}
+
+impl From<Failure> for Finish {
+    fn from(failure: Failure) -> Self {
+        match failure {
+            Failure::NotSent => Self::NotSent,
+            Failure::Cut => Self::Cut,
+            Failure::Cancelled => Self::Cancelled,
+        }
+    }
+}
