--- a/crates/egretgate-core/src/fold/shared.rs
+++ b/crates/egretgate-core/src/fold/shared.rs
@@ -25,7 +25,7 @@
 const MAX_LEASES: usize = 4_096;
 
 /// Declarations, leases, moves, quarantine and acts.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Shared {
     next: Offset,
     chain: Hash,
@@ -107,6 +107,11 @@
         self.moves.serving.get(route).or(declared)
     }
 
+    /// Returns the versions that moves have brought into service.
+    pub fn serving(&self) -> BTreeMap<RouteId, VersionId> {
+        self.moves.serving.clone()
+    }
+
     /// Returns the quarantine.
     pub const fn quarantine(&self) -> &Quarantine {
         &self.quarantine
@@ -179,6 +184,10 @@
                 self.quarantine.death(place.offset, death);
                 Ok(Part::Quarantine)
             }
+            Body::Clear(clear) => {
+                self.quarantine.clear(clear);
+                Ok(Part::Quarantine)
+            }
             Body::Lift(lift) => self.lift(lift).map(|()| Part::Quarantine),
             Body::Calls(_) | Body::Tick(_) | Body::Chunk(_) => {
                 Err(Error::new(ErrorKind::Internal, "not a configuration record"))
