feat(fakes): example overhead, shared start module, byte counts of the relay

Requests go through entry and side process and straight to the engine, in turn, in one run. A relay counts the bytes that it passes, for the control cost of a link.

--- a/crates/egretgate-fakes/examples/fleet.rs
+++ b/crates/egretgate-fakes/examples/fleet.rs
@@ -9,6 +9,8 @@
 mod options;
 #[path = "fleet/report.rs"]
 mod report;
+#[path = "support/start.rs"]
+mod start;
 #[path = "fleet/world.rs"]
 mod world;
 
--- /dev/null
+++ b/crates/egretgate-fakes/examples/overhead.rs
@@ -0,0 +1,245 @@
+//! Compares calls through entry and side process with calls straight to the same upstream.
+//!
+//! Each request is sent both ways, in turn, in one run. The upstream answers at once, so that the
+//! difference of the two distributions is the path's own cost.
+
+use std::fmt;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use comfy_table::Table;
+use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use egretgate::core::choice::Policy;
+use egretgate_fakes::engine::{Engine, EngineSpec};
+use egretgate_fakes::instances::{Instance, Instances};
+use egretgate_fakes::log::Log;
+use egretgate_http::{Call, Client};
+use eyre::WrapErr;
+use hdrhistogram::Histogram;
+use http::HeaderName;
+use lexopt::Arg;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+#[path = "support/start.rs"]
+mod start;
+
+const HELP: &str = "\
+Compares calls through entry and side process with calls straight to the engine.
+
+  --requests COUNT  requests sent each way [default: 4000]
+  --rate NUMBER     requests per second each way [default: 200]
+  --tokens COUNT    tokens of each answer [default: 4]
+  --seed NUMBER     seed of arrivals [default: 1]
+  --json            print JSON instead of a table
+  --help            print this text
+";
+/// Requests sent each way before any is counted.
+const WARM_UP: usize = 200;
+const DECLARATIONS: &str = r#"
+[tiers.brief]
+rank = 0
+[teams.atelier]
+tier = "brief"
+tiers = ["brief"]
+[services.forecast-llm]
+kind = "engine"
+version = "v1"
+[routes.forecast]
+service = "forecast-llm"
+model = "forecast"
+"#;
+
+struct Options {
+    requests: usize,
+    rate: f64,
+    tokens: usize,
+    seed: u64,
+    json: bool,
+}
+
+/// Times of one request.
+struct Times {
+    through: bool,
+    first: Duration,
+    whole: Duration,
+}
+
+#[derive(Debug, Serialize)]
+struct Report {
+    seed: u64,
+    rate: f64,
+    requests: usize,
+    failed: u64,
+    first_us: Compared,
+    whole_us: Compared,
+}
+
+/// Quantiles both ways, in microseconds.
+#[derive(Debug, Serialize)]
+struct Compared {
+    direct: Quantiles,
+    through: Quantiles,
+    added: Quantiles,
+}
+
+#[derive(Debug, Clone, Copy, Serialize)]
+struct Quantiles {
+    p50: i64,
+    p95: i64,
+    p99: i64,
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<ExitCode> {
+    let Some(options) = Options::read()? else {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    };
+    let report = measure(&options).await?;
+    if options.json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        println!("{report}");
+    }
+    Ok(if report.failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
+impl Options {
+    fn read() -> eyre::Result<Option<Self>> {
+        let mut options = Self { requests: 4000, rate: 200.0, tokens: 4, seed: 1, json: false };
+        let mut parser = lexopt::Parser::from_env();
+        while let Some(arg) = parser.next()? {
+            use lexopt::ValueExt;
+            match arg {
+                Arg::Long("requests") => options.requests = parser.value()?.parse()?,
+                Arg::Long("rate") => options.rate = parser.value()?.parse()?,
+                Arg::Long("tokens") => options.tokens = parser.value()?.parse()?,
+                Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+                Arg::Long("json") => options.json = true,
+                Arg::Long("help") | Arg::Short('h') => return Ok(None),
+                other => return Err(other.unexpected()).wrap_err("see --help"),
+            }
+        }
+        eyre::ensure!(options.rate > 0.0, "--rate must be over 0");
+        Ok(Some(options))
+    }
+}
+
+async fn measure(options: &Options) -> eyre::Result<Report> {
+    let log = Log::start().await?;
+    let instances = Instances::start().await?;
+    let spec = EngineSpec::new().token_time(Duration::ZERO).prefill_time(Duration::ZERO);
+    let engine = Engine::start(spec).await?;
+    let address = engine.address();
+    let side = start::side("forecast-1", "olinda", "forecast-llm", "engine", address).await?;
+    instances.set(Instance::new("forecast-1", "olinda", "forecast-llm", side.link_address()));
+    let entry = start::entry("entry-1", "olinda", &log, &instances, Policy::default()).await?;
+    let entries = [entry];
+    start::declare(&entries, DECLARATIONS).await?;
+    let through = Client::new(entries[0].caller_address());
+    let report = send_all(options, &Client::new(address), &through).await;
+    let [entry] = entries;
+    entry.stop().await;
+    side.stop().await;
+    Ok(report)
+}
+
+async fn send_all(options: &Options, direct: &Client, through: &Client) -> Report {
+    let mut rng = ChaCha8Rng::seed_from_u64(options.seed);
+    let mut tasks = JoinSet::new();
+    let mut due = Instant::now();
+    let total = 2 * (WARM_UP + options.requests);
+    for index in 0..total {
+        due += Duration::from_secs_f64(-(1.0 - rng.random::<f64>()).ln() / (2.0 * options.rate));
+        sleep_until(due).await;
+        let is_through = index % 2 == 1;
+        let client = if is_through { through.clone() } else { direct.clone() };
+        let tokens = options.tokens;
+        tasks.spawn(async move { (index, send(client, index, tokens, is_through).await) });
+    }
+    let mut failed = 0;
+    let mut counted = Vec::new();
+    for (index, result) in tasks.join_all().await {
+        match result {
+            Ok(times) if index >= 2 * WARM_UP => counted.push(times),
+            Ok(_) => {}
+            Err(_) => failed += 1,
+        }
+    }
+    Report {
+        seed: options.seed,
+        rate: options.rate,
+        requests: options.requests,
+        failed,
+        first_us: compared(&counted, |times| times.first),
+        whole_us: compared(&counted, |times| times.whole),
+    }
+}
+
+async fn send(client: Client, index: usize, tokens: usize, through: bool) -> Result<Times, ()> {
+    let body = serde_json::json!({
+        "model": "forecast",
+        "prompt": format!("caption {index}"),
+        "max_tokens": tokens,
+        "stream": true,
+    });
+    let call = Call::post("/v1/completions", body.to_string())
+        .header(HeaderName::from_static("x-egret-team"), "atelier")
+        .header(HeaderName::from_static("x-egret-tier"), "brief");
+    let begin = Instant::now();
+    let mut answer = client.send(call).await.map_err(drop)?;
+    if !answer.is_success() {
+        return Err(());
+    }
+    let mut first = None;
+    while let Some(part) = answer.chunk().await {
+        part.map_err(drop)?;
+        first.get_or_insert_with(|| begin.elapsed());
+    }
+    Ok(Times { through, first: first.ok_or(())?, whole: begin.elapsed() })
+}
+
+fn compared(times: &[Times], part: impl Fn(&Times) -> Duration) -> Compared {
+    let quantiles = |through| {
+        let mut histogram = Histogram::<u64>::new(3).expect("valid precision");
+        for one in times.iter().filter(|one| one.through == through) {
+            histogram.record(part(one).as_micros() as u64).expect("the histogram grows");
+        }
+        let at = |quantile| histogram.value_at_quantile(quantile) as i64;
+        Quantiles { p50: at(0.5), p95: at(0.95), p99: at(0.99) }
+    };
+    let (direct, through) = (quantiles(false), quantiles(true));
+    let added = Quantiles {
+        p50: through.p50 - direct.p50,
+        p95: through.p95 - direct.p95,
+        p99: through.p99 - direct.p99,
+    };
+    Compared { direct, through, added }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut table = Table::new();
+        table.load_style(UTF8_HORIZONTAL_ONLY);
+        table.set_header(["microseconds", "path", "p50", "p95", "p99"]);
+        for (name, compared) in [("first token", &self.first_us), ("whole", &self.whole_us)] {
+            let rows = [
+                ("direct", compared.direct),
+                ("through", compared.through),
+                ("added", compared.added),
+            ];
+            for (path, at) in rows {
+                let cells = [at.p50, at.p95, at.p99].map(|value| value.to_string());
+                let [p50, p95, p99] = cells;
+                table.add_row([name.to_owned(), path.to_owned(), p50, p95, p99]);
+            }
+        }
+        writeln!(f, "{table}")?;
+        write!(f, "seed {}, {} requests each way at {}/s, ", self.seed, self.requests, self.rate)?;
+        write!(f, "failed {}", self.failed)
+    }
+}
--- /dev/null
+++ b/crates/egretgate-fakes/examples/support/start.rs
@@ -0,0 +1,101 @@
+//! Starts side processes and entries on loopback ports, and declares what they serve.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use egretgate::core::check;
+use egretgate::core::choice::Policy;
+use egretgate::core::declaration::Declarations;
+use egretgate::core::diff::{Change, diff};
+use egretgate::operator::{Client, proto};
+use egretgate::{Entry, settings};
+use egretgate_fakes::instances::Instances;
+use egretgate_fakes::log::Log;
+use egretside::Side;
+
+/// Time for a declaration to reach every process before a load starts.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// Starts a side process before the upstream at `upstream`.
+pub async fn side(
+    name: &str,
+    place: &str,
+    service: &str,
+    kind: &str,
+    upstream: SocketAddr,
+) -> eyre::Result<Side> {
+    let engine = format!("{upstream}:v1");
+    let flags = [
+        ("--instance", name),
+        ("--place", place),
+        ("--service", service),
+        ("--kind", kind),
+        ("--engine", &engine),
+        ("--link-address", "127.0.0.1:0"),
+        ("--admin-address", "127.0.0.1:0"),
+        ("--log-level", "error"),
+    ];
+    let args = flags.iter().flat_map(|(flag, value)| [(*flag).into(), (*value).into()]);
+    match settings::side::read(args, []) {
+        Ok(settings::Read::Settings(read)) => {
+            let log = egretside::logger(read.log_level);
+            Side::start(read, log).await
+        }
+        Ok(settings::Read::Help(text)) => Err(eyre::eyre!(text)),
+        Err(faults) => Err(eyre::eyre!("{faults}")),
+    }
+}
+
+/// Starts an entry that chooses by `policy`.
+pub async fn entry(
+    name: &str,
+    place: &str,
+    log: &Log,
+    instances: &Instances,
+    policy: Policy,
+) -> eyre::Result<Entry> {
+    let (log, list) = (log.address().to_string(), instances.address().to_string());
+    let flags = [
+        ("--instance", name),
+        ("--place", place),
+        ("--caller-address", "127.0.0.1:0"),
+        ("--admin-address", "127.0.0.1:0"),
+        ("--operator-address", "127.0.0.1:0"),
+        ("--log-address", &log),
+        ("--instances-address", &list),
+        ("--log-level", "error"),
+    ];
+    let args = flags.iter().flat_map(|(flag, value)| [(*flag).into(), (*value).into()]);
+    match settings::entry::read(args, []) {
+        Ok(settings::Read::Settings(read)) => {
+            let log = egretgate::logger(read.log_level);
+            let extra = egretgate::Options { policy, metrics: None };
+            Entry::start(read, extra, log).await
+        }
+        Ok(settings::Read::Help(text)) => Err(eyre::eyre!(text)),
+        Err(faults) => Err(eyre::eyre!("{faults}")),
+    }
+}
+
+/// Applies `declarations` at the first of `entries` and gives them time to arrive.
+pub async fn declare(entries: &[Entry], declarations: &str) -> eyre::Result<()> {
+    let declared =
+        check::parse(declarations).map_err(|faults| eyre::eyre!("declarations: {faults:?}"))?;
+    for entry in entries {
+        entry.ready().await;
+    }
+    let puts = diff(&Declarations::default(), &declared).into_iter().filter_map(put).collect();
+    let author = proto::Author { operator: "example".into(), reason: "the example".into() };
+    let request = proto::ApplyRequest { author: Some(author), puts, ..Default::default() };
+    let mut client = Client::connect(entries[0].operator_address(), None)
+        .await
+        .map_err(|error| eyre::eyre!("{error:?}"))?;
+    let reply = client.apply(request).await.map_err(|error| eyre::eyre!("{error:?}"))?;
+    eyre::ensure!(reply.accepted, "declarations were refused: {:?}", reply.refusals);
+    tokio::time::sleep(SETTLE).await;
+    Ok(())
+}
+
+fn put(change: Change) -> Option<proto::Item> {
+    Some(proto::Item::new(change.name, 0, change.after?))
+}
--- a/crates/egretgate-fakes/src/relay.rs
+++ b/crates/egretgate-fakes/src/relay.rs
@@ -1,6 +1,8 @@
 //! A TCP relay to one address, which can cut, hold up and delay what passes.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -43,6 +45,23 @@
     down: bool,
 }
 
+/// Bytes that a relay has passed on.
+#[derive(Debug, Default)]
+struct Passed {
+    forth: AtomicU64,
+    back: AtomicU64,
+}
+
+impl Passed {
+    fn add(&self, way: Way, bytes: usize) {
+        let count = match way {
+            Way::Forth => &self.forth,
+            Way::Back => &self.back,
+        };
+        count.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Way {
     Forth,
@@ -63,6 +82,7 @@
 pub struct Relay {
     address: SocketAddr,
     switches: watch::Sender<Switches>,
+    passed: Arc<Passed>,
     task: JoinHandle<()>,
 }
 
@@ -72,8 +92,9 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let switches = watch::Sender::new(Switches::default());
-        let task = tokio::spawn(run(listener, target, switches.subscribe()));
-        Ok(Self { address, switches, task })
+        let passed = Arc::new(Passed::default());
+        let task = run(listener, target, switches.subscribe(), Arc::clone(&passed));
+        Ok(Self { address, switches, passed, task: tokio::spawn(task) })
     }
 
     /// Returns the address at which connections are taken.
@@ -81,6 +102,16 @@
         self.address
     }
 
+    /// Returns the bytes passed to the target so far.
+    pub fn bytes_forth(&self) -> u64 {
+        self.passed.forth.load(Ordering::Relaxed)
+    }
+
+    /// Returns the bytes passed from the target so far.
+    pub fn bytes_back(&self) -> u64 {
+        self.passed.back.load(Ordering::Relaxed)
+    }
+
     /// Closes every connection. New ones are taken.
     pub fn cut(&self) {
         self.switches.send_modify(|switches| switches.cuts += 1);
@@ -111,13 +142,18 @@
     }
 }
 
-async fn run(listener: TcpListener, target: SocketAddr, switches: watch::Receiver<Switches>) {
+async fn run(
+    listener: TcpListener,
+    target: SocketAddr,
+    switches: watch::Receiver<Switches>,
+    passed: Arc<Passed>,
+) {
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
             Ok((stream, _)) = listener.accept() => {
                 if !switches.borrow().down {
-                    connections.spawn(relay(stream, target, switches.clone()));
+                    connections.spawn(relay(stream, target, switches.clone(), Arc::clone(&passed)));
                 }
             }
             Some(_) = connections.join_next() => {}
@@ -126,23 +162,28 @@
     }
 }
 
-async fn relay(near: TcpStream, target: SocketAddr, switches: watch::Receiver<Switches>) {
+async fn relay(
+    near: TcpStream,
+    target: SocketAddr,
+    switches: watch::Receiver<Switches>,
+    passed: Arc<Passed>,
+) {
     let cuts = switches.borrow().cuts;
     let mut cut = switches.clone();
-    let passed = async {
+    let both = async {
         let far = TcpStream::connect(target).await?;
         near.set_nodelay(true)?;
         far.set_nodelay(true)?;
         let (near_read, near_write) = near.into_split();
         let (far_read, far_write) = far.into_split();
         tokio::join!(
-            pass(near_read, far_write, Way::Forth, switches.clone()),
-            pass(far_read, near_write, Way::Back, switches),
+            pass(near_read, far_write, Way::Forth, switches.clone(), &passed),
+            pass(far_read, near_write, Way::Back, switches, &passed),
         );
         Ok::<(), std::io::Error>(())
     };
     tokio::select! {
-        _ = passed => {}
+        _ = both => {}
         _ = cut.wait_for(|switches| switches.cuts != cuts) => {}
     }
 }
@@ -153,9 +194,11 @@
     write: OwnedWriteHalf,
     way: Way,
     switches: watch::Receiver<Switches>,
+    passed: &Passed,
 ) {
     let (sender, receiver) = mpsc::channel(PIECES);
-    tokio::join!(take(read, sender, switches.clone()), give(write, receiver, way, switches));
+    let given = give(write, receiver, way, switches.clone(), passed);
+    tokio::join!(take(read, sender, switches), given);
 }
 
 /// Reads pieces, each with the time at which it is due.
@@ -180,12 +223,14 @@
     mut receiver: mpsc::Receiver<(Instant, Bytes)>,
     way: Way,
     mut switches: watch::Receiver<Switches>,
+    passed: &Passed,
 ) {
     while let Some((due, piece)) = receiver.recv().await {
         wait_until(due).await;
         if !open(&mut switches, way).await || write.write_all(&piece).await.is_err() {
             return;
         }
+        passed.add(way, piece.len());
     }
     if open(&mut switches, way).await {
         let _ = write.shutdown().await;
