refactor(state): the keeper of the core replaces the entry's own

Conclusion: one mechanism; two operators who put the same model under two names at once can still both be accepted, as the fold checks items alone.

--- a/crates/egretgate-core/src/snapshot/keeper.rs
+++ b/crates/egretgate-core/src/snapshot/keeper.rs
@@ -11,6 +11,12 @@
 use crate::record::{Body, Class};
 use crate::snapshot::split;
 
+/// Fewest records between two snapshots that growth alone brings about.
+const GROWTH_RECORDS: u64 = 256;
+/// Bytes read since the last snapshot for each byte of it from which the next is due, so that
+/// snapshots add at most a quarter to the log.
+const GROWTH_FACTOR: u64 = 4;
+
 /// Time between two ticks of log time.
 pub const TICK_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -32,6 +38,22 @@
     /// Chunks of the last snapshot seen so far, if none is missing.
     run: Option<Run>,
     id: u64,
+    growth: Growth,
+}
+
+/// What was read since the last whole snapshot.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Growth {
+    records: u64,
+    bytes: u64,
+    /// Size of the snapshot that is being read, or was read last, in bytes.
+    snapshot: u64,
+}
+
+impl Growth {
+    const fn is_due(self) -> bool {
+        self.records >= GROWTH_RECORDS && self.bytes >= GROWTH_FACTOR * self.snapshot
+    }
 }
 
 /// Chunks of one snapshot, read in order.
@@ -44,7 +66,8 @@
 
 impl Keeper {
     /// Returns a rival for the keeper's lease that writes a snapshot every `interval`, which
-    /// should be a third of the time for which the log keeps records, or less.
+    /// should be a third of the time for which the log keeps records, or less, and sooner once
+    /// the log has grown by several times the state's size.
     pub fn new(own: Incarnation, interval: Duration) -> Self {
         Self {
             holder: Holder::new(KEEPER, own, TTL),
@@ -54,9 +77,16 @@
             snapshot: None,
             run: None,
             id: 0,
+            growth: Growth::default(),
         }
     }
 
+    /// Notes the size of a record that was read, in bytes, before [`Keeper::read`].
+    pub const fn note_size(&mut self, bytes: usize) {
+        self.growth.records += 1;
+        self.growth.bytes += bytes as u64;
+    }
+
     /// Notes a record that the fold applied, read at `now`.
     pub fn read(&mut self, applied: &Applied, state: &State, now: Instant) {
         let claimed = self.holder.fence();
@@ -73,20 +103,23 @@
             Effect::Keys(_) if own => self.base = Some(now),
             Effect::Chunk(chunk) => {
                 let run = Run { writer: author.writer, id: chunk.id, index: chunk.index };
-                self.note_chunk(run, chunk.count, now);
+                self.note_chunk(run, chunk.count, chunk.data.len() as u64, now);
             }
             _ => {}
         }
     }
 
-    fn note_chunk(&mut self, run: Run, count: u32, now: Instant) {
+    fn note_chunk(&mut self, run: Run, count: u32, bytes: u64, now: Instant) {
         if self.run == Some(run) {
             return;
         }
         let next = self.run.map(|last| Run { index: last.index + 1, ..last });
         self.run = (run.index == 0 || next == Some(run)).then_some(run);
+        let before = if run.index == 0 { 0 } else { self.growth.snapshot };
+        self.growth.snapshot = before + bytes;
         if self.run.is_some() && run.index + 1 == count {
             self.snapshot = Some(now);
+            self.growth = Growth { records: 0, bytes: 0, ..self.growth };
         }
     }
 
@@ -126,7 +159,9 @@
             let elapsed_ms = now.saturating_duration_since(base).as_millis() as u64;
             let expects = state.keys().last_tick();
             self.outbox.push(Body::Tick(Tick { fence, expects, elapsed_ms }))?;
-        } else if self.snapshot.is_none_or(|last| now >= last + self.interval) {
+        } else if self.growth.is_due()
+            || self.snapshot.is_none_or(|last| now >= last + self.interval)
+        {
             self.id += 1;
             for chunk in split(state, self.id)? {
                 self.outbox.push(chunk)?;
--- a/crates/egretgate/src/entry/journal.rs
+++ b/crates/egretgate/src/entry/journal.rs
@@ -15,6 +15,7 @@
 use egretgate_core::poison::{Poison, PoisonOptions};
 use egretgate_core::record::outbox::{Append, Outbox};
 use egretgate_core::record::{Body, Class};
+use egretgate_core::snapshot::Keeper;
 use egretgate_core::{Error, ErrorKind, Incarnation, Offset, Result, Ticket};
 use egretgate_link::message::{Deaths, Heartbeat};
 use egretgate_platform::{Batch, LogClient};
@@ -39,6 +40,8 @@
 pub(crate) const JOURNAL_DEPTH: usize = 8192;
 /// Pause between two rounds of upkeep.
 const TICK: Duration = Duration::from_millis(100);
+/// Time after which a snapshot is due whatever was read.
+const SNAPSHOT_PAUSE: Duration = Duration::from_mins(10);
 /// Pause between two looks at leases and moves.
 const STEER_PAUSE: Duration = Duration::from_millis(250);
 /// Time within which an operator's change is read back, or its answer is that it is unknown.
@@ -73,8 +76,6 @@
     Deaths { incarnation: Incarnation, deaths: Deaths },
     /// Measurements of versions from every side process.
     Evidence(Box<Evidence>),
-    /// The keeper's append has returned.
-    Kept,
     /// Look at the state, for operators.
     Inspect(Inspection),
 }
@@ -82,13 +83,15 @@
 /// A question about the state, answered by a closure that runs in the journal's task.
 pub(crate) struct Inspection(pub Box<dyn FnOnce(&Journal) + Send>);
 
-/// Which of the entry's two queues an append comes from.
+/// Which of the entry's queues an append comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Kind {
     /// Configuration records.
     Config,
     /// Intents and outcomes.
     Calls,
+    /// Ticks and snapshots.
+    Keeper,
 }
 
 /// An operator's change that was not read back yet.
@@ -115,10 +118,9 @@
     log: Logger,
     started: Instant,
     reading: reading::Reading,
-    writer: Incarnation,
     leases: leases::Leases,
     trials: moves::Trials,
-    keeping: keeping::Keeping,
+    keeper: Keeper,
     /// When moves were last judged.
     steered: Instant,
 }
@@ -148,10 +150,9 @@
             log,
             started: Instant::now(),
             reading: reading::Reading::default(),
-            writer,
             leases: leases::Leases::new(writer),
             trials: moves::Trials::default(),
-            keeping: keeping::Keeping::new(Instant::now()),
+            keeper: Keeper::new(writer, SNAPSHOT_PAUSE),
             steered: Instant::now(),
         }
     }
@@ -214,7 +215,6 @@
             JournalMessage::PeerState(state) => self.take_peer_state(&state).await,
             JournalMessage::Deaths { incarnation, deaths } => self.deaths(incarnation, &deaths),
             JournalMessage::Evidence(evidence) => self.trials.absorb(&evidence),
-            JournalMessage::Kept => self.kept(),
             JournalMessage::Inspect(Inspection(look)) => look(self),
         }
     }
@@ -287,6 +287,7 @@
         match kind {
             Kind::Config => self.config.lost(sequence),
             Kind::Calls => self.calls.append_lost(sequence),
+            Kind::Keeper => self.keeper.lost(sequence),
         }
         if matches!(error, egretgate_platform::Error::Refused(_)) {
             self.set_log_up(false);
@@ -311,6 +312,7 @@
     /// Notes what the fold made of a record.
     fn note(&mut self, applied: &Applied) {
         self.calls.read(applied, self.state.keys());
+        self.keeper.read(applied, &self.state, Instant::now());
         let Some(author) = applied.author else { return };
         if author.class == Class::Config && self.config.read(author.writer, author.sequence) {
             self.confirm(author.sequence, applied);
--- a/crates/egretgate/src/entry/journal/calls.rs
+++ b/crates/egretgate/src/entry/journal/calls.rs
@@ -2,9 +2,8 @@
 
 use bytes::Bytes;
 use egretgate_core::intent::{Call, Effect, Reply};
-use egretgate_core::record::MAX_OUTCOME_BYTES;
 use egretgate_core::record::body::Done;
-use egretgate_core::{Digest, Error, ErrorKind, Ran};
+use egretgate_core::{Error, ErrorKind, Ran};
 use tokio::sync::oneshot;
 
 use crate::entry::journal::{Journal, Kind};
@@ -82,13 +81,9 @@
 
 impl From<Recorded> for Done {
     fn from(recorded: Recorded) -> Self {
-        let body = recorded.body.filter(|body| body.len() <= MAX_OUTCOME_BYTES);
-        let digest = Digest::of(&[body.as_deref().unwrap_or_default()]);
-        Self {
-            status: recorded.status.into(),
-            content_type: recorded.content_type,
-            body,
-            digest: Bytes::copy_from_slice(digest.as_bytes()),
-        }
+        let Recorded { status, content_type, body } = recorded;
+        let kept = body.is_some();
+        let done = Self::new(status.into(), content_type, body.unwrap_or_default());
+        Self { body: done.body.filter(|_| kept), ..done }
     }
 }
--- a/crates/egretgate/src/entry/journal/leases.rs
+++ b/crates/egretgate/src/entry/journal/leases.rs
@@ -3,28 +3,22 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
-use egretgate_core::lease::{Holder, KEEPER, TTL, move_lease};
+use egretgate_core::lease::{Holder, TTL, move_lease};
 use egretgate_core::{Fence, Incarnation, RouteId};
 
 use crate::entry::journal::Journal;
 
-/// This entry's view of the leases that it takes part in.
+/// This entry's view of the leases on version moves.
 #[derive(Debug)]
 pub(super) struct Leases {
     own: Incarnation,
-    keeper: Holder,
     /// One for each route with a move under way.
     moves: BTreeMap<RouteId, Holder>,
 }
 
 impl Leases {
     pub(super) fn new(own: Incarnation) -> Self {
-        Self { own, keeper: Holder::new(KEEPER, own, TTL), moves: BTreeMap::new() }
-    }
-
-    /// Returns the keeper's fencing number if this entry is the keeper now.
-    pub(super) fn keeper(&self, now: Instant) -> Option<Fence> {
-        self.keeper.holds(now)
+        Self { own, moves: BTreeMap::new() }
     }
 
     /// Returns the fencing number of the lease on a route's move if this entry holds it now.
@@ -41,10 +35,6 @@
             self.moves.entry(route.clone()).or_insert_with(fresh);
         }
     }
-
-    fn all(&mut self) -> impl Iterator<Item = &mut Holder> {
-        std::iter::once(&mut self.keeper).chain(self.moves.values_mut())
-    }
 }
 
 impl Journal {
@@ -61,7 +51,13 @@
             .collect();
         self.leases.follow(&open);
         let may_append = self.reading.is_up() && self.config.is_idle();
-        for holder in self.leases.all() {
+        if may_append
+            && let Some(body) = self.keeper.wants(now)
+            && let Ok(sequence) = self.config.push(body)
+        {
+            self.keeper.sent(sequence, now);
+        }
+        for holder in self.leases.moves.values_mut() {
             holder.read(self.state.shared().lease(holder.name()), now);
             let Some(body) = holder.wants(now).filter(|_| may_append) else { continue };
             if let Ok(sequence) = self.config.push(body) {
--- a/crates/egretgate/src/entry/journal/reading.rs
+++ b/crates/egretgate/src/entry/journal/reading.rs
@@ -116,7 +116,7 @@
         for record in &batch.records {
             let prev = *self.state.shared().digest();
             let applied = self.state.apply(record.offset, &record.data);
-            self.keeping.note_read(record.data.len());
+            self.keeper.note_size(record.data.len());
             if self.state.shared().digest() != &prev {
                 self.recent.push(record.offset, prev, record.data.clone());
             }
@@ -144,6 +144,9 @@
         if self.reading.loss.is_some_and(|loss| issued > loss) {
             self.reading.loss = None;
             self.calls.caught_up();
+            if let Some(append) = self.keeper.caught_up() {
+                self.send(super::Kind::Keeper, append);
+            }
             if let Some(append) = self.config.caught_up() {
                 self.send(super::Kind::Config, append);
             }
@@ -169,18 +172,18 @@
         }
         let Some(scan) = self.reading.recovery.take() else { return };
         match scan.recovery.finish() {
-            Ok(state) => self.adopt(state).await,
+            Ok(state) => self.resume(state).await,
             Err(error) => warn!(self.log, "log can't be folded"; "error" => error.to_string()),
         }
     }
 
     /// Goes on from a snapshot, unless more was folded already.
-    async fn adopt(&mut self, state: State) {
-        if state.next() <= self.state.next() {
+    async fn resume(&mut self, snapshot: State) {
+        if !self.state.resume(snapshot) {
             return;
         }
-        info!(self.log, "snapshot read"; "offset" => state.next());
-        self.state = state;
+        info!(self.log, "snapshot read"; "offset" => self.state.next());
+        self.calls.resync(self.state.keys());
         self.recent.clear();
         self.publish(&[Part::Declarations, Part::Moves, Part::Quarantine]).await;
         self.announce().await;
--- a/crates/egretgate/src/entry/operator/apply.rs
+++ b/crates/egretgate/src/entry/operator/apply.rs
@@ -2,7 +2,8 @@
 
 use std::time::Instant;
 
-use egretgate_core::diff::{Item, Section};
+use egretgate_core::check;
+use egretgate_core::diff::{self, Item, Section};
 use egretgate_core::record::{Body, body};
 use egretgate_core::{Error, ErrorKind, Offset, Result, Revision};
 use egretgate_operator::proto;
@@ -22,7 +23,10 @@
 impl Operator {
     pub(super) async fn apply(&self, request: proto::ApplyRequest) -> Result<proto::ApplyReply> {
         let change = change_of(&request)?;
-        let refusals = self.conflicts(&change).await?;
+        let mut refusals = self.conflicts(&change).await?;
+        if refusals.is_empty() {
+            refusals = self.faults(&request)?;
+        }
         if request.dry_run || !refusals.is_empty() {
             let accepted = refusals.is_empty();
             return Ok(proto::ApplyReply { accepted, refusals, ..Default::default() });
@@ -74,6 +78,24 @@
         .await
     }
 
+    /// Returns what would be wrong with the declarations after the change.
+    fn faults(&self, request: &proto::ApplyRequest) -> Result<Vec<proto::Refusal>> {
+        let mut declared = self.desks.view.borrow().directory.declared().clone();
+        for delete in &request.deletes {
+            if let Some(section) = delete.kind().section() {
+                diff::delete(&mut declared, section, &delete.name);
+            }
+        }
+        for put in &request.puts {
+            diff::put(&mut declared, put.name.clone(), put.to_item()?);
+        }
+        let refused = |fault: check::Fault| {
+            let error = Error::new(ErrorKind::InvalidDeclaration, fault.to_string());
+            refusal(proto::Kind::Unspecified, "", &error, 0)
+        };
+        Ok(check::faults(&declared).into_iter().map(refused).collect())
+    }
+
     /// Watches until every connected process has folded the record at `offset`, for a while.
     async fn watch_force(&self, offset: Offset) -> Result<Force> {
         let until = Instant::now() + FORCE_TIMEOUT;
