test(egretgate): bad requests and frames against real processes

Unknown team, tier, route and model, three malformed bodies, an over-long body, a half-sent request and an oversized frame each get their answer while a stream beside them stays exact.

--- a/crates/egretgate/tests/processes.rs
+++ b/crates/egretgate/tests/processes.rs
@@ -1,5 +1,7 @@
 //! Entries and side processes as separate processes, against fakes: the plain path and failures.
 
+#[path = "processes/bad_input.rs"]
+mod bad_input;
 #[path = "processes/bed.rs"]
 mod bed;
 #[path = "processes/caller.rs"]
