--- a/crates/egretgate-core/src/fold.rs
+++ b/crates/egretgate-core/src/fold.rs
@@ -24,7 +24,7 @@
 pub use items::Items;
 pub use keys::{Key, KeyChange, KeyEvent, KeyState, Keys, MAX_BODY_BYTES, MAX_KEYS, MAX_TICK};
 pub use moves::Move;
-pub use quarantine::Quarantine;
+pub use quarantine::{Quarantine, Reported};
 pub use shared::{Shared, Standing};
 
 use crate::error::{Error, ErrorKind, Result};
--- a/crates/egretgate-core/src/fold/quarantine.rs
+++ b/crates/egretgate-core/src/fold/quarantine.rs
@@ -1,5 +1,7 @@
 //! Quarantine of request digests, as folded from deaths, clearings and lifts.
 
+use std::collections::VecDeque;
+
 use crate::fold::image::{QuarantineImage, SuspectImage};
 use crate::ids::{Digest, Offset};
 use crate::poison::{self, Poison, PoisonOptions, Verdict};
@@ -9,6 +11,9 @@
 const OPTIONS: PoisonOptions =
     PoisonOptions { capacity: 4_096, deaths: 1_024, suspect: 1_000_000, quarantined: 30_000_000 };
 
+/// Most deaths that are known before the log holds them.
+const MAX_PENDING: usize = 1_024;
+
 /// Digests that were in flight when upstreams died.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Quarantine {
@@ -32,6 +37,11 @@
         self.table.verdict(*digest) == Verdict::Suspect
     }
 
+    /// Returns true if the death is in the log, and remembered.
+    pub fn knows(&self, death: poison::Death) -> bool {
+        self.table.deaths().any(|known| known == death)
+    }
+
     /// Returns every digest held with the number of its deaths, at most two, in order.
     pub fn iter(&self) -> impl Iterator<Item = (Digest, u32)> {
         self.table.entries().map(|entry| (entry.digest, 1 + u32::from(entry.second.is_some())))
@@ -89,3 +99,42 @@
         Self { table: Poison::from_entries(OPTIONS, entries, deaths) }
     }
 }
+
+/// The quarantine as the log has it, and the deaths on top that were reported sooner than the
+/// log shows them.
+#[derive(Debug, Clone, Default)]
+pub struct Reported {
+    /// The log's quarantine with every death of `pending`.
+    known: Quarantine,
+    /// Deaths that the log does not hold yet, oldest first; at most [`MAX_PENDING`].
+    pending: VecDeque<(poison::Death, Vec<Digest>)>,
+}
+
+impl Reported {
+    /// Notes a reported death; returns false if it was known.
+    pub fn died(&mut self, death: poison::Death, digests: Vec<Digest>, at: Offset) -> bool {
+        if self.known.knows(death) {
+            return false;
+        }
+        self.known.table.died(death, &digests, at);
+        if self.pending.len() >= MAX_PENDING {
+            self.pending.pop_front();
+        }
+        self.pending.push_back((death, digests));
+        true
+    }
+
+    /// Takes over the log's quarantine at an offset, with clearings and lifts.
+    pub fn follow(&mut self, folded: &Quarantine, at: Offset) {
+        self.pending.retain(|(death, _)| !folded.knows(*death));
+        self.known = folded.clone();
+        for (death, digests) in &self.pending {
+            self.known.table.died(*death, digests, at);
+        }
+    }
+
+    /// Returns what is held against a digest.
+    pub fn verdict(&self, digest: Digest) -> Verdict {
+        self.known.table.verdict(digest)
+    }
+}
--- a/crates/egretgate-link/src/message.rs
+++ b/crates/egretgate-link/src/message.rs
@@ -488,6 +488,9 @@
     /// Digests in flight, 16 bytes each.
     #[prost(bytes = "bytes", repeated, tag = "3")]
     pub digests: Vec<Bytes>,
+    /// True if the entry is to append the death to the log; the others only take it into account.
+    #[prost(bool, tag = "4")]
+    pub append: bool,
 }
 
 impl From<Ticket> for TicketId {
--- a/crates/egretgate/src/entry/flight.rs
+++ b/crates/egretgate/src/entry/flight.rs
@@ -137,10 +137,22 @@
             Verdict::Suspect => true,
             Verdict::Clear => false,
         };
-        if plan.once {
+        let result = if plan.once {
             self.run_once(plan, alone).await
         } else {
             self.offer_round(plan, alone).await
+        };
+        if result.is_ok() {
+            self.clear(digest).await;
+        }
+        result
+    }
+
+    /// A suspect that was answered in whole kills no upstream.
+    async fn clear(&self, digest: Digest) {
+        let verdict = self.desks.view.borrow().verdict(digest);
+        if verdict == Verdict::Suspect {
+            let _ = self.desks.journal.send(JournalMessage::Cleared(digest)).await;
         }
     }
 
--- a/crates/egretgate/src/entry/journal.rs
+++ b/crates/egretgate/src/entry/journal.rs
@@ -9,13 +9,12 @@
 
 use bytes::Bytes;
 use egretgate_core::directory::Directory;
-use egretgate_core::fold::{Applied, Effect as Folded, Part, State};
+use egretgate_core::fold::{Applied, Effect as Folded, Part, Reported, State};
 use egretgate_core::intent::{self, Calls};
 use egretgate_core::moves::Evidence;
-use egretgate_core::poison::{Poison, PoisonOptions};
 use egretgate_core::record::outbox::{Append, Outbox};
 use egretgate_core::record::{Body, Class};
-use egretgate_core::{Error, ErrorKind, Incarnation, Offset, Result, Ticket};
+use egretgate_core::{Digest, Error, ErrorKind, Incarnation, Offset, Result, Ticket};
 use egretgate_link::message::{Deaths, Heartbeat};
 use egretgate_platform::{Batch, LogClient};
 use slog::{Logger, info, warn};
@@ -71,6 +70,8 @@
     PeerState(Bytes),
     /// A side process reports deaths.
     Deaths { incarnation: Incarnation, deaths: Deaths },
+    /// A suspect was answered in whole.
+    Cleared(Digest),
     /// Measurements of versions from every side process.
     Evidence(Box<Evidence>),
     /// The keeper's append has returned.
@@ -106,7 +107,7 @@
     config: Outbox,
     pending: HashMap<u64, Pending>,
     grants: HashMap<Ticket, oneshot::Sender<Grant>>,
-    local: Poison,
+    reported: Reported,
     recent: Recent,
     view: watch::Sender<Arc<View>>,
     client: LogClient,
@@ -139,7 +140,7 @@
             config: Outbox::new(writer),
             pending: HashMap::new(),
             grants: HashMap::new(),
-            local: Poison::new(PoisonOptions::default()),
+            reported: Reported::default(),
             recent: Recent::default(),
             view,
             client,
@@ -213,6 +214,7 @@
             JournalMessage::RecordsAsk { key, from } => self.feed(key, from).await,
             JournalMessage::PeerState(state) => self.take_peer_state(&state).await,
             JournalMessage::Deaths { incarnation, deaths } => self.deaths(incarnation, &deaths),
+            JournalMessage::Cleared(digest) => self.cleared(digest),
             JournalMessage::Evidence(evidence) => self.trials.absorb(&evidence),
             JournalMessage::Kept => self.kept(),
             JournalMessage::Inspect(Inspection(look)) => look(self),
@@ -333,6 +335,9 @@
             self.split_traffic().await;
         }
         let shared = self.state.shared();
+        if parts.contains(&Part::Quarantine) {
+            self.reported.follow(shared.quarantine(), shared.next());
+        }
         self.view.send_modify(|view| {
             let view = Arc::make_mut(view);
             if parts.contains(&Part::Declarations) || parts.contains(&Part::Moves) {
@@ -340,7 +345,7 @@
                 view.directory = Arc::new(Directory::new(declared, shared.serving()));
             }
             if parts.contains(&Part::Quarantine) {
-                view.quarantine = Arc::new(shared.quarantine().clone());
+                view.quarantine = Arc::new(self.reported.clone());
             }
         });
     }
--- a/crates/egretgate/src/entry/journal/feeding.rs
+++ b/crates/egretgate/src/entry/journal/feeding.rs
@@ -1,6 +1,7 @@
 //! Feeding side processes with configuration records, and taking in their reports.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use egretgate_core::poison::Death;
@@ -71,18 +72,20 @@
         let _ = self.fleet.send(FleetMessage::Records { key, records }).await;
     }
 
-    /// Takes deaths into account here at once, and everywhere through the log.
+    /// Takes deaths into account here at once, and appends them if this entry is asked to.
     pub(super) fn deaths(&mut self, incarnation: Incarnation, deaths: &Deaths) {
         let digests: Vec<Digest> =
             deaths.digests.iter().filter_map(|bytes| Digest::from_slice(bytes)).collect();
         let death = Death::new(&deaths.upstream, incarnation, deaths.sequence);
-        if self.local.deaths().any(|known| known == death) {
+        let shared = self.state.shared();
+        let in_log = shared.quarantine().knows(death);
+        if self.reported.died(death, digests, shared.next()) {
+            let reported = Arc::new(self.reported.clone());
+            self.view.send_modify(|view| Arc::make_mut(view).quarantine = reported);
+        }
+        if in_log || !deaths.append {
             return;
         }
-        let at = self.started.elapsed().as_millis() as u64;
-        self.local.died(death, &digests, at);
-        let local = std::sync::Arc::new(self.local.clone());
-        self.view.send_modify(|view| std::sync::Arc::make_mut(view).local = local);
         let body = Body::Death(body::Death {
             upstream: deaths.upstream.clone(),
             incarnation,
@@ -92,4 +95,14 @@
         let (reply, _) = oneshot::channel();
         self.append(body, reply);
     }
+
+    /// Clears a suspect for every process. A death that the log does not hold yet comes after.
+    pub(super) fn cleared(&mut self, digest: Digest) {
+        if !self.state.shared().quarantine().is_suspect(&digest) {
+            return;
+        }
+        let digests = vec![Bytes::copy_from_slice(digest.as_bytes())];
+        let (reply, _) = oneshot::channel();
+        self.append(Body::Clear(body::Clear { digests }), reply);
+    }
 }
--- a/crates/egretgate/src/entry/state.rs
+++ b/crates/egretgate/src/entry/state.rs
@@ -4,11 +4,11 @@
 
 use egretgate_core::Digest;
 use egretgate_core::directory::Directory;
-use egretgate_core::fold::Quarantine;
-use egretgate_core::poison::{Poison, PoisonOptions, Verdict};
+use egretgate_core::fold::Reported;
+use egretgate_core::poison::Verdict;
 
 /// The shared state at one offset. A new one is published at each change.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub(crate) struct View {
     /// True once the log's head, or in an outage the peers' highest state, was read.
     pub ready: bool,
@@ -16,34 +16,13 @@
     pub log_up: bool,
     /// Index over the declarations.
     pub directory: Arc<Directory>,
-    /// Digests in quarantine by the log.
-    pub quarantine: Arc<Quarantine>,
-    /// Deaths reported to this entry, before the log confirms them.
-    pub local: Arc<Poison>,
-}
-
-impl Default for View {
-    fn default() -> Self {
-        Self {
-            ready: false,
-            log_up: false,
-            directory: Arc::default(),
-            quarantine: Arc::default(),
-            local: Arc::new(Poison::new(PoisonOptions::default())),
-        }
-    }
+    /// Digests in quarantine by the log and by deaths reported to this entry.
+    pub quarantine: Arc<Reported>,
 }
 
 impl View {
     /// Returns what is held against a request, by the log or by reports to this entry.
     pub(crate) fn verdict(&self, digest: Digest) -> Verdict {
-        let local = self.local.verdict(digest);
-        if self.quarantine.is_quarantined(&digest) || local == Verdict::Quarantined {
-            Verdict::Quarantined
-        } else if self.quarantine.is_suspect(&digest) || local == Verdict::Suspect {
-            Verdict::Suspect
-        } else {
-            Verdict::Clear
-        }
+        self.quarantine.verdict(digest)
     }
 }
--- a/crates/egretgate/tests/processes/poison.rs
+++ b/crates/egretgate/tests/processes/poison.rs
@@ -142,7 +142,7 @@
     for index in 0..SENDS {
         told.push(complete(entries[index % 2], MARKER, TOKENS).await);
         // A little longer once it is refused, so that every engine is back at the end.
-        if told.last().is_some_and(|one| one.is_not_run()) {
+        if told.last().is_some_and(Told::is_not_run) {
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
     }
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -102,11 +102,11 @@
     route: String,
     team: String,
     tier: Tier,
-    digest: Digest,
     prompt: u32,
     estimated: u32,
     level: u32,
     version: String,
+    since: Instant,
 }
 
 /// A death that the log has not confirmed yet.
@@ -138,7 +138,10 @@
     stopping: Option<oneshot::Sender<()>>,
     stopped: bool,
     last_beat: Instant,
-    started: Instant,
+    /// When the desk last did anything.
+    awake: Instant,
+    /// When it last woke from a freeze; times measured across that say nothing of an engine.
+    thawed: Option<Instant>,
 }
 
 impl Desk {
@@ -171,7 +174,8 @@
             stopping: None,
             stopped: false,
             last_beat: now,
-            started: now,
+            awake: now,
+            thawed: None,
         }
     }
 
@@ -195,6 +199,7 @@
     }
 
     fn handle(&mut self, message: DeskMessage) {
+        self.notice_freeze(Instant::now());
         match message {
             DeskMessage::Attach { entry, peer, reply } => self.attach(entry, peer, reply),
             DeskMessage::Detach { entry, id } => self.entries.detach(entry, id, Instant::now()),
@@ -381,6 +386,9 @@
 
     fn handle_pace(&mut self, ticket: Ticket, pace: Pace) {
         let Some(running) = self.running.get(&ticket) else { return };
+        if self.was_frozen(running) {
+            return;
+        }
         let limit = self.engines.limit(running.engine);
         match pace {
             Pace::First(took) => limit.first_token(running.prompt, took, Instant::now()),
--- a/crates/egretside/src/desk/life.rs
+++ b/crates/egretside/src/desk/life.rs
@@ -3,9 +3,9 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use egretgate_core::queue::Held;
+use egretgate_core::queue::{Held, Work};
 use egretgate_core::{ErrorKind, Ticket};
-use egretgate_link::message::{Deaths, Queued, Standing, to_entry};
+use egretgate_link::message::{Deaths, Offer, Queued, Standing, to_entry};
 use slog::{info, warn};
 use tokio::sync::oneshot;
 
@@ -54,6 +54,11 @@
     fn start(&mut self, engine: EngineKey, held: Held<Waiting>) {
         let Held { work, payload: Waiting { entry, offer }, since } = held;
         self.entries.remove_waiting(entry, work.ticket);
+        if self.has_changed(&work) {
+            let waited = since.elapsed().as_millis() as u64;
+            let deadline_ms = offer.deadline_ms.saturating_sub(waited);
+            return self.handle_offer(entry, Offer { deadline_ms, ..offer });
+        }
         let Some(frames) = self.entries.frames(entry).cloned() else {
             // Its entry is cut off: put nothing on the engine for nobody.
             self.standings.note(work.ticket, Standing::Refused);
@@ -72,17 +77,23 @@
             route,
             team: work.team,
             tier: work.tier,
-            digest: work.digest,
             prompt: work.prompt,
             estimated: work.output,
             level,
             version,
+            since: Instant::now(),
         };
         self.running.insert(work.ticket, running);
         self.delivering += 1;
         tokio::spawn(drive(run, self.own.clone()));
     }
 
+    /// Returns true if deaths told more of the work while it waited: it is screened again, so
+    /// that a quarantined request doesn't start and a suspect starts alone.
+    fn has_changed(&self, work: &Work) -> bool {
+        self.feed.is_quarantined(work.digest) || !work.alone && self.feed.is_suspect(work.digest)
+    }
+
     /// Notes the end of a run.
     pub(crate) fn handle_ended(&mut self, report: &Report) {
         let Some(running) = self.running.remove(&report.ticket) else { return };
@@ -92,8 +103,9 @@
         };
         self.standings.note(report.ticket, standing);
         let charged = u64::from(running.prompt) + u64::from(running.estimated);
+        let frozen = self.was_frozen(&running);
         let limit = self.engines.limit(running.engine);
-        if report.finish == Finish::Whole {
+        if report.finish == Finish::Whole && !frozen {
             let actual = u64::from(running.prompt) + u64::from(report.tokens);
             limit.ended(charged, actual, report.whole);
             self.lengths.observe(&running.route, report.tokens);
@@ -101,12 +113,14 @@
         } else {
             limit.dropped(charged);
         }
-        let place = Key {
-            route: running.route.clone(),
-            version: running.version.clone(),
-            level: running.level,
-        };
-        self.samples.note(place, self.feed.targets(running.tier), report);
+        if !frozen {
+            let place = Key {
+                route: running.route.clone(),
+                version: running.version.clone(),
+                level: running.level,
+            };
+            self.samples.note(place, self.feed.targets(running.tier), report);
+        }
         self.log_end(&running, report);
         let cut = matches!(report.finish, Finish::Cut);
         let doubted = self.engines.ended(running.engine, report.ticket, cut);
@@ -115,9 +129,6 @@
         if doubted || unreachable {
             self.probe(running.engine, Duration::ZERO);
         }
-        if report.finish == Finish::Whole {
-            self.feed.clear_suspect(running.digest);
-        }
     }
 
     fn log_end(&self, running: &Running, report: &Report) {
@@ -171,13 +182,15 @@
             upstream: self.identity.upstream.clone(),
             sequence: self.deaths,
             digests: digests.iter().map(|one| Bytes::copy_from_slice(one.as_bytes())).collect(),
+            append: false,
         };
-        let at = self.started.elapsed().as_millis() as u64;
         let Identity { upstream, incarnation, .. } = &self.identity;
-        self.feed.died(upstream, *incarnation, &deaths, at);
-        let reporter = self.entries.attached().min();
-        if let Some(entry) = reporter {
-            self.entries.send(entry, to_entry::Body::Deaths(deaths.clone()));
+        self.feed.died(upstream, *incarnation, &deaths);
+        // Every entry refuses or isolates the requests at once; one writes the death down.
+        let writer = self.entries.attached().min();
+        for entry in self.entries.attached() {
+            let deaths = Deaths { append: Some(entry) == writer, ..deaths.clone() };
+            self.entries.send(entry, to_entry::Body::Deaths(deaths));
         }
         self.unconfirmed.push(Unconfirmed { deaths, since: Instant::now() });
     }
--- a/crates/egretside/src/desk/upkeep.rs
+++ b/crates/egretside/src/desk/upkeep.rs
@@ -3,14 +3,17 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::{Error, ErrorKind};
-use egretgate_link::message::{Load, Standing, to_entry};
+use egretgate_link::message::{Deaths, Load, Standing, to_entry};
+use slog::warn;
 
-use crate::desk::Desk;
+use crate::desk::{Desk, Running};
 
-/// Time within which a reported death must be in the log, or it is reported to every entry.
+/// Time within which a reported death must be in the log, or every entry is asked to append it.
 const DEATH_CONFIRM: Duration = Duration::from_secs(2);
 /// Budget of the side process for heartbeats to all entries, in bytes per second.
 const HEARTBEAT_BUDGET: f64 = 2048.0;
+/// Time without an act of the desk from which the process counts as having been frozen.
+const FROZEN: Duration = Duration::from_secs(2);
 /// Size of a heartbeat on the wire without samples, in bytes.
 const HEARTBEAT_BYTES: f64 = 64.0;
 /// Shortest pause between two heartbeats to one entry.
@@ -20,6 +23,7 @@
     /// Does what is due by time alone.
     pub(crate) fn tick(&mut self) {
         let now = Instant::now();
+        self.notice_freeze(now);
         for ticket in self.entries.forget_lost(now) {
             if self.queue.withdraw(ticket).is_some() {
                 self.standings.note(ticket, Standing::Refused);
@@ -32,6 +36,21 @@
         self.gauge();
     }
 
+    /// Notes whether the process as a whole stood still: the desk acts at each tick.
+    pub(crate) fn notice_freeze(&mut self, now: Instant) {
+        let still = now.duration_since(self.awake);
+        self.awake = now;
+        if still >= FROZEN {
+            warn!(self.log, "process was frozen"; "ms" => still.as_millis() as u64);
+            self.thawed = Some(now);
+        }
+    }
+
+    /// Returns true if the process stood still while a request ran.
+    pub(super) fn was_frozen(&self, running: &Running) -> bool {
+        self.thawed.is_some_and(|thawed| running.since < thawed)
+    }
+
     /// Takes over what the declarations say of the service and its most urgent tier.
     pub(crate) fn follow_declarations(&mut self) {
         let Some(service) = self.feed.service(&self.identity.service) else { return };
@@ -69,14 +88,15 @@
         }
     }
 
-    /// Reports a death to every entry if the log has not confirmed it in time.
+    /// Asks every entry to append a death if the log has not confirmed it in time.
     fn confirm_deaths(&mut self, now: Instant) {
-        let feed = &self.feed;
-        self.unconfirmed.retain(|one| !feed.knows_death(&one.deaths));
+        let (feed, life) = (&self.feed, self.identity.incarnation);
+        self.unconfirmed.retain(|one| !feed.knows_death(life, &one.deaths));
         for one in &mut self.unconfirmed {
             if now.duration_since(one.since) >= DEATH_CONFIRM {
                 one.since = now;
-                self.entries.broadcast(&to_entry::Body::Deaths(one.deaths.clone()));
+                let deaths = Deaths { append: true, ..one.deaths.clone() };
+                self.entries.broadcast(&to_entry::Body::Deaths(deaths));
             }
         }
     }
--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -209,6 +209,9 @@
         if alive && !all_cut {
             return Verdict::Alive;
         }
+        if alive {
+            engine.limit.restart(now);
+        }
         let mut digests: Vec<Digest> = witnesses.iter().chain(&cut).map(|one| one.digest).collect();
         digests.sort_unstable();
         digests.dedup();
--- a/crates/egretside/src/feed.rs
+++ b/crates/egretside/src/feed.rs
@@ -5,8 +5,8 @@
 use blake3::Hash;
 use bytes::Bytes;
 use egretgate_core::declaration::ServiceSpec;
-use egretgate_core::fold::{Effect, Shared, Standing};
-use egretgate_core::poison::{Death, Poison, PoisonOptions, Verdict};
+use egretgate_core::fold::{Effect, Reported, Shared, Standing};
+use egretgate_core::poison::{Death, Verdict};
 use egretgate_core::{Digest, Incarnation, Offset, Tier, UpstreamId};
 use egretgate_link::message::{Deaths, Heartbeat, Records, RecordsAsk};
 
@@ -29,28 +29,17 @@
 }
 
 /// Configuration as far as it was fed, and what this process knows of deaths before the log does.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Feed {
     shared: Shared,
-    /// Deaths of this process's own engines.
-    local: Poison,
+    /// The quarantine with the deaths of this process's own engines.
+    reported: Reported,
     /// When an entry was last asked; `None` once it answered.
     asked: Option<Instant>,
     /// True if the records fed don't fit and the whole state is needed.
     diverged: bool,
 }
 
-impl Default for Feed {
-    fn default() -> Self {
-        Self {
-            shared: Shared::default(),
-            local: Poison::new(PoisonOptions::default()),
-            asked: None,
-            diverged: false,
-        }
-    }
-}
-
 impl Feed {
     /// Returns the offset after the last configuration record folded. Never goes back.
     pub(crate) const fn offset(&self) -> Offset {
@@ -97,7 +86,11 @@
                 break;
             }
         }
-        self.shared.next() > before
+        let risen = self.shared.next() > before;
+        if risen {
+            self.reported.follow(self.shared.quarantine(), self.shared.next());
+        }
+        risen
     }
 
     /// Takes a whole state, unless it is older than what is known.
@@ -132,42 +125,24 @@
 
     /// Returns whether a request is refused because upstreams died while running it.
     pub(crate) fn is_quarantined(&self, digest: Digest) -> bool {
-        self.shared.quarantine().is_quarantined(&digest)
-            || self.local.verdict(digest) == Verdict::Quarantined
+        self.reported.verdict(digest) == Verdict::Quarantined
     }
 
     /// Returns whether a request must run with no other beside it.
     pub(crate) fn is_suspect(&self, digest: Digest) -> bool {
-        self.shared.quarantine().is_suspect(&digest)
-            || self.local.verdict(digest) == Verdict::Suspect
+        self.reported.verdict(digest) == Verdict::Suspect
     }
 
-    /// Notes a death of one of this process's engines, `at` milliseconds after its start.
-    pub(crate) fn died(
-        &mut self,
-        upstream: &UpstreamId,
-        life: Incarnation,
-        deaths: &Deaths,
-        at: u64,
-    ) {
+    /// Notes a death of one of this process's engines.
+    pub(crate) fn died(&mut self, upstream: &UpstreamId, life: Incarnation, deaths: &Deaths) {
         let digests: Vec<Digest> =
             deaths.digests.iter().filter_map(|bytes| Digest::from_slice(bytes)).collect();
-        self.local.died(Death::new(upstream, life, deaths.sequence), &digests, at);
-    }
-
-    /// Returns whether the log holds every digest of the death, so that it need not be reported
-    /// again.
-    pub(crate) fn knows_death(&self, deaths: &Deaths) -> bool {
-        let quarantine = self.shared.quarantine();
-        deaths
-            .digests
-            .iter()
-            .filter_map(|bytes| Digest::from_slice(bytes))
-            .all(|digest| quarantine.is_suspect(&digest) || quarantine.is_quarantined(&digest))
+        let death = Death::new(upstream, life, deaths.sequence);
+        self.reported.died(death, digests, self.shared.next());
     }
 
-    /// Clears a suspect whose request was completed.
-    pub(crate) fn clear_suspect(&mut self, digest: Digest) {
-        self.local.completed(digest);
+    /// Returns whether the log holds the death, so that it need not be reported again.
+    pub(crate) fn knows_death(&self, life: Incarnation, deaths: &Deaths) -> bool {
+        self.shared.quarantine().knows(Death::new(&deaths.upstream, life, deaths.sequence))
     }
 }
