fix(egretside): a refused ticket may be offered again, a lagging copy asks again

Cause: three faults found by reading. A ticket refused for want of room was barred at that side process for good, so a later offer there was refused although there was room. A lost answer with configuration records left a side process behind until the next change. Every retry went to the first upstream that the gate left. Change: only withdrawn and unseen tickets are barred; the feed keeps the furthest heartbeat and asks any attached entry until it has caught up; retries choose among what the gate left.

--- a/crates/egretgate-fakes/examples/overhead.rs
+++ b/crates/egretgate-fakes/examples/overhead.rs
@@ -167,7 +167,7 @@
         match result {
             Ok(times) if index >= 2 * WARM_UP => counted.push(times),
             Ok(_) => {}
-            Err(_) => failed += 1,
+            Err(()) => failed += 1,
         }
     }
     Report {
--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -1,6 +1,6 @@
 //! The task that owns what the entry knows of upstreams: links, membership, choice and gates.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
@@ -500,7 +500,7 @@
         let candidates = choice.iter().filter(|(_, view)| serves(view, wish)).map(|(key, _)| key);
         let key = match gate.decide(wish.tier, &wish.tried, candidates, now, rng) {
             Verdict::Offer => self.pick(wish, now),
-            Verdict::Probe(keys) => keys.first().copied(),
+            Verdict::Probe(keys) => self.pick_among(wish, &keys, now),
             Verdict::Refuse { after } => return Err(self.refuse(wish, after)),
         };
         key.and_then(|key| self.begin(wish, key, now)).ok_or_else(|| self.none_left(wish))
@@ -549,6 +549,26 @@
         self.choice.choose(&ask, now, &mut self.rng)
     }
 
+    /// Chooses among the upstreams that the gate left, so that retries don't all meet the same
+    /// one; the likeliest one if the choice falls on none of them.
+    fn pick_among(
+        &mut self,
+        wish: &Wish,
+        keys: &[UpstreamKey],
+        now: Instant,
+    ) -> Option<UpstreamKey> {
+        let left: HashSet<UpstreamKey> = keys.iter().copied().collect();
+        let excluded: Vec<UpstreamKey> = self
+            .choice
+            .iter()
+            .filter(|(key, view)| serves(view, wish) && !left.contains(key))
+            .map(|(key, _)| key)
+            .collect();
+        let ask = ask_of(wish, &self.place, &excluded);
+        let chosen = self.choice.choose(&ask, now, &mut self.rng);
+        chosen.filter(|key| left.contains(key)).or_else(|| keys.first().copied())
+    }
+
     fn begin(&mut self, wish: &Wish, key: UpstreamKey, now: Instant) -> Option<Chosen> {
         let side = self.sides.get(*self.by_upstream.get(&key)?)?;
         let ask = ask_of(wish, &self.place, &[]);
--- a/crates/egretgate/src/entry/journal.rs
+++ b/crates/egretgate/src/entry/journal.rs
@@ -9,14 +9,13 @@
 
 use bytes::Bytes;
 use egretgate_core::directory::Directory;
-use egretgate_core::fold::{Applied, Effect as Folded, Part, State};
+use egretgate_core::fold::{Applied, Effect as Folded, Part, Reported, State};
 use egretgate_core::intent::{self, Calls};
 use egretgate_core::moves::Evidence;
-use egretgate_core::poison::{Poison, PoisonOptions};
 use egretgate_core::record::outbox::{Append, Outbox};
 use egretgate_core::record::{Body, Class};
 use egretgate_core::snapshot::Keeper;
-use egretgate_core::{Error, ErrorKind, Incarnation, Offset, Result, Ticket};
+use egretgate_core::{Digest, Error, ErrorKind, Incarnation, Offset, Result, Ticket};
 use egretgate_link::message::{Deaths, Heartbeat};
 use egretgate_platform::{Batch, LogClient};
 use slog::{Logger, info, warn};
@@ -74,6 +73,8 @@
     PeerState(Bytes),
     /// A side process reports deaths.
     Deaths { incarnation: Incarnation, deaths: Deaths },
+    /// A suspect was answered in whole.
+    Cleared(Digest),
     /// Measurements of versions from every side process.
     Evidence(Box<Evidence>),
     /// Look at the state, for operators.
@@ -109,7 +110,7 @@
     config: Outbox,
     pending: HashMap<u64, Pending>,
     grants: HashMap<Ticket, oneshot::Sender<Grant>>,
-    local: Poison,
+    reported: Reported,
     recent: Recent,
     view: watch::Sender<Arc<View>>,
     client: LogClient,
@@ -141,7 +142,7 @@
             config: Outbox::new(writer),
             pending: HashMap::new(),
             grants: HashMap::new(),
-            local: Poison::new(PoisonOptions::default()),
+            reported: Reported::default(),
             recent: Recent::default(),
             view,
             client,
@@ -214,6 +215,7 @@
             JournalMessage::RecordsAsk { key, from } => self.feed(key, from).await,
             JournalMessage::PeerState(state) => self.take_peer_state(&state).await,
             JournalMessage::Deaths { incarnation, deaths } => self.deaths(incarnation, &deaths),
+            JournalMessage::Cleared(digest) => self.cleared(digest),
             JournalMessage::Evidence(evidence) => self.trials.absorb(&evidence),
             JournalMessage::Inspect(Inspection(look)) => look(self),
         }
@@ -335,6 +337,9 @@
             self.split_traffic().await;
         }
         let shared = self.state.shared();
+        if parts.contains(&Part::Quarantine) {
+            self.reported.follow(shared.quarantine(), shared.next());
+        }
         self.view.send_modify(|view| {
             let view = Arc::make_mut(view);
             if parts.contains(&Part::Declarations) || parts.contains(&Part::Moves) {
@@ -342,7 +347,7 @@
                 view.directory = Arc::new(Directory::new(declared, shared.serving()));
             }
             if parts.contains(&Part::Quarantine) {
-                view.quarantine = Arc::new(shared.quarantine().clone());
+                view.quarantine = Arc::new(self.reported.clone());
             }
         });
     }
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -102,11 +102,11 @@
     route: String,
     team: String,
     tier: Tier,
-    digest: Digest,
     prompt: u32,
     estimated: u32,
     level: u32,
     version: String,
+    since: Instant,
 }
 
 /// A death that the log has not confirmed yet.
@@ -138,7 +138,10 @@
     stopping: Option<oneshot::Sender<()>>,
     stopped: bool,
     last_beat: Instant,
-    started: Instant,
+    /// When the desk last did anything.
+    awake: Instant,
+    /// When it last woke from a freeze; times measured across that say nothing of an engine.
+    thawed: Option<Instant>,
 }
 
 impl Desk {
@@ -171,7 +174,8 @@
             stopping: None,
             stopped: false,
             last_beat: now,
-            started: now,
+            awake: now,
+            thawed: None,
         }
     }
 
@@ -195,6 +199,7 @@
     }
 
     fn handle(&mut self, message: DeskMessage) {
+        self.notice_freeze(Instant::now());
         match message {
             DeskMessage::Attach { entry, peer, reply } => self.attach(entry, peer, reply),
             DeskMessage::Detach { entry, id } => self.entries.detach(entry, id, Instant::now()),
@@ -236,14 +241,13 @@
                 self.control(ticket_of(credit.ticket), Control::Credit(credit.chunks));
             }
             to_side::Body::Heartbeat(heartbeat) => {
-                let ask = self.feed.heard(&heartbeat, Instant::now());
-                if let Some(ask) = ask {
-                    self.entries.send(entry, to_entry::Body::RecordsAsk(ask));
-                }
+                self.feed.heard(&heartbeat);
+                self.ask_records(entry);
             }
             to_side::Body::Records(records) => {
                 if self.feed.take(&records) {
                     self.follow_declarations();
+                    self.ask_records(entry);
                     self.beat();
                 }
             }
@@ -254,6 +258,13 @@
         }
     }
 
+    /// Asks an entry for the configuration records that this process lacks, if any are known.
+    fn ask_records(&mut self, entry: Incarnation) {
+        if let Some(ask) = self.feed.due(Instant::now()) {
+            self.entries.send(entry, to_entry::Body::RecordsAsk(ask));
+        }
+    }
+
     fn handle_offer(&mut self, entry: Incarnation, offer: Offer) {
         let now = Instant::now();
         let ticket = ticket_of(offer.ticket);
@@ -311,8 +322,9 @@
         }
     }
 
+    /// Tells an entry that a request was not run. It may offer the request here again, unless the
+    /// ticket was barred.
     fn refuse(&mut self, entry: Incarnation, ticket: Ticket, error: &Error) {
-        self.standings.note(ticket, Standing::Refused);
         metrics::counter!("egretside_refused_total", "kind" => error.kind.code()).increment(1);
         let refused = Refused {
             ticket: Some(ticket.into()),
@@ -341,6 +353,7 @@
         }
         let unseen = self.standings.get(ticket).is_none();
         if held.is_some() || unseen {
+            self.standings.note(ticket, Standing::Refused);
             self.refuse(entry, ticket, &upkeep::withdrawn());
         }
     }
@@ -381,6 +394,9 @@
 
     fn handle_pace(&mut self, ticket: Ticket, pace: Pace) {
         let Some(running) = self.running.get(&ticket) else { return };
+        if self.was_frozen(running) {
+            return;
+        }
         let limit = self.engines.limit(running.engine);
         match pace {
             Pace::First(took) => limit.first_token(running.prompt, took, Instant::now()),
--- a/crates/egretside/src/feed.rs
+++ b/crates/egretside/src/feed.rs
@@ -5,8 +5,8 @@
 use blake3::Hash;
 use bytes::Bytes;
 use egretgate_core::declaration::ServiceSpec;
-use egretgate_core::fold::{Effect, Shared, Standing};
-use egretgate_core::poison::{Death, Poison, PoisonOptions, Verdict};
+use egretgate_core::fold::{Effect, Reported, Shared, Standing};
+use egretgate_core::poison::{Death, Verdict};
 use egretgate_core::{Digest, Incarnation, Offset, Tier, UpstreamId};
 use egretgate_link::message::{Deaths, Heartbeat, Records, RecordsAsk};
 
@@ -29,28 +29,19 @@
 }
 
 /// Configuration as far as it was fed, and what this process knows of deaths before the log does.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Feed {
     shared: Shared,
-    /// Deaths of this process's own engines.
-    local: Poison,
+    /// The quarantine with the deaths of this process's own engines.
+    reported: Reported,
+    /// The furthest heartbeat heard.
+    known: Option<Heartbeat>,
     /// When an entry was last asked; `None` once it answered.
     asked: Option<Instant>,
     /// True if the records fed don't fit and the whole state is needed.
     diverged: bool,
 }
 
-impl Default for Feed {
-    fn default() -> Self {
-        Self {
-            shared: Shared::default(),
-            local: Poison::new(PoisonOptions::default()),
-            asked: None,
-            diverged: false,
-        }
-    }
-}
-
 impl Feed {
     /// Returns the offset after the last configuration record folded. Never goes back.
     pub(crate) const fn offset(&self) -> Offset {
@@ -67,15 +58,25 @@
         self.shared.encode().into()
     }
 
-    /// Compares with an entry's heartbeat; returns what to ask of it, if it has more.
-    pub(crate) fn heard(&mut self, beat: &Heartbeat, now: Instant) -> Option<RecordsAsk> {
+    /// Notes an entry's heartbeat.
+    pub(crate) fn heard(&mut self, beat: &Heartbeat) {
+        let further = self.known.as_ref().is_none_or(|known| beat.offset >= known.offset);
+        if further {
+            self.known = Some(beat.clone());
+        }
+    }
+
+    /// Returns what to ask of an entry now, if any has more than this process. An ask that went
+    /// unanswered is due again after a while.
+    pub(crate) fn due(&mut self, now: Instant) -> Option<RecordsAsk> {
         if self.asked.is_some_and(|asked| now.duration_since(asked) < ASK_TIMEOUT) {
             return None;
         }
-        let from = match self.shared.compare(beat.offset, &beat.digest) {
+        let known = self.known.as_ref()?;
+        let from = match self.shared.compare(known.offset, &known.digest) {
             Standing::Behind { from } if !self.diverged => from,
-            Standing::Behind { .. } => 0,
-            Standing::Same | Standing::Ahead | Standing::Diverged => return None,
+            Standing::Behind { .. } | Standing::Diverged => 0,
+            Standing::Same | Standing::Ahead => return None,
         };
         self.asked = Some(now);
         Some(RecordsAsk { from })
@@ -97,13 +98,19 @@
                 break;
             }
         }
-        self.shared.next() > before
+        let risen = self.shared.next() > before;
+        if risen {
+            self.reported.follow(self.shared.quarantine(), self.shared.next());
+        }
+        risen
     }
 
-    /// Takes a whole state, unless it is older than what is known.
+    /// Takes a whole state, unless it is older than what is known. One at the same offset replaces
+    /// another history.
     fn take_snapshot(&mut self, bytes: &[u8]) {
         let Ok(shared) = Shared::decode(bytes) else { return };
-        if shared.next() > self.shared.next() {
+        let other = shared.next() == self.shared.next() && shared.digest() != self.shared.digest();
+        if shared.next() > self.shared.next() || other {
             self.shared = shared;
             self.diverged = false;
         }
@@ -132,42 +139,24 @@
 
     /// Returns whether a request is refused because upstreams died while running it.
     pub(crate) fn is_quarantined(&self, digest: Digest) -> bool {
-        self.shared.quarantine().is_quarantined(&digest)
-            || self.local.verdict(digest) == Verdict::Quarantined
+        self.reported.verdict(digest) == Verdict::Quarantined
     }
 
     /// Returns whether a request must run with no other beside it.
     pub(crate) fn is_suspect(&self, digest: Digest) -> bool {
-        self.shared.quarantine().is_suspect(&digest)
-            || self.local.verdict(digest) == Verdict::Suspect
+        self.reported.verdict(digest) == Verdict::Suspect
     }
 
-    /// Notes a death of one of this process's engines, `at` milliseconds after its start.
-    pub(crate) fn died(
-        &mut self,
-        upstream: &UpstreamId,
-        life: Incarnation,
-        deaths: &Deaths,
-        at: u64,
-    ) {
+    /// Notes a death of one of this process's engines.
+    pub(crate) fn died(&mut self, upstream: &UpstreamId, life: Incarnation, deaths: &Deaths) {
         let digests: Vec<Digest> =
             deaths.digests.iter().filter_map(|bytes| Digest::from_slice(bytes)).collect();
-        self.local.died(Death::new(upstream, life, deaths.sequence), &digests, at);
-    }
-
-    /// Returns whether the log holds every digest of the death, so that it need not be reported
-    /// again.
-    pub(crate) fn knows_death(&self, deaths: &Deaths) -> bool {
-        let quarantine = self.shared.quarantine();
-        deaths
-            .digests
-            .iter()
-            .filter_map(|bytes| Digest::from_slice(bytes))
-            .all(|digest| quarantine.is_suspect(&digest) || quarantine.is_quarantined(&digest))
+        let death = Death::new(upstream, life, deaths.sequence);
+        self.reported.died(death, digests, self.shared.next());
     }
 
-    /// Clears a suspect whose request was completed.
-    pub(crate) fn clear_suspect(&mut self, digest: Digest) {
-        self.local.completed(digest);
+    /// Returns whether the log holds the death, so that it need not be reported again.
+    pub(crate) fn knows_death(&self, life: Incarnation, deaths: &Deaths) -> bool {
+        self.shared.quarantine().knows(Death::new(&deaths.upstream, life, deaths.sequence))
     }
 }
