--- a/crates/egretgate-core/src/moves/split.rs
+++ b/crates/egretgate-core/src/moves/split.rs
@@ -34,6 +34,10 @@
     seen: u64,
     /// Requests of those given to the new version. At most `share * seen` while unproven.
     sent: u64,
+    /// Parts of requests that may still go to the new version in this cycle, in millionths.
+    credit: u64,
+    /// Number of the current cycle.
+    cycle: u64,
     /// Requests in flight on the new version.
     flights: u32,
     /// Start of the current second.
@@ -114,8 +118,7 @@
     /// Returns true if one more request stays within the share and the cap.
     fn allows(&mut self, split: &Split, now: Instant) -> bool {
         let Some(cap) = split.cap else { return true };
-        let earned = u128::from(self.seen) * u128::from(split.share) / u128::from(WHOLE);
-        if u128::from(self.sent) >= earned {
+        if self.credit < u64::from(WHOLE) {
             return false;
         }
         match cap {
@@ -127,6 +130,27 @@
         }
     }
 
+    /// Counts a request of the route and what it earns for the new version.
+    fn earn(&mut self, split: &Split, wall: SystemTime) {
+        self.seen += 1;
+        let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+        let cycle = since.as_secs() / CYCLE.as_secs();
+        if cycle != self.cycle {
+            self.cycle = cycle;
+            // What one cycle leaves over must not swell the next one.
+            self.credit = self.credit.min(u64::from(WHOLE));
+        }
+        self.credit += u64::from(split.share);
+    }
+
+    /// Counts a request given to the new version.
+    fn spend(&mut self) {
+        self.credit = self.credit.saturating_sub(u64::from(WHOLE));
+        self.sent += 1;
+        self.flights += 1;
+        self.in_second += 1;
+    }
+
     /// Starts the next second if the current one is over.
     fn turn(&mut self, now: Instant) {
         let over = self.second.is_none_or(|at| now - at >= Duration::from_secs(1));
@@ -148,7 +172,7 @@
     now: Instant,
     wall: SystemTime,
 ) -> &'a VersionId {
-    quota.seen += 1;
+    quota.earn(split, wall);
     let mut bytes = [0; 16];
     bytes[..8].copy_from_slice(&ticket.entry.to_le_bytes());
     bytes[8..].copy_from_slice(&ticket.sequence.to_le_bytes());
@@ -157,8 +181,6 @@
     if !chosen || !quota.allows(split, now) {
         return &split.from;
     }
-    quota.sent += 1;
-    quota.flights += 1;
-    quota.in_second += 1;
+    quota.spend();
     &split.to
 }
--- a/crates/egretgate-core/tests/moves.rs
+++ b/crates/egretgate-core/tests/moves.rs
@@ -289,7 +289,8 @@
 proptest! {
     #![proptest_config(config())]
 
-    /// At every moment the new version has had at most its share, and its cap in flight.
+    /// At every moment the new version has had at most its share, in each minute at most one
+    /// request more, and its cap in flight.
     #[test]
     fn share_and_cap_are_never_exceeded(
         step in 0_usize..3,
@@ -301,13 +302,19 @@
         let split = Split::new(&plan, Progress::at(step, at(0)), hosts, 12, 1);
         let share = f64::from(plan.share(step)) / 1e6;
         let (mut quota, mut flights, mut sent) = (Quota::default(), 0, 0_u64);
+        let mut minute = 0_u64;
         let now = Instant::now();
         for (index, end) in ends.into_iter().enumerate() {
             let ticket = Ticket::new(9, index as u64);
             if *pick_version(&split, ticket, &mut quota, now, at(index as u64 / 20)) == plan.to {
                 sent += 1;
+                minute += 1;
                 flights += 1;
             }
+            if index % 1_200 == 1_199 {
+                prop_assert!(minute as f64 <= share * 1_200.0 + 1.0);
+                minute = 0;
+            }
             prop_assert!(sent as f64 <= share * (index + 1) as f64);
             prop_assert!(flights <= most);
             if end == 0 && flights > 0 {
