--- a/crates/egretgate-core/src/moves/controller.rs
+++ b/crates/egretgate-core/src/moves/controller.rs
@@ -12,6 +12,8 @@
 const FALSE_ALARM: f64 = 0.01;
 /// Probability that a version worse than the budget is found good by one comparison.
 const FALSE_PROOF: f64 = 0.01;
+/// Part of [`FALSE_PROOF`] that goes to the bound of the old version, which has many more requests.
+const OLD_PART: f64 = 0.1;
 /// Load levels over which the probability of a false alarm is divided.
 const LEVELS: usize = 4;
 /// Part of the samples that a step within [`Move::CAUTION`] needs.
@@ -220,10 +222,11 @@
 /// Returns the metrics by which a pair does not prove the new version good.
 fn unproven(plan: &Move, route: &str, level: Option<u32>, pair: Pair) -> Vec<Finding> {
     let proven = |metric: &Metric| {
-        let alpha = FALSE_PROOF / 2.0;
-        let bound = interval(pair.old, *metric, alpha).low + plan.budget.margin(*metric);
+        let old = FALSE_PROOF * OLD_PART;
+        let bound = interval(pair.old, *metric, old).low + plan.budget.margin(*metric);
         let Counts { total, .. } = pair.new;
-        total >= plan.budget.samples && proves_below(pair.new.hits(*metric), total, bound, alpha)
+        total >= plan.budget.samples
+            && proves_below(pair.new.hits(*metric), total, bound, FALSE_PROOF - old)
     };
     let open = Metric::ALL.into_iter().filter(|metric| !proven(metric));
     open.map(|metric| finding(route, level, metric, pair)).collect()
--- a/crates/egretgate-core/src/moves/split.rs
+++ b/crates/egretgate-core/src/moves/split.rs
@@ -50,12 +50,13 @@
     /// Returns the split of a move at its recorded step, for one of `entries` entries.
     ///
     /// `hosts` of the service's `upstreams` run the new version. A share too small to load them
-    /// like the others is sent in bursts at `hosts / upstreams`, so that faults under load show
-    /// while the mean share stays small.
+    /// like the others is sent in bursts. In a burst each host gets as much as each of the others
+    /// gets between bursts, so that faults under load show while the mean share stays small.
     pub fn new(plan: &Move, progress: Progress, hosts: u32, upstreams: u32, entries: u32) -> Self {
         let share = plan.share(progress.step);
         let cautious = share <= Move::CAUTION;
-        let level = u64::from(WHOLE) * u64::from(hosts) / u64::from(upstreams.max(1));
+        let others = upstreams.saturating_sub(hosts).max(1);
+        let level = u64::from(WHOLE) * u64::from(hosts) / u64::from(others);
         let burst = if cautious { (level as Ppm).clamp(share, WHOLE) } else { share };
         Self {
             from: plan.from.clone(),
