--- a/crates/egretgate-core/tests/choice.rs
+++ b/crates/egretgate-core/tests/choice.rs
@@ -135,7 +135,8 @@
                         flights.push((key, fleet.begin(key, &ask, now)));
                     }
                 }
-                let held = known.iter().map(|k| fleet.view(k.key).expect("known").flights()).sum();
+                let held: u32 =
+                    known.iter().map(|k| fleet.view(k.key).expect("known").flights()).sum();
                 let live = |key: UpstreamKey| fleet.view(key).is_some();
                 let counted = flights.iter().filter(|&&(key, _)| live(key)).count() as u32;
                 assert_eq!(counted, held, "{policy:?} seed {seed} step {step}");
--- /dev/null
+++ b/crates/egretgate/src/entry/journal/keeping.rs
@@ -0,0 +1,21 @@
+//! The keeper's work: log time, by which keys expire, and snapshots before records expire.
+
+use std::time::Instant;
+
+use slog::warn;
+
+use crate::entry::journal::{Journal, Kind};
+
+impl Journal {
+    /// Appends the next tick or chunk, if this entry is the keeper and one is due.
+    pub(super) fn keep(&mut self) {
+        if !self.reading.is_up() {
+            return;
+        }
+        match self.keeper.pop(&self.state, Instant::now()) {
+            Ok(Some(append)) => self.send(Kind::Keeper, append),
+            Ok(None) => {}
+            Err(error) => warn!(self.log, "no snapshot"; "error" => error.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretside/src/samples.rs
@@ -0,0 +1,68 @@
+//! Cumulative measurements per version, route and load level, for version moves.
+
+use std::collections::BTreeMap;
+
+use egretgate_core::{RouteId, VersionId};
+use egretgate_link::message::Sample;
+
+use crate::feed::Targets;
+use crate::run::{Finish, Report};
+
+/// Most rows kept.
+const MAX_ROWS: usize = 256;
+
+/// What is counted together.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Key {
+    /// Route.
+    pub route: RouteId,
+    /// Version.
+    pub version: VersionId,
+    /// Load level when the request started; 0 is the lightest.
+    pub level: u32,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Counts {
+    total: u64,
+    errors: u64,
+    slow_first: u64,
+    slow_between: u64,
+}
+
+/// Cumulative counters of one side process.
+#[derive(Debug, Default)]
+pub(crate) struct Samples {
+    rows: BTreeMap<Key, Counts>,
+}
+
+impl Samples {
+    /// Counts an ended run. Cancelled runs and those never sent say nothing of a version.
+    pub(crate) fn note(&mut self, place: Key, targets: Targets, report: &Report) {
+        if matches!(report.finish, Finish::Cancelled | Finish::NotSent) {
+            return;
+        }
+        if self.rows.len() >= MAX_ROWS && !self.rows.contains_key(&place) {
+            return;
+        }
+        let counts = self.rows.entry(place).or_default();
+        counts.total += 1;
+        counts.errors += u64::from(matches!(report.finish, Finish::Failed | Finish::Cut));
+        counts.slow_first += u64::from(report.first.is_some_and(|time| time > targets.first));
+        counts.slow_between += u64::from(report.between.is_some_and(|time| time > targets.between));
+    }
+
+    /// Returns the counters as frames carry them.
+    pub(crate) fn frames(&self) -> Vec<Sample> {
+        let frame = |(key, counts): (&Key, &Counts)| Sample {
+            route: key.route.clone(),
+            version: key.version.clone(),
+            level: key.level,
+            total: counts.total,
+            errors: counts.errors,
+            slow_first: counts.slow_first,
+            slow_between: counts.slow_between,
+        };
+        self.rows.iter().map(frame).collect()
+    }
+}
