--- a/crates/egretgate-core/src/record/body.rs
+++ b/crates/egretgate-core/src/record/body.rs
@@ -134,7 +134,7 @@
     /// Version that is to serve the route.
     #[prost(string, tag = "5")]
     pub to: String,
-    /// Shares of the new version in rising order, in millionths.
+    /// Shares of the new version in order, in millionths; a share may stand more than once.
     #[prost(uint32, repeated, tag = "6")]
     pub steps: Vec<u32>,
     /// Share of requests that may be worse than the old version's, in millionths.
@@ -441,10 +441,10 @@
     named("route", &begin.route)?;
     named("version", &begin.from)?;
     named("version", &begin.to)?;
-    let rising = begin.steps.is_sorted_by(|a, b| a < b);
+    let rising = begin.steps.is_sorted();
     let within = begin.steps.iter().all(|share| (1..=1_000_000).contains(share));
     if begin.steps.is_empty() || !rising || !within {
-        return Err(invalid("steps must rise and lie between 1 and 1000000 millionths"));
+        return Err(invalid("steps must not fall and lie between 1 and 1000000 millionths"));
     }
     Ok(())
 }
--- a/crates/egretgate-core/tests/record.rs
+++ b/crates/egretgate-core/tests/record.rs
@@ -62,6 +62,7 @@
         Case { name: "lease without a name", body: claim(""), refused: invalid },
         Case { name: "long name", body: claim(&"x".repeat(300)), refused: large },
         Case { name: "no steps", body: begin(&[]), refused: invalid },
+        Case { name: "repeated step", body: begin(&[5, 5]), refused: None },
         Case { name: "falling steps", body: begin(&[2, 1]), refused: invalid },
         Case { name: "over the whole", body: begin(&[1_000_001]), refused: invalid },
         Case { name: "rising steps", body: begin(&[1, 1_000_000]), refused: None },
