fix(limit): rounding made every later request hopeless

Cause: the line through first-token times is bounded by y/x, and y - slope * x could then round to just below zero. A time below zero was taken for the longest time of 24 hours, so each request was refused as deadline_hopeless, nothing ran, nothing was learned, and the side process stayed shut. Ruled out: death of the engine, tickets refused before, the limit in requests (4, none running). Change: the base is at least zero, and a time below zero counts as zero. Test: short_first_tokens_never_estimate_longest failed before the change and passes with it.

--- a/crates/egretgate-core/src/limit.rs
+++ b/crates/egretgate-core/src/limit.rs
@@ -154,8 +154,10 @@
     (one - other).abs() <= Estimate::TOLERANCE * one.max(other)
 }
 
+/// Returns a time of `value` seconds, at most [`Estimate::LONGEST`]; none if it is below zero.
 fn seconds(value: f64) -> Duration {
-    Duration::try_from_secs_f64(value).map_or(Estimate::LONGEST, |time| time.min(Estimate::LONGEST))
+    Duration::try_from_secs_f64(value.max(0.0))
+        .map_or(Estimate::LONGEST, |time| time.min(Estimate::LONGEST))
 }
 
 /// Targets and bounds of a [`Limit`].
--- a/crates/egretgate-core/src/limit/line.rs
+++ b/crates/egretgate-core/src/limit/line.rs
@@ -38,6 +38,7 @@
             return (self.y, 0.0);
         }
         let slope = (self.xy / self.xx).clamp(0.0, self.y / self.x);
-        (self.y - slope * self.x, slope)
+        // Rounding may leave the difference just below zero.
+        ((self.y - slope * self.x).max(0.0), slope)
     }
 }
--- a/crates/egretgate-core/tests/limit.rs
+++ b/crates/egretgate-core/tests/limit.rs
@@ -249,3 +249,21 @@
         assert_eq!(victim(case.waiting, &running).map(|ticket| ticket.sequence), case.victim);
     }
 }
+
+/// Rounding must not turn a short time to the first token into an endless one.
+#[test]
+fn short_first_tokens_never_estimate_longest() {
+    let mut rng = ChaCha8Rng::seed_from_u64(17);
+    for _ in 0..50 {
+        let now = Instant::now();
+        let mut limit = Limit::new(LimitOptions::default(), now);
+        for _ in 0..2000 {
+            let prompt = rng.random_range(1..=8);
+            // A time in proportion to the prompt: the line runs through the origin.
+            let took = Duration::from_micros(u64::from(prompt) * rng.random_range(90..=110));
+            limit.first_token(prompt, took, now);
+            let base = limit.estimate().base;
+            assert!(base < Duration::from_secs(1), "base {base:?}");
+        }
+    }
+}
