--- a/crates/egretgate-fakes/examples/overhead.rs
+++ b/crates/egretgate-fakes/examples/overhead.rs
@@ -3,6 +3,7 @@
 //! Each request is sent both ways, in turn, in one run. The upstream answers at once, so that the
 //! difference of the two distributions is the path's own cost.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::process::ExitCode;
 use std::time::Duration;
@@ -39,6 +40,8 @@
 ";
 /// Requests sent each way before any is counted.
 const WARM_UP: usize = 200;
+/// Largest refusal read, in bytes.
+const MAX_BODY: usize = 64 << 10;
 const DECLARATIONS: &str = r#"
 [tiers.brief]
 rank = 0
@@ -73,7 +76,8 @@
     seed: u64,
     rate: f64,
     requests: usize,
-    failed: u64,
+    /// Requests that failed, by code.
+    failed: BTreeMap<String, u64>,
     first_us: Compared,
     whole_us: Compared,
 }
@@ -105,7 +109,7 @@
     } else {
         println!("{report}");
     }
-    Ok(if report.failed == 0 { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if report.failed.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 impl Options {
@@ -161,13 +165,13 @@
         let tokens = options.tokens;
         tasks.spawn(async move { (index, send(client, index, tokens, is_through).await) });
     }
-    let mut failed = 0;
+    let mut failed = BTreeMap::new();
     let mut counted = Vec::new();
     for (index, result) in tasks.join_all().await {
         match result {
             Ok(times) if index >= 2 * WARM_UP => counted.push(times),
             Ok(_) => {}
-            Err(_) => failed += 1,
+            Err(code) => *failed.entry(code).or_default() += 1,
         }
     }
     Report {
@@ -180,7 +184,7 @@
     }
 }
 
-async fn send(client: Client, index: usize, tokens: usize, through: bool) -> Result<Times, ()> {
+async fn send(client: Client, index: usize, tokens: usize, through: bool) -> Result<Times, String> {
     let body = serde_json::json!({
         "model": "forecast",
         "prompt": format!("caption {index}"),
@@ -191,16 +195,23 @@
         .header(HeaderName::from_static("x-egret-team"), "atelier")
         .header(HeaderName::from_static("x-egret-tier"), "brief");
     let begin = Instant::now();
-    let mut answer = client.send(call).await.map_err(drop)?;
+    let mut answer = client.send(call).await.map_err(|error| error.to_string())?;
     if !answer.is_success() {
-        return Err(());
+        let body = answer.collect(MAX_BODY).await.map_err(|error| error.to_string())?;
+        return Err(code_of(&body));
     }
     let mut first = None;
     while let Some(part) = answer.chunk().await {
-        part.map_err(drop)?;
+        part.map_err(|error| error.to_string())?;
         first.get_or_insert_with(|| begin.elapsed());
     }
-    Ok(Times { through, first: first.ok_or(())?, whole: begin.elapsed() })
+    Ok(Times { through, first: first.ok_or("empty answer")?, whole: begin.elapsed() })
+}
+
+/// Returns the code in an answer of the error shape.
+fn code_of(body: &[u8]) -> String {
+    let value: serde_json::Value = serde_json::from_slice(body).unwrap_or_default();
+    value["error"]["code"].as_str().unwrap_or("no code").to_owned()
 }
 
 fn compared(times: &[Times], part: impl Fn(&Times) -> Duration) -> Compared {
@@ -240,6 +251,6 @@
         }
         writeln!(f, "{table}")?;
         write!(f, "seed {}, {} requests each way at {}/s, ", self.seed, self.requests, self.rate)?;
-        write!(f, "failed {}", self.failed)
+        write!(f, "failed {:?}", self.failed)
     }
 }
--- /dev/null
+++ b/crates/egretgate-fakes/examples/spread.rs
@@ -0,0 +1,228 @@
+//! Measures how long a change takes to every process, and what a link costs at rest.
+//!
+//! Every process is a set of tasks in this one program, so processor time and memory are those of
+//! side processes and of the entries' share together: an upper bound for a side process.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use egretgate::Entry;
+use egretgate::core::choice::Policy;
+use egretgate::operator::Client;
+use egretgate_fakes::instances::{Instance, Instances};
+use egretgate_fakes::log::Log;
+use egretgate_fakes::relay::Relay;
+use egretgate_fakes::service::Service;
+use egretside::Side;
+use eyre::WrapErr;
+use lexopt::{Arg, ValueExt};
+use serde::Serialize;
+use tokio::time::{Instant, sleep};
+
+#[path = "support/start.rs"]
+mod start;
+
+const HELP: &str = "\
+Measures the spreading of changes, and the cost of links at rest.
+
+  --sides COUNT    side processes [default: 20]
+  --entries COUNT  entries [default: 3]
+  --changes COUNT  changes [default: 5]
+  --rest SECONDS   time at rest that is measured [default: 10]
+  --json           print one line of JSON
+  --help           print this text
+";
+/// Pause between two looks at what the entries know.
+const LOOK_PAUSE: Duration = Duration::from_millis(5);
+/// Longest wait for a change.
+const LONGEST: Duration = Duration::from_secs(30);
+/// Time for links to come up and settle.
+const SETTLE: Duration = Duration::from_secs(5);
+/// Clock ticks per second in `/proc/self/stat`, as on all common Linux builds.
+const TICKS: f64 = 100.0;
+/// Size of a page in bytes, as on all common Linux builds.
+const PAGE: f64 = 4096.0;
+const DECLARATIONS: &str = r#"
+[tiers.brief]
+rank = 0
+[teams.atelier]
+tier = "brief"
+tiers = ["brief"]
+[services.client-desk]
+kind = "plain"
+version = "v1"
+[routes.notes]
+service = "client-desk"
+path = "/notes"
+"#;
+
+#[derive(Debug)]
+struct Options {
+    sides: usize,
+    entries: usize,
+    changes: usize,
+    rest: u64,
+    json: bool,
+}
+
+#[derive(Debug, Serialize)]
+struct Report {
+    sides: usize,
+    entries: usize,
+    /// Time from each accepted change until every process had it, in milliseconds.
+    force_ms: Vec<f64>,
+    /// Bytes per second that one side process sends and receives at rest.
+    sent: f64,
+    received: f64,
+    /// Share of one core that the program takes at rest.
+    cpu: f64,
+    /// Resident memory of the program at rest, in bytes.
+    memory: f64,
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let Some(options) = Options::read()? else {
+        print!("{HELP}");
+        return Ok(());
+    };
+    let report = measure(&options).await?;
+    if options.json {
+        println!("{}", serde_json::to_string(&report)?);
+    } else {
+        println!("{report:#?}");
+    }
+    Ok(())
+}
+
+impl Options {
+    fn read() -> eyre::Result<Option<Self>> {
+        let mut options = Self { sides: 20, entries: 3, changes: 5, rest: 10, json: false };
+        let mut parser = lexopt::Parser::from_env();
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Long("sides") => options.sides = parser.value()?.parse()?,
+                Arg::Long("entries") => options.entries = parser.value()?.parse()?,
+                Arg::Long("changes") => options.changes = parser.value()?.parse()?,
+                Arg::Long("rest") => options.rest = parser.value()?.parse()?,
+                Arg::Long("json") => options.json = true,
+                Arg::Long("help") | Arg::Short('h') => return Ok(None),
+                other => return Err(other.unexpected()).wrap_err("see --help"),
+            }
+        }
+        eyre::ensure!(options.entries > 0 && options.rest > 0, "nothing to measure");
+        Ok(Some(options))
+    }
+}
+
+async fn measure(options: &Options) -> eyre::Result<Report> {
+    let (log, instances) = (Log::start().await?, Instances::start().await?);
+    let service = Service::start().await?;
+    let (mut sides, mut relays) = (Vec::new(), Vec::new());
+    for index in 0..options.sides {
+        let (side, relay) = start_side(index, service.address(), &instances).await?;
+        sides.push(side);
+        relays.push(relay);
+    }
+    let mut entries = Vec::new();
+    for index in 0..options.entries {
+        let name = format!("entry-{index}");
+        entries.push(start::entry(&name, "olinda", &log, &instances, Policy::default()).await?);
+    }
+    start::declare(&entries, DECLARATIONS).await?;
+    sleep(SETTLE).await;
+    let mut clients = connect(&entries).await?;
+    let mut force_ms = Vec::new();
+    for index in 0..options.changes {
+        force_ms.push(change(&mut clients, index, options.sides).await?.as_secs_f64() * 1e3);
+    }
+    let (sent, received, cpu) = rest(&relays, Duration::from_secs(options.rest)).await?;
+    let memory = memory()?;
+    drop(sides);
+    Ok(Report {
+        sides: options.sides,
+        entries: options.entries,
+        force_ms,
+        sent,
+        received,
+        cpu,
+        memory,
+    })
+}
+
+/// Starts a side process that is listed behind a relay, which counts its bytes.
+async fn start_side(
+    index: usize,
+    service: SocketAddr,
+    instances: &Instances,
+) -> eyre::Result<(Side, Relay)> {
+    let name = format!("desk-{index}");
+    let side = start::side(&name, "olinda", "client-desk", "plain", service).await?;
+    let relay = Relay::start(side.link_address()).await?;
+    instances.set(Instance::new(name, "olinda", "client-desk", relay.address()));
+    Ok((side, relay))
+}
+
+async fn connect(entries: &[Entry]) -> eyre::Result<Vec<Client>> {
+    let mut clients = Vec::new();
+    for entry in entries {
+        let client = Client::connect(entry.operator_address(), None).await;
+        clients.push(client.map_err(|error| eyre::eyre!("{error}"))?);
+    }
+    Ok(clients)
+}
+
+/// Makes one change and returns the time until every entry knows that all have folded it.
+async fn change(clients: &mut [Client], index: usize, sides: usize) -> eyre::Result<Duration> {
+    let text = format!("{DECLARATIONS}\n[teams.mills-{index}]\ntier = \"brief\"\n");
+    let request = start::addition(DECLARATIONS, &text)?;
+    let mut first = clients[0].clone();
+    let before = clients[0].status().await.map_err(|error| eyre::eyre!("{error}"))?.offset;
+    let begin = Instant::now();
+    let applied = tokio::spawn(async move { first.apply(request).await });
+    for client in clients.iter_mut() {
+        loop {
+            let status = client.status().await.map_err(|error| eyre::eyre!("{error}"))?;
+            let there = status.processes.iter().filter(|one| one.offset > before).count();
+            if there > sides {
+                break;
+            }
+            eyre::ensure!(begin.elapsed() < LONGEST, "{there} of {} processes", sides + 1);
+            sleep(LOOK_PAUSE).await;
+        }
+    }
+    let took = begin.elapsed();
+    let reply = applied.await?.map_err(|error| eyre::eyre!("{error}"))?;
+    eyre::ensure!(reply.accepted, "refused: {:?}", reply.refusals);
+    Ok(took)
+}
+
+/// Returns bytes per second sent and received by a side process, and the share of a core.
+async fn rest(relays: &[Relay], time: Duration) -> eyre::Result<(f64, f64, f64)> {
+    let count = |read: fn(&Relay) -> u64| relays.iter().map(read).sum::<u64>();
+    let (sent, received) = (count(Relay::bytes_back), count(Relay::bytes_forth));
+    let (spent, begin) = (processor()?, Instant::now());
+    sleep(time).await;
+    let passed = begin.elapsed().as_secs_f64();
+    let each = |bytes: u64| bytes as f64 / passed / relays.len().max(1) as f64;
+    let sent = each(count(Relay::bytes_back) - sent);
+    let received = each(count(Relay::bytes_forth) - received);
+    Ok((sent, received, (processor()? - spent) / passed))
+}
+
+/// Returns the processor time of this process, in seconds.
+fn processor() -> eyre::Result<f64> {
+    let stat = std::fs::read_to_string("/proc/self/stat")?;
+    // The fields after the name in brackets: user and system time are the 12th and 13th.
+    let (_, rest) = stat.rsplit_once(')').ok_or_else(|| eyre::eyre!("no name in stat"))?;
+    let fields = rest.split_whitespace().skip(11).take(2);
+    let ticks: f64 = fields.map(str::parse::<f64>).sum::<Result<f64, _>>()?;
+    Ok(ticks / TICKS)
+}
+
+/// Returns the resident memory of this process, in bytes.
+fn memory() -> eyre::Result<f64> {
+    let statm = std::fs::read_to_string("/proc/self/statm")?;
+    let pages: f64 = statm.split_whitespace().nth(1).unwrap_or_default().parse()?;
+    Ok(pages * PAGE)
+}
--- a/crates/egretgate-fakes/examples/support/start.rs
+++ b/crates/egretgate-fakes/examples/support/start.rs
@@ -79,14 +79,10 @@
 
 /// Applies `declarations` at the first of `entries` and gives them time to arrive.
 pub async fn declare(entries: &[Entry], declarations: &str) -> eyre::Result<()> {
-    let declared =
-        check::parse(declarations).map_err(|faults| eyre::eyre!("declarations: {faults:?}"))?;
+    let request = addition("", declarations)?;
     for entry in entries {
         entry.ready().await;
     }
-    let puts = diff(&Declarations::default(), &declared).into_iter().filter_map(put).collect();
-    let author = proto::Author { operator: "example".into(), reason: "the example".into() };
-    let request = proto::ApplyRequest { author: Some(author), puts, ..Default::default() };
     let mut client = Client::connect(entries[0].operator_address(), None)
         .await
         .map_err(|error| eyre::eyre!("{error:?}"))?;
@@ -96,6 +92,22 @@
     Ok(())
 }
 
+/// Returns the request that adds to `before` what is new in `after`.
+pub fn addition(before: &str, after: &str) -> eyre::Result<proto::ApplyRequest> {
+    let before = parse(before)?;
+    let after = parse(after)?;
+    let puts = diff(&before, &after).into_iter().filter_map(put).collect();
+    let author = proto::Author { operator: "example".into(), reason: "the example".into() };
+    Ok(proto::ApplyRequest { author: Some(author), puts, ..Default::default() })
+}
+
+fn parse(text: &str) -> eyre::Result<Declarations> {
+    if text.is_empty() {
+        return Ok(Declarations::default());
+    }
+    check::parse(text).map_err(|faults| eyre::eyre!("declarations: {faults:?}"))
+}
+
 fn put(change: Change) -> Option<proto::Item> {
     Some(proto::Item::new(change.name, 0, change.after?))
 }
