--- a/crates/egretgate-core/src/gate.rs
+++ b/crates/egretgate-core/src/gate.rs
@@ -4,12 +4,13 @@
 //! refuses (the admission level of DAGOR, `SoCC` '18). From these an entry decides whether a tier
 //! may be offered at once, where it may still be tried, or that it must be refused.
 //!
-//! Two promises hold at the moment of a refusal, for every upstream that could have run the
-//! request. Either the upstream itself refused it, and sent no sign of room since; or, for tiers
-//! that do not probe, the last signal that arrived from it says that it neither admits the tier
-//! nor holds a lower one. A lower tier may therefore wait there only if it was admitted after
-//! that signal or refusal was sent: the error lasts as long as a signal travels, and at most
-//! [`Gate::FRESH`] if signals are lost, since an older one counts as unknown and is probed.
+//! At the moment of a refusal, one of three things holds for every upstream that could have run
+//! the request. The upstream itself refused it and sent no sign of room since. Or, for tiers that
+//! do not probe, the last signal that arrived from it says that it neither admits the tier nor
+//! holds a lower one. Or that signal is older than a refusal of a higher tier here, which found no
+//! room there either. A lower tier may therefore wait there only if it was admitted after that
+//! signal or refusal was sent: the error lasts as long as a signal travels, and at most
+//! [`Gate::FRESH`] if signals are lost, since after that they count as unknown and are probed.
 
 use std::time::{Duration, Instant};
 
