--- a/crates/egretgate-core/src/check/rules.rs
+++ b/crates/egretgate-core/src/check/rules.rs
@@ -290,8 +290,9 @@
         if let Some(service) = service {
             self.kind(name, route, service.kind);
         }
-        if route.outage == Outage::Memory && !route.once {
-            self.fault(&field("outage"), "only a route with `once = true` has calls to remember");
+        if route.outage == Outage::Memory {
+            let what = "`memory` is not carried out by this version; use `refuse`";
+            self.fault(&["routes", name, "outage"], what);
         }
         self.range(&field("window_s"), route.window_s, 1..=MAX_WINDOW_S);
     }
--- a/crates/egretgate-core/src/declaration.rs
+++ b/crates/egretgate-core/src/declaration.rs
@@ -131,8 +131,7 @@
     /// They are refused as not run, with a time to come back.
     #[default]
     Refuse,
-    /// They run through the memory of the key's home. A second try is caught only while that
-    /// side process lives.
+    /// Reserved: they would run through the memory of the key's home. Refused by the checks.
     Memory,
 }
 
