--- a/crates/egretgate-settings/src/lib.rs
+++ b/crates/egretgate-settings/src/lib.rs
@@ -21,6 +21,6 @@
 pub mod value;
 
 pub use fault::{Fault, Faults, Result};
-pub use logging::logger;
+pub use logging::{logger, logger_to};
 pub use table::{Fallback, Read, Setting, Table};
 pub use value::{Engine, Secret};
--- a/crates/egretgate-settings/src/logging.rs
+++ b/crates/egretgate-settings/src/logging.rs
@@ -1,10 +1,25 @@
-//! Logging: one line of key=value pairs for each event, on standard error.
+//! Logging: one line of key=value pairs for each event.
 
-use slog::{Drain, Level, LevelFilter, Logger, o};
+use std::io;
+use std::time::{SystemTime, UNIX_EPOCH};
 
-/// Returns a logger that drops events below `level`.
+use slog::{Drain, FnValue, Level, LevelFilter, Logger, o};
+use slog_logfmt::Logfmt;
+
+/// Returns a logger to standard error that drops events below `level`.
 pub fn logger(level: Level) -> Logger {
-    let drain = slog_logfmt::Logfmt::new(std::io::stderr()).build().fuse();
-    let drain = slog_async::Async::new(drain).build().fuse();
-    Logger::root(LevelFilter::new(drain, level).fuse(), o!())
+    logger_to(io::stderr(), level)
+}
+
+/// Returns a logger to `writer` that drops events below `level`. Lines are written by a thread of
+/// their own; dropping the last logger writes what is left.
+pub fn logger_to(writer: impl io::Write + Send + 'static, level: Level) -> Logger {
+    let lines = Logfmt::new(writer).no_prefix().print_level(true).print_msg(true).build();
+    let drain = slog_async::Async::new(lines.fuse()).build().fuse();
+    let time = FnValue(|_| unix_ms());
+    Logger::root(LevelFilter::new(drain, level).fuse(), o!("unix_ms" => time))
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
--- /dev/null
+++ b/crates/egretgate-settings/tests/logging.rs
@@ -0,0 +1,61 @@
+//! Every event is one line of key=value pairs.
+
+use std::io;
+use std::sync::{Arc, Mutex};
+
+use egretgate_settings::logger_to;
+use slog::{Level, debug, info, warn};
+
+#[derive(Clone, Default)]
+struct Lines(Arc<Mutex<Vec<u8>>>);
+
+impl io::Write for Lines {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("no panic").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Returns the pairs of a line, or `None` if anything else stands in it.
+fn pairs(line: &str) -> Option<Vec<(String, String)>> {
+    let mut out = Vec::new();
+    let mut rest = line.trim();
+    while !rest.is_empty() {
+        let (key, value) = rest.split_once('=')?;
+        if key.is_empty() || key.contains(char::is_whitespace) {
+            return None;
+        }
+        let (value, after) = match value.strip_prefix('"') {
+            Some(quoted) => quoted.split_once('"')?,
+            None => value.split_once(' ').unwrap_or((value, "")),
+        };
+        out.push((key.to_owned(), value.to_owned()));
+        rest = after.trim_start();
+    }
+    Some(out)
+}
+
+#[test]
+fn each_event_is_one_line_of_pairs() {
+    let lines = Lines::default();
+    let log = logger_to(lines.clone(), Level::Info);
+    info!(log, "request ended"; "team" => "guild", "detail" => "two words");
+    debug!(log, "not written");
+    warn!(log, "place cut"; "place" => "olinda");
+    drop(log);
+    let text = String::from_utf8(lines.0.lock().expect("no panic").clone()).expect("text");
+    let found: Vec<_> = text.lines().map(|line| pairs(line).expect(line)).collect();
+    assert_eq!(found.len(), 2, "{text}");
+    let value = |line: usize, key: &str| {
+        found[line].iter().find(|(name, _)| name == key).map(|(_, value)| value.as_str())
+    };
+    assert_eq!(value(0, "msg"), Some("request ended"));
+    assert_eq!(value(0, "detail"), Some("two words"));
+    assert_eq!(value(0, "level"), Some("INFO"));
+    assert_eq!(value(1, "place"), Some("olinda"));
+    assert!(value(0, "unix_ms").is_some_and(|time| time.parse::<u64>().is_ok()), "{text}");
+}
