--- /dev/null
+++ b/crates/egretgate-fakes/examples/overload.rs
@@ -0,0 +1,344 @@
+//! Compares the goodput of the top tier alone with its goodput at twice the capacity, by policy.
+//!
+//! The capacity is measured first, by a closed loop straight to the engines. The same requests of
+//! the top tier are then sent twice: alone, and with lower tiers added up to twice the capacity.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use egretgate::Entry;
+use egretgate::core::choice::Policy;
+use egretgate_engine::TokenMeter;
+use egretgate_fakes::engine::{Engine, EngineSpec};
+use egretgate_fakes::instances::{Instance, Instances};
+use egretgate_fakes::log::Log;
+use egretgate_http::{Call, Client};
+use egretside::Side;
+use eyre::WrapErr;
+use http::HeaderName;
+use lexopt::{Arg, ValueExt};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep_until};
+
+#[path = "support/start.rs"]
+mod start;
+
+const HELP: &str = "\
+Measures goodput of the top tier alone and at twice the capacity.
+
+  --seconds NUMBER  length of each load [default: 8]
+  --seed NUMBER     seed of the loads [default: 1]
+  --policy NAME     one policy only; default all
+  --help            print this text
+
+Prints one line of JSON for each load.
+";
+/// Tiers, most urgent first.
+const TIERS: [&str; 3] = ["brief", "caption", "archive"];
+/// Share of the capacity that the top tier asks for.
+const TOP_SHARE: f64 = 0.5;
+/// Share of the capacity that all tiers ask for.
+const WHOLE_SHARE: f64 = 2.0;
+/// Longest time to a good first token, and longest good mean time between tokens.
+const TARGET: (Duration, Duration) = (Duration::from_millis(380), Duration::from_millis(34));
+/// Requests at once at each engine while the capacity is measured.
+const PARALLEL: usize = 16;
+/// Time for which the capacity is measured.
+const CALIBRATION: Duration = Duration::from_secs(3);
+/// Largest refusal read, in bytes.
+const MAX_BODY: usize = 64 << 10;
+const DECLARATIONS: &str = r#"
+[tiers.brief]
+rank = 0
+[tiers.caption]
+rank = 1
+[tiers.archive]
+rank = 2
+[teams.atelier]
+tier = "brief"
+tiers = ["brief", "caption", "archive"]
+[services.forecast-llm]
+kind = "engine"
+version = "v1"
+[routes.forecast]
+service = "forecast-llm"
+model = "forecast"
+"#;
+
+struct Options {
+    seconds: f64,
+    seed: u64,
+    policies: Vec<Policy>,
+}
+
+/// One request and when it is due.
+#[derive(Debug, Clone)]
+struct Job {
+    due: Duration,
+    tier: usize,
+    prompt: String,
+    tokens: usize,
+}
+
+/// How a request ended; a refusal carries the time to come back.
+enum End {
+    Whole { first: Duration, between: Duration },
+    Failed { code: String, after: Option<Duration> },
+}
+
+#[derive(Debug, Serialize)]
+struct Report {
+    policy: &'static str,
+    load: &'static str,
+    seed: u64,
+    /// Requests per second that the engines finished by themselves.
+    capacity: f64,
+    tiers: Vec<Row>,
+    /// Refusals and failures by code.
+    failed: BTreeMap<String, u64>,
+    /// Shortest, median and longest time to come back, in milliseconds.
+    after_ms: Option<[u128; 3]>,
+    prefill: u64,
+    wasted: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Row {
+    tier: &'static str,
+    sent: u64,
+    whole: u64,
+    good: u64,
+    goodput: f64,
+}
+
+/// Everything that runs.
+struct World {
+    engines: Vec<Engine>,
+    sides: Vec<Side>,
+    entries: Vec<Entry>,
+    _platform: (Log, Instances),
+}
+
+#[tokio::main]
+async fn main() -> eyre::Result<()> {
+    let Some(options) = Options::read()? else {
+        print!("{HELP}");
+        return Ok(());
+    };
+    let capacity = capacity(options.seed).await?;
+    let top = jobs(options.seed, 0..1, TOP_SHARE * capacity, options.seconds);
+    let rest = (WHOLE_SHARE - TOP_SHARE) * capacity;
+    let mut both = jobs(options.seed + 1000, 1..TIERS.len(), rest, options.seconds);
+    both.extend(top.iter().cloned());
+    both.sort_by_key(|job| job.due);
+    for policy in &options.policies {
+        for (load, jobs) in [("alone", &top), ("twice", &both)] {
+            let report = run(*policy, load, jobs, options.seed, capacity).await?;
+            println!("{}", serde_json::to_string(&report)?);
+        }
+    }
+    Ok(())
+}
+
+impl Options {
+    fn read() -> eyre::Result<Option<Self>> {
+        let mut options = Self { seconds: 8.0, seed: 1, policies: Policy::ALL.to_vec() };
+        let mut parser = lexopt::Parser::from_env();
+        while let Some(arg) = parser.next()? {
+            match arg {
+                Arg::Long("seconds") => options.seconds = parser.value()?.parse()?,
+                Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+                Arg::Long("policy") => {
+                    let name = parser.value()?.string()?;
+                    options.policies.retain(|policy| policy.as_str() == name);
+                }
+                Arg::Long("help") | Arg::Short('h') => return Ok(None),
+                other => return Err(other.unexpected()).wrap_err("see --help"),
+            }
+        }
+        eyre::ensure!(!options.policies.is_empty(), "no such policy");
+        Ok(Some(options))
+    }
+}
+
+/// Starts engines that differ in speed.
+async fn engines() -> eyre::Result<Vec<Engine>> {
+    let mut engines = Vec::new();
+    for factor in [2_u32, 3, 4] {
+        let spec = EngineSpec::new()
+            .token_time(Duration::from_millis(5) * factor)
+            .prefill_time(Duration::from_micros(50) * factor)
+            .load_lag(Duration::from_millis(500));
+        engines.push(Engine::start(spec).await?);
+    }
+    Ok(engines)
+}
+
+/// Returns the requests per second that the engines finish in a closed loop.
+async fn capacity(seed: u64) -> eyre::Result<f64> {
+    let engines = engines().await?;
+    let mut tasks = JoinSet::new();
+    let until = Instant::now() + CALIBRATION;
+    for (index, engine) in engines.iter().enumerate() {
+        for lane in 0..PARALLEL {
+            let client = Client::new(engine.address());
+            let seed = seed + 7919 * (index * PARALLEL + lane) as u64;
+            tasks.spawn(async move {
+                let jobs = jobs(seed, 0..1, 100.0, CALIBRATION.as_secs_f64());
+                let mut done = 0_u32;
+                for job in jobs {
+                    send(&client, &job).await;
+                    if Instant::now() >= until {
+                        break;
+                    }
+                    done += 1;
+                }
+                done
+            });
+        }
+    }
+    let done: u32 = tasks.join_all().await.into_iter().sum();
+    Ok(f64::from(done) / CALIBRATION.as_secs_f64())
+}
+
+/// Draws an open loop of requests.
+fn jobs(seed: u64, tiers: std::ops::Range<usize>, rate: f64, seconds: f64) -> Vec<Job> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut jobs = Vec::new();
+    let mut due = 0.0;
+    loop {
+        due += -(1.0 - rng.random::<f64>()).ln() / rate;
+        if due > seconds {
+            return jobs;
+        }
+        let tier = rng.random_range(tiers.clone());
+        let length = rng.random_range(40..600);
+        let prompt = format!("{seed}-{}: {}", jobs.len(), "x".repeat(length));
+        // Lengths differ a hundredfold: log-uniform from 2 to 200 tokens.
+        let tokens = (2.0 * 100_f64.powf(rng.random::<f64>())) as usize;
+        jobs.push(Job { due: Duration::from_secs_f64(due), tier, prompt, tokens });
+    }
+}
+
+impl World {
+    async fn start(policy: Policy) -> eyre::Result<Self> {
+        let (log, instances) = (Log::start().await?, Instances::start().await?);
+        let engines = engines().await?;
+        let mut sides = Vec::new();
+        for (index, engine) in engines.iter().enumerate() {
+            let name = format!("forecast-{index}");
+            let side =
+                start::side(&name, "olinda", "forecast-llm", "engine", engine.address()).await?;
+            instances.set(Instance::new(name, "olinda", "forecast-llm", side.link_address()));
+            sides.push(side);
+        }
+        let mut entries = Vec::new();
+        for name in ["entry-0", "entry-1"] {
+            entries.push(start::entry(name, "olinda", &log, &instances, policy).await?);
+        }
+        start::declare(&entries, DECLARATIONS).await?;
+        Ok(Self { engines, sides, entries, _platform: (log, instances) })
+    }
+
+    async fn stop(self) {
+        for entry in self.entries {
+            entry.stop().await;
+        }
+        for side in self.sides {
+            side.stop().await;
+        }
+    }
+}
+
+async fn run(
+    policy: Policy,
+    load: &'static str,
+    jobs: &[Job],
+    seed: u64,
+    capacity: f64,
+) -> eyre::Result<Report> {
+    let world = World::start(policy).await?;
+    let clients: Vec<Client> =
+        world.entries.iter().map(|entry| Client::new(entry.caller_address())).collect();
+    let mut tasks = JoinSet::new();
+    let begin = Instant::now();
+    for (index, job) in jobs.iter().cloned().enumerate() {
+        sleep_until(begin + job.due).await;
+        let client = clients[index % clients.len()].clone();
+        tasks.spawn(async move { (job.tier, send(&client, &job).await) });
+    }
+    let ends = tasks.join_all().await;
+    let counts: Vec<_> = world.engines.iter().map(Engine::counts).collect();
+    world.stop().await;
+    let mut failed = BTreeMap::new();
+    let mut afters = Vec::new();
+    for (_, end) in &ends {
+        if let End::Failed { code, after } = end {
+            *failed.entry(code.clone()).or_default() += 1;
+            afters.extend(after.map(|after| after.as_millis()));
+        }
+    }
+    afters.sort_unstable();
+    let after_ms = afters
+        .first()
+        .zip(afters.last())
+        .map(|(first, last)| [*first, afters[afters.len() / 2], *last]);
+    Ok(Report {
+        policy: policy.as_str(),
+        load,
+        seed,
+        capacity,
+        tiers: (0..TIERS.len()).map(|tier| row(tier, &ends)).collect(),
+        failed,
+        after_ms,
+        prefill: counts.iter().map(|one| one.prefill).sum(),
+        wasted: counts.iter().map(|one| one.wasted).sum(),
+    })
+}
+
+fn row(tier: usize, ends: &[(usize, End)]) -> Row {
+    let (mut sent, mut whole, mut good) = (0, 0, 0);
+    for (_, end) in ends.iter().filter(|(one, _)| *one == tier) {
+        sent += 1;
+        if let End::Whole { first, between } = end {
+            whole += 1;
+            good += u64::from(*first <= TARGET.0 && *between <= TARGET.1);
+        }
+    }
+    let goodput = good as f64 / (sent as f64).max(1.0);
+    Row { tier: TIERS[tier], sent, whole, good, goodput }
+}
+
+async fn send(client: &Client, job: &Job) -> End {
+    follow(client, job).await.unwrap_or_else(|code| End::Failed { code, after: None })
+}
+
+async fn follow(client: &Client, job: &Job) -> Result<End, String> {
+    let body = serde_json::json!({
+        "model": "forecast",
+        "prompt": job.prompt,
+        "max_tokens": job.tokens,
+        "stream": true,
+    });
+    let call = Call::post("/v1/completions", body.to_string())
+        .header(HeaderName::from_static("x-egret-team"), "atelier")
+        .header(HeaderName::from_static("x-egret-tier"), TIERS[job.tier]);
+    let begin = Instant::now();
+    let mut answer = client.send(call).await.map_err(|error| error.to_string())?;
+    if !answer.is_success() {
+        let body = answer.collect(MAX_BODY).await.map_err(|error| error.to_string())?;
+        let value: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
+        let code = value["error"]["code"].as_str().unwrap_or("no code").to_owned();
+        let after = value["error"]["retry_after_ms"].as_u64().map(Duration::from_millis);
+        return Ok(End::Failed { code, after });
+    }
+    let mut meter = TokenMeter::new();
+    while let Some(part) = answer.chunk().await {
+        meter.feed(&part.map_err(|error| error.to_string())?, Instant::now());
+    }
+    let first = meter.first().ok_or("empty answer")?.duration_since(begin);
+    Ok(End::Whole { first, between: meter.mean().unwrap_or_default() })
+}
