--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -11,8 +11,8 @@
 use egretgate_core::moves::{Outcome, Split};
 use egretgate_core::retry::{RetryBudget, come_back};
 use egretgate_core::{
-    Error, ErrorKind, Incarnation, PlaceId, Result, RouteId, ServiceId, TeamId, Ticket, Tier,
-    UpstreamId, VersionId,
+    Digest, Error, ErrorKind, Incarnation, PlaceId, Result, RouteId, ServiceId, TeamId, Ticket,
+    Tier, UpstreamId, VersionId,
 };
 use egretgate_link::message::{Deaths, Heartbeat, Load, Records, Welcome};
 use egretgate_platform::{Instance, InstanceState};
@@ -110,6 +110,8 @@
     pub prompt: u32,
     /// Estimated answer length, in tokens.
     pub output: u32,
+    /// Digest of a suspect, which every entry sends to the same upstream: there it runs alone.
+    pub suspect: Option<Digest>,
     /// Hash of the prompt's start.
     pub prefix: u64,
     /// Upstreams that refused it, latest last.
@@ -545,10 +547,23 @@
     }
 
     fn pick(&mut self, wish: &Wish, now: Instant) -> Option<UpstreamKey> {
+        if let Some(digest) = wish.suspect {
+            return self.pick_by_digest(wish, digest);
+        }
         let ask = ask_of(wish, &self.place, &[]);
         self.choice.choose(&ask, now, &mut self.rng)
     }
 
+    /// Chooses by rendezvous hashing (Thaler and Ravishankar, 1998) among those not yet tried.
+    fn pick_by_digest(&self, wish: &Wish, digest: Digest) -> Option<UpstreamKey> {
+        let tried = |key: &UpstreamKey| wish.tried.iter().any(|attempt| attempt.key == *key);
+        self.choice
+            .iter()
+            .filter(|(key, view)| serves(view, wish) && !tried(key))
+            .max_by_key(|(_, view)| Digest::of(&[digest.as_bytes(), view.upstream.id.as_bytes()]))
+            .map(|(key, _)| key)
+    }
+
     fn begin(&mut self, wish: &Wish, key: UpstreamKey, now: Instant) -> Option<Chosen> {
         let side = self.sides.get(*self.by_upstream.get(&key)?)?;
         let ask = ask_of(wish, &self.place, &[]);
--- a/crates/egretgate/src/entry/flight.rs
+++ b/crates/egretgate/src/entry/flight.rs
@@ -226,6 +226,7 @@
     /// Offers the request to one upstream after another, each only on proof that it was not run.
     async fn offer_round(&mut self, plan: &Plan, alone: bool) -> Result<()> {
         let mut wish = self.wish(plan);
+        wish.suspect = alone.then(|| self.digest(plan));
         loop {
             let chosen = self.choose(&wish).await?;
             if plan.once && !self.may_dispatch().await {
@@ -277,6 +278,7 @@
             tier: plan.tier,
             prompt: self.call.prompt,
             output: self.call.output.unwrap_or(DEFAULT_OUTPUT),
+            suspect: None,
             prefix: self.call.prefix,
             tried: Vec::new(),
             refusal: None,
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -15,7 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{MissedTickBehavior, interval, sleep_until};
+use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until};
 
 use crate::engines::{EngineKey, Engines};
 use crate::entries::{ConnectionId, Entries, Peer};
@@ -35,6 +35,9 @@
 const LENGTH_QUANTILE: f64 = 0.5;
 /// Predicted answer length of a route that has given none yet, in tokens.
 const LENGTH_INITIAL: u32 = 64;
+/// Time for which a suspect is held back before it is queued.
+const SUSPECT_HOLD: Duration = Duration::from_millis(100);
+
 /// What the desk is told.
 #[derive(Debug)]
 pub(crate) enum DeskMessage {
@@ -50,6 +53,8 @@
     Ended { report: Report, reply: oneshot::Sender<Load> },
     /// The last frame of a run was delivered or given up.
     Delivered,
+    /// An offer was held back for long enough.
+    Held { entry: Incarnation, offer: Offer },
     /// A probe has answered.
     Probed { engine: EngineKey, alive: bool },
     /// Stop: refuse what waits, finish what runs, then answer.
@@ -135,6 +140,10 @@
     unconfirmed: Vec<Unconfirmed>,
     /// Runs whose last frame is not settled.
     delivering: usize,
+    /// Ends of cut answers that wait for the probe of their engine.
+    doubted: Vec<(EngineKey, oneshot::Sender<Load>)>,
+    /// Offers of suspects that are held back.
+    held: usize,
     stopping: Option<oneshot::Sender<()>>,
     stopped: bool,
     last_beat: Instant,
@@ -171,6 +180,8 @@
             deaths: 0,
             unconfirmed: Vec::new(),
             delivering: 0,
+            doubted: Vec::new(),
+            held: 0,
             stopping: None,
             stopped: false,
             last_beat: now,
@@ -206,10 +217,17 @@
             DeskMessage::Frame { entry, body } => self.handle_frame(entry, body),
             DeskMessage::Pace { ticket, pace } => self.handle_pace(ticket, pace),
             DeskMessage::Ended { report, reply } => {
-                self.handle_ended(&report);
-                let _ = reply.send(self.load());
+                match self.handle_ended(&report) {
+                    // Entries learn of a death before the caller can ask again.
+                    Some(engine) => self.doubted.push((engine, reply)),
+                    None => drop(reply.send(self.load())),
+                }
             }
             DeskMessage::Delivered => self.delivering -= 1,
+            DeskMessage::Held { entry, offer } => {
+                self.held -= 1;
+                self.handle_offer(entry, offer);
+            }
             DeskMessage::Probed { engine, alive } => self.handle_probed(engine, alive),
             DeskMessage::Stop(reply) => self.stop(reply),
         }
@@ -234,6 +252,7 @@
     fn handle_frame(&mut self, entry: Incarnation, body: to_side::Body) {
         match body {
             to_side::Body::Hello(_) => {}
+            to_side::Body::Offer(offer) if self.is_suspect(&offer) => self.hold(entry, offer),
             to_side::Body::Offer(offer) => self.handle_offer(entry, offer),
             to_side::Body::Withdraw(withdraw) => self.withdraw(entry, ticket_of(withdraw.ticket)),
             to_side::Body::Query(query) => self.query(entry, ticket_of(query.ticket), query.next),
@@ -259,6 +278,22 @@
         }
     }
 
+    fn is_suspect(&self, offer: &Offer) -> bool {
+        offer.alone || self.feed.is_suspect(digest_of(offer))
+    }
+
+    /// Holds a suspect back, so that deaths of engines which run its like become known first.
+    fn hold(&mut self, entry: Incarnation, offer: Offer) {
+        self.held += 1;
+        let own = self.own.clone();
+        let deadline_ms = offer.deadline_ms.saturating_sub(SUSPECT_HOLD.as_millis() as u64);
+        tokio::spawn(async move {
+            sleep(SUSPECT_HOLD).await;
+            let offer = Offer { deadline_ms, ..offer };
+            let _ = own.send(DeskMessage::Held { entry, offer }).await;
+        });
+    }
+
     fn handle_offer(&mut self, entry: Incarnation, offer: Offer) {
         let now = Instant::now();
         let ticket = ticket_of(offer.ticket);
@@ -311,7 +346,7 @@
             prompt: offer.prompt_tokens,
             output: learned,
             digest,
-            alone: offer.alone || self.feed.is_suspect(digest),
+            alone: self.is_suspect(offer),
             version: offer.version.clone(),
         }
     }
--- a/crates/egretside/src/desk/life.rs
+++ b/crates/egretside/src/desk/life.rs
@@ -23,6 +23,7 @@
         }
         self.start_next();
         if self.delivering == 0
+            && self.held == 0
             && self.running.is_empty()
             && let Some(reply) = self.stopping.take()
         {
@@ -94,9 +95,9 @@
         self.feed.is_quarantined(work.digest) || !work.alone && self.feed.is_suspect(work.digest)
     }
 
-    /// Notes the end of a run.
-    pub(crate) fn handle_ended(&mut self, report: &Report) {
-        let Some(running) = self.running.remove(&report.ticket) else { return };
+    /// Notes the end of a run. Returns the engine if a probe shows soon whether it died.
+    pub(crate) fn handle_ended(&mut self, report: &Report) -> Option<EngineKey> {
+        let running = self.running.remove(&report.ticket)?;
         let standing = match report.finish {
             Finish::NotSent => Standing::Refused,
             _ => Standing::Ended,
@@ -129,6 +130,8 @@
         if doubted || unreachable {
             self.probe(running.engine, Duration::ZERO);
         }
+        let doubted = cut && self.engines.is_doubted(running.engine);
+        doubted.then_some(running.engine)
     }
 
     fn log_end(&self, running: &Running, report: &Report) {
@@ -169,6 +172,10 @@
                 self.beat();
             }
         }
+        let load = self.load();
+        for (_, reply) in self.doubted.extract_if(.., |(engine, _)| *engine == key) {
+            let _ = reply.send(load.clone());
+        }
     }
 
     fn report_death(&mut self, digests: Vec<egretgate_core::Digest>) {
--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -180,6 +180,11 @@
         true
     }
 
+    /// Returns whether a probe of the engine is under way after a cut answer.
+    pub(crate) fn is_doubted(&self, key: EngineKey) -> bool {
+        self.engines[key].health == Health::Doubted
+    }
+
     /// Notes that no connection to the engine could be made. Returns true if it must be probed.
     pub(crate) fn unreachable(&mut self, key: EngineKey) -> bool {
         let engine = &mut self.engines[key];
