fix(side): a stopping side process refuses late offers and writes every last frame

Cause: the desk ended with its last request. An offer that was under way at the goodbye then met a closed connection, and a connection whose reader found the desk gone was closed with frames still unwritten: a caller was told `answer_cut` (seen 2 of 2 times in `a_leaving_upstream_gets_nothing_new_and_ cuts_nothing` on a busy machine).

Change: the desk goes on refusing offers for 500 ms after its last request, then ends; each connection writes what is left, closes its sending half and reads until the entry closes, within 2 s.

--- a/crates/egretside/src/conn.rs
+++ b/crates/egretside/src/conn.rs
@@ -40,9 +40,14 @@
     let Some(attached) = attach(entry, peer, &desk).await else { return };
     let (mut sink, stream) = connection.split();
     if sink.send(to_entry::Body::Welcome(attached.welcome).into()).await.is_ok() {
+        let read = read_frames(stream, entry, &desk);
+        tokio::pin!(read);
         tokio::select! {
-            () = write_frames(sink, outgoing) => {}
-            () = read_frames(stream, entry, &desk) => {}
+            written = write_frames(sink, outgoing) => if written.is_some() {
+                // Closing with unread frames could destroy written ones on their way.
+                read.await;
+            },
+            () = &mut read => {}
             () = cut.cancelled() => {}
         }
     }
@@ -71,23 +76,23 @@
     attached.await.ok()
 }
 
+/// Writes frames until every sender is gone, then closes the sending half. Returns `None` if the
+/// connection broke.
 async fn write_frames(
     mut sink: SplitSink<Connection, ToEntry>,
     mut outgoing: mpsc::Receiver<ToEntry>,
-) {
+) -> Option<()> {
     let mut batch = Vec::with_capacity(WRITE_BATCH);
     while outgoing.recv_many(&mut batch, WRITE_BATCH).await > 0 {
         for frame in batch.drain(..) {
-            if sink.feed(frame).await.is_err() {
-                return;
-            }
-        }
-        if sink.flush().await.is_err() {
-            return;
+            sink.feed(frame).await.ok()?;
         }
+        sink.flush().await.ok()?;
     }
+    sink.close().await.ok()
 }
 
+/// Reads frames until the entry closes. Those that come after the desk's end are dropped.
 async fn read_frames(
     mut stream: SplitStream<Connection>,
     entry: Incarnation,
@@ -95,8 +100,6 @@
 ) {
     while let Some(Ok(frame)) = stream.next().await {
         let Some(body) = frame.body else { continue };
-        if desk.send(DeskMessage::Frame { entry, body }).await.is_err() {
-            return;
-        }
+        let _ = desk.send(DeskMessage::Frame { entry, body }).await;
     }
 }
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -57,8 +57,11 @@
     Held { entry: Incarnation, offer: Offer },
     /// A probe has answered.
     Probed { engine: EngineKey, alive: bool },
-    /// Stop: refuse what waits, finish what runs, then answer.
+    /// Stop: refuse what waits, finish what runs, then answer. Offers that are still under way are
+    /// refused until [`DeskMessage::Close`].
     Stop(oneshot::Sender<()>),
+    /// End the desk; connections close once their last frames are written.
+    Close,
 }
 
 /// Times measured while a request runs.
@@ -144,8 +147,11 @@
     doubted: Vec<(EngineKey, oneshot::Sender<Load>)>,
     /// Offers of suspects that are held back.
     held: usize,
-    stopping: Option<oneshot::Sender<()>>,
-    stopped: bool,
+    /// True from the order to stop on.
+    stopping: bool,
+    /// Answered once nothing runs any more.
+    finished: Option<oneshot::Sender<()>>,
+    closed: bool,
     last_beat: Instant,
     /// When the desk last did anything.
     awake: Instant,
@@ -182,8 +188,9 @@
             delivering: 0,
             doubted: Vec::new(),
             held: 0,
-            stopping: None,
-            stopped: false,
+            stopping: false,
+            finished: None,
+            closed: false,
             last_beat: now,
             awake: now,
             thawed: None,
@@ -194,7 +201,7 @@
     pub(crate) async fn run(mut self, mut messages: mpsc::Receiver<DeskMessage>) {
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        while !self.stopped {
+        while !self.closed {
             let now = Instant::now();
             let wake = self.queue.wake(now).unwrap_or(now + TICK);
             tokio::select! {
@@ -230,6 +237,7 @@
             }
             DeskMessage::Probed { engine, alive } => self.handle_probed(engine, alive),
             DeskMessage::Stop(reply) => self.stop(reply),
+            DeskMessage::Close => self.closed = true,
         }
     }
 
@@ -244,7 +252,7 @@
             load: Some(self.load()),
         };
         let _ = reply.send(Attached { id, welcome });
-        if self.stopping.is_some() {
+        if self.stopping {
             self.entries.send(entry, to_entry::Body::Goodbye(Goodbye {}));
         }
     }
@@ -322,7 +330,7 @@
 
     /// Returns why an offer can't be taken at all.
     fn screen(&self, ticket: Ticket, offer: &Offer) -> Option<Error> {
-        let kind = if self.stopping.is_some() {
+        let kind = if self.stopping {
             ErrorKind::Stopping
         } else if self.standings.get(ticket).is_some() || !self.engines.serves(&offer.version) {
             ErrorKind::NoUpstream
--- a/crates/egretside/src/desk/life.rs
+++ b/crates/egretside/src/desk/life.rs
@@ -25,9 +25,8 @@
         if self.delivering == 0
             && self.held == 0
             && self.running.is_empty()
-            && let Some(reply) = self.stopping.take()
+            && let Some(reply) = self.finished.take()
         {
-            self.stopped = true;
             let _ = reply.send(());
         }
     }
@@ -220,7 +219,8 @@
             self.give_up(given_up);
         }
         info!(self.log, "stopping"; "running" => self.running.len());
-        self.stopping = Some(reply);
+        self.stopping = true;
+        self.finished = Some(reply);
     }
 }
 
--- a/crates/egretside/src/serve.rs
+++ b/crates/egretside/src/serve.rs
@@ -23,8 +23,11 @@
 use crate::engines::Engines;
 use crate::upstream::Upstream;
 
-/// Time between the goodbye and the closing of connections, so that entries read it.
-const LINGER: Duration = Duration::from_millis(100);
+/// Time between the end of the last request and that of the desk, in which offers that were under
+/// way at the goodbye are refused.
+const LINGER: Duration = Duration::from_millis(500);
+/// Longest time in which entries close their connections once the last frames are written.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A running side process.
 #[derive(Debug)]
@@ -34,6 +37,8 @@
     desk: mpsc::Sender<DeskMessage>,
     health: watch::Sender<Health>,
     accept: JoinHandle<()>,
+    /// Closed once no connection is open.
+    open: mpsc::Receiver<()>,
     admin: ServerHandle,
     grace: Duration,
     log: Logger,
@@ -70,10 +75,12 @@
         tokio::spawn(build_desk(&settings, log.clone(), desk.clone()).run(messages));
         let token =
             settings.link_token.as_ref().map(|token| token.expose().to_owned()).unwrap_or_default();
+        let (connected, open) = mpsc::channel(1);
         let side = Self {
             link_address: listener.local_addr()?,
             admin_address: admin.address(),
-            accept: tokio::spawn(accept(listener, token, desk.clone())),
+            accept: tokio::spawn(accept(listener, token, desk.clone(), connected)),
+            open,
             desk,
             health,
             admin: admin.handle(),
@@ -103,8 +110,12 @@
         let _ = self.desk.send(DeskMessage::Stop(reply)).await;
         let whole = matches!(timeout(self.grace, finished).await, Ok(Ok(())));
         tokio::time::sleep(LINGER).await;
-        info!(self.log, "stopped"; "whole" => whole);
         self.accept.abort();
+        let _ = self.accept.await;
+        let _ = self.desk.send(DeskMessage::Close).await;
+        let mut open = self.open;
+        let _ = timeout(CLOSE_TIMEOUT, open.recv()).await;
+        info!(self.log, "stopped"; "whole" => whole);
         self.admin.stop_forceful();
     }
 }
@@ -122,10 +133,21 @@
     Desk::new(identity, engines, QueueOptions::default(), rng, log, own)
 }
 
-async fn accept(listener: TcpListener, token: String, desk: mpsc::Sender<DeskMessage>) {
+/// Takes connections; each keeps a clone of `connected` while it is open.
+async fn accept(
+    listener: TcpListener,
+    token: String,
+    desk: mpsc::Sender<DeskMessage>,
+    connected: mpsc::Sender<()>,
+) {
     loop {
         if let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(conn::serve(stream, token.clone(), desk.clone()));
+            let (served, connected) =
+                (conn::serve(stream, token.clone(), desk.clone()), connected.clone());
+            tokio::spawn(async move {
+                served.await;
+                drop(connected);
+            });
         }
     }
 }
