--- a/crates/egretgate/src/entry/journal.rs
+++ b/crates/egretgate/src/entry/journal.rs
@@ -14,6 +14,7 @@
 use egretgate_core::moves::Evidence;
 use egretgate_core::record::outbox::{Append, Outbox};
 use egretgate_core::record::{Body, Class};
+use egretgate_core::snapshot::Keeper;
 use egretgate_core::{Digest, Error, ErrorKind, Incarnation, Offset, Result, Ticket};
 use egretgate_link::message::{Deaths, Heartbeat};
 use egretgate_platform::{Batch, LogClient};
@@ -38,6 +39,8 @@
 pub(crate) const JOURNAL_DEPTH: usize = 8192;
 /// Pause between two rounds of upkeep.
 const TICK: Duration = Duration::from_millis(100);
+/// Time after which a snapshot is due whatever was read.
+const SNAPSHOT_PAUSE: Duration = Duration::from_mins(10);
 /// Pause between two looks at leases and moves.
 const STEER_PAUSE: Duration = Duration::from_millis(250);
 /// Time within which an operator's change is read back, or its answer is that it is unknown.
@@ -74,8 +77,6 @@
     Cleared(Digest),
     /// Measurements of versions from every side process.
     Evidence(Box<Evidence>),
-    /// The keeper's append has returned.
-    Kept,
     /// Look at the state, for operators.
     Inspect(Inspection),
 }
@@ -83,13 +84,15 @@
 /// A question about the state, answered by a closure that runs in the journal's task.
 pub(crate) struct Inspection(pub Box<dyn FnOnce(&Journal) + Send>);
 
-/// Which of the entry's two queues an append comes from.
+/// Which of the entry's queues an append comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Kind {
     /// Configuration records.
     Config,
     /// Intents and outcomes.
     Calls,
+    /// Ticks and snapshots.
+    Keeper,
 }
 
 /// An operator's change that was not read back yet.
@@ -116,10 +119,9 @@
     log: Logger,
     started: Instant,
     reading: reading::Reading,
-    writer: Incarnation,
     leases: leases::Leases,
     trials: moves::Trials,
-    keeping: keeping::Keeping,
+    keeper: Keeper,
     /// When moves were last judged.
     steered: Instant,
 }
@@ -149,10 +151,9 @@
             log,
             started: Instant::now(),
             reading: reading::Reading::default(),
-            writer,
             leases: leases::Leases::new(writer),
             trials: moves::Trials::default(),
-            keeping: keeping::Keeping::new(Instant::now()),
+            keeper: Keeper::new(writer, SNAPSHOT_PAUSE),
             steered: Instant::now(),
         }
     }
@@ -216,7 +217,6 @@
             JournalMessage::Deaths { incarnation, deaths } => self.deaths(incarnation, &deaths),
             JournalMessage::Cleared(digest) => self.cleared(digest),
             JournalMessage::Evidence(evidence) => self.trials.absorb(&evidence),
-            JournalMessage::Kept => self.kept(),
             JournalMessage::Inspect(Inspection(look)) => look(self),
         }
     }
@@ -289,6 +289,7 @@
         match kind {
             Kind::Config => self.config.lost(sequence),
             Kind::Calls => self.calls.append_lost(sequence),
+            Kind::Keeper => self.keeper.lost(sequence),
         }
         if matches!(error, egretgate_platform::Error::Refused(_)) {
             self.set_log_up(false);
@@ -313,6 +314,7 @@
     /// Notes what the fold made of a record.
     fn note(&mut self, applied: &Applied) {
         self.calls.read(applied, self.state.keys());
+        self.keeper.read(applied, &self.state, Instant::now());
         let Some(author) = applied.author else { return };
         if author.class == Class::Config && self.config.read(author.writer, author.sequence) {
             self.confirm(author.sequence, applied);
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -268,14 +268,13 @@
                 self.control(ticket_of(credit.ticket), Control::Credit(credit.chunks));
             }
             to_side::Body::Heartbeat(heartbeat) => {
-                let ask = self.feed.heard(&heartbeat, Instant::now());
-                if let Some(ask) = ask {
-                    self.entries.send(entry, to_entry::Body::RecordsAsk(ask));
-                }
+                self.feed.heard(&heartbeat);
+                self.ask_records(entry);
             }
             to_side::Body::Records(records) => {
                 if self.feed.take(&records) {
                     self.follow_declarations();
+                    self.ask_records(entry);
                     self.beat();
                 }
             }
@@ -302,6 +301,13 @@
         });
     }
 
+    /// Asks an entry for the configuration records that this process lacks, if any are known.
+    fn ask_records(&mut self, entry: Incarnation) {
+        if let Some(ask) = self.feed.due(Instant::now()) {
+            self.entries.send(entry, to_entry::Body::RecordsAsk(ask));
+        }
+    }
+
     fn handle_offer(&mut self, entry: Incarnation, offer: Offer) {
         let now = Instant::now();
         let ticket = ticket_of(offer.ticket);
@@ -359,8 +365,9 @@
         }
     }
 
+    /// Tells an entry that a request was not run. It may offer the request here again, unless the
+    /// ticket was barred.
     fn refuse(&mut self, entry: Incarnation, ticket: Ticket, error: &Error) {
-        self.standings.note(ticket, Standing::Refused);
         metrics::counter!("egretside_refused_total", "kind" => error.kind.code()).increment(1);
         let refused = Refused {
             ticket: Some(ticket.into()),
@@ -389,6 +396,7 @@
         }
         let unseen = self.standings.get(ticket).is_none();
         if held.is_some() || unseen {
+            self.standings.note(ticket, Standing::Refused);
             self.refuse(entry, ticket, &upkeep::withdrawn());
         }
     }
--- a/crates/egretside/src/desk/upkeep.rs
+++ b/crates/egretside/src/desk/upkeep.rs
@@ -4,6 +4,7 @@
 
 use egretgate_core::{Error, ErrorKind};
 use egretgate_link::message::{Deaths, Load, Standing, to_entry};
+use rand::seq::IteratorRandom;
 use slog::warn;
 
 use crate::desk::{Desk, Running};
@@ -30,6 +31,10 @@
             }
         }
         self.confirm_deaths(now);
+        // Another entry each time: the last one asked may not have what it announced.
+        if let Some(entry) = self.entries.attached().choose(&mut self.rng) {
+            self.ask_records(entry);
+        }
         if now.duration_since(self.last_beat) >= heartbeat_pause(self.entries.len()) {
             self.beat();
         }
--- a/crates/egretside/src/feed.rs
+++ b/crates/egretside/src/feed.rs
@@ -34,6 +34,8 @@
     shared: Shared,
     /// The quarantine with the deaths of this process's own engines.
     reported: Reported,
+    /// The furthest heartbeat heard.
+    known: Option<Heartbeat>,
     /// When an entry was last asked; `None` once it answered.
     asked: Option<Instant>,
     /// True if the records fed don't fit and the whole state is needed.
@@ -56,15 +58,25 @@
         self.shared.encode().into()
     }
 
-    /// Compares with an entry's heartbeat; returns what to ask of it, if it has more.
-    pub(crate) fn heard(&mut self, beat: &Heartbeat, now: Instant) -> Option<RecordsAsk> {
+    /// Notes an entry's heartbeat.
+    pub(crate) fn heard(&mut self, beat: &Heartbeat) {
+        let further = self.known.as_ref().is_none_or(|known| beat.offset >= known.offset);
+        if further {
+            self.known = Some(beat.clone());
+        }
+    }
+
+    /// Returns what to ask of an entry now, if any has more than this process. An ask that went
+    /// unanswered is due again after a while.
+    pub(crate) fn due(&mut self, now: Instant) -> Option<RecordsAsk> {
         if self.asked.is_some_and(|asked| now.duration_since(asked) < ASK_TIMEOUT) {
             return None;
         }
-        let from = match self.shared.compare(beat.offset, &beat.digest) {
+        let known = self.known.as_ref()?;
+        let from = match self.shared.compare(known.offset, &known.digest) {
             Standing::Behind { from } if !self.diverged => from,
-            Standing::Behind { .. } => 0,
-            Standing::Same | Standing::Ahead | Standing::Diverged => return None,
+            Standing::Behind { .. } | Standing::Diverged => 0,
+            Standing::Same | Standing::Ahead => return None,
         };
         self.asked = Some(now);
         Some(RecordsAsk { from })
@@ -93,10 +105,12 @@
         risen
     }
 
-    /// Takes a whole state, unless it is older than what is known.
+    /// Takes a whole state, unless it is older than what is known. One at the same offset replaces
+    /// another history.
     fn take_snapshot(&mut self, bytes: &[u8]) {
         let Ok(shared) = Shared::decode(bytes) else { return };
-        if shared.next() > self.shared.next() {
+        let other = shared.next() == self.shared.next() && shared.digest() != self.shared.digest();
+        if shared.next() > self.shared.next() || other {
             self.shared = shared;
             self.diverged = false;
         }
