fix(moves): measurements travel only while their route moves

Cause: each heartbeat carried every counter of a side process, up to 256 rows, over the 4 KB/s of control; and an entry kept the counters of every life of every side process for ever. Change: rows of moving routes only; the entry forgets them when no move is under way. Measured: nothing yet; the process tests of moves pass.

--- a/crates/egretgate/src/entry/evidence.rs
+++ b/crates/egretgate/src/entry/evidence.rs
@@ -1,26 +1,19 @@
 //! Measurements of versions, collected from side processes.
 
-use std::collections::BTreeMap;
-
+use egretgate_core::Incarnation;
 use egretgate_core::moves::{Cell, Counts, Evidence};
-use egretgate_core::{Incarnation, UpstreamId};
 use egretgate_link::message::Sample;
 
-/// The latest cumulative measurements of every side process.
+/// The latest cumulative measurements of every life of every side process, while a move is under
+/// way.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct SampleBook {
-    /// Last life heard of each upstream.
-    lives: BTreeMap<UpstreamId, Incarnation>,
     evidence: Evidence,
 }
 
 impl SampleBook {
     /// Takes in the counters of one heartbeat.
-    pub(crate) fn take(&mut self, upstream: &str, life: Incarnation, samples: &[Sample]) {
-        if samples.is_empty() {
-            return;
-        }
-        self.lives.insert(upstream.to_owned(), life);
+    pub(crate) fn take(&mut self, life: Incarnation, samples: &[Sample]) {
         for sample in samples {
             let cell = Cell::new(&sample.route, &sample.version, sample.level);
             self.evidence.merge(life, cell, counts_of(sample));
--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -357,7 +357,9 @@
         self.choice.report(known.key, report, now);
         let signal = Signal { lowest: report.lowest, shed: report.shed };
         self.gate(&known.service).hear(known.key, signal, now);
-        self.samples.take(&name, known.incarnation, &load.samples);
+        if !self.traffic.is_empty() {
+            self.samples.take(known.incarnation, &load.samples);
+        }
         self.weigh(&name, known.key);
     }
 
@@ -530,6 +532,9 @@
             let (hosts, upstreams) = (hosts.count() as u32, of_service().count() as u32);
             Split::new(plan, progress, hosts, upstreams, entries)
         });
+        if self.traffic.is_empty() {
+            self.samples = SampleBook::default();
+        }
     }
 
     /// Sends the journal the measurements on which moves are judged.
--- a/crates/egretside/src/desk/upkeep.rs
+++ b/crates/egretside/src/desk/upkeep.rs
@@ -69,7 +69,7 @@
     pub(crate) fn beat(&mut self) {
         self.last_beat = Instant::now();
         let mut load = self.load();
-        load.samples = self.samples.frames();
+        load.samples = self.samples.frames(|route| self.feed.moves(route));
         self.entries.broadcast(&to_entry::Body::Load(load));
     }
 
--- a/crates/egretside/src/feed.rs
+++ b/crates/egretside/src/feed.rs
@@ -5,7 +5,7 @@
 use blake3::Hash;
 use bytes::Bytes;
 use egretgate_core::declaration::ServiceSpec;
-use egretgate_core::fold::{Effect, Reported, Shared, Standing};
+use egretgate_core::fold::{Effect, Move, Reported, Shared, Standing};
 use egretgate_core::poison::{Death, Verdict};
 use egretgate_core::{Digest, Incarnation, Offset, Tier, UpstreamId};
 use egretgate_link::message::{Deaths, Heartbeat, Records, RecordsAsk};
@@ -121,6 +121,11 @@
         self.shared.declarations().teams.get(team).map_or(1, |team| team.weight)
     }
 
+    /// Returns whether a version move of the route is under way.
+    pub(crate) fn moves(&self, route: &str) -> bool {
+        self.shared.moves().get(route).is_some_and(Move::is_open)
+    }
+
     /// Returns the declaration of a service.
     pub(crate) fn service(&self, name: &str) -> Option<&ServiceSpec> {
         self.shared.declarations().services.get(name)
--- a/crates/egretside/src/samples.rs
+++ b/crates/egretside/src/samples.rs
@@ -52,8 +52,8 @@
         counts.slow_between += u64::from(report.between.is_some_and(|time| time > targets.between));
     }
 
-    /// Returns the counters as frames carry them.
-    pub(crate) fn frames(&self) -> Vec<Sample> {
+    /// Returns the counters of routes that `moves` tells to move, as frames carry them.
+    pub(crate) fn frames(&self, moves: impl Fn(&str) -> bool) -> Vec<Sample> {
         let frame = |(key, counts): (&Key, &Counts)| Sample {
             route: key.route.clone(),
             version: key.version.clone(),
@@ -63,6 +63,6 @@
             slow_first: counts.slow_first,
             slow_between: counts.slow_between,
         };
-        self.rows.iter().map(frame).collect()
+        self.rows.iter().filter(|(key, _)| moves(&key.route)).map(frame).collect()
     }
 }
