fix(egretgate): a failed answer is withdrawn, an offer is not kept waiting by a reconnect

Cause: an answer that failed at the entry for a broken sequence was forgotten but not withdrawn, so its run would have waited for credit for ever; and an offer to a link that was reconnecting waited up to a second before it was refused as not run. Both found by reading. Change: every failed offer is withdrawn; messages are answered while dialling.

--- a/crates/egretgate/src/entry/flight/session.rs
+++ b/crates/egretgate/src/entry/flight/session.rs
@@ -91,10 +91,7 @@
                 None
             }
             Stage::Withdrawn => Some(Offered::Failed(unknown("no proof after the deadline"))),
-            Stage::Started => {
-                self.tell(LinkMessage::Withdraw(self.ticket)).await;
-                Some(Offered::Failed(cut("the upstream fell silent")))
-            }
+            Stage::Started => Some(Offered::Failed(cut("the upstream fell silent"))),
         }
     }
 
@@ -124,6 +121,10 @@
     /// Follows an offer to its end.
     pub(crate) async fn follow(&mut self, mut session: Session) -> Offered {
         let offered = self.receive(&mut session).await;
+        if matches!(offered, Offered::Failed(_)) {
+            // Whatever still runs there must not wait for credit that never comes.
+            session.tell(LinkMessage::Withdraw(session.ticket)).await;
+        }
         session.tell(LinkMessage::Forget(session.ticket)).await;
         let Chosen { key, flight, .. } = session.chosen;
         let ended = FleetMessage::Ended { key, flight, tokens: self.tokens };
@@ -136,10 +137,7 @@
             let patience = sleep_until(session.patience.into());
             let ended = tokio::select! {
                 event = session.events.recv() => self.handle(session, event).await,
-                () = self.call.reply.closed() => {
-                    session.tell(LinkMessage::Withdraw(session.ticket)).await;
-                    Some(Offered::Failed(gone(session.stage)))
-                }
+                () = self.call.reply.closed() => Some(Offered::Failed(gone(session.stage))),
                 () = patience => session.lose_patience().await,
             };
             if let Some(ended) = ended {
@@ -177,7 +175,6 @@
         };
         for part in parts {
             if let Err(error) = self.pass(session, part).await {
-                session.tell(LinkMessage::Withdraw(session.ticket)).await;
                 return Some(Offered::Failed(error));
             }
         }
--- a/crates/egretgate/src/entry/link.rs
+++ b/crates/egretgate/src/entry/link.rs
@@ -114,6 +114,12 @@
     next: u64,
 }
 
+enum Attempt {
+    Connected(Box<Connection>, Welcome),
+    Failed,
+    Stopped,
+}
+
 enum Closed {
     Cut,
     Stopped,
@@ -145,41 +151,41 @@
         let mut pause = RECONNECT_MIN;
         loop {
             match self.connect().await {
-                Some((connection, welcome)) => {
+                Attempt::Connected(connection, welcome) => {
                     pause = RECONNECT_MIN;
-                    if matches!(self.serve(connection, welcome).await, Closed::Stopped) {
+                    if matches!(self.serve(*connection, welcome).await, Closed::Stopped) {
                         break;
                     }
                     self.cut = Some(Instant::now());
                     let _ = self.fleet.send(FleetMessage::Down(self.key)).await;
                 }
-                None if self.wait(pause).await => {
+                Attempt::Failed if self.wait(pause).await => {
                     pause = (pause * 2).min(RECONNECT_MAX);
                 }
-                None => break,
+                Attempt::Failed | Attempt::Stopped => break,
             }
         }
         self.lose_all();
     }
 
-    async fn connect(&self) -> Option<(Connection, Welcome)> {
-        let attempt = async {
-            let stream = TcpStream::connect(self.address).await.ok()?;
-            stream.set_nodelay(true).ok()?;
-            let mut connection: Connection = Framed::new(stream, Codec::new());
-            let hello = Hello {
-                token: self.identity.token.clone(),
-                incarnation: self.identity.incarnation,
-                instance: self.identity.instance.clone(),
-                place: self.identity.place.clone(),
-            };
-            connection.send(to_side::Body::Hello(hello).into()).await.ok()?;
-            match connection.next().await?.ok()?.body? {
-                to_entry::Body::Welcome(welcome) => Some((connection, welcome)),
-                _ => None,
+    /// Tries to connect once. Messages are answered meanwhile: an offer is not kept waiting.
+    async fn connect(&mut self) -> Attempt {
+        let attempt = timeout(CONNECT_TIMEOUT, dial(self.address, self.identity.clone()));
+        tokio::pin!(attempt);
+        loop {
+            tokio::select! {
+                dialled = &mut attempt => return match dialled.ok().flatten() {
+                    Some((connection, welcome)) => {
+                        Attempt::Connected(Box::new(connection), welcome)
+                    }
+                    None => Attempt::Failed,
+                },
+                message = self.messages.recv() => match message {
+                    Some(LinkMessage::Stop) | None => return Attempt::Stopped,
+                    Some(message) => self.handle_unconnected(message),
+                },
             }
-        };
-        timeout(CONNECT_TIMEOUT, attempt).await.ok().flatten()
+        }
     }
 
     /// Waits before the next try. Returns false if the link is to stop.
@@ -381,3 +387,17 @@
         }
     }
 }
+
+/// Connects to a side process and greets it.
+async fn dial(address: SocketAddr, identity: Identity) -> Option<(Connection, Welcome)> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let mut connection: Connection = Framed::new(stream, Codec::new());
+    let Identity { token, incarnation, instance, place } = identity;
+    let hello = Hello { token, incarnation, instance, place };
+    connection.send(to_side::Body::Hello(hello).into()).await.ok()?;
+    match connection.next().await?.ok()?.body? {
+        to_entry::Body::Welcome(welcome) => Some((connection, welcome)),
+        _ => None,
+    }
+}
