--- a/crates/egretgate-fakes/examples/overload.rs
+++ b/crates/egretgate-fakes/examples/overload.rs
@@ -53,10 +53,13 @@
 const DECLARATIONS: &str = r#"
 [tiers.brief]
 rank = 0
+deadline_ms = 4000
 [tiers.caption]
 rank = 1
+deadline_ms = 4000
 [tiers.archive]
 rank = 2
+deadline_ms = 4000
 [teams.atelier]
 tier = "brief"
 tiers = ["brief", "caption", "archive"]
@@ -170,7 +173,7 @@
     for factor in [2_u32, 3, 4] {
         let spec = EngineSpec::new()
             .token_time(Duration::from_millis(5) * factor)
-            .prefill_time(Duration::from_micros(50) * factor)
+            .prefill_time(Duration::from_micros(10) * factor)
             .load_lag(Duration::from_millis(500));
         engines.push(Engine::start(spec).await?);
     }
--- a/crates/egretgate-fakes/examples/spread.rs
+++ b/crates/egretgate-fakes/examples/spread.rs
@@ -28,6 +28,7 @@
   --sides COUNT    side processes [default: 20]
   --entries COUNT  entries [default: 3]
   --changes COUNT  changes [default: 5]
+  --teams COUNT    teams declared besides [default: 0]
   --rest SECONDS   time at rest that is measured [default: 10]
   --json           print one line of JSON
   --help           print this text
@@ -38,6 +39,8 @@
 const LONGEST: Duration = Duration::from_secs(30);
 /// Time for links to come up and settle.
 const SETTLE: Duration = Duration::from_secs(5);
+/// Teams declared with one change.
+const TEAMS_AT_ONCE: usize = 100;
 /// Clock ticks per second in `/proc/self/stat`, as on all common Linux builds.
 const TICKS: f64 = 100.0;
 /// Size of a page in bytes, as on all common Linux builds.
@@ -61,6 +64,7 @@
     sides: usize,
     entries: usize,
     changes: usize,
+    teams: usize,
     rest: u64,
     json: bool,
 }
@@ -69,6 +73,7 @@
 struct Report {
     sides: usize,
     entries: usize,
+    teams: usize,
     /// Time from each accepted change until every process had it, in milliseconds.
     force_ms: Vec<f64>,
     /// Bytes per second that one side process sends and receives at rest.
@@ -97,13 +102,15 @@
 
 impl Options {
     fn read() -> eyre::Result<Option<Self>> {
-        let mut options = Self { sides: 20, entries: 3, changes: 5, rest: 10, json: false };
+        let mut options =
+            Self { sides: 20, entries: 3, changes: 5, teams: 0, rest: 10, json: false };
         let mut parser = lexopt::Parser::from_env();
         while let Some(arg) = parser.next()? {
             match arg {
                 Arg::Long("sides") => options.sides = parser.value()?.parse()?,
                 Arg::Long("entries") => options.entries = parser.value()?.parse()?,
                 Arg::Long("changes") => options.changes = parser.value()?.parse()?,
+                Arg::Long("teams") => options.teams = parser.value()?.parse()?,
                 Arg::Long("rest") => options.rest = parser.value()?.parse()?,
                 Arg::Long("json") => options.json = true,
                 Arg::Long("help") | Arg::Short('h') => return Ok(None),
@@ -130,8 +137,9 @@
         entries.push(start::entry(&name, "olinda", &log, &instances, Policy::default()).await?);
     }
     start::declare(&entries, DECLARATIONS).await?;
-    sleep(SETTLE).await;
     let mut clients = connect(&entries).await?;
+    add_teams(&mut clients[0], options.teams).await?;
+    sleep(SETTLE).await;
     let mut force_ms = Vec::new();
     for index in 0..options.changes {
         force_ms.push(change(&mut clients, index, options.sides).await?.as_secs_f64() * 1e3);
@@ -142,6 +150,7 @@
     Ok(Report {
         sides: options.sides,
         entries: options.entries,
+        teams: options.teams,
         force_ms,
         sent,
         received,
@@ -172,6 +181,18 @@
     Ok(clients)
 }
 
+/// Declares teams, some with each change.
+async fn add_teams(client: &mut Client, teams: usize) -> eyre::Result<()> {
+    for first in (0..teams).step_by(TEAMS_AT_ONCE) {
+        let team = |index| format!("\n[teams.shop-{index}]\ntier = \"brief\"\nweight = 2\n");
+        let added: String = (first..teams.min(first + TEAMS_AT_ONCE)).map(team).collect();
+        let request = start::addition(DECLARATIONS, &format!("{DECLARATIONS}{added}"))?;
+        let reply = client.apply(request).await.map_err(|error| eyre::eyre!("{error}"))?;
+        eyre::ensure!(reply.accepted, "refused: {:?}", reply.refusals);
+    }
+    Ok(())
+}
+
 /// Makes one change and returns the time until every entry knows that all have folded it.
 async fn change(clients: &mut [Client], index: usize, sides: usize) -> eyre::Result<Duration> {
     let text = format!("{DECLARATIONS}\n[teams.mills-{index}]\ntier = \"brief\"\n");
