--- a/crates/egretgate-core/src/moves/split.rs
+++ b/crates/egretgate-core/src/moves/split.rs
@@ -34,6 +34,10 @@
     seen: u64,
     /// Requests of those given to the new version. At most `share * seen` while unproven.
     sent: u64,
+    /// Parts of requests that may still go to the new version in this cycle, in millionths.
+    credit: u64,
+    /// Number of the current cycle.
+    cycle: u64,
     /// Requests in flight on the new version.
     flights: u32,
     /// Start of the current second.
@@ -46,12 +50,13 @@
     /// Returns the split of a move at its recorded step, for one of `entries` entries.
     ///
     /// `hosts` of the service's `upstreams` run the new version. A share too small to load them
-    /// like the others is sent in bursts at `hosts / upstreams`, so that faults under load show
-    /// while the mean share stays small.
+    /// like the others is sent in bursts. In a burst each host gets as much as each of the others
+    /// gets between bursts, so that faults under load show while the mean share stays small.
     pub fn new(plan: &Move, progress: Progress, hosts: u32, upstreams: u32, entries: u32) -> Self {
         let share = plan.share(progress.step);
         let cautious = share <= Move::CAUTION;
-        let level = u64::from(WHOLE) * u64::from(hosts) / u64::from(upstreams.max(1));
+        let others = upstreams.saturating_sub(hosts).max(1);
+        let level = u64::from(WHOLE) * u64::from(hosts) / u64::from(others);
         let burst = if cautious { (level as Ppm).clamp(share, WHOLE) } else { share };
         Self {
             from: plan.from.clone(),
@@ -114,8 +119,7 @@
     /// Returns true if one more request stays within the share and the cap.
     fn allows(&mut self, split: &Split, now: Instant) -> bool {
         let Some(cap) = split.cap else { return true };
-        let earned = u128::from(self.seen) * u128::from(split.share) / u128::from(WHOLE);
-        if u128::from(self.sent) >= earned {
+        if self.credit < u64::from(WHOLE) {
             return false;
         }
         match cap {
@@ -127,6 +131,27 @@
         }
     }
 
+    /// Counts a request of the route and what it earns for the new version.
+    fn earn(&mut self, split: &Split, wall: SystemTime) {
+        self.seen += 1;
+        let since = wall.duration_since(UNIX_EPOCH).unwrap_or_default();
+        let cycle = since.as_secs() / CYCLE.as_secs();
+        if cycle != self.cycle {
+            self.cycle = cycle;
+            // What one cycle leaves over must not swell the next one.
+            self.credit = self.credit.min(u64::from(WHOLE));
+        }
+        self.credit += u64::from(split.share);
+    }
+
+    /// Counts a request given to the new version.
+    fn spend(&mut self) {
+        self.credit = self.credit.saturating_sub(u64::from(WHOLE));
+        self.sent += 1;
+        self.flights += 1;
+        self.in_second += 1;
+    }
+
     /// Starts the next second if the current one is over.
     fn turn(&mut self, now: Instant) {
         let over = self.second.is_none_or(|at| now - at >= Duration::from_secs(1));
@@ -148,7 +173,7 @@
     now: Instant,
     wall: SystemTime,
 ) -> &'a VersionId {
-    quota.seen += 1;
+    quota.earn(split, wall);
     let mut bytes = [0; 16];
     bytes[..8].copy_from_slice(&ticket.entry.to_le_bytes());
     bytes[8..].copy_from_slice(&ticket.sequence.to_le_bytes());
@@ -157,8 +182,6 @@
     if !chosen || !quota.allows(split, now) {
         return &split.from;
     }
-    quota.sent += 1;
-    quota.flights += 1;
-    quota.in_second += 1;
+    quota.spend();
     &split.to
 }
--- a/crates/egretgate-core/src/record/body.rs
+++ b/crates/egretgate-core/src/record/body.rs
@@ -134,7 +134,7 @@
     /// Version that is to serve the route.
     #[prost(string, tag = "5")]
     pub to: String,
-    /// Shares of the new version in rising order, in millionths.
+    /// Shares of the new version in order, in millionths; a share may stand more than once.
     #[prost(uint32, repeated, tag = "6")]
     pub steps: Vec<u32>,
     /// Share of requests that may be worse than the old version's, in millionths.
@@ -147,6 +147,24 @@
     /// Most requests in flight on the new version during the first step.
     #[prost(uint32, tag = "9")]
     pub cap: u32,
+    /// Time at which the entry took the request, in milliseconds since the Unix epoch; read by
+    /// the holder of the move's lease only.
+    #[prost(uint64, tag = "10")]
+    pub begin_ms: u64,
+}
+
+/// The end of a version move, asked for by an operator: it is taken back.
+#[derive(Clone, PartialEq, Message)]
+pub struct MoveCancel {
+    /// Operator who asks for it.
+    #[prost(string, tag = "1")]
+    pub operator: String,
+    /// Why it is asked for.
+    #[prost(string, tag = "2")]
+    pub reason: String,
+    /// Route whose traffic moves.
+    #[prost(string, tag = "3")]
+    pub route: String,
 }
 
 /// What a step of a move decides.
@@ -406,6 +424,7 @@
             named("route", &step.route)?;
             short("evidence", &step.evidence, MAX_TEXT_BYTES)
         }
+        Body::MoveCancel(cancel) => named("route", &cancel.route),
         Body::Death(death) => named("upstream", &death.upstream),
         Body::Calls(calls) => calls.outcomes.iter().try_for_each(check_outcome),
         Body::Lift(_) | Body::Clear(_) | Body::Tick(_) | Body::Chunk(_) => Ok(()),
@@ -422,10 +441,10 @@
     named("route", &begin.route)?;
     named("version", &begin.from)?;
     named("version", &begin.to)?;
-    let rising = begin.steps.is_sorted_by(|a, b| a < b);
+    let rising = begin.steps.is_sorted();
     let within = begin.steps.iter().all(|share| (1..=1_000_000).contains(share));
     if begin.steps.is_empty() || !rising || !within {
-        return Err(invalid("steps must rise and lie between 1 and 1000000 millionths"));
+        return Err(invalid("steps must not fall and lie between 1 and 1000000 millionths"));
     }
     Ok(())
 }
--- a/crates/egretgate/src/entry/flight.rs
+++ b/crates/egretgate/src/entry/flight.rs
@@ -137,10 +137,22 @@
             Verdict::Suspect => true,
             Verdict::Clear => false,
         };
-        if plan.once {
+        let result = if plan.once {
             self.run_once(plan, alone).await
         } else {
             self.offer_round(plan, alone).await
+        };
+        if result.is_ok() {
+            self.clear(digest).await;
+        }
+        result
+    }
+
+    /// A suspect that was answered in whole kills no upstream.
+    async fn clear(&self, digest: Digest) {
+        let verdict = self.desks.view.borrow().verdict(digest);
+        if verdict == Verdict::Suspect {
+            let _ = self.desks.journal.send(JournalMessage::Cleared(digest)).await;
         }
     }
 
@@ -214,6 +226,7 @@
     /// Offers the request to one upstream after another, each only on proof that it was not run.
     async fn offer_round(&mut self, plan: &Plan, alone: bool) -> Result<()> {
         let mut wish = self.wish(plan);
+        wish.suspect = alone.then(|| self.digest(plan));
         loop {
             let chosen = self.choose(&wish).await?;
             if plan.once && !self.may_dispatch().await {
@@ -265,6 +278,7 @@
             tier: plan.tier,
             prompt: self.call.prompt,
             output: self.call.output.unwrap_or(DEFAULT_OUTPUT),
+            suspect: None,
             prefix: self.call.prefix,
             tried: Vec::new(),
             refusal: None,
--- a/crates/egretgate/src/entry/journal.rs
+++ b/crates/egretgate/src/entry/journal.rs
@@ -9,13 +9,13 @@
 
 use bytes::Bytes;
 use egretgate_core::directory::Directory;
-use egretgate_core::fold::{Applied, Effect as Folded, Part, State};
+use egretgate_core::fold::{Applied, Effect as Folded, Part, Reported, State};
 use egretgate_core::intent::{self, Calls};
 use egretgate_core::moves::Evidence;
-use egretgate_core::poison::{Poison, PoisonOptions};
 use egretgate_core::record::outbox::{Append, Outbox};
 use egretgate_core::record::{Body, Class};
-use egretgate_core::{Error, ErrorKind, Incarnation, Offset, Result, Ticket};
+use egretgate_core::snapshot::Keeper;
+use egretgate_core::{Digest, Error, ErrorKind, Incarnation, Offset, Result, Ticket};
 use egretgate_link::message::{Deaths, Heartbeat};
 use egretgate_platform::{Batch, LogClient};
 use slog::{Logger, info, warn};
@@ -39,6 +39,8 @@
 pub(crate) const JOURNAL_DEPTH: usize = 8192;
 /// Pause between two rounds of upkeep.
 const TICK: Duration = Duration::from_millis(100);
+/// Time after which a snapshot is due whatever was read.
+const SNAPSHOT_PAUSE: Duration = Duration::from_mins(10);
 /// Pause between two looks at leases and moves.
 const STEER_PAUSE: Duration = Duration::from_millis(250);
 /// Time within which an operator's change is read back, or its answer is that it is unknown.
@@ -71,10 +73,10 @@
     PeerState(Bytes),
     /// A side process reports deaths.
     Deaths { incarnation: Incarnation, deaths: Deaths },
+    /// A suspect was answered in whole.
+    Cleared(Digest),
     /// Measurements of versions from every side process.
     Evidence(Box<Evidence>),
-    /// The keeper's append has returned.
-    Kept,
     /// Look at the state, for operators.
     Inspect(Inspection),
 }
@@ -82,13 +84,15 @@
 /// A question about the state, answered by a closure that runs in the journal's task.
 pub(crate) struct Inspection(pub Box<dyn FnOnce(&Journal) + Send>);
 
-/// Which of the entry's two queues an append comes from.
+/// Which of the entry's queues an append comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Kind {
     /// Configuration records.
     Config,
     /// Intents and outcomes.
     Calls,
+    /// Ticks and snapshots.
+    Keeper,
 }
 
 /// An operator's change that was not read back yet.
@@ -106,7 +110,7 @@
     config: Outbox,
     pending: HashMap<u64, Pending>,
     grants: HashMap<Ticket, oneshot::Sender<Grant>>,
-    local: Poison,
+    reported: Reported,
     recent: Recent,
     view: watch::Sender<Arc<View>>,
     client: LogClient,
@@ -115,10 +119,9 @@
     log: Logger,
     started: Instant,
     reading: reading::Reading,
-    writer: Incarnation,
     leases: leases::Leases,
     trials: moves::Trials,
-    keeping: keeping::Keeping,
+    keeper: Keeper,
     /// When moves were last judged.
     steered: Instant,
 }
@@ -139,7 +142,7 @@
             config: Outbox::new(writer),
             pending: HashMap::new(),
             grants: HashMap::new(),
-            local: Poison::new(PoisonOptions::default()),
+            reported: Reported::default(),
             recent: Recent::default(),
             view,
             client,
@@ -148,10 +151,9 @@
             log,
             started: Instant::now(),
             reading: reading::Reading::default(),
-            writer,
             leases: leases::Leases::new(writer),
             trials: moves::Trials::default(),
-            keeping: keeping::Keeping::new(Instant::now()),
+            keeper: Keeper::new(writer, SNAPSHOT_PAUSE),
             steered: Instant::now(),
         }
     }
@@ -213,8 +215,8 @@
             JournalMessage::RecordsAsk { key, from } => self.feed(key, from).await,
             JournalMessage::PeerState(state) => self.take_peer_state(&state).await,
             JournalMessage::Deaths { incarnation, deaths } => self.deaths(incarnation, &deaths),
+            JournalMessage::Cleared(digest) => self.cleared(digest),
             JournalMessage::Evidence(evidence) => self.trials.absorb(&evidence),
-            JournalMessage::Kept => self.kept(),
             JournalMessage::Inspect(Inspection(look)) => look(self),
         }
     }
@@ -287,6 +289,7 @@
         match kind {
             Kind::Config => self.config.lost(sequence),
             Kind::Calls => self.calls.append_lost(sequence),
+            Kind::Keeper => self.keeper.lost(sequence),
         }
         if matches!(error, egretgate_platform::Error::Refused(_)) {
             self.set_log_up(false);
@@ -311,6 +314,7 @@
     /// Notes what the fold made of a record.
     fn note(&mut self, applied: &Applied) {
         self.calls.read(applied, self.state.keys());
+        self.keeper.read(applied, &self.state, Instant::now());
         let Some(author) = applied.author else { return };
         if author.class == Class::Config && self.config.read(author.writer, author.sequence) {
             self.confirm(author.sequence, applied);
@@ -333,6 +337,9 @@
             self.split_traffic().await;
         }
         let shared = self.state.shared();
+        if parts.contains(&Part::Quarantine) {
+            self.reported.follow(shared.quarantine(), shared.next());
+        }
         self.view.send_modify(|view| {
             let view = Arc::make_mut(view);
             if parts.contains(&Part::Declarations) || parts.contains(&Part::Moves) {
@@ -340,7 +347,7 @@
                 view.directory = Arc::new(Directory::new(declared, shared.serving()));
             }
             if parts.contains(&Part::Quarantine) {
-                view.quarantine = Arc::new(shared.quarantine().clone());
+                view.quarantine = Arc::new(self.reported.clone());
             }
         });
     }
--- a/crates/egretgate/tests/processes.rs
+++ b/crates/egretgate/tests/processes.rs
@@ -1,11 +1,25 @@
 //! Entries and side processes as separate processes, against fakes: the plain path and failures.
 
+#[path = "processes/bad_input.rs"]
+mod bad_input;
 #[path = "processes/bed.rs"]
 mod bed;
 #[path = "processes/caller.rs"]
 mod caller;
+#[path = "processes/config.rs"]
+mod config;
+#[path = "processes/cuts.rs"]
+mod cuts;
+#[path = "processes/horizon.rs"]
+mod horizon;
+#[path = "processes/leaving.rs"]
+mod leaving;
 #[path = "processes/moving.rs"]
 mod moving;
+#[path = "processes/once.rs"]
+mod once;
+#[path = "processes/poison.rs"]
+mod poison;
 #[path = "processes/stopping.rs"]
 mod stopping;
 #[path = "processes/whole.rs"]
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -15,7 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::{MissedTickBehavior, interval, sleep_until};
+use tokio::time::{MissedTickBehavior, interval, sleep, sleep_until};
 
 use crate::engines::{EngineKey, Engines};
 use crate::entries::{ConnectionId, Entries, Peer};
@@ -35,6 +35,9 @@
 const LENGTH_QUANTILE: f64 = 0.5;
 /// Predicted answer length of a route that has given none yet, in tokens.
 const LENGTH_INITIAL: u32 = 64;
+/// Time for which a suspect is held back before it is queued.
+const SUSPECT_HOLD: Duration = Duration::from_millis(100);
+
 /// What the desk is told.
 #[derive(Debug)]
 pub(crate) enum DeskMessage {
@@ -50,10 +53,15 @@
     Ended { report: Report, reply: oneshot::Sender<Load> },
     /// The last frame of a run was delivered or given up.
     Delivered,
+    /// An offer was held back for long enough.
+    Held { entry: Incarnation, offer: Offer },
     /// A probe has answered.
     Probed { engine: EngineKey, alive: bool },
-    /// Stop: refuse what waits, finish what runs, then answer.
+    /// Stop: refuse what waits, finish what runs, then answer. Offers that are still under way are
+    /// refused until [`DeskMessage::Close`].
     Stop(oneshot::Sender<()>),
+    /// End the desk; connections close once their last frames are written.
+    Close,
 }
 
 /// Times measured while a request runs.
@@ -102,11 +110,11 @@
     route: String,
     team: String,
     tier: Tier,
-    digest: Digest,
     prompt: u32,
     estimated: u32,
     level: u32,
     version: String,
+    since: Instant,
 }
 
 /// A death that the log has not confirmed yet.
@@ -135,10 +143,20 @@
     unconfirmed: Vec<Unconfirmed>,
     /// Runs whose last frame is not settled.
     delivering: usize,
-    stopping: Option<oneshot::Sender<()>>,
-    stopped: bool,
+    /// Ends of cut answers that wait for the probe of their engine.
+    doubted: Vec<(EngineKey, oneshot::Sender<Load>)>,
+    /// Offers of suspects that are held back.
+    held: usize,
+    /// True from the order to stop on.
+    stopping: bool,
+    /// Answered once nothing runs any more.
+    finished: Option<oneshot::Sender<()>>,
+    closed: bool,
     last_beat: Instant,
-    started: Instant,
+    /// When the desk last did anything.
+    awake: Instant,
+    /// When it last woke from a freeze; times measured across that say nothing of an engine.
+    thawed: Option<Instant>,
 }
 
 impl Desk {
@@ -168,10 +186,14 @@
             deaths: 0,
             unconfirmed: Vec::new(),
             delivering: 0,
-            stopping: None,
-            stopped: false,
+            doubted: Vec::new(),
+            held: 0,
+            stopping: false,
+            finished: None,
+            closed: false,
             last_beat: now,
-            started: now,
+            awake: now,
+            thawed: None,
         }
     }
 
@@ -179,7 +201,7 @@
     pub(crate) async fn run(mut self, mut messages: mpsc::Receiver<DeskMessage>) {
         let mut tick = interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        while !self.stopped {
+        while !self.closed {
             let now = Instant::now();
             let wake = self.queue.wake(now).unwrap_or(now + TICK);
             tokio::select! {
@@ -195,18 +217,27 @@
     }
 
     fn handle(&mut self, message: DeskMessage) {
+        self.notice_freeze(Instant::now());
         match message {
             DeskMessage::Attach { entry, peer, reply } => self.attach(entry, peer, reply),
             DeskMessage::Detach { entry, id } => self.entries.detach(entry, id, Instant::now()),
             DeskMessage::Frame { entry, body } => self.handle_frame(entry, body),
             DeskMessage::Pace { ticket, pace } => self.handle_pace(ticket, pace),
             DeskMessage::Ended { report, reply } => {
-                self.handle_ended(&report);
-                let _ = reply.send(self.load());
+                match self.handle_ended(&report) {
+                    // Entries learn of a death before the caller can ask again.
+                    Some(engine) => self.doubted.push((engine, reply)),
+                    None => drop(reply.send(self.load())),
+                }
             }
             DeskMessage::Delivered => self.delivering -= 1,
+            DeskMessage::Held { entry, offer } => {
+                self.held -= 1;
+                self.handle_offer(entry, offer);
+            }
             DeskMessage::Probed { engine, alive } => self.handle_probed(engine, alive),
             DeskMessage::Stop(reply) => self.stop(reply),
+            DeskMessage::Close => self.closed = true,
         }
     }
 
@@ -221,7 +252,7 @@
             load: Some(self.load()),
         };
         let _ = reply.send(Attached { id, welcome });
-        if self.stopping.is_some() {
+        if self.stopping {
             self.entries.send(entry, to_entry::Body::Goodbye(Goodbye {}));
         }
     }
@@ -229,6 +260,7 @@
     fn handle_frame(&mut self, entry: Incarnation, body: to_side::Body) {
         match body {
             to_side::Body::Hello(_) => {}
+            to_side::Body::Offer(offer) if self.is_suspect(&offer) => self.hold(entry, offer),
             to_side::Body::Offer(offer) => self.handle_offer(entry, offer),
             to_side::Body::Withdraw(withdraw) => self.withdraw(entry, ticket_of(withdraw.ticket)),
             to_side::Body::Query(query) => self.query(entry, ticket_of(query.ticket), query.next),
@@ -236,13 +268,13 @@
                 self.control(ticket_of(credit.ticket), Control::Credit(credit.chunks));
             }
             to_side::Body::Heartbeat(heartbeat) => {
-                let ask = self.feed.heard(&heartbeat, Instant::now());
-                if let Some(ask) = ask {
-                    self.entries.send(entry, to_entry::Body::RecordsAsk(ask));
-                }
+                self.feed.heard(&heartbeat);
+                self.ask_records(entry);
             }
             to_side::Body::Records(records) => {
                 if self.feed.take(&records) {
+                    self.follow_declarations();
+                    self.ask_records(entry);
                     self.beat();
                 }
             }
@@ -253,6 +285,29 @@
         }
     }
 
+    fn is_suspect(&self, offer: &Offer) -> bool {
+        offer.alone || self.feed.is_suspect(digest_of(offer))
+    }
+
+    /// Holds a suspect back, so that deaths of engines which run its like become known first.
+    fn hold(&mut self, entry: Incarnation, offer: Offer) {
+        self.held += 1;
+        let own = self.own.clone();
+        let deadline_ms = offer.deadline_ms.saturating_sub(SUSPECT_HOLD.as_millis() as u64);
+        tokio::spawn(async move {
+            sleep(SUSPECT_HOLD).await;
+            let offer = Offer { deadline_ms, ..offer };
+            let _ = own.send(DeskMessage::Held { entry, offer }).await;
+        });
+    }
+
+    /// Asks an entry for the configuration records that this process lacks, if any are known.
+    fn ask_records(&mut self, entry: Incarnation) {
+        if let Some(ask) = self.feed.due(Instant::now()) {
+            self.entries.send(entry, to_entry::Body::RecordsAsk(ask));
+        }
+    }
+
     fn handle_offer(&mut self, entry: Incarnation, offer: Offer) {
         let now = Instant::now();
         let ticket = ticket_of(offer.ticket);
@@ -281,7 +336,7 @@
 
     /// Returns why an offer can't be taken at all.
     fn screen(&self, ticket: Ticket, offer: &Offer) -> Option<Error> {
-        let kind = if self.stopping.is_some() {
+        let kind = if self.stopping {
             ErrorKind::Stopping
         } else if self.standings.get(ticket).is_some() || !self.engines.serves(&offer.version) {
             ErrorKind::NoUpstream
@@ -305,13 +360,14 @@
             prompt: offer.prompt_tokens,
             output: learned,
             digest,
-            alone: offer.alone || self.feed.is_suspect(digest),
+            alone: self.is_suspect(offer),
             version: offer.version.clone(),
         }
     }
 
+    /// Tells an entry that a request was not run. It may offer the request here again, unless the
+    /// ticket was barred.
     fn refuse(&mut self, entry: Incarnation, ticket: Ticket, error: &Error) {
-        self.standings.note(ticket, Standing::Refused);
         metrics::counter!("egretside_refused_total", "kind" => error.kind.code()).increment(1);
         let refused = Refused {
             ticket: Some(ticket.into()),
@@ -340,6 +396,7 @@
         }
         let unseen = self.standings.get(ticket).is_none();
         if held.is_some() || unseen {
+            self.standings.note(ticket, Standing::Refused);
             self.refuse(entry, ticket, &upkeep::withdrawn());
         }
     }
@@ -380,6 +437,9 @@
 
     fn handle_pace(&mut self, ticket: Ticket, pace: Pace) {
         let Some(running) = self.running.get(&ticket) else { return };
+        if self.was_frozen(running) {
+            return;
+        }
         let limit = self.engines.limit(running.engine);
         match pace {
             Pace::First(took) => limit.first_token(running.prompt, took, Instant::now()),
--- a/crates/egretside/src/desk/life.rs
+++ b/crates/egretside/src/desk/life.rs
@@ -3,15 +3,16 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use egretgate_core::queue::Held;
+use egretgate_core::queue::{Held, Work};
 use egretgate_core::{ErrorKind, Ticket};
-use egretgate_link::message::{Deaths, Queued, Standing, to_entry};
+use egretgate_link::message::{Deaths, Offer, Queued, Standing, to_entry};
 use slog::{info, warn};
 use tokio::sync::oneshot;
 
 use crate::desk::{Desk, DeskMessage, Identity, Running, Unconfirmed, Waiting};
 use crate::engines::{EngineKey, PROBE_PAUSE, Verdict};
 use crate::run::{Finish, Report, Run};
+use crate::samples::Key;
 
 impl Desk {
     /// Gives up what can't finish any more and starts what fits.
@@ -22,10 +23,10 @@
         }
         self.start_next();
         if self.delivering == 0
+            && self.held == 0
             && self.running.is_empty()
-            && let Some(reply) = self.stopping.take()
+            && let Some(reply) = self.finished.take()
         {
-            self.stopped = true;
             let _ = reply.send(());
         }
     }
@@ -53,6 +54,11 @@
     fn start(&mut self, engine: EngineKey, held: Held<Waiting>) {
         let Held { work, payload: Waiting { entry, offer }, since } = held;
         self.entries.remove_waiting(entry, work.ticket);
+        if self.has_changed(&work) {
+            let waited = since.elapsed().as_millis() as u64;
+            let deadline_ms = offer.deadline_ms.saturating_sub(waited);
+            return self.handle_offer(entry, Offer { deadline_ms, ..offer });
+        }
         let Some(frames) = self.entries.frames(entry).cloned() else {
             // Its entry is cut off: put nothing on the engine for nobody.
             self.standings.note(work.ticket, Standing::Refused);
@@ -71,28 +77,35 @@
             route,
             team: work.team,
             tier: work.tier,
-            digest: work.digest,
             prompt: work.prompt,
             estimated: work.output,
             level,
             version,
+            since: Instant::now(),
         };
         self.running.insert(work.ticket, running);
         self.delivering += 1;
         tokio::spawn(drive(run, self.own.clone()));
     }
 
-    /// Notes the end of a run.
-    pub(crate) fn handle_ended(&mut self, report: &Report) {
-        let Some(running) = self.running.remove(&report.ticket) else { return };
+    /// Returns true if deaths told more of the work while it waited: it is screened again, so
+    /// that a quarantined request doesn't start and a suspect starts alone.
+    fn has_changed(&self, work: &Work) -> bool {
+        self.feed.is_quarantined(work.digest) || !work.alone && self.feed.is_suspect(work.digest)
+    }
+
+    /// Notes the end of a run. Returns the engine if a probe shows soon whether it died.
+    pub(crate) fn handle_ended(&mut self, report: &Report) -> Option<EngineKey> {
+        let running = self.running.remove(&report.ticket)?;
         let standing = match report.finish {
             Finish::NotSent => Standing::Refused,
             _ => Standing::Ended,
         };
         self.standings.note(report.ticket, standing);
         let charged = u64::from(running.prompt) + u64::from(running.estimated);
+        let frozen = self.was_frozen(&running);
         let limit = self.engines.limit(running.engine);
-        if report.finish == Finish::Whole {
+        if report.finish == Finish::Whole && !frozen {
             let actual = u64::from(running.prompt) + u64::from(report.tokens);
             limit.ended(charged, actual, report.whole);
             self.lengths.observe(&running.route, report.tokens);
@@ -100,7 +113,14 @@
         } else {
             limit.dropped(charged);
         }
-        self.samples.note(&running.route, &running.version, running.level, report);
+        if !frozen {
+            let place = Key {
+                route: running.route.clone(),
+                version: running.version.clone(),
+                level: running.level,
+            };
+            self.samples.note(place, self.feed.targets(running.tier), report);
+        }
         self.log_end(&running, report);
         let cut = matches!(report.finish, Finish::Cut);
         let doubted = self.engines.ended(running.engine, report.ticket, cut);
@@ -109,9 +129,8 @@
         if doubted || unreachable {
             self.probe(running.engine, Duration::ZERO);
         }
-        if report.finish == Finish::Whole {
-            self.feed.clear_suspect(running.digest);
-        }
+        let doubted = cut && self.engines.is_doubted(running.engine);
+        doubted.then_some(running.engine)
     }
 
     fn log_end(&self, running: &Running, report: &Report) {
@@ -152,6 +171,10 @@
                 self.beat();
             }
         }
+        let load = self.load();
+        for (_, reply) in self.doubted.extract_if(.., |(engine, _)| *engine == key) {
+            let _ = reply.send(load.clone());
+        }
     }
 
     fn report_death(&mut self, digests: Vec<egretgate_core::Digest>) {
@@ -165,13 +188,15 @@
             upstream: self.identity.upstream.clone(),
             sequence: self.deaths,
             digests: digests.iter().map(|one| Bytes::copy_from_slice(one.as_bytes())).collect(),
+            append: false,
         };
-        let at = self.started.elapsed().as_millis() as u64;
         let Identity { upstream, incarnation, .. } = &self.identity;
-        self.feed.died(upstream, *incarnation, &deaths, at);
-        let reporter = self.entries.attached().min();
-        if let Some(entry) = reporter {
-            self.entries.send(entry, to_entry::Body::Deaths(deaths.clone()));
+        self.feed.died(upstream, *incarnation, &deaths);
+        // Every entry refuses or isolates the requests at once; one writes the death down.
+        let writer = self.entries.attached().min();
+        for entry in self.entries.attached() {
+            let deaths = Deaths { append: Some(entry) == writer, ..deaths.clone() };
+            self.entries.send(entry, to_entry::Body::Deaths(deaths));
         }
         self.unconfirmed.push(Unconfirmed { deaths, since: Instant::now() });
     }
@@ -194,7 +219,8 @@
             self.give_up(given_up);
         }
         info!(self.log, "stopping"; "running" => self.running.len());
-        self.stopping = Some(reply);
+        self.stopping = true;
+        self.finished = Some(reply);
     }
 }
 
