--- /dev/null
+++ b/crates/egretgate/src/entry/fleet/choosing.rs
@@ -0,0 +1,153 @@
+//! Choice of an upstream for one request, first try or retry.
+
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+use egretgate_core::choice::{self, UpstreamKey};
+use egretgate_core::gate::Verdict;
+use egretgate_core::retry::come_back;
+use egretgate_core::{Digest, Error, ErrorKind, Result, TeamId, Tier};
+
+use super::{Chosen, Fleet, Wish};
+
+/// Tiers of a lower rank than this ask every upstream before they are refused.
+pub(super) const PROBING: Tier = 1;
+/// Base of the time to come back while no upstream serves.
+const NO_UPSTREAM_AFTER: Duration = Duration::from_millis(500);
+
+impl Fleet {
+    pub(super) fn choose(&mut self, wish: &Wish) -> Result<Chosen> {
+        let now = Instant::now();
+        self.take_retry(wish, now)?;
+        self.gate(&wish.service);
+        let Self { gates, choice, rng, .. } = self;
+        let gate = gates.get_mut(&wish.service).expect("inserted above");
+        let candidates = choice.iter().filter(|(_, view)| serves(view, wish)).map(|(key, _)| key);
+        let key = match gate.decide(wish.tier, &wish.tried, candidates, now, rng) {
+            Verdict::Offer => self.pick(wish, now),
+            Verdict::Probe(keys) => self.pick_among(wish, &keys, now),
+            Verdict::Refuse { after } => return Err(self.refuse(wish, after)),
+        };
+        key.and_then(|key| self.begin(wish, key, now)).ok_or_else(|| self.none_left(wish))
+    }
+
+    /// Gives the first try of a moving route's request its version.
+    pub(super) fn pick(&mut self, wish: &Wish, now: Instant) -> Option<UpstreamKey> {
+        if let Some(digest) = wish.suspect {
+            return self.pick_by_digest(wish, digest);
+        }
+        let ask = ask_of(wish, &self.place, &[]);
+        self.choice.choose(&ask, now, &mut self.rng)
+    }
+
+    /// Chooses by rendezvous hashing (Thaler and Ravishankar, 1998) among those not yet tried.
+    pub(super) fn pick_by_digest(&self, wish: &Wish, digest: Digest) -> Option<UpstreamKey> {
+        let tried = |key: &UpstreamKey| wish.tried.iter().any(|attempt| attempt.key == *key);
+        self.choice
+            .iter()
+            .filter(|(key, view)| serves(view, wish) && !tried(key))
+            .max_by_key(|(_, view)| Digest::of(&[digest.as_bytes(), view.upstream.id.as_bytes()]))
+            .map(|(key, _)| key)
+    }
+
+    /// Chooses among the upstreams that the gate left, so that retries don't all meet the same
+    /// one; the likeliest one if the choice falls on none of them.
+    pub(super) fn pick_among(
+        &mut self,
+        wish: &Wish,
+        keys: &[UpstreamKey],
+        now: Instant,
+    ) -> Option<UpstreamKey> {
+        let left: HashSet<UpstreamKey> = keys.iter().copied().collect();
+        let excluded: Vec<UpstreamKey> = self
+            .choice
+            .iter()
+            .filter(|(key, view)| serves(view, wish) && !left.contains(key))
+            .map(|(key, _)| key)
+            .collect();
+        let ask = ask_of(wish, &self.place, &excluded);
+        let chosen = self.choice.choose(&ask, now, &mut self.rng);
+        chosen.filter(|key| left.contains(key)).or_else(|| keys.first().copied())
+    }
+
+    pub(super) fn begin(&mut self, wish: &Wish, key: UpstreamKey, now: Instant) -> Option<Chosen> {
+        let side = self.sides.get(*self.by_upstream.get(&key)?)?;
+        let ask = ask_of(wish, &self.place, &[]);
+        let link = side.messages.clone();
+        let upstream = side.name.clone();
+        let flight = self.choice.begin(key, &ask, now);
+        Some(Chosen { key, upstream, version: wish.version.clone(), link, flight })
+    }
+
+    /// The first try fills the retry budget; a further one takes from it, unless its tier asks
+    /// every upstream or the upstream was stopping.
+    pub(super) fn take_retry(&mut self, wish: &Wish, now: Instant) -> Result<()> {
+        let Some(refusal) = &wish.refusal else {
+            self.budget.deposit(now);
+            return Ok(());
+        };
+        let free = wish.tier < PROBING || refusal.kind == ErrorKind::Stopping;
+        if free || self.budget.withdraw(now) { Ok(()) } else { Err(refusal.clone()) }
+    }
+
+    pub(super) fn refuse(&mut self, wish: &Wish, after: Duration) -> Error {
+        match &wish.refusal {
+            Some(refusal) => {
+                let after = refusal.after.unwrap_or(after).max(after);
+                refusal.clone().after(after)
+            }
+            None if !self.choice.iter().any(|(_, view)| serves(view, wish)) => self.none_left(wish),
+            None => {
+                Error::new(ErrorKind::Overloaded, "every upstream refuses the tier").after(after)
+            }
+        }
+    }
+
+    pub(super) fn none_left(&mut self, wish: &Wish) -> Error {
+        let after = come_back(NO_UPSTREAM_AFTER, 1.0, &mut self.rng);
+        match &wish.refusal {
+            Some(refusal) => refusal.clone().after(refusal.after.unwrap_or(after)),
+            None => Error::new(ErrorKind::NoUpstream, "no upstream serves the route").after(after),
+        }
+    }
+
+    pub(super) fn enter(&mut self, team: TeamId, limit: u32) -> bool {
+        let count = self.teams.entry(team).or_default();
+        if limit > 0 && *count >= limit {
+            return false;
+        }
+        *count += 1;
+        true
+    }
+
+    pub(super) fn leave(&mut self, team: &str) {
+        if let Some(count) = self.teams.get_mut(team) {
+            *count -= 1;
+            if *count == 0 {
+                self.teams.remove(team);
+            }
+        }
+    }
+}
+
+/// Returns whether the upstream could run the request now.
+pub(super) fn serves(view: &choice::View, wish: &Wish) -> bool {
+    let upstream = &view.upstream;
+    upstream.service == wish.service
+        && upstream.versions.contains(&wish.version)
+        && view.weight() > 0.0
+        && view.report().healthy
+}
+
+fn ask_of<'a>(wish: &'a Wish, place: &'a str, excluded: &'a [UpstreamKey]) -> choice::Ask<'a> {
+    choice::Ask {
+        service: &wish.service,
+        version: Some(&wish.version),
+        tier: wish.tier,
+        prompt: wish.prompt,
+        output: wish.output,
+        prefix: wish.prefix,
+        place,
+        excluded,
+    }
+}
--- /dev/null
+++ b/crates/egretgate/src/entry/fleet/sides.rs
@@ -0,0 +1,265 @@
+//! Side processes: their links, signs of life and loads.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use egretgate_core::choice::{Report, Upstream, UpstreamKey};
+use egretgate_core::gate::Signal;
+use egretgate_core::membership::{Change, Listing};
+use egretgate_core::{Incarnation, PlaceId, ServiceId, Tier, UpstreamId};
+use egretgate_link::message::{Deaths, Heartbeat, Load, Welcome};
+use egretgate_platform::{Instance, InstanceState};
+use slog::{info, warn};
+use tokio::sync::mpsc;
+
+use super::{Fleet, LinkKey, SideStatus};
+use crate::entry::journal::JournalMessage;
+use crate::entry::link::{LINK_DEPTH, Link, LinkMessage};
+
+/// One side process, from its listing on.
+#[derive(Debug)]
+pub(super) struct Side {
+    pub(super) name: UpstreamId,
+    pub(super) address: SocketAddr,
+    pub(super) messages: mpsc::Sender<LinkMessage>,
+    /// Set by the first greeting.
+    pub(super) known: Option<Known>,
+    pub(super) connected: bool,
+    pub(super) offset: u64,
+    pub(super) digest: Bytes,
+    /// When it last told its load, or was listed first.
+    pub(super) heard: Instant,
+}
+
+/// What the first greeting told.
+#[derive(Debug, Clone)]
+pub(super) struct Known {
+    pub(super) key: UpstreamKey,
+    pub(super) incarnation: Incarnation,
+    pub(super) place: PlaceId,
+    pub(super) service: ServiceId,
+}
+
+impl Fleet {
+    pub(super) fn up(&mut self, key: LinkKey, welcome: Welcome) {
+        let Some(side) = self.sides.get_mut(key) else { return };
+        side.connected = true;
+        let upstream = Upstream {
+            id: side.name.clone(),
+            place: welcome.place.clone(),
+            service: welcome.service.clone(),
+            versions: welcome.versions.clone(),
+        };
+        let upstream_key = match &side.known {
+            Some(known) if known.service == welcome.service => {
+                self.choice.set_versions(known.key, upstream.versions);
+                known.key
+            }
+            _ => self.choice.insert(upstream),
+        };
+        side.known = Some(Known {
+            key: upstream_key,
+            incarnation: welcome.incarnation,
+            place: welcome.place,
+            service: welcome.service,
+        });
+        let _ = side.messages.try_send(LinkMessage::Heartbeat(self.beat.clone()));
+        self.by_upstream.insert(upstream_key, key);
+        self.load(key, &welcome.load.unwrap_or_default());
+    }
+
+    pub(super) fn down(&mut self, key: LinkKey) {
+        let Some(side) = self.sides.get_mut(key) else { return };
+        side.connected = false;
+        let Some(known) = side.known.clone() else { return };
+        let name = side.name.clone();
+        let changes = self.membership.cut(&name, known.incarnation);
+        self.note_changes(&changes);
+        self.weigh(&name, known.key);
+    }
+
+    pub(super) fn leaving(&mut self, key: LinkKey) {
+        let Some(side) = self.sides.get(key) else { return };
+        let Some(known) = side.known.clone() else { return };
+        let name = side.name.clone();
+        let changes = self.membership.goodbye(&name, known.incarnation);
+        self.note_changes(&changes);
+        self.weigh(&name, known.key);
+    }
+
+    pub(super) fn load(&mut self, key: LinkKey, load: &Load) {
+        let now = Instant::now();
+        let Some(side) = self.sides.get_mut(key) else { return };
+        let Some(known) = side.known.clone() else { return };
+        let name = side.name.clone();
+        side.heard = now;
+        side.offset = load.offset;
+        side.digest = load.digest.clone();
+        let changes = self.membership.heard(&name, &known.place, known.incarnation, now);
+        self.note_changes(&changes);
+        let report = report_of(load);
+        self.choice.report(known.key, report, now);
+        let signal = Signal { lowest: report.lowest, shed: report.shed };
+        self.gate(&known.service).hear(known.key, signal, now);
+        if !self.traffic.is_empty() {
+            self.samples.take(known.incarnation, &load.samples);
+        }
+        self.weigh(&name, known.key);
+    }
+
+    /// Sets what share of its usual work an upstream may get now.
+    pub(super) fn weigh(&mut self, name: &str, key: UpstreamKey) {
+        let weight = self.membership.weight(name, Instant::now());
+        self.choice.set_weight(key, weight);
+    }
+
+    pub(super) async fn deaths(&mut self, key: LinkKey, deaths: Deaths) {
+        let Some(known) = self.sides.get(key).and_then(|side| side.known.as_ref()) else { return };
+        let message = JournalMessage::Deaths { incarnation: known.incarnation, deaths };
+        self.tell_journal(message).await;
+    }
+
+    pub(super) async fn tell_journal(&self, message: JournalMessage) {
+        let _ = self.journal.send(message).await;
+    }
+
+    pub(super) fn tell_side(&self, key: LinkKey, message: LinkMessage) {
+        if let Some(side) = self.sides.get(key) {
+            let _ = side.messages.try_send(message);
+        }
+    }
+
+    pub(super) fn broadcast(&self, message: impl Fn() -> LinkMessage) {
+        for side in self.sides.values() {
+            let _ = side.messages.try_send(message());
+        }
+    }
+
+    /// Tells every side process of a new offset at once, so that laggards ask.
+    pub(super) fn beat(&mut self, beat: Heartbeat) {
+        self.beat = beat;
+        self.broadcast(|| LinkMessage::Heartbeat(self.beat.clone()));
+    }
+
+    pub(super) fn listed(&mut self, instances: &[Instance]) {
+        for instance in instances {
+            let known = self
+                .sides
+                .values()
+                .any(|side| side.name == instance.name && side.address == instance.address);
+            if !known {
+                self.add_side(instance);
+            }
+            let listing = match instance.state {
+                InstanceState::Live => Listing::Live,
+                InstanceState::Leaving => Listing::Leaving,
+            };
+            let changes = self.membership.listed(&instance.name, listing, Instant::now());
+            self.note_changes(&changes);
+        }
+        self.remove_unlisted(instances);
+        self.weigh_all();
+    }
+
+    pub(super) fn add_side(&mut self, instance: &Instance) {
+        let (messages, receiver) = mpsc::channel(LINK_DEPTH);
+        let side = Side {
+            name: instance.name.clone(),
+            address: instance.address,
+            messages,
+            known: None,
+            connected: false,
+            offset: 0,
+            digest: Bytes::new(),
+            heard: Instant::now(),
+        };
+        let key = self.sides.insert(side);
+        let link =
+            Link::new(key, instance.address, self.identity.clone(), receiver, self.own.clone());
+        tokio::spawn(link.run());
+        info!(self.log, "side process listed";
+            "upstream" => &instance.name, "address" => instance.address);
+    }
+
+    /// Drops sides that are neither listed nor connected: a list that lost them proves nothing.
+    pub(super) fn remove_unlisted(&mut self, instances: &[Instance]) {
+        let gone: Vec<LinkKey> = self
+            .sides
+            .iter()
+            .filter(|(_, side)| !side.connected)
+            .filter(|(_, side)| {
+                !instances.iter().any(|one| one.name == side.name && one.address == side.address)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in gone {
+            let Some(side) = self.sides.remove(key) else { continue };
+            let _ = side.messages.try_send(LinkMessage::Stop);
+            let Some(known) = side.known else { continue };
+            self.by_upstream.remove(&known.key);
+            self.choice.remove(known.key);
+            self.gate(&known.service).forget(known.key);
+        }
+    }
+
+    pub(super) fn tick(&mut self) {
+        let changes = self.membership.tick(Instant::now());
+        self.note_changes(&changes);
+        self.weigh_all();
+        self.report_evidence();
+    }
+
+    pub(super) fn weigh_all(&mut self) {
+        let known: Vec<(UpstreamId, UpstreamKey)> = self
+            .sides
+            .values()
+            .filter_map(|side| Some((side.name.clone(), side.known.as_ref()?.key)))
+            .collect();
+        for (name, key) in known {
+            self.weigh(&name, key);
+        }
+    }
+
+    pub(super) fn note_changes(&self, changes: &[Change]) {
+        for change in changes {
+            match change {
+                Change::Joined(name) => info!(self.log, "upstream joined"; "upstream" => name),
+                Change::Suspected(name) => {
+                    warn!(self.log, "upstream suspected"; "upstream" => name);
+                }
+                Change::Left(name) => info!(self.log, "upstream leaving"; "upstream" => name),
+                Change::Died(name) => warn!(self.log, "upstream died"; "upstream" => name),
+                Change::PlaceCut(place) => warn!(self.log, "place cut"; "place" => place),
+                Change::PlaceBack(place) => info!(self.log, "place back"; "place" => place),
+            }
+        }
+    }
+
+    pub(super) fn status(&self) -> Vec<SideStatus> {
+        let status = |side: &Side| SideStatus {
+            upstream: side.name.clone(),
+            offset: side.offset,
+            digest: side.digest.clone(),
+            connected: side.connected,
+            place: side.known.as_ref().map(|known| known.place.clone()).unwrap_or_default(),
+            age: side.heard.elapsed(),
+        };
+        self.sides.values().map(status).collect()
+    }
+}
+
+fn report_of(load: &Load) -> Report {
+    let rank = |plus_one: u32| plus_one.checked_sub(1).map(|rank| rank as Tier);
+    Report {
+        queued: load.queued,
+        running: load.running,
+        limit: load.limit,
+        tokens: load.waiting_tokens,
+        first: Duration::from_micros(load.first_us),
+        between: Duration::from_micros(load.between_us),
+        lowest: rank(load.lowest),
+        shed: rank(load.shed),
+        healthy: load.healthy,
+    }
+}
