feat(state): groups are paced by the number of entries

Cause: commit_interval was not used: at the target, 114 entries at 100 ms would ask the log for 1,140 appends a second, three times the budget. Change: the instance list's count of entries sets the interval.

--- a/crates/egretgate-core/src/intent.rs
+++ b/crates/egretgate-core/src/intent.rs
@@ -158,6 +158,11 @@
         }
     }
 
+    /// Sets the time between two groups, as [`commit_interval`] gives it.
+    pub const fn set_interval(&mut self, interval: Duration) {
+        self.interval = interval;
+    }
+
     /// Returns what the entry has to do now, in order.
     pub fn effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -138,7 +138,10 @@
                 self.tell_journal(JournalMessage::PeerState(state)).await;
             }
             FleetMessage::Listed { upstreams, entries } => {
-                self.entries = entries;
+                if self.entries != entries {
+                    self.entries = entries;
+                    self.tell_journal(JournalMessage::Entries(entries)).await;
+                }
                 self.listed(&upstreams);
             }
             FleetMessage::Splits(splits) => self.set_splits(splits),
--- a/crates/egretgate/src/entry/journal.rs
+++ b/crates/egretgate/src/entry/journal.rs
@@ -75,6 +75,8 @@
     Deaths { incarnation: Incarnation, deaths: Deaths },
     /// A suspect was answered in whole.
     Cleared(Digest),
+    /// The number of entries that share the log's appends.
+    Entries(u32),
     /// Measurements of versions from every side process.
     Evidence(Box<Evidence>),
     /// Look at the state, for operators.
@@ -216,6 +218,9 @@
             JournalMessage::PeerState(state) => self.take_peer_state(&state).await,
             JournalMessage::Deaths { incarnation, deaths } => self.deaths(incarnation, &deaths),
             JournalMessage::Cleared(digest) => self.cleared(digest),
+            JournalMessage::Entries(entries) => {
+                self.calls.set_interval(intent::commit_interval(entries));
+            }
             JournalMessage::Evidence(evidence) => self.trials.absorb(&evidence),
             JournalMessage::Inspect(Inspection(look)) => look(self),
         }
