--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -113,7 +113,7 @@
         loop {
             tokio::select! {
                 message = messages.recv() => match message {
-                    Some(message) => self.handle(message).await,
+                    Some(message) => self.handle(message),
                     None => return,
                 },
                 _ = tick.tick() => self.tick(),
@@ -121,26 +121,25 @@
         }
     }
 
-    async fn handle(&mut self, message: FleetMessage) {
+    fn handle(&mut self, message: FleetMessage) {
         match message {
             FleetMessage::Up { key, welcome } => self.up(key, welcome),
             FleetMessage::Down(key) => self.down(key),
             FleetMessage::Leaving(key) => self.leaving(key),
             FleetMessage::Load { key, load } => self.load(key, &load),
             FleetMessage::RecordsAsk { key, from } => {
-                self.tell_journal(JournalMessage::RecordsAsk { key, from }).await;
+                self.tell_journal(JournalMessage::RecordsAsk { key, from });
             }
             FleetMessage::Records { key, records } => {
                 self.tell_side(key, LinkMessage::Records(records));
             }
-            FleetMessage::Deaths { key, deaths } => self.deaths(key, deaths).await,
+            FleetMessage::Deaths { key, deaths } => self.deaths(key, deaths),
             FleetMessage::Snapshot(state) => {
-                self.tell_journal(JournalMessage::PeerState(state)).await;
+                self.tell_journal(JournalMessage::PeerState(state));
             }
             FleetMessage::Listed { upstreams, entries } => {
-                if self.entries != entries {
+                if self.entries != entries && self.tell_journal(JournalMessage::Entries(entries)) {
                     self.entries = entries;
-                    self.tell_journal(JournalMessage::Entries(entries)).await;
                 }
                 self.listed(&upstreams);
             }
@@ -215,6 +214,6 @@
         if let Some(stop) = self.traffic.stopped() {
             evidence.stop(self.identity.incarnation, stop);
         }
-        let _ = self.journal.try_send(JournalMessage::Evidence(Box::new(evidence)));
+        self.tell_journal(JournalMessage::Evidence(Box::new(evidence)));
     }
 }
--- a/crates/egretgate/src/entry/fleet/sides.rs
+++ b/crates/egretgate/src/entry/fleet/sides.rs
@@ -114,14 +114,16 @@
         self.choice.set_weight(key, weight);
     }
 
-    pub(super) async fn deaths(&mut self, key: LinkKey, deaths: Deaths) {
+    pub(super) fn deaths(&mut self, key: LinkKey, deaths: Deaths) {
         let Some(known) = self.sides.get(key).and_then(|side| side.known.as_ref()) else { return };
         let message = JournalMessage::Deaths { incarnation: known.incarnation, deaths };
-        self.tell_journal(message).await;
+        self.tell_journal(message);
     }
 
-    pub(super) async fn tell_journal(&self, message: JournalMessage) {
-        let _ = self.journal.send(message).await;
+    /// Tells the journal without waiting, since the journal waits for this task at times. What is
+    /// lost comes again: side processes repeat their asks and deaths. Returns false if lost.
+    pub(super) fn tell_journal(&self, message: JournalMessage) -> bool {
+        self.journal.try_send(message).is_ok()
     }
 
     pub(super) fn tell_side(&self, key: LinkKey, message: LinkMessage) {
