test(once): say which guards stand against a late run; notes on the process tests

The signal case is proved less sharply than the listed one.

Left: with n copies of a poisonous request under way at once when the first engine dies, each can still kill its engine.

--- a/crates/egretgate/tests/processes/once.rs
+++ b/crates/egretgate/tests/processes/once.rs
@@ -40,7 +40,8 @@
     EntryKilledAfter,
     /// The side process dies while the service runs the call.
     SideKilled,
-    /// The entry freezes after its intent is in the log, and wakes after the deadline.
+    /// The entry freezes after its intent is in the log, and wakes after the deadline. Two guards
+    /// stand against a late run: the call's expiry, and the check right before the offer.
     EntryFrozen,
     /// The log refuses everything for a while.
     Refusing,
