--- a/crates/egretside/src/desk/life.rs
+++ b/crates/egretside/src/desk/life.rs
@@ -14,6 +14,9 @@
 use crate::run::{Finish, Report, Run};
 use crate::samples::Key;
 
+/// Most deaths kept that the log has not confirmed; the oldest gives way.
+const MAX_UNCONFIRMED: usize = 64;
+
 impl Desk {
     /// Gives up what can't finish any more and starts what fits.
     pub(crate) fn advance(&mut self) {
@@ -198,6 +201,9 @@
             let deaths = Deaths { append: Some(entry) == writer, ..deaths.clone() };
             self.entries.send(entry, to_entry::Body::Deaths(deaths));
         }
+        if self.unconfirmed.len() >= MAX_UNCONFIRMED {
+            self.unconfirmed.remove(0);
+        }
         self.unconfirmed.push(Unconfirmed { deaths, since: Instant::now() });
     }
 
