fix(membership): entries expect the pause that side processes keep

Cause: with over 48 entries the pause between heartbeats passed the time after which an idle side process is suspected and its signals count as unknown (docs/CAPACITY.md). Change: one function of the number of entries gives the pause to both sides; suspicion and the gate's freshness follow it. Conclusion: at the target silence is noticed late, which is stated.

--- a/crates/egretgate-core/src/gate.rs
+++ b/crates/egretgate-core/src/gate.rs
@@ -85,6 +85,8 @@
     refused: [Option<Instant>; MAX_TIERS],
     /// Time of the last event. Never goes back.
     last: Option<Instant>,
+    /// Age at which a signal counts as unknown; at least [`Gate::FRESH`].
+    fresh: Duration,
 }
 
 impl Signal {
@@ -100,7 +102,7 @@
 }
 
 impl Gate {
-    /// Age at which a signal counts as unknown.
+    /// Age at which a signal counts as unknown, while heartbeats come at their usual pace.
     pub const FRESH: Duration = Duration::from_secs(2);
     /// Shortest time to come back that a refusal of rank 0 names.
     pub const AFTER: Duration = Duration::from_millis(500);
@@ -112,10 +114,16 @@
             signals: SecondaryMap::new(),
             admitting: [0; MAX_TIERS],
             refused: [None; MAX_TIERS],
+            fresh: Self::FRESH,
             last: None,
         }
     }
 
+    /// Sets the expected time between signals, twice which a signal counts for.
+    pub fn set_interval(&mut self, interval: Duration) {
+        self.fresh = Self::FRESH.max(interval * 2);
+    }
+
     /// Takes in what a side process published.
     pub fn hear(&mut self, key: UpstreamKey, signal: Signal, now: Instant) {
         let at = self.turn(now);
@@ -162,7 +170,7 @@
     /// signals show room, or for [`Gate::FRESH`] if none come.
     fn closed(&self, tier: Tier, now: Instant) -> Option<Instant> {
         let refused = self.refused[..rank(tier)].iter().flatten().copied();
-        refused.filter(|&at| now.saturating_duration_since(at) <= Self::FRESH).max()
+        refused.filter(|&at| now.saturating_duration_since(at) <= self.fresh).max()
     }
 
     /// Returns how likely `key` is to take the request, or `None` if it must not be asked.
@@ -179,7 +187,7 @@
         // Only a signal from after these events shows room that nobody was denied.
         let since = refused.max(closed);
         let Some(heard) =
-            heard.filter(|heard| now.saturating_duration_since(heard.at) <= Self::FRESH)
+            heard.filter(|heard| now.saturating_duration_since(heard.at) <= self.fresh)
         else {
             return since.is_none().then_some(Chance::Unknown);
         };
--- a/crates/egretgate-core/src/membership.rs
+++ b/crates/egretgate-core/src/membership.rs
@@ -27,6 +27,20 @@
 
 use suspicion::Suspicion;
 
+/// Budget of a side process for heartbeats to all entries, in bytes per second.
+const HEARTBEAT_BUDGET: f64 = 2048.0;
+/// Size of a heartbeat on the wire without measurements, in bytes.
+const HEARTBEAT_BYTES: f64 = 64.0;
+/// Shortest pause between two heartbeats to one entry.
+const HEARTBEAT_MIN: Duration = Duration::from_millis(500);
+
+/// Returns the pause between heartbeats by which a side process stays within its budget with
+/// `entries` receivers. Entries expect the same pause.
+pub fn heartbeat_pause(entries: u32) -> Duration {
+    let pause = f64::from(entries) * HEARTBEAT_BYTES / HEARTBEAT_BUDGET;
+    Duration::from_secs_f64(pause).max(HEARTBEAT_MIN)
+}
+
 /// Where an upstream stands.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -136,6 +150,14 @@
         Self { options, members: BTreeMap::new(), cuts: BTreeSet::new() }
     }
 
+    /// Sets the expected time between heartbeats, as [`heartbeat_pause`] gives it.
+    pub fn set_interval(&mut self, interval: Duration) {
+        self.options.interval = interval;
+        for member in self.members.values_mut() {
+            member.suspicion.set_expected(interval);
+        }
+    }
+
     /// Notes a heartbeat or any other frame from an upstream's side process.
     pub fn heard(
         &mut self,
--- a/crates/egretgate-core/src/membership/suspicion.rs
+++ b/crates/egretgate-core/src/membership/suspicion.rs
@@ -24,6 +24,13 @@
         Self { expected, mean: expected, last: now }
     }
 
+    /// Sets the expected time between heartbeats.
+    pub(super) fn set_expected(&mut self, expected: Duration) {
+        self.expected = expected.as_secs_f64().max(1e-3);
+        let (low, high) = RANGE;
+        self.mean = self.mean.clamp(low * self.expected, high * self.expected);
+    }
+
     /// Notes a heartbeat.
     pub(super) fn heard(&mut self, now: Instant) {
         let passed = now.saturating_duration_since(self.last).as_secs_f64();
--- a/crates/egretgate-core/tests/membership.rs
+++ b/crates/egretgate-core/tests/membership.rs
@@ -2,7 +2,9 @@
 
 use std::time::{Duration, Instant};
 
-use egretgate_core::membership::{Change, Listing, Membership, MembershipOptions};
+use egretgate_core::membership::{
+    Change, Listing, Membership, MembershipOptions, Standing, heartbeat_pause,
+};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::{RngExt, SeedableRng};
@@ -211,3 +213,32 @@
         assert!(same, "{}: {found:?}", case.name);
     }
 }
+
+#[test]
+fn silence_is_judged_by_the_pause_that_the_number_of_entries_sets() {
+    struct Case {
+        entries: u32,
+        silence: Duration,
+        standing: Standing,
+    }
+    let cases = [
+        Case { entries: 3, silence: Duration::from_millis(600), standing: Standing::Live },
+        Case { entries: 3, silence: Duration::from_secs(3), standing: Standing::Suspect },
+        Case { entries: 114, silence: Duration::from_secs(4), standing: Standing::Live },
+        Case { entries: 114, silence: Duration::from_secs(30), standing: Standing::Suspect },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut membership = Membership::new(MembershipOptions::default());
+        membership.heard("writer-1", "olinda", 1, start);
+        membership.set_interval(heartbeat_pause(case.entries));
+        // Another upstream of the place is heard, so that the place isn't taken for cut.
+        let now = start + case.silence;
+        for other in ["writer-2", "writer-3"] {
+            membership.heard(other, "olinda", 1, now);
+        }
+        membership.tick(now);
+        let standing = membership.standing("writer-1");
+        assert_eq!(standing, Some(case.standing), "{} entries", case.entries);
+    }
+}
--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -5,7 +5,7 @@
 
 use egretgate_core::choice::{self, Policy, UpstreamKey};
 use egretgate_core::gate::Gate;
-use egretgate_core::membership::{Membership, MembershipOptions};
+use egretgate_core::membership::{Membership, MembershipOptions, heartbeat_pause};
 use egretgate_core::moves::Split;
 use egretgate_core::retry::RetryBudget;
 use egretgate_core::{PlaceId, ServiceId, TeamId};
@@ -139,7 +139,7 @@
             }
             FleetMessage::Listed { upstreams, entries } => {
                 if self.entries != entries && self.tell_journal(JournalMessage::Entries(entries)) {
-                    self.entries = entries;
+                    self.set_entries(entries);
                 }
                 self.listed(&upstreams);
             }
@@ -174,7 +174,22 @@
     }
 
     fn gate(&mut self, service: &str) -> &mut Gate {
-        self.gates.entry(service.to_owned()).or_insert_with(|| Gate::new(PROBING))
+        let pause = heartbeat_pause(self.entries);
+        self.gates.entry(service.to_owned()).or_insert_with(|| {
+            let mut gate = Gate::new(PROBING);
+            gate.set_interval(pause);
+            gate
+        })
+    }
+
+    /// Follows the number of entries, with which the pause between heartbeats grows.
+    fn set_entries(&mut self, entries: u32) {
+        self.entries = entries;
+        let pause = heartbeat_pause(entries);
+        self.membership.set_interval(pause);
+        for gate in self.gates.values_mut() {
+            gate.set_interval(pause);
+        }
     }
 
     fn split(&mut self, wish: &mut Wish) {
--- a/crates/egretside/src/desk/upkeep.rs
+++ b/crates/egretside/src/desk/upkeep.rs
@@ -2,6 +2,7 @@
 
 use std::time::{Duration, Instant};
 
+use egretgate_core::membership::heartbeat_pause;
 use egretgate_core::{Error, ErrorKind};
 use egretgate_link::message::{Deaths, Load, Standing, to_entry};
 use rand::seq::IteratorRandom;
@@ -11,14 +12,8 @@
 
 /// Time within which a reported death must be in the log, or every entry is asked to append it.
 const DEATH_CONFIRM: Duration = Duration::from_secs(2);
-/// Budget of the side process for heartbeats to all entries, in bytes per second.
-const HEARTBEAT_BUDGET: f64 = 2048.0;
 /// Time without an act of the desk from which the process counts as having been frozen.
 const FROZEN: Duration = Duration::from_secs(2);
-/// Size of a heartbeat on the wire without samples, in bytes.
-const HEARTBEAT_BYTES: f64 = 64.0;
-/// Shortest pause between two heartbeats to one entry.
-const HEARTBEAT_MIN: Duration = Duration::from_millis(500);
 
 impl Desk {
     /// Does what is due by time alone.
@@ -35,7 +30,7 @@
         if let Some(entry) = self.entries.attached().choose(&mut self.rng) {
             self.ask_records(entry);
         }
-        if now.duration_since(self.last_beat) >= heartbeat_pause(self.entries.len()) {
+        if now.duration_since(self.last_beat) >= heartbeat_pause(self.entries.len() as u32) {
             self.beat();
         }
         self.gauge();
@@ -115,12 +110,6 @@
     }
 }
 
-/// Returns the pause between heartbeats that keeps `entries` receivers within the budget.
-fn heartbeat_pause(entries: usize) -> Duration {
-    let pause = Duration::from_secs_f64(entries as f64 * HEARTBEAT_BYTES / HEARTBEAT_BUDGET);
-    pause.max(HEARTBEAT_MIN)
-}
-
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
