fix(egretgate): a request asks each upstream at most once

Change: upstreams that refused a request are no candidates for it. overload tells late first tokens from late tokens.

--- a/crates/egretgate-fakes/examples/overload.rs
+++ b/crates/egretgate-fakes/examples/overload.rs
@@ -115,6 +115,10 @@
     whole: u64,
     good: u64,
     goodput: f64,
+    /// Whole answers whose first token was late.
+    late_first: u64,
+    /// Whole answers whose tokens were late.
+    late_between: u64,
 }
 
 /// Everything that runs.
@@ -304,15 +308,18 @@
 
 fn row(tier: usize, ends: &[(usize, End)]) -> Row {
     let (mut sent, mut whole, mut good) = (0, 0, 0);
+    let (mut late_first, mut late_between) = (0, 0);
     for (_, end) in ends.iter().filter(|(one, _)| *one == tier) {
         sent += 1;
         if let End::Whole { first, between } = end {
             whole += 1;
+            late_first += u64::from(*first > TARGET.0);
+            late_between += u64::from(*between > TARGET.1);
             good += u64::from(*first <= TARGET.0 && *between <= TARGET.1);
         }
     }
     let goodput = good as f64 / (sent as f64).max(1.0);
-    Row { tier: TIERS[tier], sent, whole, good, goodput }
+    Row { tier: TIERS[tier], sent, whole, good, goodput, late_first, late_between }
 }
 
 async fn send(client: &Client, job: &Job) -> End {
--- a/crates/egretgate/src/entry/fleet/choosing.rs
+++ b/crates/egretgate/src/entry/fleet/choosing.rs
@@ -22,7 +22,11 @@
         self.gate(&wish.service);
         let Self { gates, choice, rng, .. } = self;
         let gate = gates.get_mut(&wish.service).expect("inserted above");
-        let candidates = choice.iter().filter(|(_, view)| serves(view, wish)).map(|(key, _)| key);
+        // Each upstream is asked at most once, so that a request's offers are bounded.
+        let candidates = choice
+            .iter()
+            .filter(|(key, view)| serves(view, wish) && !tried(wish, *key))
+            .map(|(key, _)| key);
         let key = match gate.decide(wish.tier, &wish.tried, candidates, now, rng) {
             Verdict::Offer => self.pick(wish, now),
             Verdict::Probe(keys) => self.pick_among(wish, &keys, now),
@@ -42,10 +46,9 @@
 
     /// Chooses by rendezvous hashing (Thaler and Ravishankar, 1998) among those not yet tried.
     pub(super) fn pick_by_digest(&self, wish: &Wish, digest: Digest) -> Option<UpstreamKey> {
-        let tried = |key: &UpstreamKey| wish.tried.iter().any(|attempt| attempt.key == *key);
         self.choice
             .iter()
-            .filter(|(key, view)| serves(view, wish) && !tried(key))
+            .filter(|(key, view)| serves(view, wish) && !tried(wish, *key))
             .max_by_key(|(_, view)| Digest::of(&[digest.as_bytes(), view.upstream.id.as_bytes()]))
             .map(|(key, _)| key)
     }
@@ -139,6 +142,11 @@
         && view.report().healthy
 }
 
+/// Returns whether the upstream has refused the request already.
+fn tried(wish: &Wish, key: UpstreamKey) -> bool {
+    wish.tried.iter().any(|attempt| attempt.key == key)
+}
+
 fn ask_of<'a>(wish: &'a Wish, place: &'a str, excluded: &'a [UpstreamKey]) -> choice::Ask<'a> {
     choice::Ask {
         service: &wish.service,
