feat(limit): less urgent work leaves room while more urgent work comes

Ruled out: the choice of upstream (least in flight was late as well), refusals (none of the top tier), times between tokens (13 of 279). Change: trunk reservation of a quarter of the limit, only while a more urgent tier was offered within 5 s.

--- a/crates/egretgate-core/src/limit.rs
+++ b/crates/egretgate-core/src/limit.rs
@@ -27,9 +27,11 @@
 
 mod length;
 mod line;
+mod reserve;
 
 pub use length::Lengths;
 use line::Line;
+pub use reserve::Reserve;
 
 /// Scores are kept in thousandths of the target.
 const SCALE: f64 = 1000.0;
@@ -47,6 +49,8 @@
 const MIN_CUT: f64 = 0.95;
 /// Share of a limit that must have been in use for it to rise.
 const BINDING: f64 = 0.8;
+/// Part of a limit that less urgent work leaves free while more urgent work comes.
+const RESERVED: f64 = 0.25;
 /// Increase in one step after the slow start, as a share of the limit.
 const STEP: f64 = 1.0 / 32.0;
 /// Samples of one kind on which a limit is cut.
@@ -419,6 +423,13 @@
         }
     }
 
+    /// Returns whether work may start and still leave a part of the limit free for more urgent
+    /// work. True while nothing runs.
+    pub fn spares_room(&self) -> bool {
+        let within = |bound: &Bound| bound.used < bound.value * (1.0 - RESERVED);
+        self.requests.used < 1.0 || within(&self.requests) && within(&self.tokens)
+    }
+
     /// Returns the limit in requests.
     pub fn requests(&self) -> u32 {
         self.requests.value as u32
--- a/crates/egretgate-core/tests/limit.rs
+++ b/crates/egretgate-core/tests/limit.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use egretgate_core::limit::{Estimate, Lengths, Limit, LimitOptions, Running, victim};
+use egretgate_core::limit::{Estimate, Lengths, Limit, LimitOptions, Reserve, Running, victim};
 use egretgate_core::{Ticket, Tier};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -267,3 +267,43 @@
         }
     }
 }
+
+#[test]
+fn room_is_kept_for_urgent_work_while_it_comes() {
+    struct Case {
+        name: &'static str,
+        offered: &'static [Tier],
+        tier: Tier,
+        later: Duration,
+        due: bool,
+    }
+    let second = Duration::from_secs(1);
+    let cases = [
+        Case { name: "nothing came", offered: &[], tier: 3, later: second, due: false },
+        Case { name: "its own tier", offered: &[1], tier: 1, later: second, due: false },
+        Case { name: "a lower tier", offered: &[2], tier: 1, later: second, due: false },
+        Case { name: "a higher tier", offered: &[0], tier: 1, later: second, due: true },
+        Case { name: "long ago", offered: &[0], tier: 1, later: second * 30, due: false },
+        Case { name: "the top tier", offered: &[0, 1, 2], tier: 0, later: second, due: false },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut reserve = Reserve::default();
+        for &tier in case.offered {
+            reserve.offered(tier, now);
+        }
+        assert_eq!(reserve.is_due(case.tier, now + case.later), case.due, "{}", case.name);
+    }
+
+    let options = LimitOptions { initial: 8, requests: 8, ..LimitOptions::default() };
+    let mut limit = Limit::new(options, Instant::now());
+    let mut started = 0;
+    while limit.spares_room() {
+        limit.started(1);
+        started += 1;
+    }
+    assert_eq!(started, 6, "a quarter of 8 stays free");
+    assert!(limit.room().requests >= 2);
+    let one = LimitOptions { initial: 1, requests: 1, ..LimitOptions::default() };
+    assert!(Limit::new(one, Instant::now()).spares_room(), "an idle engine always starts work");
+}
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use egretgate_core::limit::Lengths;
+use egretgate_core::limit::{Lengths, Reserve};
 use egretgate_core::queue::{GivenUp, Offered, Queue, QueueOptions, Work};
 use egretgate_core::{
     Digest, Error, ErrorKind, Incarnation, PlaceId, ServiceId, Ticket, Tier, UpstreamId,
@@ -134,6 +134,7 @@
     running: HashMap<Ticket, Running>,
     standings: Standings,
     lengths: Lengths,
+    reserve: Reserve,
     samples: Samples,
     feed: Feed,
     rng: ChaCha8Rng,
@@ -178,6 +179,7 @@
             running: HashMap::new(),
             standings: Standings::default(),
             lengths: Lengths::new(LENGTH_QUANTILE, LENGTH_INITIAL),
+            reserve: Reserve::default(),
             samples: Samples::default(),
             feed: Feed::default(),
             rng,
@@ -318,6 +320,7 @@
             return self.refuse(entry, ticket, &error);
         }
         let work = self.work(ticket, &offer, now);
+        self.reserve.offered(work.tier, now);
         let estimate = self.engines.estimate();
         let waiting = Waiting { entry, offer };
         match self.queue.offer(work, waiting, now, &estimate, &mut self.rng) {
--- a/crates/egretside/src/desk/life.rs
+++ b/crates/egretside/src/desk/life.rs
@@ -45,8 +45,11 @@
         let now = Instant::now();
         for engine in self.engines.open() {
             let room = self.engines.room(engine);
-            let engines = &self.engines;
-            let held = self.queue.next_where(now, room, |work| engines.accepts(engine, work));
+            let (engines, reserve) = (&self.engines, &self.reserve);
+            let spares = engines.spares_room(engine);
+            let held = self.queue.next_where(now, room, |work| {
+                engines.accepts(engine, work) && (spares || !reserve.is_due(work.tier, now))
+            });
             if let Some(held) = held {
                 return Some((engine, held));
             }
--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -133,6 +133,11 @@
         self.engines[key].holds(&work.version)
     }
 
+    /// Returns whether the engine would keep room for more urgent work beside one more request.
+    pub(crate) fn spares_room(&self, key: EngineKey) -> bool {
+        self.engines[key].limit.spares_room()
+    }
+
     /// Returns the engine's client.
     pub(crate) fn upstream(&self, key: EngineKey) -> Upstream {
         self.engines[key].upstream.clone()
