--- a/crates/egretgate-core/src/limit.rs
+++ b/crates/egretgate-core/src/limit.rs
@@ -318,6 +318,8 @@
     firsts: Histogram<u32>,
     /// Scores of times between tokens since the last decision.
     gaps: Histogram<u32>,
+    /// True if work was held back for more urgent work since the last decision.
+    held: bool,
     /// True until the first excess.
     fast: bool,
     /// Start of the present window.
@@ -346,6 +348,7 @@
             tokens: Bound::new(share, 1024.0, options.tokens as f64),
             firsts: scores(),
             gaps: scores(),
+            held: false,
             fast: true,
             opened: now,
             first: Line::new(),
@@ -430,6 +433,11 @@
         self.requests.used < 1.0 || within(&self.requests) && within(&self.tokens)
     }
 
+    /// Notes that work was held back because [`Limit::spares_room`] was false.
+    pub const fn hold_back(&mut self) {
+        self.held = true;
+    }
+
     /// Returns the limit in requests.
     pub fn requests(&self) -> u32 {
         self.requests.value as u32
@@ -484,6 +492,7 @@
         self.opened = now;
         self.requests.open_window();
         self.tokens.open_window();
+        self.held = false;
         if self.requests.value <= IDLE {
             self.unloaded.forget();
         }
@@ -526,9 +535,12 @@
     }
 
     fn raise(&mut self) {
+        // What is kept free for urgent work binds as if it were in use.
+        let reserved = if self.held { RESERVED } else { 0.0 };
         let fraction = self.requests.value.fract();
-        self.requests.raise(self.fast, fraction);
-        self.tokens.raise(self.fast, self.cost.unwrap_or(0.0));
+        self.requests.raise(self.fast, fraction + reserved * self.requests.value);
+        let cost = self.cost.unwrap_or(0.0);
+        self.tokens.raise(self.fast, cost + reserved * self.tokens.value);
     }
 }
 
--- a/crates/egretgate-core/tests/limit.rs
+++ b/crates/egretgate-core/tests/limit.rs
@@ -307,3 +307,25 @@
     let one = LimitOptions { initial: 1, requests: 1, ..LimitOptions::default() };
     assert!(Limit::new(one, Instant::now()).spares_room(), "an idle engine always starts work");
 }
+
+#[test]
+fn room_kept_for_urgent_work_does_not_hold_the_limit_down() {
+    let options = LimitOptions { initial: 4, requests: 64, ..LimitOptions::default() };
+    for (held, grows) in [(false, false), (true, true)] {
+        let mut now = Instant::now();
+        let mut limit = Limit::new(options, now);
+        // Three of four run: a quarter stays free, and an upstream far from its targets.
+        for _ in 0..3 {
+            limit.started(1);
+        }
+        for _ in 0..400 {
+            if held {
+                limit.hold_back();
+            }
+            now += Duration::from_millis(5);
+            limit.first_token(8, Duration::from_millis(1), now);
+            limit.next_token(Duration::from_millis(1), now);
+        }
+        assert_eq!(limit.requests() > 4, grows, "held back: {held}");
+    }
+}
--- a/crates/egretside/src/desk/life.rs
+++ b/crates/egretside/src/desk/life.rs
@@ -1,5 +1,6 @@
 //! From the queue to the end: starting requests, their ends, and deaths of engines.
 
+use std::cell::Cell;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -47,9 +48,15 @@
             let room = self.engines.room(engine);
             let (engines, reserve) = (&self.engines, &self.reserve);
             let spares = engines.spares_room(engine);
+            let held_back = Cell::new(false);
             let held = self.queue.next_where(now, room, |work| {
-                engines.accepts(engine, work) && (spares || !reserve.is_due(work.tier, now))
+                let waits = !spares && reserve.is_due(work.tier, now);
+                held_back.set(held_back.get() || waits);
+                engines.accepts(engine, work) && !waits
             });
+            if held_back.get() {
+                self.engines.limit(engine).hold_back();
+            }
             if let Some(held) = held {
                 return Some((engine, held));
             }
