test(once): a frozen process has stopped before the test goes on

SIGSTOP reaches the threads of a process one by one, and the test unblocked the log right after the signal, so that a thread could still read the intent back and dispatch. Inferred from the relay and the check before dispatch, not traced. Ruled out: the relay (it checks the block before each write); a dispatch after the wake (the check before it compares the deadline with the clock). Change: the test waits until every thread is stopped; its assertions are the same.

--- a/crates/egretgate/tests/processes/bed.rs
+++ b/crates/egretgate/tests/processes/bed.rs
@@ -52,6 +52,18 @@
         assert!(status.success(), "signal {name} to {id}");
     }
 
+    /// Freezes the process, and waits until each of its threads has stopped: the signal is
+    /// delivered to them one by one.
+    pub fn freeze(&self) {
+        self.signal("STOP");
+        let tasks = format!("/proc/{}/task", self.child.id());
+        let until = Instant::now() + START;
+        while !all_stopped(&tasks) {
+            assert!(Instant::now() < until, "the process does not stop");
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    }
+
     /// Waits for the end of the process; returns whether it ended well in time.
     pub fn wait(&mut self, limit: Duration) -> bool {
         let until = Instant::now() + limit;
@@ -72,6 +84,16 @@
     }
 }
 
+/// Returns whether every thread in the directory is stopped.
+fn all_stopped(tasks: &str) -> bool {
+    let stopped = |task: std::io::Result<std::fs::DirEntry>| {
+        let stat = task.and_then(|task| std::fs::read_to_string(task.path().join("stat")));
+        // The state follows the name, which stands in parentheses.
+        stat.is_ok_and(|stat| stat.rsplit(')').next().is_some_and(|rest| rest.starts_with(" T")))
+    };
+    std::fs::read_dir(tasks).is_ok_and(|mut tasks| tasks.all(stopped))
+}
+
 /// Reads the log until the line `serving`, then keeps the pipe empty.
 fn read_addresses(stderr: ChildStderr) -> HashMap<String, SocketAddr> {
     let mut lines = BufReader::new(stderr).lines();
--- a/crates/egretgate/tests/processes/leaving.rs
+++ b/crates/egretgate/tests/processes/leaving.rs
@@ -76,7 +76,7 @@
     let pair = Pair::start().await;
     let load = Load::start(&pair.entries);
     until("both engines work", || pair.engines.iter().all(|one| ran(one) > 20)).await;
-    pair.sides[0].signal("STOP");
+    pair.sides[0].freeze();
     // Longer than the silence after which a link counts as cut.
     tokio::time::sleep(Duration::from_secs(10)).await;
     for index in 0..40 {
--- a/crates/egretgate/tests/processes/once.rs
+++ b/crates/egretgate/tests/processes/once.rs
@@ -204,7 +204,7 @@
         for round in 0..6 {
             let key = if round == 0 { key.to_owned() } else { format!("{key}-{round}") };
             let call = self.intent_unread(&key, FROZEN).await;
-            self.first.signal("STOP");
+            self.first.freeze();
             self.relay.set_block(Block::None);
             let beside = tag_within(self.two(), &key, &key, FROZEN * 3 / 2).await;
             assert_eq!(beside.code(), "outcome_unknown", "{beside:?}");
