--- a/crates/egretgate/tests/processes/once.rs
+++ b/crates/egretgate/tests/processes/once.rs
@@ -15,6 +15,8 @@
 use crate::bed::{Bed, Kind, Process, ready, until};
 use crate::caller::{Told, tag, tag_within};
 
+/// Time without a record after which the entries have read back all of theirs.
+const QUIET: Duration = Duration::from_millis(400);
 /// Deadline of a call that is expected to meet it.
 const DEADLINE: Duration = Duration::from_secs(3);
 /// Time by which an answer that needs no waiting must be there.
@@ -263,9 +265,26 @@
         call
     }
 
+    /// Waits until the log is quiet: an outcome that is not read back yet would keep the next
+    /// intent out of the log.
+    async fn settle(&self) {
+        let end = Instant::now() + 5 * DEADLINE;
+        let mut head = self.bed.log.head();
+        loop {
+            tokio::time::sleep(QUIET).await;
+            let now = self.bed.log.head();
+            if now == head {
+                return;
+            }
+            assert!(Instant::now() < end, "the log does not come to rest");
+            head = now;
+        }
+    }
+
     /// Starts a call through the first entry and returns once its intent is in the log, of which
     /// the entry reads nothing any more.
     async fn intent_unread(&self, key: &str, deadline: Duration) -> JoinHandle<Told> {
+        self.settle().await;
         let before = intents(&self.bed.log);
         self.relay.set_block(Block::Back);
         let call = spawn_tag(self.one(), key, deadline);
