--- /dev/null
+++ b/crates/egretgate-core/src/gateway.rs
@@ -0,0 +1,16 @@
+//! Decisions of the forwarding path: routing, limits, queueing, placing and refusing.
+//!
+//! An entry that forwards callers' requests byte for byte asks these modules what to do with each.
+//! The load they answer is bursts over the capacity of engines that admit work in order of
+//! arrival, while several entries share the same upstreams.
+
+pub mod catalog;
+pub mod lane;
+pub mod meter;
+pub mod patience;
+pub mod peer;
+pub mod poison;
+pub mod repeat;
+pub mod scheduler;
+pub mod share;
+pub mod standing;
--- /dev/null
+++ b/crates/egretgate-core/src/gateway/catalog.rs
@@ -0,0 +1,267 @@
+//! The declared routes, services, teams and limits that are in force.
+//!
+//! ```
+//! use std::time::Duration;
+//!
+//! use egretgate_core::gateway::catalog::{Catalog, Route, RouteKind};
+//!
+//! let route = Route::new("notes", "example.org", "/notes/", RouteKind::Safe).to("writer", 1);
+//! let catalog = Catalog::new(7).with_routes(vec![route]);
+//! assert!(catalog.route("example.org", "/notes/3").is_some());
+//! assert!(catalog.route("example.org", "/other").is_none());
+//! ```
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::{RouteId, ServiceId, TeamId, Tier};
+
+/// Version of a set of declarations; a higher one replaces a lower one.
+pub type CatalogVersion = u64;
+
+/// What a route's requests allow after a failure.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteKind {
+    /// A call that may run more than once.
+    Safe,
+    /// A call that may run once at most.
+    Unsafe,
+    /// A stream of events that may run once at most.
+    Stream,
+    /// A stream of events that may go on at another upstream after its last event.
+    ResumableStream,
+}
+
+impl RouteKind {
+    /// Returns true if a request that may have run may be sent again.
+    pub const fn is_idempotent(self) -> bool {
+        matches!(self, Self::Safe | Self::ResumableStream)
+    }
+
+    /// Returns true if the answer is a stream of events.
+    pub const fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::ResumableStream)
+    }
+}
+
+/// A service that a route sends to, with its weight among the route's services.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Target {
+    /// Name of the service.
+    pub service: ServiceId,
+    /// Share of the route's requests, relative to the other targets.
+    pub weight: u32,
+}
+
+/// A route: which requests it takes and how they are handled.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Name.
+    pub name: RouteId,
+    /// Host that requests name.
+    pub host: String,
+    /// Start of the path; begins and ends with a slash.
+    pub prefix: String,
+    /// What may be repeated.
+    pub kind: RouteKind,
+    /// Longest time that a request is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer, or a stream's first event, is wanted.
+    pub objective: Duration,
+    /// Longest pause between events of a stream that is still on time.
+    pub gap: Option<Duration>,
+    /// Rank; 0 is the most urgent.
+    pub tier: Tier,
+    /// Services; weights sum to more than 0.
+    pub targets: Vec<Target>,
+    /// Most upstreams that one request may be sent to; at least 1.
+    pub attempts: u32,
+    /// True if requests need no key.
+    pub anonymous: bool,
+}
+
+impl Route {
+    /// Time limit of a route that declares none.
+    pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+    /// Objective of a route that declares none.
+    pub const DEFAULT_OBJECTIVE: Duration = Duration::from_secs(1);
+
+    /// Returns a route without services, in the most urgent tier, with one attempt.
+    pub fn new(name: &str, host: &str, prefix: &str, kind: RouteKind) -> Self {
+        Self {
+            name: name.to_owned(),
+            host: host.to_ascii_lowercase(),
+            prefix: prefix.to_owned(),
+            kind,
+            timeout: Self::DEFAULT_TIMEOUT,
+            objective: Self::DEFAULT_OBJECTIVE,
+            gap: None,
+            tier: 0,
+            targets: Vec::new(),
+            attempts: 1,
+            anonymous: false,
+        }
+    }
+
+    /// Adds a service with its weight.
+    #[must_use]
+    pub fn to(mut self, service: &str, weight: u32) -> Self {
+        self.targets.push(Target { service: service.to_owned(), weight });
+        self
+    }
+
+    /// Returns the service at `point`, a number in `0.0..1.0` along the weights.
+    pub fn service(&self, point: f64) -> Option<&ServiceId> {
+        let total: f64 = self.targets.iter().map(|target| f64::from(target.weight)).sum();
+        let mut left = point * total;
+        for target in &self.targets {
+            left -= f64::from(target.weight);
+            if left < 0.0 {
+                return Some(&target.service);
+            }
+        }
+        self.targets.last().map(|target| &target.service)
+    }
+}
+
+/// Limit on the tokens of a team over the whole fleet.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct TokenLimit {
+    /// Tokens a second.
+    pub rate: f64,
+    /// Tokens that may be saved up.
+    pub burst: f64,
+}
+
+/// A team: who sends requests.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Team {
+    /// Name.
+    pub name: TeamId,
+    /// Tier that goes before the route's.
+    pub tier: Option<Tier>,
+    /// Limit over the whole fleet.
+    pub limit: Option<TokenLimit>,
+    /// Tokens of a request that doesn't declare them.
+    pub default_cost: u64,
+}
+
+/// What a caller may send, and how long it may take.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Largest head, in bytes.
+    pub header_bytes: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Time for a head.
+    pub header_timeout: Duration,
+    /// Time that a connection may stay idle.
+    pub idle_timeout: Duration,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            header_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            header_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
+/// Why a request's key is not accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeyFault {
+    /// The route needs a key and the request has none.
+    Missing,
+    /// No team holds the key.
+    Unknown,
+}
+
+/// Every declaration of one version.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Catalog {
+    /// Version.
+    pub version: CatalogVersion,
+    /// What callers may send.
+    pub limits: CallerLimits,
+    routes: Vec<Route>,
+    teams: Vec<Team>,
+    /// Position in `teams` of a key's holder.
+    keys: HashMap<String, usize>,
+    /// Position in `routes` by host and prefix.
+    prefixes: HashMap<String, HashMap<String, usize>>,
+}
+
+impl Catalog {
+    /// Returns an empty catalog.
+    pub fn new(version: CatalogVersion) -> Self {
+        Self { version, ..Self::default() }
+    }
+
+    /// Sets the routes.
+    #[must_use]
+    pub fn with_routes(mut self, routes: Vec<Route>) -> Self {
+        self.prefixes.clear();
+        for (index, route) in routes.iter().enumerate() {
+            let hosts = self.prefixes.entry(route.host.clone()).or_default();
+            hosts.insert(route.prefix.clone(), index);
+        }
+        self.routes = routes;
+        self
+    }
+
+    /// Adds a team with its keys.
+    #[must_use]
+    pub fn with_team(mut self, team: Team, keys: Vec<String>) -> Self {
+        let index = self.teams.len();
+        self.keys.extend(keys.into_iter().map(|key| (key, index)));
+        self.teams.push(team);
+        self
+    }
+
+    /// Sets the limits of callers.
+    #[must_use]
+    pub const fn with_limits(mut self, limits: CallerLimits) -> Self {
+        self.limits = limits;
+        self
+    }
+
+    /// Returns every route.
+    pub fn routes(&self) -> &[Route] {
+        &self.routes
+    }
+
+    /// Returns every team.
+    pub fn teams(&self) -> &[Team] {
+        &self.teams
+    }
+
+    /// Returns the route of the host whose prefix begins the path and is the longest.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+        let prefixes = self.prefixes.get(&name)?;
+        let slashes = path.rmatch_indices('/').map(|(index, _)| &path[..=index]);
+        slashes.filter_map(|prefix| prefixes.get(prefix)).map(|index| &self.routes[*index]).next()
+    }
+
+    /// Returns the team that sends a request on `route` with `key`; `None` for a request that
+    /// needs no key. Without declared teams, no request needs one.
+    pub fn team(
+        &self,
+        route: &Route,
+        key: Option<&str>,
+    ) -> Result<Option<&Team>, KeyFault> {
+        if self.teams.is_empty() {
+            return Ok(None);
+        }
+        let holder = key.and_then(|key| self.keys.get(key)).map(|index| &self.teams[*index]);
+        match (holder, key) {
+            (Some(team), _) => Ok(Some(team)),
+            (None, _) if route.anonymous => Ok(None),
+            (None, Some(_)) => Err(KeyFault::Unknown),
+            (None, None) => Err(KeyFault::Missing),
+        }
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -0,0 +1,123 @@
+//! What the entries of a fleet tell each other.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
+
+/// Silence after which another entry's load no longer counts: several reports are missing then.
+pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Silence after which another entry is taken to be gone rather than out of reach.
+pub const PEER_GONE: Duration = Duration::from_secs(20);
+
+/// Hash of a name, which stands for it in reports.
+pub type NameHash = u64;
+
+/// Returns the hash that stands for a name in reports.
+pub fn name_hash(name: &str) -> NameHash {
+    xxh3_64(name.as_bytes())
+}
+
+/// What one entry tells the others.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PeerReport {
+    /// Name of the entry.
+    pub name: InstanceId,
+    /// Life of its process.
+    pub incarnation: Incarnation,
+    /// Position among the reports of that life.
+    pub sequence: u64,
+    /// Requests in flight and waiting, by service.
+    pub demand: HashMap<NameHash, f64>,
+    /// Requests in flight, by upstream.
+    pub running: HashMap<NameHash, u32>,
+    /// Tokens admitted in that life, by team.
+    pub admitted: HashMap<NameHash, u64>,
+}
+
+/// Tokens that another entry has newly admitted for a team.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Spent {
+    /// Team.
+    pub team: NameHash,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Peer {
+    report: PeerReport,
+    heard: Instant,
+}
+
+/// The other entries, as far as they were heard.
+#[derive(Debug, Clone, Default)]
+pub struct Peers {
+    peers: HashMap<InstanceId, Peer>,
+}
+
+impl Peers {
+    /// Takes in a report and returns what was newly spent; nothing for one that is out of date.
+    pub fn hear(&mut self, report: PeerReport, now: Instant) -> Vec<Spent> {
+        let old = self.peers.get(&report.name).map(|peer| &peer.report);
+        let known = old.is_some();
+        let same = old.filter(|old| old.incarnation == report.incarnation);
+        if same.is_some_and(|old| old.sequence >= report.sequence) {
+            return Vec::new();
+        }
+        let spent = report.admitted.iter().map(|(team, total)| {
+            let before = same.and_then(|old| old.admitted.get(team)).copied();
+            // What an unknown entry admitted before it was heard at all may be long ago.
+            let spent = if known { total.saturating_sub(before.unwrap_or(0)) } else { 0 };
+            Spent { team: *team, tokens: spent }
+        });
+        let spent = spent.filter(|spent| spent.tokens > 0).collect();
+        self.peers.insert(report.name.clone(), Peer { report, heard: now });
+        spent
+    }
+
+    /// Forgets entries that were silent for long.
+    pub fn expire(&mut self, now: Instant) {
+        self.peers.retain(|_, peer| now.duration_since(peer.heard) < PEER_GONE);
+    }
+
+    /// Returns the number of entries heard lately.
+    pub fn fresh(&self, now: Instant) -> usize {
+        self.live(now).count()
+    }
+
+    /// Returns the number of entries, silent ones among them.
+    pub fn known(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns each fresh entry with its demand for a service.
+    pub fn demand(
+        &self,
+        service: &ServiceId,
+        now: Instant,
+    ) -> impl Iterator<Item = (&str, f64)> + '_ {
+        let hash = name_hash(service);
+        self.live(now).map(move |report| {
+            (report.name.as_str(), report.demand.get(&hash).copied().unwrap_or(0.0))
+        })
+    }
+
+    /// Returns the requests that other entries have in flight at an upstream.
+    pub fn running(&self, upstream: &UpstreamId, now: Instant) -> u32 {
+        let hash = name_hash(upstream);
+        self.live(now).filter_map(|report| report.running.get(&hash)).sum()
+    }
+
+    fn live(&self, now: Instant) -> impl Iterator<Item = &PeerReport> + '_ {
+        let fresh = move |peer: &&Peer| now.duration_since(peer.heard) < PEER_TIMEOUT;
+        self.peers.values().filter(fresh).map(|peer| &peer.report)
+    }
+}
+
+/// Returns the hash of a team's name.
+pub fn team_hash(team: &TeamId) -> NameHash {
+    name_hash(team)
+}
--- /dev/null
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -0,0 +1,458 @@
+//! Which request starts at which upstream, which one waits and which one is refused.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use slotmap::{SlotMap, new_key_type};
+
+use super::catalog::Catalog;
+use super::lane::{Lane, Place, RequestNumber};
+use super::meter::Meter;
+use super::peer::{PeerReport, Peers, name_hash};
+use super::poison::Breaks;
+use super::repeat::{RepeatLimit, Repeats};
+use super::share::Share;
+use super::standing::{Listed, Outcome, Standing};
+use crate::{Digest, Incarnation, InstanceId, PlaceId, ServiceId, TeamId, Tier, UpstreamId};
+
+/// Age at which what is derived from other entries' reports is worked out anew.
+const REFRESH: Duration = Duration::from_millis(20);
+
+new_key_type! {
+    /// Names an upstream within one life of an entry.
+    pub struct UpstreamKey;
+}
+
+/// A request that asks for an upstream.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// Name within one life of the entry.
+    pub number: RequestNumber,
+    /// Service that it goes to.
+    pub service: ServiceId,
+    /// Rank; 0 is the most urgent.
+    pub tier: Tier,
+    /// Team whose limit it counts against, with its tokens; `None` for one that was counted.
+    pub charge: Option<Charge>,
+    /// Time up to which an answer is in time.
+    pub objective: Instant,
+    /// Time at which it gives up waiting.
+    pub until: Instant,
+    /// True if an upstream has got it before.
+    pub repeat: bool,
+    /// Upstreams that must not get it again.
+    pub avoid: Vec<UpstreamId>,
+    /// Digest of its contents.
+    pub digest: Option<Digest>,
+}
+
+/// Tokens that count against a team's limit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Charge {
+    /// Team.
+    pub team: TeamId,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+/// Why a request is refused; it has not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// Its team is over its limit; there will be room after the given time.
+    OverLimit(Duration),
+    /// It would wait longer than its caller does.
+    Overloaded,
+    /// The budget of repeats is spent.
+    OverBudget,
+    /// It has crashed several upstreams.
+    Poison,
+}
+
+/// A start of a waiting request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Start {
+    /// Request.
+    pub number: RequestNumber,
+    /// Upstream.
+    pub upstream: UpstreamKey,
+}
+
+/// What becomes of a request that has just come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It starts at once.
+    Started(UpstreamKey),
+    /// It waits; a later [`Scheduler::pump`] starts it.
+    Queued,
+    /// It is refused.
+    Refused(Refusal),
+}
+
+/// The decisions of one entry.
+#[derive(Debug)]
+pub struct Scheduler {
+    name: InstanceId,
+    zone: PlaceId,
+    incarnation: Incarnation,
+    sequence: u64,
+    catalog: Arc<Catalog>,
+    limit: RepeatLimit,
+    upstreams: SlotMap<UpstreamKey, Standing>,
+    by_id: HashMap<UpstreamId, UpstreamKey>,
+    services: HashMap<ServiceId, Backlog>,
+    waiting: HashMap<RequestNumber, (Place, Order)>,
+    meters: HashMap<TeamId, Meter>,
+    peers: Peers,
+    /// Other entries that are known to exist, whether heard or not.
+    expected: usize,
+    refreshed: Option<Instant>,
+    breaks: Breaks,
+}
+
+#[derive(Debug, Default)]
+struct Backlog {
+    lane: Lane,
+    repeats: Repeats,
+    members: Vec<UpstreamKey>,
+    share: Option<Share>,
+    running: u32,
+}
+
+impl Scheduler {
+    /// Returns the scheduler of the entry `name` in `zone`.
+    pub fn new(name: &str, zone: &str, incarnation: Incarnation) -> Self {
+        Self {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            incarnation,
+            sequence: 0,
+            catalog: Arc::default(),
+            limit: RepeatLimit::default(),
+            upstreams: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            services: HashMap::new(),
+            waiting: HashMap::new(),
+            meters: HashMap::new(),
+            peers: Peers::default(),
+            expected: 0,
+            refreshed: None,
+            breaks: Breaks::default(),
+        }
+    }
+
+    /// Sets the budget of repeats.
+    #[must_use]
+    pub const fn with_limit(mut self, limit: RepeatLimit) -> Self {
+        self.limit = limit;
+        self
+    }
+
+    /// Sets the number of other entries that are known to exist.
+    pub fn expect_peers(&mut self, expected: usize) {
+        self.expected = expected;
+    }
+
+    /// Puts declarations in force.
+    pub fn set_catalog(&mut self, catalog: Arc<Catalog>, now: Instant) {
+        for team in catalog.teams() {
+            match (team.limit, self.meters.get_mut(&team.name)) {
+                (Some(limit), Some(meter)) => meter.set_limit(limit),
+                (Some(limit), None) => {
+                    self.meters.insert(team.name.clone(), Meter::new(limit, now));
+                }
+                (None, _) => {
+                    self.meters.remove(&team.name);
+                }
+            }
+        }
+        self.catalog = catalog;
+    }
+
+    /// Replaces the list of upstreams and returns those that are gone or live anew.
+    pub fn set_roster(&mut self, roster: Vec<Listed>) -> Vec<UpstreamKey> {
+        let mut gone = Vec::new();
+        let mut seen = HashMap::with_capacity(roster.len());
+        for listed in roster {
+            let id = listed.id.clone();
+            match self.by_id.get(&id).copied() {
+                Some(key) if self.upstreams[key].listed.is_same_life(&listed) => {
+                    self.upstreams[key].listed = listed;
+                    seen.insert(id, key);
+                }
+                old => {
+                    gone.extend(old);
+                    seen.insert(id, self.upstreams.insert(Standing::new(listed)));
+                }
+            }
+        }
+        let unlisted = self.by_id.iter().filter(|(id, _)| !seen.contains_key(*id));
+        gone.extend(unlisted.map(|(_, key)| *key));
+        for key in &gone {
+            self.upstreams.remove(*key);
+        }
+        self.by_id = seen;
+        self.regroup();
+        gone
+    }
+
+    /// Returns an upstream.
+    pub fn upstream(&self, key: UpstreamKey) -> Option<&Standing> {
+        self.upstreams.get(key)
+    }
+
+    /// Returns every upstream.
+    pub fn upstreams(&self) -> impl Iterator<Item = &Standing> {
+        self.upstreams.values()
+    }
+
+    /// Decides on a request that has just come, or comes again after an upstream didn't serve it.
+    pub fn admit(&mut self, order: Order, now: Instant) -> Admission {
+        if order.digest.as_ref().is_some_and(|digest| self.breaks.is_poison(digest)) {
+            return Admission::Refused(Refusal::Poison);
+        }
+        if let Some(refusal) = self.charge(&order, now) {
+            return Admission::Refused(refusal);
+        }
+        self.refresh(now);
+        let entries = self.entries();
+        let place =
+            Place { tier: order.tier, objective: order.objective, number: order.number };
+        let backlog = self.services.entry(order.service.clone()).or_default();
+        if order.repeat {
+            if !backlog.repeats.repeat(now, &self.limit, entries) {
+                return Admission::Refused(Refusal::OverBudget);
+            }
+        } else {
+            backlog.repeats.request(now, &self.limit);
+        }
+        let first = backlog.lane.order(now).next();
+        let may_start = first.is_none_or(|first| first.tier > place.tier);
+        let wait = backlog.lane.expected_wait(&place);
+        if may_start && let Some(key) = self.choose(&order, now) {
+            self.begin(&order.service, key, now);
+            return Admission::Started(key);
+        }
+        if now + wait > order.until {
+            self.refund(&order);
+            return Admission::Refused(Refusal::Overloaded);
+        }
+        if let Some(backlog) = self.services.get_mut(&order.service) {
+            backlog.lane.push(place, order.until);
+        }
+        self.waiting.insert(order.number, (place, order));
+        Admission::Queued
+    }
+
+    /// Starts waiting requests for which there is room.
+    pub fn pump(&mut self, now: Instant) -> Vec<Start> {
+        self.refresh(now);
+        let busy = self.services.iter().filter(|(_, backlog)| !backlog.lane.is_empty());
+        let busy: Vec<ServiceId> = busy.map(|(service, _)| service.clone()).collect();
+        busy.into_iter().flat_map(|service| self.pump_service(&service, now)).collect()
+    }
+
+    /// Removes a request that waits no longer.
+    pub fn withdraw(&mut self, number: RequestNumber) {
+        if let Some((place, order)) = self.waiting.remove(&number) {
+            if let Some(backlog) = self.services.get_mut(&order.service) {
+                backlog.lane.remove(&place);
+            }
+            self.refund(&order);
+        }
+    }
+
+    /// Removes and returns the requests that have waited as long as they may.
+    pub fn expire(&mut self, now: Instant) -> Vec<RequestNumber> {
+        let mut gone = Vec::new();
+        for backlog in self.services.values_mut() {
+            gone.extend(backlog.lane.expire(now).into_iter().map(|place| place.number));
+        }
+        for number in &gone {
+            if let Some((_, order)) = self.waiting.remove(number) {
+                self.refund(&order);
+            }
+        }
+        self.peers.expire(now);
+        gone
+    }
+
+    /// Notes how a started request ended.
+    pub fn finish(
+        &mut self,
+        service: &ServiceId,
+        key: UpstreamKey,
+        outcome: Outcome,
+        digest: Option<Digest>,
+        now: Instant,
+    ) {
+        if let Some(backlog) = self.services.get_mut(service) {
+            backlog.running = backlog.running.saturating_sub(1);
+        }
+        if let Some(standing) = self.upstreams.get_mut(key) {
+            standing.own = standing.own.saturating_sub(1);
+            standing.note(outcome, now);
+        }
+        match (digest, outcome) {
+            (Some(digest), Outcome::Broken) => self.breaks.note(digest, now),
+            (Some(digest), Outcome::Good { .. }) => self.breaks.clear(&digest),
+            _ => {}
+        }
+    }
+
+    /// Notes that a request at the upstream has been silent for long.
+    pub fn suspect(&mut self, key: UpstreamKey, now: Instant) {
+        if let Some(standing) = self.upstreams.get_mut(key) {
+            standing.suspect(now);
+        }
+    }
+
+    /// Takes in what another entry reports.
+    pub fn hear(&mut self, report: PeerReport, now: Instant) {
+        if report.name == self.name {
+            return;
+        }
+        for spent in self.peers.hear(report, now) {
+            let meters = self.meters.iter_mut();
+            for (_, meter) in meters.filter(|(team, _)| name_hash(team) == spent.team) {
+                meter.spend_elsewhere(spent.tokens);
+            }
+        }
+    }
+
+    /// Returns what this entry tells the others.
+    pub fn report(&mut self) -> PeerReport {
+        self.sequence += 1;
+        let demand = self.services.iter().map(|(service, backlog)| {
+            (name_hash(service), f64::from(backlog.running) + backlog.lane.len() as f64)
+        });
+        let running = self.upstreams.values().filter(|standing| standing.own > 0);
+        let running = running.map(|standing| (name_hash(&standing.listed.id), standing.own));
+        let admitted = self.meters.iter().map(|(team, meter)| (name_hash(team), meter.admitted()));
+        PeerReport {
+            name: self.name.clone(),
+            incarnation: self.incarnation,
+            sequence: self.sequence,
+            demand: demand.collect(),
+            running: running.collect(),
+            admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
+        }
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn backlog(&self) -> usize {
+        self.waiting.len()
+    }
+
+    fn charge(&mut self, order: &Order, now: Instant) -> Option<Refusal> {
+        let charge = order.charge.as_ref()?;
+        let entries = self.entries() as f64;
+        let reached = (self.peers.fresh(now) + 1) as f64;
+        let meter = self.meters.get_mut(&charge.team)?;
+        let share = (reached / entries).min(1.0);
+        meter.take(charge.tokens, share, now).err().map(Refusal::OverLimit)
+    }
+
+    fn refund(&mut self, order: &Order) {
+        if let Some(charge) = &order.charge
+            && let Some(meter) = self.meters.get_mut(&charge.team)
+        {
+            meter.give_back(charge.tokens);
+        }
+    }
+
+    /// Returns the number of entries, this one among them.
+    fn entries(&self) -> usize {
+        self.peers.known().max(self.expected) + 1
+    }
+
+    fn pump_service(&mut self, service: &ServiceId, now: Instant) -> Vec<Start> {
+        let mut starts = Vec::new();
+        let Some(backlog) = self.services.get(service) else { return starts };
+        let order: Vec<Place> = backlog.lane.order(now).collect();
+        for place in order {
+            let Some((_, order)) = self.waiting.get(&place.number) else { continue };
+            let Some(key) = self.choose(order, now) else {
+                if order.avoid.is_empty() {
+                    break;
+                }
+                continue;
+            };
+            self.waiting.remove(&place.number);
+            if let Some(backlog) = self.services.get_mut(service) {
+                backlog.lane.remove(&place);
+            }
+            self.begin(service, key, now);
+            starts.push(Start { number: place.number, upstream: key });
+        }
+        starts
+    }
+
+    fn begin(&mut self, service: &ServiceId, key: UpstreamKey, now: Instant) {
+        if let Some(standing) = self.upstreams.get_mut(key) {
+            standing.own += 1;
+        }
+        if let Some(backlog) = self.services.get_mut(service) {
+            backlog.running += 1;
+            backlog.lane.started(now);
+        }
+    }
+
+    /// Returns the upstream with room that is likely to serve the request soonest.
+    fn choose(&self, order: &Order, now: Instant) -> Option<UpstreamKey> {
+        let backlog = self.services.get(&order.service)?;
+        let share = backlog.share.unwrap_or(Share::WHOLE);
+        let alone = self.entries() == 1;
+        let usual = self.usual_pace(backlog);
+        let usable = backlog.members.iter().copied().filter(|key| {
+            let standing = &self.upstreams[*key];
+            standing.is_usable(now)
+                && has_room(standing, share, alone)
+                && !order.avoid.contains(&standing.listed.id)
+        });
+        let cost = |key: &UpstreamKey| self.upstreams[*key].cost(usual, &self.zone);
+        usable.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    }
+
+    fn usual_pace(&self, backlog: &Backlog) -> f64 {
+        let paces = backlog.members.iter().filter_map(|key| self.upstreams[*key].pace());
+        let (count, sum) = paces.fold((0, 0.0), |(count, sum), pace| (count + 1, sum + pace));
+        if count == 0 { 1.0 } else { sum / f64::from(count) }
+    }
+
+    fn refresh(&mut self, now: Instant) {
+        if self.refreshed.is_some_and(|last| now.duration_since(last) < REFRESH) {
+            return;
+        }
+        self.refreshed = Some(now);
+        for standing in self.upstreams.values_mut() {
+            standing.others = self.peers.running(&standing.listed.id, now);
+        }
+        for (service, backlog) in &mut self.services {
+            let demand = f64::from(backlog.running) + backlog.lane.len() as f64;
+            let others = self.peers.demand(service, now);
+            backlog.share = Some(Share::new(&self.name, demand, others));
+        }
+    }
+
+    fn regroup(&mut self) {
+        for backlog in self.services.values_mut() {
+            backlog.members.clear();
+        }
+        for (key, standing) in &self.upstreams {
+            let service = standing.listed.service.clone();
+            self.services.entry(service).or_default().members.push(key);
+        }
+    }
+}
+
+/// Returns true if this entry may send one more request to the upstream.
+///
+/// Its own part of the slots is its to use, with one request waiting at the upstream at most. Any
+/// other slot may be taken while one stays free for an entry whose report is on its way.
+fn has_room(standing: &Standing, share: Share, alone: bool) -> bool {
+    let slots = standing.listed.slots;
+    let used = standing.own + standing.others;
+    let own = standing.own < share.slots(&standing.listed.id, slots) && used <= slots;
+    own || used + u32::from(!alone) < slots
+}
--- a/crates/egretgate-core/src/lib.rs
+++ b/crates/egretgate-core/src/lib.rs
@@ -20,6 +20,7 @@
 mod error;
 pub mod fold;
 pub mod gate;
+pub mod gateway;
 mod ids;
 pub mod intent;
 pub mod lease;
--- /dev/null
+++ b/crates/egretgate-gateway/src/answer.rs
@@ -0,0 +1,108 @@
+//! Answers that the entry gives itself.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::stream::BoxStream;
+use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderValue, Response, StatusCode};
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::Frame;
+
+use crate::relay::Broken;
+
+/// Body of an answer to a caller.
+pub(crate) type Body = UnsyncBoxBody<Bytes, Broken>;
+
+/// Why the entry answers a request itself. One closed list, with the status of each.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// The request has no usable name or body.
+    BadRequest,
+    /// No team holds its key.
+    Unauthorized,
+    /// No route takes it.
+    NoRoute,
+    /// Its body is too large.
+    TooLarge,
+    /// Its team is over its limit.
+    OverLimit,
+    /// No declarations are known yet.
+    NotReady,
+    /// It would wait longer than its caller does.
+    Overloaded,
+    /// No upstream ran it, and none is left to try.
+    NoUpstream,
+    /// It has crashed several upstreams.
+    Poison,
+    /// An upstream may have run it and its answer is lost.
+    AnswerLost,
+    /// An upstream may still run it and the route's time is over.
+    TimedOut,
+    /// The route's time was over before it was sent to an upstream.
+    TimedOutWaiting,
+}
+
+impl Fault {
+    /// Returns the status; those of 429 and 503 say that the request has not run.
+    pub(crate) const fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::OverLimit => StatusCode::TOO_MANY_REQUESTS,
+            Self::NotReady | Self::Overloaded | Self::NoUpstream | Self::TimedOutWaiting => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Poison | Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// Returns the name, for callers and logs.
+    pub(crate) const fn code(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::Unauthorized => "unauthorized",
+            Self::NoRoute => "no_route",
+            Self::TooLarge => "too_large",
+            Self::OverLimit => "over_limit",
+            Self::NotReady => "not_ready",
+            Self::Overloaded => "overloaded",
+            Self::NoUpstream => "no_upstream",
+            Self::Poison => "poison",
+            Self::AnswerLost => "answer_lost",
+            Self::TimedOut => "timed_out",
+            Self::TimedOutWaiting => "timed_out_waiting",
+        }
+    }
+
+    /// Returns the answer, with the time after which another try is welcome.
+    pub(crate) fn answer(self, retry_after: Option<Duration>) -> Response<Body> {
+        let body = format!("{{\"error\":\"{}\"}}\n", self.code());
+        let mut response = Response::new(full(body.into()));
+        *response.status_mut() = self.status();
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if self == Self::TooLarge {
+            headers.insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        let seconds = retry_after.map(|wait| format!("{:.3}", wait.as_secs_f64()));
+        if let Some(value) = seconds.and_then(|text| HeaderValue::try_from(text).ok()) {
+            headers.insert(RETRY_AFTER, value);
+        }
+        response
+    }
+}
+
+/// Returns a whole body.
+pub(crate) fn full(bytes: Bytes) -> Body {
+    Full::new(bytes).map_err(|never| match never {}).boxed_unsync()
+}
+
+/// Returns a body that comes in parts.
+pub(crate) fn streamed(parts: BoxStream<'static, Result<Frame<Bytes>, Broken>>) -> Body {
+    BodyExt::boxed_unsync(StreamBody::new(parts))
+}
--- /dev/null
+++ b/crates/egretgate-gateway/src/connect.rs
@@ -0,0 +1,109 @@
+//! Connections to upstreams.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Time for a connection to come about; round trips are a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Part of an upstream's idle timeout for which a connection is kept.
+const IDLE_PART: f64 = 0.5;
+/// Time that a connection is kept if the upstream names no idle timeout.
+const DEFAULT_IDLE: Duration = Duration::from_millis(800);
+/// Longest time that a connection is kept, since upstreams close them early at times.
+const LONGEST_IDLE: Duration = Duration::from_secs(3);
+
+/// Result of a send.
+pub(crate) type Result<T> = std::result::Result<T, SendError>;
+
+/// A failed send, by whether the upstream may have seen the request.
+#[derive(Debug)]
+pub(crate) enum SendError {
+    /// No byte was written; the request comes back.
+    NotSent(Box<Request<Full<Bytes>>>),
+    /// A byte may have been written.
+    Sent(hyper::Error),
+}
+
+/// A connection to an upstream, for one request at a time.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    /// Time up to which an idle connection is used again.
+    until: Instant,
+}
+
+impl Connection {
+    /// Opens a connection.
+    pub(crate) async fn open(address: SocketAddr) -> std::io::Result<Self> {
+        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+        let stream = connecting.await.map_err(std::io::Error::from)??;
+        stream.set_nodelay(true)?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        // Its errors reach the request in flight; an idle connection just closes.
+        tokio::spawn(async move {
+            let _ = connection.await;
+        });
+        Ok(Self { sender, until: Instant::now() + DEFAULT_IDLE })
+    }
+
+    /// Returns true if another request may be sent.
+    pub(crate) fn is_usable(&self, now: Instant) -> bool {
+        self.sender.is_ready() && now < self.until
+    }
+
+    /// Sends a request and returns its answer's head.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>> {
+        let mut failed = match self.sender.try_send_request(request).await {
+            Ok(response) => return Ok(response),
+            Err(failed) => failed,
+        };
+        match failed.take_message() {
+            Some(request) => Err(SendError::NotSent(Box::new(request))),
+            None => Err(SendError::Sent(failed.into_error())),
+        }
+    }
+
+    /// Returns the connection for another request once its answer was read in whole; `None` if
+    /// the upstream closes it.
+    pub(crate) async fn recycle(mut self, headers: &HeaderMap) -> Option<Self> {
+        if closes(headers) || self.sender.is_closed() {
+            return None;
+        }
+        self.sender.ready().await.ok()?;
+        self.until = Instant::now() + idle_time(headers);
+        Some(self)
+    }
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let tokens = headers.get_all(http::header::CONNECTION).iter();
+    tokens.filter_map(|value| value.to_str().ok()).any(|value| {
+        value.split(',').any(|token| token.trim().eq_ignore_ascii_case("close"))
+    })
+}
+
+/// Returns the time for which an idle connection may be used again.
+fn idle_time(headers: &HeaderMap) -> Duration {
+    let value = headers.get("keep-alive").and_then(|value| value.to_str().ok()).unwrap_or("");
+    let parameters = value.split(',').filter_map(|parameter| parameter.trim().split_once('='));
+    let seconds = parameters
+        .filter(|(name, _)| name.eq_ignore_ascii_case("timeout"))
+        .find_map(|(_, seconds)| seconds.trim().parse::<f64>().ok())
+        .filter(|seconds| seconds.is_finite() && *seconds >= 0.0);
+    seconds.map_or(DEFAULT_IDLE, |seconds| {
+        Duration::from_secs_f64((seconds * IDLE_PART).min(LONGEST_IDLE.as_secs_f64()))
+    })
+}
--- /dev/null
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -0,0 +1,303 @@
+//! The task that owns the scheduler and the idle connections.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use egretgate_core::gateway::catalog::Catalog;
+use egretgate_core::gateway::lane::RequestNumber;
+use egretgate_core::gateway::peer::PeerReport;
+use egretgate_core::gateway::scheduler::{Admission, Order, Refusal, Scheduler, UpstreamKey};
+use egretgate_core::gateway::standing::{Listed, Outcome};
+use egretgate_core::{Digest, ServiceId, UpstreamId};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep;
+
+use crate::connect::Connection;
+
+/// Time between looks at the queue while requests wait.
+const TICK: Duration = Duration::from_millis(15);
+/// Idle connections kept for each upstream; more than its slots are never in use at once.
+const IDLE_CONNECTIONS: usize = 16;
+
+/// A request's place at an upstream. Dropping it gives the place back.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    /// Name of the upstream.
+    pub(crate) id: UpstreamId,
+    /// Address of the upstream.
+    pub(crate) address: SocketAddr,
+    /// A connection that is open.
+    pub(crate) idle: Option<Connection>,
+    key: UpstreamKey,
+    service: ServiceId,
+    digest: Option<Digest>,
+    desk: DeskHandle,
+    outcome: Outcome,
+}
+
+impl Lease {
+    /// Ends the request at the upstream; the connection is kept for another one.
+    pub(crate) fn finish(mut self, outcome: Outcome, idle: Option<Connection>) {
+        self.outcome = outcome;
+        self.idle = idle;
+    }
+
+    /// Notes that the upstream has been silent for long.
+    pub(crate) fn suspect(&self) {
+        self.desk.tell(Message::Suspect(self.key));
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.desk.tell(Message::Finish(Finish {
+            service: std::mem::take(&mut self.service),
+            key: self.key,
+            outcome: self.outcome,
+            digest: self.digest,
+            idle: self.idle.take(),
+        }));
+    }
+}
+
+/// What became of a request that asked for an upstream.
+pub(crate) type Reply = Result<Lease, Refusal>;
+
+/// What other tasks tell the desk.
+#[derive(Debug)]
+pub(crate) enum Message {
+    /// A request asks for an upstream.
+    Admit(Box<Order>, oneshot::Sender<Reply>),
+    /// A request waits no longer.
+    Withdraw(RequestNumber),
+    /// A started request ended.
+    Finish(Finish),
+    /// A request at the upstream has been silent for long.
+    Suspect(UpstreamKey),
+    /// Declarations to put in force.
+    Catalog(Arc<Catalog>),
+    /// The list of upstreams.
+    Roster(Vec<Listed>),
+    /// Other entries that are known to exist.
+    Expect(usize),
+    /// A report of another entry.
+    Hear(PeerReport),
+    /// Asks for this entry's report.
+    Report(oneshot::Sender<PeerReport>),
+}
+
+/// The end of a started request.
+#[derive(Debug)]
+pub(crate) struct Finish {
+    /// Service.
+    pub(crate) service: ServiceId,
+    /// Upstream.
+    pub(crate) key: UpstreamKey,
+    /// How it ended.
+    pub(crate) outcome: Outcome,
+    /// Digest of the request.
+    pub(crate) digest: Option<Digest>,
+    /// Connection for another request.
+    pub(crate) idle: Option<Connection>,
+}
+
+/// Reaches the desk.
+#[derive(Debug, Clone)]
+pub(crate) struct DeskHandle {
+    messages: mpsc::UnboundedSender<Message>,
+}
+
+impl DeskHandle {
+    /// Starts a desk.
+    pub(crate) fn start(scheduler: Scheduler) -> Self {
+        let (messages, inbox) = mpsc::unbounded_channel();
+        let handle = Self { messages };
+        let desk = Desk {
+            scheduler,
+            waiting: HashMap::new(),
+            idle: HashMap::new(),
+            handle: handle.clone(),
+        };
+        tokio::spawn(desk.run(inbox));
+        handle
+    }
+
+    /// Tells the desk. It outlives every handle, so a failed send means that the process ends.
+    pub(crate) fn tell(&self, message: Message) {
+        let _ = self.messages.send(message);
+    }
+
+    /// Asks for an upstream. Dropping the future withdraws the request.
+    pub(crate) async fn admit(&self, order: Order) -> Reply {
+        let number = order.number;
+        let (reply, answer) = oneshot::channel();
+        self.tell(Message::Admit(Box::new(order), reply));
+        let mut waiting = Waiting { desk: self, number: Some(number) };
+        let reply = answer.await;
+        waiting.number = None;
+        reply.unwrap_or(Err(Refusal::Overloaded))
+    }
+
+    /// Returns this entry's report; `None` if the process ends.
+    pub(crate) async fn report(&self) -> Option<PeerReport> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(Message::Report(reply));
+        answer.await.ok()
+    }
+}
+
+/// Withdraws a request whose caller leaves while it waits.
+struct Waiting<'a> {
+    desk: &'a DeskHandle,
+    number: Option<RequestNumber>,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if let Some(number) = self.number {
+            self.desk.tell(Message::Withdraw(number));
+        }
+    }
+}
+
+struct Desk {
+    scheduler: Scheduler,
+    waiting: HashMap<RequestNumber, Waiter>,
+    /// Idle connections, the one used last at the end.
+    idle: HashMap<UpstreamKey, Vec<Connection>>,
+    /// Its own address, for leases.
+    handle: DeskHandle,
+}
+
+struct Waiter {
+    service: ServiceId,
+    digest: Option<Digest>,
+    reply: oneshot::Sender<Reply>,
+}
+
+impl Desk {
+    async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+        loop {
+            let message = if self.waiting.is_empty() {
+                inbox.recv().await
+            } else {
+                tokio::select! {
+                    message = inbox.recv() => message,
+                    () = sleep(TICK) => {
+                        self.tick();
+                        continue;
+                    }
+                }
+            };
+            let Some(message) = message else { return };
+            self.handle(message);
+        }
+    }
+
+    fn handle(&mut self, message: Message) {
+        let now = Instant::now();
+        match message {
+            Message::Admit(order, reply) => self.admit(*order, reply, now),
+            Message::Withdraw(number) => {
+                self.waiting.remove(&number);
+                self.scheduler.withdraw(number);
+            }
+            Message::Finish(finish) => {
+                self.finish(finish, now);
+                self.pump(now);
+            }
+            Message::Suspect(key) => self.scheduler.suspect(key, now),
+            Message::Catalog(catalog) => self.scheduler.set_catalog(catalog, now),
+            Message::Roster(roster) => {
+                for key in self.scheduler.set_roster(roster) {
+                    self.idle.remove(&key);
+                }
+                self.pump(now);
+            }
+            Message::Expect(expected) => self.scheduler.expect_peers(expected),
+            Message::Hear(report) => self.scheduler.hear(report, now),
+            Message::Report(reply) => {
+                // The asking task may have ended.
+                let _ = reply.send(self.scheduler.report());
+            }
+        }
+    }
+
+    fn admit(&mut self, order: Order, reply: oneshot::Sender<Reply>, now: Instant) {
+        let number = order.number;
+        let waiter = Waiter { service: order.service.clone(), digest: order.digest, reply };
+        match self.scheduler.admit(order, now) {
+            Admission::Started(key) => self.grant(waiter, key, now),
+            Admission::Queued => {
+                self.waiting.insert(number, waiter);
+            }
+            Admission::Refused(refusal) => {
+                // A caller that has left needs no answer.
+                let _ = waiter.reply.send(Err(refusal));
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = Instant::now();
+        for number in self.scheduler.expire(now) {
+            if let Some(waiter) = self.waiting.remove(&number) {
+                // A caller that has left needs no answer.
+                let _ = waiter.reply.send(Err(Refusal::Overloaded));
+            }
+        }
+        self.pump(now);
+    }
+
+    fn pump(&mut self, now: Instant) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        for start in self.scheduler.pump(now) {
+            match self.waiting.remove(&start.number) {
+                Some(waiter) => self.grant(waiter, start.upstream, now),
+                None => unreachable!("a queued request has a place to reply to"),
+            }
+        }
+    }
+
+    fn grant(&mut self, waiter: Waiter, key: UpstreamKey, now: Instant) {
+        let idle = self.take_idle(key, now);
+        let Some(standing) = self.scheduler.upstream(key) else {
+            unreachable!("an upstream that was just chosen is listed");
+        };
+        let lease = Lease {
+            id: standing.listed.id.clone(),
+            address: standing.listed.address,
+            idle,
+            key,
+            service: waiter.service,
+            digest: waiter.digest,
+            desk: self.handle.clone(),
+            outcome: Outcome::Left,
+        };
+        // If the caller has left, dropping the lease gives the place back.
+        let _ = waiter.reply.send(Ok(lease));
+    }
+
+    fn finish(&mut self, finish: Finish, now: Instant) {
+        let Finish { service, key, outcome, digest, idle } = finish;
+        self.scheduler.finish(&service, key, outcome, digest, now);
+        if self.scheduler.upstream(key).is_none() {
+            return;
+        }
+        let kept = self.idle.entry(key).or_default();
+        kept.extend(idle);
+        if kept.len() > IDLE_CONNECTIONS {
+            kept.remove(0);
+        }
+    }
+
+    fn take_idle(&mut self, key: UpstreamKey, now: Instant) -> Option<Connection> {
+        let kept = self.idle.get_mut(&key)?;
+        kept.retain(|connection| connection.is_usable(now));
+        kept.pop()
+    }
+}
--- /dev/null
+++ b/crates/egretgate-gateway/src/directory.rs
@@ -0,0 +1,54 @@
+//! The edge to where declarations, upstreams and other entries are found.
+
+use std::fmt;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use egretgate_core::Offset;
+use egretgate_core::gateway::catalog::Catalog;
+use egretgate_core::gateway::standing::Listed;
+
+/// Result of a call to the directory.
+pub type Result<T> = std::result::Result<T, DirectoryError>;
+
+/// A call to the directory failed; what it says is for the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DirectoryError(pub String);
+
+impl fmt::Display for DirectoryError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for DirectoryError {}
+
+/// What was read, with what could not be.
+#[derive(Debug, Clone)]
+pub struct Seen<T> {
+    /// What was read.
+    pub value: T,
+    /// Position after the newest record that was read.
+    pub end: Offset,
+    /// One sentence for each record that was passed over.
+    pub faults: Vec<String>,
+}
+
+/// Where declarations, upstreams and other entries are found.
+pub trait Directory: Send + Sync + 'static {
+    /// Reads the newest declarations; `None` before the first ones.
+    fn catalog(&self) -> impl Future<Output = Result<Seen<Option<Catalog>>>> + Send;
+
+    /// Returns once declarations may have changed after `from`, or after `wait`.
+    fn changed(&self, from: Offset, wait: Duration) -> impl Future<Output = Result<bool>> + Send;
+
+    /// Reads the upstreams that are listed now.
+    fn upstreams(&self) -> impl Future<Output = Result<Seen<Vec<Listed>>>> + Send;
+
+    /// Lists this entry among the entries.
+    fn announce(&self, name: &str, address: SocketAddr) -> impl Future<Output = Result<()>> + Send;
+
+    /// Reads the addresses of the entries, this one among them.
+    fn entries(&self) -> impl Future<Output = Result<Seen<Vec<SocketAddr>>>> + Send;
+}
--- /dev/null
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -0,0 +1,541 @@
+//! One request, from its head to the head of its answer.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use egretgate_core::gateway::catalog::{Catalog, Route};
+use egretgate_core::gateway::lane::RequestNumber;
+use egretgate_core::gateway::patience;
+use egretgate_core::gateway::scheduler::{Charge, Order, Refusal};
+use egretgate_core::gateway::standing::Outcome;
+use egretgate_core::{Digest, ServiceId, TeamId, Tier, UpstreamId};
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use rand::RngExt;
+use slog::{Logger, info};
+use tokio::time::timeout_at;
+
+use crate::answer::{Body, Fault, full, streamed};
+use crate::connect::{Connection, SendError};
+use crate::desk::{DeskHandle, Lease};
+use crate::dialect::{AnswerHead, Dialect, Onward, RequestHead};
+use crate::onward::{prepare_request, strip_connection};
+use crate::relay::{Relay, Run};
+
+/// Silence after which an upstream gets nothing new; first events take some 50 ms.
+const SUSPECT_AFTER: Duration = Duration::from_millis(500);
+/// Silence after which an idempotent call goes to another upstream, in objectives.
+const CALL_OBJECTIVES: u32 = 2;
+/// Silence after which a resumable stream goes to another upstream; callers leave after 2 s.
+const STREAM_SILENCE: Duration = Duration::from_millis(1_100);
+/// Tries that reach no upstream before a request is refused.
+const MOST_UNREACHED: u32 = 4;
+/// Largest answer that is read in whole before it is passed on, in bytes.
+const WHOLE_BYTES: usize = 1 << 20;
+/// Time that must be left for another try to make sense.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+/// Time after which a caller should come back if no upstream ran its request just now.
+const SHORT_RETURN: Duration = Duration::from_millis(150);
+
+/// What every exchange uses.
+pub(crate) struct Shared {
+    /// The platform's headers.
+    pub(crate) dialect: Box<dyn Dialect>,
+    /// Where upstreams are granted.
+    pub(crate) desk: DeskHandle,
+    /// Log.
+    pub(crate) log: Logger,
+}
+
+/// A request while it is served.
+pub(crate) struct Exchange {
+    shared: Arc<Shared>,
+    request: Parts,
+    plan: Plan,
+    number: RequestNumber,
+    /// Upstreams that got the request.
+    sent: u32,
+    /// Upstreams that must not get it again.
+    avoid: Vec<UpstreamId>,
+    /// Upstream that got it last.
+    upstream: UpstreamId,
+    /// Event after which the stream goes on.
+    resume_after: Option<u64>,
+    /// True once its end was logged.
+    closed: bool,
+}
+
+/// The request as the caller sent it.
+pub(crate) struct Parts {
+    pub(crate) head: RequestHead,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// True if the caller framed a body, be it empty.
+    pub(crate) has_body: bool,
+    /// Time at which its head was read.
+    pub(crate) received: Instant,
+}
+
+/// What the declarations say of the request.
+struct Plan {
+    route: Route,
+    service: ServiceId,
+    team: Option<TeamId>,
+    tier: Tier,
+    charge: Option<Charge>,
+    version: u64,
+    digest: Digest,
+}
+
+/// What an attempt came to.
+enum Attempt {
+    /// An answer for the caller.
+    Answer(Run, StatusCode),
+    /// A failure that the upstream reported itself, read in whole.
+    Failure(Response<Body>),
+    /// The request did not run.
+    NotRun,
+    /// No byte was sent.
+    NotSent,
+    /// It may have run.
+    Unknown,
+}
+
+impl Exchange {
+    /// Returns the exchange of a request that the declarations allow.
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        catalog: &Catalog,
+        request: Parts,
+        number: RequestNumber,
+    ) -> Result<Self, Fault> {
+        let host = request.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+        let host = host.or_else(|| request.uri.host()).unwrap_or_default();
+        let route = catalog.route(host, request.uri.path()).ok_or(Fault::NoRoute)?;
+        let team = catalog
+            .team(route, request.head.key.as_deref())
+            .map_err(|_| Fault::Unauthorized)?;
+        let service =
+            route.service(rand::rng().random()).ok_or(Fault::NoUpstream)?.clone();
+        let charge = team.filter(|team| team.limit.is_some()).map(|team| Charge {
+            team: team.name.clone(),
+            tokens: request.head.tokens.unwrap_or(team.default_cost),
+        });
+        let key = request.head.key.as_deref().unwrap_or_default();
+        let target = request.uri.to_string();
+        let digest = Digest::of(&[target.as_bytes(), key.as_bytes(), &request.body]);
+        let plan = Plan {
+            tier: team.and_then(|team| team.tier).unwrap_or(route.tier),
+            team: team.map(|team| team.name.clone()),
+            route: route.clone(),
+            service,
+            charge,
+            version: catalog.version,
+            digest,
+        };
+        let resume_after = request.head.last_event;
+        Ok(Self {
+            shared,
+            request,
+            plan,
+            number,
+            sent: 0,
+            avoid: Vec::new(),
+            upstream: UpstreamId::new(),
+            resume_after,
+            closed: false,
+        })
+    }
+
+    /// Serves the request.
+    pub(crate) async fn serve(mut self) -> Response<Body> {
+        match self.run().await {
+            Ok((run, status)) => self.pass_on(run, status).await,
+            Err(Ending::Failure(response)) => {
+                self.close("failed_upstream");
+                response
+            }
+            Err(Ending::Fault(fault, retry_after)) => {
+                self.close(fault.code());
+                fault.answer(retry_after)
+            }
+        }
+    }
+
+    /// Returns the time at which the caller or the route gives up.
+    pub(crate) fn deadline(&self) -> Instant {
+        self.request.received + self.patience().min(self.plan.route.timeout)
+    }
+
+    /// Returns the event after which the answer goes on.
+    pub(crate) const fn last_event(&self) -> Option<u64> {
+        self.resume_after
+    }
+
+    /// Returns true if the stream may go on at another upstream.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.plan.route.kind.is_stream() && self.plan.route.kind.is_idempotent()
+    }
+
+    /// Returns true if the stream may go on at another upstream and there is one to try.
+    pub(crate) fn may_resume(&self) -> bool {
+        self.is_resumable() && self.may_repeat()
+    }
+
+    /// Goes on with a cut stream at another upstream.
+    pub(crate) async fn resume(&mut self, last: Option<u64>) -> Result<Run, Fault> {
+        self.resume_after = last.or(self.resume_after);
+        self.avoid.push(self.upstream.clone());
+        match self.run().await {
+            Ok((run, status)) if status.is_success() => Ok(run),
+            Ok(_) | Err(Ending::Failure(_)) => Err(Fault::AnswerLost),
+            Err(Ending::Fault(fault, _)) => Err(fault),
+        }
+    }
+
+    /// Logs how the request ended, once.
+    pub(crate) fn close(&mut self, outcome: &'static str) {
+        if std::mem::replace(&mut self.closed, true) {
+            return;
+        }
+        let took = self.request.received.elapsed();
+        metrics::counter!("egretgate_requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("egretgate_request_seconds").record(took.as_secs_f64());
+        info!(self.shared.log, "request";
+            "id" => &self.request.head.id,
+            "route" => &self.plan.route.name,
+            "team" => self.plan.team.as_deref().unwrap_or(""),
+            "tier" => self.plan.tier,
+            "upstream" => &self.upstream,
+            "sent" => self.sent,
+            "catalog" => self.plan.version,
+            "took_ms" => took.as_millis() as u64,
+            "outcome" => outcome);
+    }
+
+    fn patience(&self) -> Duration {
+        self.request.head.patience.unwrap_or(self.plan.route.timeout)
+    }
+
+    fn left(&self) -> Duration {
+        self.deadline().saturating_duration_since(Instant::now())
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.plan.route.kind.is_idempotent()
+            && self.sent < self.plan.route.attempts
+            && self.left() > LEAST_LEFT
+    }
+
+    /// Returns the first answer worth passing on.
+    async fn run(&mut self) -> Result<(Run, StatusCode), Ending> {
+        let mut unreached = 0;
+        let mut failure = None;
+        loop {
+            let lease = match self.lease().await {
+                Ok(lease) => lease,
+                Err(ending) => return Err(failure.map_or(ending, Ending::Failure)),
+            };
+            self.upstream.clone_from(&lease.id);
+            let attempt = self.attempt(lease).await;
+            self.avoid.push(self.upstream.clone());
+            match attempt {
+                Attempt::Answer(run, status) => return Ok((run, status)),
+                Attempt::Failure(response) if !self.may_repeat() => {
+                    return Err(Ending::Failure(response));
+                }
+                Attempt::Failure(response) => failure = Some(response),
+                Attempt::NotSent => {
+                    unreached += 1;
+                    if unreached >= MOST_UNREACHED || self.left() <= LEAST_LEFT {
+                        return Err(self.refuse(Fault::NoUpstream));
+                    }
+                }
+                Attempt::NotRun if self.sent < self.plan.route.attempts => {}
+                Attempt::NotRun => return Err(self.refuse(Fault::NoUpstream)),
+                Attempt::Unknown if self.may_repeat() => {}
+                Attempt::Unknown => return Err(self.lost()),
+            }
+        }
+    }
+
+    /// Returns the end of a request that may have run.
+    fn lost(&self) -> Ending {
+        let fault = if self.left().is_zero() { Fault::TimedOut } else { Fault::AnswerLost };
+        Ending::Fault(fault, None)
+    }
+
+    /// Returns the end of a request that has not run.
+    fn refuse(&self, fault: Fault) -> Ending {
+        Ending::Fault(fault, Some(SHORT_RETURN))
+    }
+
+    async fn lease(&mut self) -> Result<Lease, Ending> {
+        let left = self.left();
+        let now = Instant::now();
+        let order = Order {
+            number: self.number,
+            service: self.plan.service.clone(),
+            tier: self.plan.tier,
+            charge: self.plan.charge.take(),
+            objective: self.request.received + self.plan.route.objective,
+            until: now + patience::longest_wait(&self.plan.route, left),
+            repeat: self.sent > 0,
+            avoid: self.avoid.clone(),
+            digest: Some(self.plan.digest),
+        };
+        self.shared.desk.admit(order).await.map_err(|refusal| self.refusal(refusal))
+    }
+
+    fn refusal(&self, refusal: Refusal) -> Ending {
+        let left = self.patience().saturating_sub(self.request.received.elapsed());
+        let later = patience::come_back(left, &mut rand::rng());
+        match refusal {
+            Refusal::OverLimit(wait) => Ending::Fault(Fault::OverLimit, Some(wait.max(later))),
+            Refusal::Overloaded if self.left().is_zero() => {
+                Ending::Fault(Fault::TimedOutWaiting, Some(SHORT_RETURN))
+            }
+            Refusal::Overloaded => Ending::Fault(Fault::Overloaded, Some(later)),
+            Refusal::OverBudget => Ending::Fault(Fault::NoUpstream, Some(SHORT_RETURN)),
+            Refusal::Poison => Ending::Fault(Fault::Poison, None),
+        }
+    }
+
+    /// Sends the request to one upstream.
+    async fn attempt(&mut self, mut lease: Lease) -> Attempt {
+        let mut request = self.onward(&lease);
+        let mut connection = lease.idle.take();
+        loop {
+            let mut open = match connection.take() {
+                Some(open) => open,
+                None => match Connection::open(lease.address).await {
+                    Ok(open) => open,
+                    Err(_) => {
+                        lease.finish(Outcome::Unreachable, None);
+                        return Attempt::NotSent;
+                    }
+                },
+            };
+            match self.send(&lease, &mut open, request).await {
+                Ok(response) => {
+                    self.sent += 1;
+                    return self.judge(lease, open, response).await;
+                }
+                // An idle connection turned out to be closed: the same request on a new one.
+                Err(Unsent::Closed(unsent)) => request = *unsent,
+                Err(Unsent::Lost(outcome)) => {
+                    self.sent += 1;
+                    drop(open);
+                    lease.finish(outcome, None);
+                    return Attempt::Unknown;
+                }
+            }
+        }
+    }
+
+    fn onward(&self, lease: &Lease) -> Request<Full<Bytes>> {
+        let mut headers = self.request.headers.clone();
+        prepare_request(&mut headers, self.request.has_body, self.request.body.len());
+        let onward = Onward {
+            upstream: &lease.id,
+            team: self.plan.team.as_deref(),
+            left: self.left(),
+            last_event: self.resume_after,
+        };
+        self.shared.dialect.onward(&mut headers, &onward);
+        let mut request = Request::new(Full::new(self.request.body.clone()));
+        *request.method_mut() = self.request.method.clone();
+        *request.uri_mut() = self.request.uri.clone();
+        *request.headers_mut() = headers;
+        request
+    }
+
+    /// Sends and waits for the answer's head.
+    async fn send(
+        &self,
+        lease: &Lease,
+        connection: &mut Connection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, Unsent> {
+        let begun = Instant::now();
+        let deadline = self.deadline();
+        let silence = if !self.plan.route.kind.is_idempotent()
+            || self.sent + 1 >= self.plan.route.attempts
+        {
+            deadline
+        } else if self.plan.route.kind.is_stream() {
+            deadline.min(begun + STREAM_SILENCE)
+        } else {
+            deadline.min(begun + self.plan.route.objective * CALL_OBJECTIVES)
+        };
+        let mut sending = std::pin::pin!(connection.send(request));
+        let mut answer = timeout_at((begun + SUSPECT_AFTER).min(silence).into(), &mut sending).await;
+        if answer.is_err() {
+            lease.suspect();
+            answer = timeout_at(silence.into(), sending).await;
+        }
+        match answer {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(SendError::NotSent(request))) => Err(Unsent::Closed(request)),
+            Ok(Err(SendError::Sent(_))) => Err(Unsent::Lost(Outcome::Broken)),
+            Err(_) => Err(Unsent::Lost(Outcome::Silent)),
+        }
+    }
+
+    /// Decides what an answer's head means.
+    async fn judge(
+        &mut self,
+        lease: Lease,
+        connection: Connection,
+        response: Response<Incoming>,
+    ) -> Attempt {
+        let (parts, body) = response.into_parts();
+        let head = self.shared.dialect.answer(parts.status.as_u16(), &parts.headers);
+        let run = Run { lease, connection, headers: parts.headers, body };
+        let foreign = head.id.as_ref().is_some_and(|id| *id != self.request.head.id);
+        if head.not_run && !foreign {
+            return not_run(run, parts.status).await;
+        }
+        if foreign || is_spoiled(&head, parts.status, &run.headers) {
+            run.lease.finish(Outcome::Broken, None);
+            return Attempt::Unknown;
+        }
+        if parts.status.is_server_error() && self.plan.route.kind.is_idempotent() {
+            return failure(run, parts.status, self.deadline()).await;
+        }
+        Attempt::Answer(run, parts.status)
+    }
+
+    /// Passes an accepted answer on.
+    async fn pass_on(mut self, run: Run, status: StatusCode) -> Response<Body> {
+        let mut headers = run.headers.clone();
+        strip_connection(&mut headers);
+        if status.is_success() && self.plan.route.kind.is_stream() {
+            if self.is_resumable() {
+                headers.remove(CONTENT_LENGTH);
+            }
+            let body = streamed(Relay::body(self, run));
+            return respond(status, headers, body);
+        }
+        match whole(run, self.deadline()).await {
+            Whole::Read(run, bytes) => {
+                let outcome = self.outcome(status);
+                self.close(if status.is_success() { "served" } else { "failed_upstream" });
+                run.complete(outcome).await;
+                respond(status, headers, full(bytes))
+            }
+            Whole::Cut(lease) => {
+                lease.finish(Outcome::Broken, None);
+                if self.may_repeat() {
+                    return Box::pin(self.serve()).await;
+                }
+                let Ending::Fault(fault, retry_after) = self.lost() else {
+                    unreachable!("a lost answer ends in a fault");
+                };
+                self.close(fault.code());
+                fault.answer(retry_after)
+            }
+        }
+    }
+
+    fn outcome(&self, status: StatusCode) -> Outcome {
+        if status.is_server_error() {
+            return Outcome::Failed;
+        }
+        Outcome::Good { pace: Some(self.request.received.elapsed().as_secs_f64()) }
+    }
+}
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.close("caller_left");
+    }
+}
+
+/// How an exchange ends without an answer to pass on.
+enum Ending {
+    /// The upstream's own failure.
+    Failure(Response<Body>),
+    /// The entry's answer, with the time to come back.
+    Fault(Fault, Option<Duration>),
+}
+
+/// Why no answer's head came.
+enum Unsent {
+    /// The connection was closed before a byte was written.
+    Closed(Box<Request<Full<Bytes>>>),
+    /// The request may have run.
+    Lost(Outcome),
+}
+
+/// An answer read in whole.
+enum Whole {
+    Read(Run, Bytes),
+    Cut(Lease),
+}
+
+/// Returns true if an answer can't be its upstream's whole answer to the request.
+fn is_spoiled(head: &AnswerHead, status: StatusCode, headers: &HeaderMap) -> bool {
+    let promise = matches!(status.as_u16(), 408 | 421 | 429 | 503);
+    // A success must be signed and name the request; a status that promises "not run" must say so.
+    let unsigned = status.is_success() && (!head.signed || head.id.is_none());
+    unsigned || promise || headers.contains_key(CONTENT_ENCODING)
+}
+
+async fn not_run(mut run: Run, status: StatusCode) -> Attempt {
+    let outcome =
+        if status == StatusCode::MISDIRECTED_REQUEST { Outcome::Moved } else { Outcome::Full };
+    // A refusal is short; reading it keeps the connection.
+    while let Some(frame) = run.body.frame().await {
+        if frame.is_err() {
+            run.lease.finish(outcome, None);
+            return Attempt::NotRun;
+        }
+    }
+    run.complete(outcome).await;
+    Attempt::NotRun
+}
+
+async fn failure(run: Run, status: StatusCode, deadline: Instant) -> Attempt {
+    let mut headers = run.headers.clone();
+    strip_connection(&mut headers);
+    match whole(run, deadline).await {
+        Whole::Read(run, bytes) => {
+            run.complete(Outcome::Failed).await;
+            Attempt::Failure(respond(status, headers, full(bytes)))
+        }
+        Whole::Cut(lease) => {
+            lease.finish(Outcome::Broken, None);
+            Attempt::Unknown
+        }
+    }
+}
+
+async fn whole(mut run: Run, deadline: Instant) -> Whole {
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = match timeout_at(deadline.into(), run.body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => return Whole::Read(run, bytes.freeze()),
+            Ok(Some(Err(_))) | Err(_) => return Whole::Cut(run.lease),
+        };
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
+        if bytes.len() > WHOLE_BYTES {
+            return Whole::Cut(run.lease);
+        }
+    }
+}
+
+fn respond(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
--- /dev/null
+++ b/crates/egretgate-gateway/src/front.rs
@@ -0,0 +1,174 @@
+//! The listener towards callers.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use egretgate_core::gateway::catalog::{Catalog, CallerLimits};
+use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
+use http::{HeaderValue, Request, Response};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{info, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::answer::{Body, Fault};
+use crate::exchange::{Exchange, Parts, Shared};
+
+/// Time to come back while the entry starts.
+const START_RETURN: Duration = Duration::from_millis(400);
+/// Pause after a failed accept, such as one for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Least read buffer that the HTTP library takes, in bytes.
+const LEAST_BUFFER: usize = 8 << 10;
+
+/// How far the entry is in its life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// It serves.
+    Serving,
+    /// It is about to stop and says that it isn't ready.
+    Leaving,
+    /// Idle connections are closed, and others after their answer.
+    Closing,
+}
+
+/// The listener and what its connections share.
+pub(crate) struct Front {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) catalog: watch::Receiver<Option<Arc<Catalog>>>,
+    pub(crate) phase: watch::Receiver<Phase>,
+    /// Names of requests within this life.
+    pub(crate) numbers: AtomicU64,
+    /// Held by each connection; the entry waits until none is left.
+    pub(crate) alive: watch::Sender<()>,
+}
+
+impl Front {
+    /// Accepts connections until the process ends.
+    pub(crate) async fn run(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    tokio::spawn(Arc::clone(&self).connection(stream));
+                }
+                Err(error) => {
+                    warn!(self.shared.log, "accept failed"; "error" => %error);
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn connection(self: Arc<Self>, stream: TcpStream) {
+        let _alive = self.alive.subscribe();
+        if let Err(error) = stream.set_nodelay(true) {
+            info!(self.shared.log, "no delay not set"; "error" => %error);
+        }
+        let limits = self.limits();
+        let mut phase = self.phase.clone();
+        let front = Arc::clone(&self);
+        let service = service_fn(move |request| {
+            let front = Arc::clone(&front);
+            async move {
+                let mut response = Arc::clone(&front).answer(request).await;
+                if *front.phase.borrow() > Phase::Serving {
+                    response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+                }
+                Ok::<_, Infallible>(response)
+            }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(limits.idle_timeout)
+            .max_buf_size(limits.header_bytes.max(LEAST_BUFFER))
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        let result = tokio::select! {
+            result = &mut connection => result,
+            () = closing(&mut phase) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        // A caller that leaves, or an answer that is cut on purpose, ends here.
+        if let Err(error) = result {
+            slog::debug!(self.shared.log, "connection ended"; "error" => %error);
+        }
+    }
+
+    fn limits(&self) -> CallerLimits {
+        self.catalog.borrow().as_ref().map(|catalog| catalog.limits).unwrap_or_default()
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+        let received = Instant::now();
+        let catalog = self.catalog.borrow().clone();
+        let Some(catalog) = catalog else {
+            return self.refuse(&request, Fault::NotReady, Some(START_RETURN));
+        };
+        let (head, body) = request.into_parts();
+        let declared = self.shared.dialect.request(&head.headers);
+        let limit = catalog.limits.body_bytes;
+        let has_body = head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.contains_key(TRANSFER_ENCODING);
+        let body = match read(body, limit).await {
+            Ok(body) => body,
+            Err(fault) => return fault.answer(None),
+        };
+        let parts = Parts {
+            head: declared,
+            method: head.method,
+            uri: head.uri,
+            headers: head.headers,
+            body,
+            has_body,
+            received,
+        };
+        // The newest declarations decide, which may have come while the body was read.
+        let catalog = self.catalog.borrow().clone().unwrap_or(catalog);
+        let number = self.numbers.fetch_add(1, Ordering::Relaxed);
+        let id = parts.head.id.clone();
+        match Exchange::new(Arc::clone(&self.shared), &catalog, parts, number) {
+            Ok(exchange) => exchange.serve().await,
+            Err(fault) => {
+                info!(self.shared.log, "refused"; "id" => id, "outcome" => fault.code(),
+                    "catalog" => catalog.version);
+                fault.answer(None)
+            }
+        }
+    }
+
+    fn refuse(
+        &self,
+        request: &Request<Incoming>,
+        fault: Fault,
+        retry_after: Option<Duration>,
+    ) -> Response<Body> {
+        let id = self.shared.dialect.request(request.headers()).id;
+        info!(self.shared.log, "refused"; "id" => id, "outcome" => fault.code());
+        fault.answer(retry_after)
+    }
+}
+
+/// Returns once idle connections are to be closed.
+async fn closing(phase: &mut watch::Receiver<Phase>) {
+    // The sender lives as long as the process.
+    let _ = phase.wait_for(|phase| *phase == Phase::Closing).await;
+}
+
+/// Reads a body in whole.
+async fn read(body: Incoming, limit: usize) -> Result<Bytes, Fault> {
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Fault::TooLarge),
+        Err(_) => Err(Fault::BadRequest),
+    }
+}
--- /dev/null
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -0,0 +1,174 @@
+//! Starting and stopping the forwarding path.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::{Duration, Instant};
+
+use egretgate_core::gateway::repeat::RepeatLimit;
+use egretgate_core::gateway::scheduler::Scheduler;
+use egretgate_core::{InstanceId, PlaceId};
+use rand::RngExt;
+use slog::{Logger, info};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::watch;
+use tokio::time::{sleep, timeout};
+
+use crate::desk::DeskHandle;
+use crate::dialect::Dialect;
+use crate::directory::Directory;
+use crate::exchange::Shared;
+use crate::front::{Front, Phase};
+use crate::{gossip, ready, sync};
+
+/// Where the entry listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub front: SocketAddr,
+    /// For the question whether it is ready.
+    pub ready: SocketAddr,
+    /// For reports of other entries.
+    pub peers: SocketAddr,
+}
+
+/// Times within which the entry stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// Time from the stop signal to the end of the process.
+    pub grace: Duration,
+    /// Time for which new connections are served after the stop signal: the balancer asks each
+    /// second and turns away after two misses.
+    pub linger: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self { grace: Duration::from_secs(8), linger: Duration::from_millis(2_600) }
+    }
+}
+
+/// What the forwarding path is told at its start.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Name of the instance.
+    pub name: InstanceId,
+    /// Availability zone.
+    pub zone: PlaceId,
+    /// Where it listens.
+    pub addresses: Addresses,
+    /// Budget of repeats over the whole fleet.
+    pub repeats: RepeatLimit,
+    /// Times within which it stops.
+    pub bounds: Bounds,
+}
+
+/// The forwarding path while it runs.
+#[derive(Debug)]
+pub struct Gateway {
+    phase: watch::Sender<Phase>,
+    alive: watch::Sender<()>,
+    bounds: Bounds,
+    log: Logger,
+}
+
+impl Gateway {
+    /// Starts serving. The tasks run until the process ends.
+    pub async fn start<D: Directory>(
+        options: Options,
+        dialect: impl Dialect,
+        directory: D,
+        log: Logger,
+    ) -> std::io::Result<Self> {
+        let Options { name, zone, addresses, repeats, bounds } = options;
+        let front = TcpListener::bind(addresses.front).await?;
+        let ready_listener = TcpListener::bind(addresses.ready).await?;
+        let peers = UdpSocket::bind(addresses.peers).await?;
+        let incarnation = rand::rng().random();
+        let scheduler = Scheduler::new(&name, &zone, incarnation).with_limit(repeats);
+        let desk = DeskHandle::start(scheduler);
+        let directory = Arc::new(directory);
+        let (catalog_sender, catalog) = watch::channel(None);
+        let (roster_sender, roster) = watch::channel(false);
+        let (entries_sender, entries) = watch::channel(Vec::new());
+        let (phase_sender, phase) = watch::channel(Phase::Serving);
+        let (ready_sender, ready) = watch::channel(false);
+        let alive = watch::Sender::new(());
+
+        tokio::spawn(sync::catalog(
+            Arc::clone(&directory),
+            catalog_sender,
+            desk.clone(),
+            log.clone(),
+        ));
+        tokio::spawn(sync::roster(Arc::clone(&directory), desk.clone(), roster_sender, log.clone()));
+        tokio::spawn(sync::entries(
+            directory,
+            name.clone(),
+            addresses.peers,
+            entries_sender,
+            desk.clone(),
+            log.clone(),
+        ));
+        tokio::spawn(gossip::run(peers, entries, desk.clone(), log.clone()));
+        tokio::spawn(ready::run(ready_listener, ready, log.clone()));
+        tokio::spawn(readiness(catalog.clone(), roster, phase.clone(), ready_sender, log.clone()));
+        let shared = Shared { dialect: Box::new(dialect), desk, log: log.clone() };
+        let front_task = Arc::new(Front {
+            shared: Arc::new(shared),
+            catalog,
+            phase,
+            numbers: AtomicU64::new(0),
+            alive: alive.clone(),
+        });
+        tokio::spawn(front_task.run(front));
+        info!(log, "started"; "instance" => name, "zone" => zone, "front" => %addresses.front,
+            "incarnation" => incarnation);
+        Ok(Self { phase: phase_sender, alive, bounds, log })
+    }
+
+    /// Stops: says that it isn't ready, serves on while callers still come, then closes idle
+    /// connections and waits for the others until the grace time is over.
+    pub async fn stop(self) {
+        let begun = Instant::now();
+        info!(self.log, "stopping"; "connections" => self.alive.receiver_count());
+        self.phase.send_replace(Phase::Leaving);
+        sleep(self.bounds.linger).await;
+        self.phase.send_replace(Phase::Closing);
+        let left = self.bounds.grace.saturating_sub(begun.elapsed());
+        let drained = timeout(left, self.alive.closed()).await.is_ok();
+        info!(self.log, "stopped"; "drained" => drained,
+            "connections" => self.alive.receiver_count(),
+            "took_ms" => begun.elapsed().as_millis() as u64);
+    }
+}
+
+/// Says that the entry is ready once declarations and upstreams are known, until it stops.
+async fn readiness<C: Send + Sync>(
+    mut catalog: watch::Receiver<Option<C>>,
+    mut roster: watch::Receiver<bool>,
+    mut phase: watch::Receiver<Phase>,
+    ready: watch::Sender<bool>,
+    log: Logger,
+) {
+    let known = async {
+        // The senders live as long as the process.
+        let _ = catalog.wait_for(Option::is_some).await;
+        let _ = roster.wait_for(|known| *known).await;
+    };
+    tokio::select! {
+        () = known => {
+            info!(log, "ready");
+            ready.send_replace(true);
+        }
+        () = leaving(&mut phase) => return,
+    }
+    leaving(&mut phase).await;
+    info!(log, "not ready");
+    ready.send_replace(false);
+}
+
+/// Returns once the entry is about to stop.
+async fn leaving(phase: &mut watch::Receiver<Phase>) {
+    let _ = phase.wait_for(|phase| *phase > Phase::Serving).await;
+}
--- /dev/null
+++ b/crates/egretgate-gateway/src/lib.rs
@@ -0,0 +1,34 @@
+//! The forwarding path of the entry: callers' requests go to upstreams byte for byte.
+//!
+//! What to do with a request is decided by [`egretgate_core::gateway`]; this crate owns the
+//! sockets. The names and formats of headers come from a [`Dialect`], declarations and upstreams
+//! from a [`Directory`].
+//!
+//! ```
+//! use egretgate_gateway::Bounds;
+//!
+//! let bounds = Bounds::default();
+//! assert!(bounds.grace > bounds.linger);
+//! ```
+
+mod answer;
+mod connect;
+mod desk;
+mod dialect;
+mod directory;
+mod events;
+mod exchange;
+mod front;
+mod gateway;
+mod gossip;
+mod onward;
+mod ready;
+mod relay;
+mod sync;
+mod wire;
+
+pub use dialect::{AnswerHead, Dialect, Onward, RequestHead};
+pub use directory::{Directory, DirectoryError, Result, Seen};
+pub use events::EventSplitter;
+pub use gateway::{Addresses, Bounds, Gateway, Options};
+pub use wire::{decode, encode};
--- a/crates/egretgate/src/lib.rs
+++ b/crates/egretgate/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod command;
 mod entry;
+pub mod host;
 
 pub use egretgate_caller as caller;
 pub use egretgate_core as core;
--- a/crates/egretgate/src/main.rs
+++ b/crates/egretgate/src/main.rs
@@ -4,15 +4,21 @@
 
 use egretgate::command::{self, Call, Exit};
 use egretgate::settings::{Read, entry};
-use egretgate::{Entry, Options};
+use egretgate::{Entry, Options, host};
 use metrics_exporter_prometheus::PrometheusBuilder;
+use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 
-#[tokio::main]
-async fn main() -> eyre::Result<ExitCode> {
+fn main() -> eyre::Result<ExitCode> {
     let mut args = std::env::args_os().skip(1).peekable();
     if args.next_if(|arg| arg == "serve").is_some() {
-        return start(entry::read(args, std::env::vars_os())).await;
+        let read = entry::read(args, std::env::vars_os());
+        return Runtime::new()?.block_on(start(read));
+    }
+    if args.next_if(|arg| arg == "gateway").is_some() {
+        // One thread: an instance has a fraction of a core.
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        return runtime.block_on(host::run(args.collect()));
     }
     let call = Call {
         args: args.collect(),
@@ -20,7 +26,7 @@
         out: &mut std::io::stdout(),
         err: &mut std::io::stderr(),
     };
-    Ok(command::run(call).await.into())
+    Ok(Runtime::new()?.block_on(command::run(call)).into())
 }
 
 async fn start(read: egretgate::settings::Result<Read<entry::Settings>>) -> eyre::Result<ExitCode> {
