fix(gateway): rank by team and route, ticks on time, refuse at once what would be late

The desk's timer was reset by each message, so nothing expired under load; requests of all routes waited in one order, since most teams declare the same tier; and a request was queued as long as it could be served at all. Ruled out: the token limits (their refusals are of teams beyond their limit) and starts at full upstreams (75 of 10,579). Change: a timer of its own, the route's tier as the second part of the rank, a wait estimate that leaves out what more urgent arrivals take, and a refusal at once if the answer would be late.

--- a/crates/egretgate-core/src/gateway/lane.rs
+++ b/crates/egretgate-core/src/gateway/lane.rs
@@ -1,23 +1,36 @@
-//! The queue before one service: urgent first, then what can still be in time, then in order.
+//! The queue before one service: urgent first, then in order of the time at which an answer is due.
 
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use crate::Tier;
 
+/// How urgent a request is: the tier of its team where it has one, then its route's.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Tier that goes first; 0 is the most urgent.
+    pub tier: Tier,
+    /// Tier of the route, among requests of the same tier.
+    pub route: Tier,
+}
+
 /// Number that names a request within one life of an entry.
 pub type RequestNumber = u64;
 
 /// Weight of a new sample in the running average of the time between starts.
 const SMOOTHING: f64 = 0.05;
-/// Time from start to first event that a request needs to be in time.
-const LEAD: Duration = Duration::from_millis(50);
+/// Shortest time between starts that is reckoned with, in seconds.
+const SHORTEST_SPACING: f64 = 1e-5;
+/// Least part of the starts that a rank is reckoned to get, so that an estimate exists.
+const LEAST_PART: f64 = 0.05;
+/// Longest wait that is told apart, in seconds; no caller waits as long.
+const LONGEST_WAIT: f64 = 60.0;
 
 /// Place in the queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Place {
-    /// Rank; 0 goes first.
-    pub tier: Tier,
+    /// How urgent it is.
+    pub rank: Rank,
     /// Time up to which an answer is in time.
     pub objective: Instant,
     /// Order of arrival.
@@ -33,9 +46,39 @@
     spacing: Option<f64>,
     /// Start of the last request, if others have waited ever since.
     last_start: Option<Instant>,
+    /// Arrivals of each rank.
+    arrivals: BTreeMap<Rank, Flow>,
+}
+
+/// Rate of arrivals, by a running average that forgets with time.
+#[derive(Debug, Clone, Copy)]
+struct Flow {
+    /// Arrivals a second.
+    rate: f64,
+    seen: Instant,
+}
+
+impl Flow {
+    /// Time in which an arrival loses two thirds of its weight; bursts last for seconds.
+    const MEMORY: f64 = 1.0;
+
+    fn rate(&self, now: Instant) -> f64 {
+        let passed = now.saturating_duration_since(self.seen).as_secs_f64();
+        self.rate * (-passed / Self::MEMORY).exp()
+    }
+
+    fn note(&mut self, now: Instant) {
+        self.rate = self.rate(now) + 1.0 / Self::MEMORY;
+        self.seen = now;
+    }
 }
 
 impl Lane {
+    /// Notes that a request came.
+    pub fn arrived(&mut self, rank: Rank, now: Instant) {
+        self.arrivals.entry(rank).or_insert(Flow { rate: 0.0, seen: now }).note(now);
+    }
+
     /// Adds a request that gives up at `until`.
     pub fn push(&mut self, place: Place, until: Instant) {
         self.waiting.insert(place, until);
@@ -56,21 +99,10 @@
         self.waiting.is_empty()
     }
 
-    /// Returns the waiting requests in the order in which they should start.
-    ///
-    /// Within a tier, those that can still be in time go before those that can't.
-    pub fn order(&self, now: Instant) -> impl Iterator<Item = Place> + '_ {
-        let limit = now + LEAD;
-        let mut tiers: Vec<Tier> = self.waiting.keys().map(|place| place.tier).collect();
-        tiers.dedup();
-        tiers.into_iter().flat_map(move |tier| {
-            let of_tier = move |place: &&Place| place.tier == tier;
-            let timely = self.waiting.keys().filter(of_tier);
-            let late = self.waiting.keys().filter(of_tier);
-            let timely = timely.filter(move |place| place.objective >= limit);
-            let late = late.filter(move |place| place.objective < limit);
-            timely.chain(late).copied()
-        })
+    /// Returns the waiting requests in the order in which they should start: by rank, then by
+    /// the time up to which they are wanted.
+    pub fn order(&self) -> impl Iterator<Item = Place> + '_ {
+        self.waiting.keys().copied()
     }
 
     /// Notes that a request started, from the queue or beside it.
@@ -88,9 +120,17 @@
     }
 
     /// Returns the time that a request at `place` is likely to wait.
-    pub fn expected_wait(&self, place: &Place) -> Duration {
-        let ahead = self.waiting.keys().filter(|other| other.tier <= place.tier).count();
-        Duration::from_secs_f64(ahead as f64 * self.spacing.unwrap_or(0.0))
+    ///
+    /// Those ahead start first, and so do the more urgent ones that come meanwhile: what is left
+    /// of the starts after these is what the request's rank gets.
+    pub fn expected_wait(&self, place: &Place, now: Instant) -> Duration {
+        let ahead = self.waiting.keys().filter(|other| other.rank <= place.rank).count();
+        let Some(spacing) = self.spacing.filter(|_| ahead > 0) else { return Duration::ZERO };
+        let starts = 1.0 / spacing.max(SHORTEST_SPACING);
+        let urgent = self.arrivals.range(..place.rank);
+        let urgent: f64 = urgent.map(|(_, flow)| flow.rate(now)).sum();
+        let left = (starts - urgent).max(starts * LEAST_PART);
+        Duration::from_secs_f64((ahead as f64 / left).min(LONGEST_WAIT))
     }
 
     /// Removes and returns the requests that gave up by `now`.
--- a/crates/egretgate-core/src/gateway/patience.rs
+++ b/crates/egretgate-core/src/gateway/patience.rs
@@ -14,6 +14,8 @@
 const PAUSES: u32 = 8;
 /// Part of the caller's patience that a request may spend in the queue; the rest is for its run.
 const QUEUE_PART: f64 = 0.75;
+/// Part of the objective that a request may be expected to wait; the rest is for its run.
+const WORTHWHILE_PART: f64 = 0.75;
 /// Part of the time left that callers wait at most before they come back.
 const RETURN_PART: f64 = 1.0 / 3.0;
 /// Part of the time left in which a refused caller's return is spread.
@@ -31,6 +33,11 @@
     patience.mul_f64(QUEUE_PART)
 }
 
+/// Returns the longest wait that is worth beginning: after it an answer would be late.
+pub fn worthwhile_wait(route: &Route) -> Duration {
+    route.objective.mul_f64(WORTHWHILE_PART)
+}
+
 /// Returns when a refused caller with `left` of its time should come back.
 ///
 /// Callers return within a third of the time they have, so the span up to that is used whole:
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -7,14 +7,14 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::catalog::Catalog;
-use super::lane::{Lane, Place, RequestNumber};
+use super::lane::{Lane, Place, Rank, RequestNumber};
 use super::meter::Meter;
 use super::peer::{PeerReport, Peers, name_hash};
 use super::poison::Breaks;
 use super::repeat::{RepeatLimit, Repeats};
 use super::share::Share;
 use super::standing::{Listed, Outcome, Standing};
-use crate::{Digest, Incarnation, InstanceId, PlaceId, ServiceId, TeamId, Tier, UpstreamId};
+use crate::{Digest, Incarnation, InstanceId, PlaceId, ServiceId, TeamId, UpstreamId};
 
 /// Age at which what is derived from other entries' reports is worked out anew.
 const REFRESH: Duration = Duration::from_millis(20);
@@ -31,12 +31,14 @@
     pub number: RequestNumber,
     /// Service that it goes to.
     pub service: ServiceId,
-    /// Rank; 0 is the most urgent.
-    pub tier: Tier,
+    /// How urgent it is.
+    pub rank: Rank,
     /// Team whose limit it counts against, with its tokens; `None` for one that was counted.
     pub charge: Option<Charge>,
     /// Time up to which an answer is in time.
     pub objective: Instant,
+    /// Longest wait that is worth beginning.
+    pub worthwhile: Duration,
     /// Time at which it gives up waiting.
     pub until: Instant,
     /// True if an upstream has got it before.
@@ -217,7 +219,7 @@
         self.refresh(now);
         let entries = self.entries();
         let place =
-            Place { tier: order.tier, objective: order.objective, number: order.number };
+            Place { rank: order.rank, objective: order.objective, number: order.number };
         let backlog = self.services.entry(order.service.clone()).or_default();
         if order.repeat {
             if !backlog.repeats.repeat(now, &self.limit, entries) {
@@ -226,14 +228,15 @@
         } else {
             backlog.repeats.request(now, &self.limit);
         }
-        let first = backlog.lane.order(now).next();
-        let may_start = first.is_none_or(|first| first.tier > place.tier);
-        let wait = backlog.lane.expected_wait(&place);
+        backlog.lane.arrived(place.rank, now);
+        let first = backlog.lane.order().next();
+        let may_start = first.is_none_or(|first| first.rank > place.rank);
+        let wait = backlog.lane.expected_wait(&place, now);
         if may_start && let Some(key) = self.choose(&order, now) {
             self.begin(&order.service, key, now);
             return Admission::Started(key);
         }
-        if now + wait > order.until {
+        if wait > order.worthwhile || now + wait > order.until {
             self.refund(&order);
             return Admission::Refused(Refusal::Overloaded);
         }
@@ -369,7 +372,7 @@
     fn pump_service(&mut self, service: &ServiceId, now: Instant) -> Vec<Start> {
         let mut starts = Vec::new();
         let Some(backlog) = self.services.get(service) else { return starts };
-        let order: Vec<Place> = backlog.lane.order(now).collect();
+        let order: Vec<Place> = backlog.lane.order().collect();
         for place in order {
             let Some((_, order)) = self.waiting.get(&place.number) else { continue };
             let Some(key) = self.choose(order, now) else {
--- a/crates/egretgate-gateway/src/desk.rs
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -12,7 +12,7 @@
 use egretgate_core::gateway::standing::{Listed, Outcome};
 use egretgate_core::{Digest, ServiceId, UpstreamId};
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::sleep;
+use tokio::time::{MissedTickBehavior, interval};
 
 use crate::connect::Connection;
 
@@ -179,20 +179,17 @@
 
 impl Desk {
     async fn run(mut self, mut inbox: mpsc::UnboundedReceiver<Message>) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            let message = if self.waiting.is_empty() {
-                inbox.recv().await
-            } else {
-                tokio::select! {
-                    message = inbox.recv() => message,
-                    () = sleep(TICK) => {
-                        self.tick();
-                        continue;
-                    }
-                }
-            };
-            let Some(message) = message else { return };
-            self.handle(message);
+            tokio::select! {
+                biased;
+                _ = ticks.tick(), if !self.waiting.is_empty() => self.tick(),
+                message = inbox.recv() => match message {
+                    Some(message) => self.handle(message),
+                    None => return,
+                },
+            }
         }
     }
 
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -5,11 +5,11 @@
 
 use bytes::{Bytes, BytesMut};
 use egretgate_core::gateway::catalog::{Catalog, Route};
-use egretgate_core::gateway::lane::RequestNumber;
+use egretgate_core::gateway::lane::{Rank, RequestNumber};
 use egretgate_core::gateway::patience;
 use egretgate_core::gateway::scheduler::{Charge, Order, Refusal};
 use egretgate_core::gateway::standing::Outcome;
-use egretgate_core::{Digest, ServiceId, TeamId, Tier, UpstreamId};
+use egretgate_core::{Digest, ServiceId, TeamId, UpstreamId};
 use http::header::{CONTENT_ENCODING, CONTENT_LENGTH};
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
@@ -86,7 +86,7 @@
     route: Route,
     service: ServiceId,
     team: Option<TeamId>,
-    tier: Tier,
+    rank: Rank,
     charge: Option<Charge>,
     version: u64,
     digest: Digest,
@@ -130,7 +130,10 @@
         let target = request.uri.to_string();
         let digest = Digest::of(&[target.as_bytes(), key.as_bytes(), &request.body]);
         let plan = Plan {
-            tier: team.and_then(|team| team.tier).unwrap_or(route.tier),
+            rank: Rank {
+                tier: team.and_then(|team| team.tier).unwrap_or(route.tier),
+                route: route.tier,
+            },
             team: team.map(|team| team.name.clone()),
             route: route.clone(),
             service,
@@ -210,7 +213,7 @@
             "id" => &self.request.head.id,
             "route" => &self.plan.route.name,
             "team" => self.plan.team.as_deref().unwrap_or(""),
-            "tier" => self.plan.tier,
+            "tier" => self.plan.rank.tier,
             "upstream" => &self.upstream,
             "sent" => self.sent,
             "catalog" => self.plan.version,
@@ -281,9 +284,10 @@
         let order = Order {
             number: self.number,
             service: self.plan.service.clone(),
-            tier: self.plan.tier,
+            rank: self.plan.rank,
             charge: self.plan.charge.take(),
             objective: self.request.received + self.plan.route.objective,
+            worthwhile: patience::worthwhile_wait(&self.plan.route),
             until: now + patience::longest_wait(&self.plan.route, left),
             repeat: self.sent > 0,
             avoid: self.avoid.clone(),
