--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -5,6 +5,7 @@
 //! arrival, while several entries share the same upstreams.
 
 pub mod catalog;
+pub mod follow;
 pub mod lane;
 pub mod meter;
 pub mod patience;
--- a/crates/egretgate-core/src/gateway/catalog.rs
+++ b/crates/egretgate-core/src/gateway/catalog.rs
@@ -248,11 +248,7 @@
 
     /// Returns the team that sends a request on `route` with `key`; `None` for a request that
     /// needs no key. Without declared teams, no request needs one.
-    pub fn team(
-        &self,
-        route: &Route,
-        key: Option<&str>,
-    ) -> Result<Option<&Team>, KeyFault> {
+    pub fn team(&self, route: &Route, key: Option<&str>) -> Result<Option<&Team>, KeyFault> {
         if self.teams.is_empty() {
             return Ok(None);
         }
--- /dev/null
+++ b/crates/egretgate-core/src/gateway/follow.rs
@@ -0,0 +1,93 @@
+//! When an entry reads shared state anew, and when it relies on what other entries have read.
+//!
+//! Every entry needs the newest declarations and upstreams, and calls to where they are kept are
+//! limited. One entry reads often; the others compare what it reports with what they hold, read
+//! only when it differs, and take over in order when the reports stop. The load it answers is a
+//! fleet whose entries would otherwise each read the same every second.
+
+use std::time::{Duration, Instant};
+
+use crate::Offset;
+
+/// Number that stands for what was read: a version or a hash.
+pub type Mark = u64;
+
+/// What an entry read, and when.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Reading {
+    /// What was read.
+    pub mark: Mark,
+    /// Position after the newest record; orders readings of different entries.
+    pub end: Offset,
+    /// Time of the reading.
+    pub at: Instant,
+}
+
+/// How often shared state is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// Time between readings of the entry that reads for all.
+    pub period: Duration,
+    /// Age of the newest reading at which the next entry takes over.
+    pub takeover: Duration,
+    /// Further age for each entry in between.
+    pub step: Duration,
+    /// Age at which an entry reads whatever its position.
+    pub limit: Duration,
+}
+
+/// One entry's view of a piece of shared state.
+#[derive(Debug, Clone, Copy)]
+pub struct Follower {
+    pace: Pace,
+    /// What this entry holds.
+    held: Option<Reading>,
+    /// Newest time at which what it holds was seen to be the newest, by any entry.
+    confirmed: Option<Instant>,
+    /// True if another entry has read something newer.
+    behind: bool,
+}
+
+impl Follower {
+    /// Returns the view of an entry that holds nothing.
+    pub const fn new(pace: Pace) -> Self {
+        Self { pace, held: None, confirmed: None, behind: false }
+    }
+
+    /// Notes what this entry has read.
+    pub fn read(&mut self, reading: Reading) {
+        self.held = Some(reading);
+        self.confirmed = Some(reading.at);
+        self.behind = false;
+    }
+
+    /// Notes what another entry has read.
+    pub fn hear(&mut self, reading: Reading) {
+        let Some(held) = &mut self.held else { return };
+        if reading.end < held.end {
+            return;
+        }
+        if reading.mark == held.mark {
+            held.end = reading.end;
+            self.confirmed = self.confirmed.max(Some(reading.at));
+        } else if reading.end > held.end {
+            self.behind = true;
+        }
+    }
+
+    /// Returns what this entry holds, with the time at which it was last known to be the newest.
+    pub fn held(&self) -> Option<Reading> {
+        let held = self.held?;
+        Some(Reading { at: self.confirmed.unwrap_or(held.at), ..held })
+    }
+
+    /// Returns when this entry should read; `rank` is the number of reachable entries before it.
+    pub fn due(&self, rank: usize, now: Instant) -> Instant {
+        let Some(confirmed) = self.confirmed.filter(|_| !self.behind) else { return now };
+        let age = match rank {
+            0 => self.pace.period,
+            rank => self.pace.takeover + self.pace.step * (rank as u32 - 1),
+        };
+        confirmed + age.min(self.pace.limit)
+    }
+}
--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -5,7 +5,8 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId};
+use super::follow::{Mark, Reading};
+use crate::{Incarnation, InstanceId, Offset, ServiceId, TeamId, UpstreamId};
 
 /// Silence after which another entry's load no longer counts: several reports are missing then.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -35,6 +36,37 @@
     pub running: HashMap<NameHash, u32>,
     /// Tokens admitted in that life, by team.
     pub admitted: HashMap<NameHash, u64>,
+    /// Tokens that callers ask for a second, by team.
+    pub asked: HashMap<NameHash, f64>,
+    /// Declarations that it holds.
+    pub catalog: Option<Report>,
+    /// List of upstreams that it holds.
+    pub roster: Option<Report>,
+}
+
+/// What an entry holds of a piece of shared state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Report {
+    /// What it holds.
+    pub mark: Mark,
+    /// Position after the newest record when it was read.
+    pub end: Offset,
+    /// Time since it was known to be the newest.
+    pub age: Duration,
+}
+
+impl Report {
+    /// Returns the report of what is held at `now`.
+    pub fn new(held: Reading, now: Instant) -> Self {
+        let age = now.saturating_duration_since(held.at);
+        Self { mark: held.mark, end: held.end, age }
+    }
+
+    /// Returns the reading behind a report heard at `now`.
+    pub fn reading(self, now: Instant) -> Reading {
+        let at = now.checked_sub(self.age).unwrap_or(now);
+        Reading { mark: self.mark, end: self.end, at }
+    }
 }
 
 /// Tokens that another entry has newly admitted for a team.
@@ -105,6 +137,17 @@
         })
     }
 
+    /// Returns the tokens a second that other entries are asked for, for a team.
+    pub fn asked(&self, team: &TeamId, now: Instant) -> f64 {
+        let hash = name_hash(team);
+        self.live(now).filter_map(|report| report.asked.get(&hash)).sum()
+    }
+
+    /// Returns the number of fresh entries whose names come before `name`.
+    pub fn rank(&self, name: &str, now: Instant) -> usize {
+        self.live(now).filter(|report| report.name.as_str() < name).count()
+    }
+
     /// Returns the requests that other entries have in flight at an upstream.
     pub fn running(&self, upstream: &UpstreamId, now: Instant) -> u32 {
         let hash = name_hash(upstream);
@@ -116,8 +159,3 @@
         self.peers.values().filter(fresh).map(|peer| &peer.report)
     }
 }
-
-/// Returns the hash of a team's name.
-pub fn team_hash(team: &TeamId) -> NameHash {
-    name_hash(team)
-}
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use slotmap::{SlotMap, new_key_type};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::catalog::Catalog;
 use super::lane::{Lane, Place, Rank, RequestNumber};
@@ -19,6 +20,11 @@
 /// Age at which what is derived from other entries' reports is worked out anew.
 const REFRESH: Duration = Duration::from_millis(20);
 
+/// Upstreams that are compared for a request, at least; all of them with this many entries.
+const COMPARED: usize = 4;
+/// Entries that may take a slot unseen between two reports, for each slot kept free.
+const ENTRIES_PER_SLOT: u32 = 8;
+
 new_key_type! {
     /// Names an upstream within one life of an entry.
     pub struct UpstreamKey;
@@ -218,8 +224,7 @@
         }
         self.refresh(now);
         let entries = self.entries();
-        let place =
-            Place { rank: order.rank, objective: order.objective, number: order.number };
+        let place = Place { rank: order.rank, objective: order.objective, number: order.number };
         let backlog = self.services.entry(order.service.clone()).or_default();
         if order.repeat {
             if !backlog.repeats.repeat(now, &self.limit, entries) {
@@ -324,7 +329,7 @@
     }
 
     /// Returns what this entry tells the others.
-    pub fn report(&mut self) -> PeerReport {
+    pub fn report(&mut self, now: Instant) -> PeerReport {
         self.sequence += 1;
         let demand = self.services.iter().map(|(service, backlog)| {
             (name_hash(service), f64::from(backlog.running) + backlog.lane.len() as f64)
@@ -332,6 +337,7 @@
         let running = self.upstreams.values().filter(|standing| standing.own > 0);
         let running = running.map(|standing| (name_hash(&standing.listed.id), standing.own));
         let admitted = self.meters.iter().map(|(team, meter)| (name_hash(team), meter.admitted()));
+        let asked = self.meters.iter().map(|(team, meter)| (name_hash(team), meter.asked(now)));
         PeerReport {
             name: self.name.clone(),
             incarnation: self.incarnation,
@@ -339,9 +345,17 @@
             demand: demand.collect(),
             running: running.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
+            asked: asked.filter(|(_, rate)| *rate >= 1.0).collect(),
+            catalog: None,
+            roster: None,
         }
     }
 
+    /// Returns the number of reachable entries whose names come before this one's.
+    pub fn rank(&self, now: Instant) -> usize {
+        self.peers.rank(&self.name, now)
+    }
+
     /// Returns the number of waiting requests.
     pub fn backlog(&self) -> usize {
         self.waiting.len()
@@ -351,9 +365,10 @@
         let charge = order.charge.as_ref()?;
         let entries = self.entries() as f64;
         let reached = (self.peers.fresh(now) + 1) as f64;
+        let reach = (reached / entries).min(1.0);
         let meter = self.meters.get_mut(&charge.team)?;
-        let share = (reached / entries).min(1.0);
-        meter.take(charge.tokens, share, now).err().map(Refusal::OverLimit)
+        let elsewhere = self.peers.asked(&charge.team, now);
+        meter.take(charge.tokens, reach, elsewhere, now).err().map(Refusal::OverLimit)
     }
 
     fn refund(&mut self, order: &Order) {
@@ -405,16 +420,23 @@
     fn choose(&self, order: &Order, now: Instant) -> Option<UpstreamKey> {
         let backlog = self.services.get(&order.service)?;
         let share = backlog.share.unwrap_or(Share::WHOLE);
-        let alone = self.entries() == 1;
+        let entries = self.entries();
+        let margin = (entries as u32 - 1).div_ceil(ENTRIES_PER_SLOT);
         let usual = self.usual_pace(backlog);
         let usable = backlog.members.iter().copied().filter(|key| {
             let standing = &self.upstreams[*key];
             standing.is_usable(now)
-                && has_room(standing, share, alone)
+                && has_room(standing, share, margin)
                 && !order.avoid.contains(&standing.listed.id)
         });
         let cost = |key: &UpstreamKey| self.upstreams[*key].cost(usual, &self.zone);
-        usable.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+        // Entries with the same late reports must not all choose the same upstream, so each
+        // compares a part of them that differs from request to request.
+        let compared = (backlog.members.len() * COMPARED / entries).max(COMPARED);
+        let usable: Vec<UpstreamKey> = usable.collect();
+        let first = spread(order.number, usable.len());
+        let some = usable.iter().cycle().skip(first).take(compared.min(usable.len())).copied();
+        some.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
     fn usual_pace(&self, backlog: &Backlog) -> f64 {
@@ -452,10 +474,16 @@
 /// Returns true if this entry may send one more request to the upstream.
 ///
 /// Its own part of the slots is its to use, with one request waiting at the upstream at most. Any
-/// other slot may be taken while one stays free for an entry whose report is on its way.
-fn has_room(standing: &Standing, share: Share, alone: bool) -> bool {
+/// other slot may be taken while `margin` slots stay free for entries whose reports are on their
+/// way.
+fn has_room(standing: &Standing, share: Share, margin: u32) -> bool {
     let slots = standing.listed.slots;
     let used = standing.own + standing.others;
     let own = standing.own < share.slots(&standing.listed.id, slots) && used <= slots;
-    own || used + u32::from(!alone) < slots
+    own || used + margin.min(slots / 2) < slots
+}
+
+/// Returns a position below `count` that differs from request to request.
+fn spread(number: RequestNumber, count: usize) -> usize {
+    (xxh3_64(&number.to_le_bytes()) % count.max(1) as u64) as usize
 }
--- a/crates/egretgate-core/src/gateway/share.rs
+++ b/crates/egretgate-core/src/gateway/share.rs
@@ -23,11 +23,7 @@
     pub const WHOLE: Self = Self { low: 0.0, high: 1.0 };
 
     /// Returns the part of the entry named `own`, with demand `demand`, next to the others.
-    pub fn new<'a>(
-        own: &str,
-        demand: f64,
-        others: impl Iterator<Item = (&'a str, f64)>,
-    ) -> Self {
+    pub fn new<'a>(own: &str, demand: f64, others: impl Iterator<Item = (&'a str, f64)>) -> Self {
         let mut before = 0.0;
         let mut total = demand + FLOOR;
         for (name, other) in others {
--- a/crates/egretgate-gateway/src/connect.rs
+++ b/crates/egretgate-gateway/src/connect.rs
@@ -90,9 +90,9 @@
 
 fn closes(headers: &HeaderMap) -> bool {
     let tokens = headers.get_all(http::header::CONNECTION).iter();
-    tokens.filter_map(|value| value.to_str().ok()).any(|value| {
-        value.split(',').any(|token| token.trim().eq_ignore_ascii_case("close"))
-    })
+    tokens
+        .filter_map(|value| value.to_str().ok())
+        .any(|value| value.split(',').any(|token| token.trim().eq_ignore_ascii_case("close")))
 }
 
 /// Returns the time for which an idle connection may be used again.
--- a/crates/egretgate-gateway/src/desk.rs
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -84,8 +84,8 @@
     Expect(usize),
     /// A report of another entry.
     Hear(PeerReport),
-    /// Asks for this entry's report.
-    Report(oneshot::Sender<PeerReport>),
+    /// Asks for this entry's report, and the number of reachable entries before it.
+    Report(oneshot::Sender<(PeerReport, usize)>),
 }
 
 /// The end of a started request.
@@ -140,8 +140,8 @@
         reply.unwrap_or(Err(Refusal::Overloaded))
     }
 
-    /// Returns this entry's report; `None` if the process ends.
-    pub(crate) async fn report(&self) -> Option<PeerReport> {
+    /// Returns this entry's report and its rank; `None` if the process ends.
+    pub(crate) async fn report(&self) -> Option<(PeerReport, usize)> {
         let (reply, answer) = oneshot::channel();
         self.tell(Message::Report(reply));
         answer.await.ok()
@@ -217,7 +217,7 @@
             Message::Hear(report) => self.scheduler.hear(report, now),
             Message::Report(reply) => {
                 // The asking task may have ended.
-                let _ = reply.send(self.scheduler.report());
+                let _ = reply.send((self.scheduler.report(now), self.scheduler.rank(now)));
             }
         }
     }
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -117,11 +117,9 @@
         let host = request.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
         let host = host.or_else(|| request.uri.host()).unwrap_or_default();
         let route = catalog.route(host, request.uri.path()).ok_or(Fault::NoRoute)?;
-        let team = catalog
-            .team(route, request.head.key.as_deref())
-            .map_err(|_| Fault::Unauthorized)?;
-        let service =
-            route.service(rand::rng().random()).ok_or(Fault::NoUpstream)?.clone();
+        let team =
+            catalog.team(route, request.head.key.as_deref()).map_err(|_| Fault::Unauthorized)?;
+        let service = route.service(rand::rng().random()).ok_or(Fault::NoUpstream)?.clone();
         let charge = team.filter(|team| team.limit.is_some()).map(|team| Charge {
             team: team.name.clone(),
             tokens: request.head.tokens.unwrap_or(team.default_cost),
@@ -368,17 +366,17 @@
     ) -> Result<Response<Incoming>, Unsent> {
         let begun = Instant::now();
         let deadline = self.deadline();
-        let silence = if !self.plan.route.kind.is_idempotent()
-            || self.sent + 1 >= self.plan.route.attempts
-        {
-            deadline
-        } else if self.plan.route.kind.is_stream() {
-            deadline.min(begun + STREAM_SILENCE)
-        } else {
-            deadline.min(begun + self.plan.route.objective * CALL_OBJECTIVES)
-        };
+        let silence =
+            if !self.plan.route.kind.is_idempotent() || self.sent + 1 >= self.plan.route.attempts {
+                deadline
+            } else if self.plan.route.kind.is_stream() {
+                deadline.min(begun + STREAM_SILENCE)
+            } else {
+                deadline.min(begun + self.plan.route.objective * CALL_OBJECTIVES)
+            };
         let mut sending = std::pin::pin!(connection.send(request));
-        let mut answer = timeout_at((begun + SUSPECT_AFTER).min(silence).into(), &mut sending).await;
+        let mut answer =
+            timeout_at((begun + SUSPECT_AFTER).min(silence).into(), &mut sending).await;
         if answer.is_err() {
             lease.suspect();
             answer = timeout_at(silence.into(), sending).await;
--- a/crates/egretgate-gateway/src/front.rs
+++ b/crates/egretgate-gateway/src/front.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use egretgate_core::gateway::catalog::{Catalog, CallerLimits};
+use egretgate_core::gateway::catalog::{CallerLimits, Catalog};
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderValue, Request, Response};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
 
+use egretgate_core::gateway::follow::Pace;
 use egretgate_core::gateway::repeat::RepeatLimit;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::{InstanceId, PlaceId};
@@ -19,7 +20,9 @@
 use crate::directory::Directory;
 use crate::exchange::Shared;
 use crate::front::{Front, Phase};
-use crate::{gossip, ready, sync};
+use crate::gossip::{Exchanged, Gossip};
+use crate::sync::Following;
+use crate::{ready, sync};
 
 /// Where the entry listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -95,13 +98,24 @@
         let (ready_sender, ready) = watch::channel(false);
         let alive = watch::Sender::new(());
 
+        let (rank_sender, rank) = watch::channel(0);
+        let (catalog_exchanged, catalog_following) = exchanged(sync::CATALOG_PACE, rank.clone());
+        let (roster_exchanged, roster_following) = exchanged(sync::ROSTER_PACE, rank);
+
         tokio::spawn(sync::catalog(
             Arc::clone(&directory),
+            catalog_following,
             catalog_sender,
             desk.clone(),
             log.clone(),
         ));
-        tokio::spawn(sync::roster(Arc::clone(&directory), desk.clone(), roster_sender, log.clone()));
+        tokio::spawn(sync::roster(
+            Arc::clone(&directory),
+            roster_following,
+            desk.clone(),
+            roster_sender,
+            log.clone(),
+        ));
         tokio::spawn(sync::entries(
             directory,
             name.clone(),
@@ -110,7 +124,16 @@
             desk.clone(),
             log.clone(),
         ));
-        tokio::spawn(gossip::run(peers, entries, desk.clone(), log.clone()));
+        let gossip = Gossip {
+            socket: peers,
+            entries,
+            desk: desk.clone(),
+            catalog: catalog_exchanged,
+            roster: roster_exchanged,
+            rank: rank_sender,
+            log: log.clone(),
+        };
+        tokio::spawn(gossip.run());
         tokio::spawn(ready::run(ready_listener, ready, log.clone()));
         tokio::spawn(readiness(catalog.clone(), roster, phase.clone(), ready_sender, log.clone()));
         let shared = Shared { dialect: Box::new(dialect), desk, log: log.clone() };
@@ -143,6 +166,14 @@
     }
 }
 
+/// Returns both ends of what the gossip task and a following task tell each other.
+fn exchanged(pace: Pace, rank: watch::Receiver<usize>) -> (Exchanged, Following) {
+    let (held_sender, held) = watch::channel(None);
+    let (heard_sender, heard) = watch::channel(None);
+    let exchanged = Exchanged { held, heard: heard_sender };
+    (exchanged, Following::new(pace, heard, held_sender, rank))
+}
+
 /// Says that the entry is ready once declarations and upstreams are known, until it stops.
 async fn readiness<C: Send + Sync>(
     mut catalog: watch::Receiver<Option<C>>,
--- a/crates/egretgate-gateway/src/gossip.rs
+++ b/crates/egretgate-gateway/src/gossip.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use egretgate_core::gateway::follow::Reading;
+use egretgate_core::gateway::peer::{PeerReport, Report};
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -22,46 +24,88 @@
 /// Largest datagram, in bytes; larger ones would be split on the way.
 const DATAGRAM_BYTES: usize = 8 << 10;
 
-/// Sends reports to the other entries and takes theirs in, until the process ends.
-pub(crate) async fn run(
-    socket: UdpSocket,
-    entries: watch::Receiver<Vec<SocketAddr>>,
-    desk: DeskHandle,
-    log: Logger,
-) {
-    let mut buffer = vec![0; DATAGRAM_BYTES];
-    let own = socket.local_addr().ok();
-    // Entries that were heard but aren't listed yet.
-    let mut heard = BTreeSet::new();
-    loop {
-        let targets: BTreeSet<SocketAddr> =
-            entries.borrow().iter().copied().chain(heard.iter().copied()).collect();
-        let pause = (PAUSE_EACH * targets.len() as u32).clamp(SHORTEST_PAUSE, LONGEST_PAUSE);
-        let mut timer = std::pin::pin!(sleep(pause));
+/// What this entry and the others have read of one piece of shared state.
+#[derive(Debug)]
+pub(crate) struct Exchanged {
+    /// What this entry holds.
+    pub(crate) held: watch::Receiver<Option<Reading>>,
+    /// What another entry holds, as it was heard last.
+    pub(crate) heard: watch::Sender<Option<Reading>>,
+}
+
+/// The gossip task.
+pub(crate) struct Gossip {
+    pub(crate) socket: UdpSocket,
+    pub(crate) entries: watch::Receiver<Vec<SocketAddr>>,
+    pub(crate) desk: DeskHandle,
+    pub(crate) catalog: Exchanged,
+    pub(crate) roster: Exchanged,
+    /// Number of reachable entries before this one.
+    pub(crate) rank: watch::Sender<usize>,
+    pub(crate) log: Logger,
+}
+
+impl Gossip {
+    /// Sends reports to the other entries and takes theirs in, until the process ends.
+    pub(crate) async fn run(self) {
+        let mut buffer = vec![0; DATAGRAM_BYTES];
+        let own = self.socket.local_addr().ok();
+        // Entries that were heard but aren't listed yet.
+        let mut heard = BTreeSet::new();
         loop {
-            tokio::select! {
-                () = &mut timer => break,
-                received = socket.recv_from(&mut buffer) => match received {
-                    Ok((length, from)) => match decode(&buffer[..length]) {
-                        Some(report) => {
-                            if heard.insert(from) {
-                                info!(log, "entry heard"; "entry" => &report.name, "from" => %from);
+            let targets: BTreeSet<SocketAddr> =
+                self.entries.borrow().iter().copied().chain(heard.iter().copied()).collect();
+            let pause = (PAUSE_EACH * targets.len() as u32).clamp(SHORTEST_PAUSE, LONGEST_PAUSE);
+            let mut timer = std::pin::pin!(sleep(pause));
+            loop {
+                tokio::select! {
+                    () = &mut timer => break,
+                    received = self.socket.recv_from(&mut buffer) => match received {
+                        Ok((length, from)) => {
+                            if self.take_in(&buffer[..length], from) && heard.insert(from) {
+                                info!(self.log, "entry heard"; "from" => %from);
                             }
-                            desk.tell(Message::Hear(report));
                         }
-                        None => warn!(log, "unreadable report"; "from" => %from),
+                        // An earlier datagram met no listener; the next report tries again.
+                        Err(error) => slog::debug!(self.log, "receive failed"; "error" => %error),
                     },
-                    // An earlier datagram met no listener; the next report tries again.
-                    Err(error) => slog::debug!(log, "receive failed"; "error" => %error),
-                },
+                }
             }
-        }
-        let Some(report) = desk.report().await else { return };
-        let datagram = encode(&report);
-        for target in targets.iter().filter(|target| Some(**target) != own) {
-            if let Err(error) = socket.send_to(&datagram, target).await {
-                slog::debug!(log, "report not sent"; "to" => %target, "error" => %error);
+            let Some((report, rank)) = self.desk.report().await else { return };
+            self.rank.send_if_modified(|old| std::mem::replace(old, rank) != rank);
+            let datagram = encode(&self.complete(report));
+            for target in targets.iter().filter(|target| Some(**target) != own) {
+                if let Err(error) = self.socket.send_to(&datagram, target).await {
+                    slog::debug!(self.log, "report not sent"; "to" => %target, "error" => %error);
+                }
             }
         }
     }
+
+    fn take_in(&self, datagram: &[u8], from: SocketAddr) -> bool {
+        let Some(report) = decode(datagram) else {
+            warn!(self.log, "unreadable report"; "from" => %from);
+            return false;
+        };
+        let now = Instant::now();
+        if let Some(catalog) = report.catalog {
+            self.catalog.heard.send_replace(Some(catalog.reading(now)));
+        }
+        if let Some(roster) = report.roster {
+            self.roster.heard.send_replace(Some(roster.reading(now)));
+        }
+        self.desk.tell(Message::Hear(report));
+        true
+    }
+
+    fn complete(&self, mut report: PeerReport) -> PeerReport {
+        let now = Instant::now();
+        let held = |exchanged: &Exchanged| {
+            let held = *exchanged.held.borrow();
+            held.map(|held| Report::new(held, now))
+        };
+        report.catalog = held(&self.catalog);
+        report.roster = held(&self.roster);
+        report
+    }
 }
--- a/crates/egretgate-gateway/src/ready.rs
+++ b/crates/egretgate-gateway/src/ready.rs
@@ -30,11 +30,8 @@
         };
         let ready = ready.clone();
         let service = service_fn(move |_: Request<Incoming>| {
-            let status = if *ready.borrow() {
-                StatusCode::OK
-            } else {
-                StatusCode::SERVICE_UNAVAILABLE
-            };
+            let status =
+                if *ready.borrow() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
             async move { Ok::<_, Infallible>(answer(status)) }
         });
         let connection = http1::Builder::new()
--- a/crates/egretgate-gateway/src/sync.rs
+++ b/crates/egretgate-gateway/src/sync.rs
@@ -6,18 +6,33 @@
 
 use egretgate_core::Offset;
 use egretgate_core::gateway::catalog::Catalog;
+use egretgate_core::gateway::follow::{Follower, Mark, Pace, Reading};
+use egretgate_core::gateway::peer::name_hash;
+use egretgate_core::gateway::standing::{Listed, Stage};
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, sleep_until};
 
 use crate::desk::{DeskHandle, Message};
 use crate::directory::{Directory, DirectoryError};
 
-/// Time between readings of the upstreams: a leaving one may get work for two seconds at most.
-const ROSTER_PAUSE: Duration = Duration::from_millis(700);
-/// Longest wait for a change of the declarations, which must be in force within two seconds even
-/// if the connection that waits has gone silent.
-const CHANGE_WAIT: Duration = Duration::from_millis(1_200);
+/// How often upstreams are read: a leaving one may get work for two seconds at most.
+pub(crate) const ROSTER_PACE: Pace = Pace {
+    period: Duration::from_millis(600),
+    takeover: Duration::from_millis(850),
+    step: Duration::from_millis(80),
+    limit: Duration::from_millis(1_300),
+};
+/// How often declarations are looked at: they must be in force within two seconds, even if the
+/// connection that waits for a change has gone silent.
+pub(crate) const CATALOG_PACE: Pace = Pace {
+    period: Duration::ZERO,
+    takeover: Duration::from_millis(1_050),
+    step: Duration::from_millis(60),
+    limit: Duration::from_millis(1_400),
+};
+/// Longest wait for a change by the entry that waits for all.
+const CHANGE_WAIT: Duration = Duration::from_millis(700);
 /// First pause after a failed call.
 const FIRST_RETRY: Duration = Duration::from_millis(100);
 /// Longest pause after failed calls, short against the time in which changes must be in force.
@@ -52,40 +67,105 @@
     }
 }
 
+/// One piece of shared state, as this entry follows it.
+pub(crate) struct Following {
+    follower: Follower,
+    /// What other entries hold.
+    heard: watch::Receiver<Option<Reading>>,
+    /// What this entry holds, for the others.
+    held: watch::Sender<Option<Reading>>,
+    /// Number of reachable entries before this one.
+    rank: watch::Receiver<usize>,
+}
+
+impl Following {
+    /// Returns the state before the first reading.
+    pub(crate) const fn new(
+        pace: Pace,
+        heard: watch::Receiver<Option<Reading>>,
+        held: watch::Sender<Option<Reading>>,
+        rank: watch::Receiver<usize>,
+    ) -> Self {
+        Self { follower: Follower::new(pace), heard, held, rank }
+    }
+
+    fn read(&mut self, mark: Mark, end: Offset) {
+        self.follower.read(Reading { mark, end, at: Instant::now() });
+        self.held.send_replace(self.follower.held());
+    }
+
+    /// Returns once this entry should read.
+    async fn due(&mut self) {
+        loop {
+            let rank = *self.rank.borrow();
+            let due = self.follower.due(rank, Instant::now());
+            tokio::select! {
+                biased;
+                () = sleep_until(due.into()) => return,
+                // The sender lives as long as the process.
+                _ = self.heard.changed() => {
+                    if let Some(reading) = *self.heard.borrow_and_update() {
+                        self.follower.hear(reading);
+                    }
+                    self.held.send_replace(self.follower.held());
+                }
+            }
+        }
+    }
+
+    /// Returns the end of what this entry holds, if it is the one that reads for all.
+    fn leads(&self) -> Option<Offset> {
+        let held = self.follower.held().filter(|_| *self.rank.borrow() == 0);
+        held.map(|held| held.end)
+    }
+}
+
 /// Keeps the newest declarations in force.
 pub(crate) async fn catalog<D: Directory>(
     directory: Arc<D>,
+    mut following: Following,
     catalog: watch::Sender<Option<Arc<Catalog>>>,
     desk: DeskHandle,
     log: Logger,
 ) {
     let mut backoff = Backoff::new();
     loop {
-        let end = match directory.catalog().await {
+        following.due().await;
+        if let Some(end) = following.leads()
+            && !changed(&*directory, end, &log).await
+            && let Some(held) = following.follower.held()
+        {
+            following.read(held.mark, held.end);
+            continue;
+        }
+        match directory.catalog().await {
             Ok(seen) => {
                 backoff.worked("declarations", &log);
                 for fault in &seen.faults {
                     warn!(log, "record passed over"; "fault" => fault);
                 }
+                let version = seen.value.as_ref().map_or(0, |catalog| catalog.version);
                 if let Some(newest) = seen.value {
                     apply(newest, &catalog, &desk, &log);
                 }
-                seen.end
-            }
-            Err(error) => {
-                backoff.failed("declarations", &error, &log).await;
-                continue;
+                following.read(version, seen.end);
+                if version == 0 {
+                    sleep(FIRST_RETRY).await;
+                }
             }
-        };
-        wait(&*directory, end, &log).await;
+            Err(error) => backoff.failed("declarations", &error, &log).await,
+        }
     }
 }
 
-/// Returns when the declarations may have changed.
-async fn wait<D: Directory>(directory: &D, end: Offset, log: &Logger) {
-    if let Err(error) = directory.changed(end, CHANGE_WAIT).await {
-        slog::debug!(log, "wait for changes failed"; "error" => %error);
-        sleep(FIRST_RETRY).await;
+/// Waits for a change of the declarations; true if there may be one.
+async fn changed<D: Directory>(directory: &D, end: Offset, log: &Logger) -> bool {
+    match directory.changed(end, CHANGE_WAIT).await {
+        Ok(changed) => changed,
+        Err(error) => {
+            slog::debug!(log, "wait for changes failed"; "error" => %error);
+            true
+        }
     }
 }
 
@@ -110,6 +190,7 @@
 /// Keeps the list of upstreams up to date.
 pub(crate) async fn roster<D: Directory>(
     directory: Arc<D>,
+    mut following: Following,
     desk: DeskHandle,
     known: watch::Sender<bool>,
     log: Logger,
@@ -118,6 +199,7 @@
     let mut count = None;
     let mut told: Vec<String> = Vec::new();
     loop {
+        following.due().await;
         match directory.upstreams().await {
             Ok(seen) => {
                 backoff.worked("upstreams", &log);
@@ -128,15 +210,24 @@
                 if count.replace(seen.value.len()) != Some(seen.value.len()) {
                     info!(log, "upstreams listed"; "count" => seen.value.len(), "end" => seen.end);
                 }
+                following.read(roster_mark(&seen.value), seen.end);
                 desk.tell(Message::Roster(seen.value));
                 known.send_replace(true);
-                sleep(ROSTER_PAUSE).await;
             }
             Err(error) => backoff.failed("upstreams", &error, &log).await,
         }
     }
 }
 
+/// Returns the same number for the same upstreams in the same stages, in any order.
+fn roster_mark(roster: &[Listed]) -> Mark {
+    roster.iter().fold(0, |mark, listed| {
+        let stage = matches!(listed.stage, Stage::Leaving);
+        let life = format!("{} {} {:?} {stage}", listed.id, listed.address, listed.born);
+        mark ^ name_hash(&life)
+    })
+}
+
 /// Lists this entry and keeps the addresses of the others.
 pub(crate) async fn entries<D: Directory>(
     directory: Arc<D>,
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -1,8 +1,9 @@
 //! What entries send each other: one datagram for each report.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
-use egretgate_core::gateway::peer::PeerReport;
+use egretgate_core::gateway::peer::{PeerReport, Report};
 use prost::Message;
 
 /// A report as it is sent.
@@ -20,11 +21,41 @@
     running: HashMap<u64, u32>,
     #[prost(map = "fixed64, uint64", tag = "6")]
     admitted: HashMap<u64, u64>,
+    #[prost(map = "fixed64, float", tag = "7")]
+    asked: HashMap<u64, f32>,
+    #[prost(message, optional, tag = "8")]
+    catalog: Option<Held>,
+    #[prost(message, optional, tag = "9")]
+    roster: Option<Held>,
+}
+
+/// What the sender holds of a piece of shared state.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct Held {
+    #[prost(fixed64, tag = "1")]
+    mark: u64,
+    #[prost(uint64, tag = "2")]
+    end: u64,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+}
+
+impl From<Report> for Held {
+    fn from(report: Report) -> Self {
+        Self { mark: report.mark, end: report.end, age_ms: report.age.as_millis() as u64 }
+    }
+}
+
+impl From<Held> for Report {
+    fn from(held: Held) -> Self {
+        Self { mark: held.mark, end: held.end, age: Duration::from_millis(held.age_ms) }
+    }
 }
 
 /// Returns the report as a datagram.
 pub fn encode(report: &PeerReport) -> Vec<u8> {
     let demand = report.demand.iter().map(|(service, demand)| (*service, *demand as f32));
+    let asked = report.asked.iter().map(|(team, rate)| (*team, *rate as f32));
     Datagram {
         name: report.name.clone(),
         incarnation: report.incarnation,
@@ -32,6 +63,9 @@
         demand: demand.collect(),
         running: report.running.clone(),
         admitted: report.admitted.clone(),
+        asked: asked.collect(),
+        catalog: report.catalog.map(Held::from),
+        roster: report.roster.map(Held::from),
     }
     .encode_to_vec()
 }
@@ -39,8 +73,9 @@
 /// Returns the report in a datagram; `None` if it holds none.
 pub fn decode(bytes: &[u8]) -> Option<PeerReport> {
     let datagram = Datagram::decode(bytes).ok()?;
-    let usable = |demand: f32| if demand.is_finite() { f64::from(demand.max(0.0)) } else { 0.0 };
+    let usable = |value: f32| if value.is_finite() { f64::from(value.max(0.0)) } else { 0.0 };
     let demand = datagram.demand.into_iter().map(|(service, demand)| (service, usable(demand)));
+    let asked = datagram.asked.into_iter().map(|(team, rate)| (team, usable(rate)));
     Some(PeerReport {
         name: datagram.name,
         incarnation: datagram.incarnation,
@@ -48,5 +83,8 @@
         demand: demand.collect(),
         running: datagram.running,
         admitted: datagram.admitted,
+        asked: asked.collect(),
+        catalog: datagram.catalog.map(Report::from),
+        roster: datagram.roster.map(Report::from),
     })
 }
