--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::follow::{Mark, Reading};
-use crate::{Incarnation, InstanceId, Offset, ServiceId, TeamId, UpstreamId};
+use crate::{Incarnation, InstanceId, Offset, ServiceId, UpstreamId};
 
 /// Silence after which another entry's load no longer counts: several reports are missing then.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -36,8 +36,6 @@
     pub running: HashMap<NameHash, u32>,
     /// Tokens admitted in that life, by team.
     pub admitted: HashMap<NameHash, u64>,
-    /// Tokens that callers ask for a second, by team.
-    pub asked: HashMap<NameHash, f64>,
     /// Declarations that it holds.
     pub catalog: Option<Report>,
     /// List of upstreams that it holds.
@@ -137,12 +135,6 @@
         })
     }
 
-    /// Returns the tokens a second that other entries are asked for, for a team.
-    pub fn asked(&self, team: &TeamId, now: Instant) -> f64 {
-        let hash = name_hash(team);
-        self.live(now).filter_map(|report| report.asked.get(&hash)).sum()
-    }
-
     /// Returns the number of fresh entries whose names come before `name`.
     pub fn rank(&self, name: &str, now: Instant) -> usize {
         self.live(now).filter(|report| report.name.as_str() < name).count()
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -20,6 +20,13 @@
 /// Age at which what is derived from other entries' reports is worked out anew.
 const REFRESH: Duration = Duration::from_millis(20);
 
+/// Factor by which a new sample moves the running average of the time at an upstream.
+const HOLD_SMOOTHING: f64 = 0.05;
+/// Time at an upstream below which reports of other entries are out of date, in seconds.
+const BRIEF_SECONDS: f64 = 0.15;
+/// Requests that all entries together may have at an upstream, for each slot, where they end
+/// too soon for reports: as many wait as run, which doubles a short time.
+const BRIEF_REQUESTS: u32 = 2;
 /// Upstreams that are compared for a request, at least; all of them with this many entries.
 const COMPARED: usize = 4;
 /// Entries that may take a slot unseen between two reports, for each slot kept free.
@@ -86,6 +93,21 @@
     pub upstream: UpstreamKey,
 }
 
+/// The end of a started request.
+#[derive(Debug, Clone)]
+pub struct End {
+    /// Service.
+    pub service: ServiceId,
+    /// Upstream.
+    pub key: UpstreamKey,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Digest of the request.
+    pub digest: Option<Digest>,
+    /// Time at which it started.
+    pub started: Instant,
+}
+
 /// What becomes of a request that has just come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -125,6 +147,21 @@
     members: Vec<UpstreamKey>,
     share: Option<Share>,
     running: u32,
+    /// Running average of the seconds that a request is at an upstream.
+    hold: Option<f64>,
+}
+
+impl Backlog {
+    fn note_hold(&mut self, hold: Duration) {
+        let sample = hold.as_secs_f64();
+        let old = self.hold.unwrap_or(sample);
+        self.hold = Some(old + (sample - old) * HOLD_SMOOTHING);
+    }
+
+    /// Returns true if requests end before other entries' reports of them arrive.
+    fn is_brief(&self) -> bool {
+        self.hold.is_some_and(|hold| hold < BRIEF_SECONDS)
+    }
 }
 
 impl Scheduler {
@@ -286,16 +323,13 @@
     }
 
     /// Notes how a started request ended.
-    pub fn finish(
-        &mut self,
-        service: &ServiceId,
-        key: UpstreamKey,
-        outcome: Outcome,
-        digest: Option<Digest>,
-        now: Instant,
-    ) {
-        if let Some(backlog) = self.services.get_mut(service) {
+    pub fn finish(&mut self, end: &End, now: Instant) {
+        let End { key, outcome, digest, .. } = *end;
+        if let Some(backlog) = self.services.get_mut(&end.service) {
             backlog.running = backlog.running.saturating_sub(1);
+            if matches!(outcome, Outcome::Good { .. }) {
+                backlog.note_hold(now.saturating_duration_since(end.started));
+            }
         }
         if let Some(standing) = self.upstreams.get_mut(key) {
             standing.own = standing.own.saturating_sub(1);
@@ -329,7 +363,7 @@
     }
 
     /// Returns what this entry tells the others.
-    pub fn report(&mut self, now: Instant) -> PeerReport {
+    pub fn report(&mut self) -> PeerReport {
         self.sequence += 1;
         let demand = self.services.iter().map(|(service, backlog)| {
             (name_hash(service), f64::from(backlog.running) + backlog.lane.len() as f64)
@@ -337,7 +371,6 @@
         let running = self.upstreams.values().filter(|standing| standing.own > 0);
         let running = running.map(|standing| (name_hash(&standing.listed.id), standing.own));
         let admitted = self.meters.iter().map(|(team, meter)| (name_hash(team), meter.admitted()));
-        let asked = self.meters.iter().map(|(team, meter)| (name_hash(team), meter.asked(now)));
         PeerReport {
             name: self.name.clone(),
             incarnation: self.incarnation,
@@ -345,7 +378,6 @@
             demand: demand.collect(),
             running: running.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
-            asked: asked.filter(|(_, rate)| *rate >= 1.0).collect(),
             catalog: None,
             roster: None,
         }
@@ -367,8 +399,7 @@
         let reached = (self.peers.fresh(now) + 1) as f64;
         let reach = (reached / entries).min(1.0);
         let meter = self.meters.get_mut(&charge.team)?;
-        let elsewhere = self.peers.asked(&charge.team, now);
-        meter.take(charge.tokens, reach, elsewhere, now).err().map(Refusal::OverLimit)
+        meter.take(charge.tokens, reach, now).err().map(Refusal::OverLimit)
     }
 
     fn refund(&mut self, order: &Order) {
@@ -423,11 +454,16 @@
         let entries = self.entries();
         let margin = (entries as u32 - 1).div_ceil(ENTRIES_PER_SLOT);
         let usual = self.usual_pace(backlog);
+        let brief = entries > 1 && backlog.is_brief();
         let usable = backlog.members.iter().copied().filter(|key| {
             let standing = &self.upstreams[*key];
-            standing.is_usable(now)
-                && has_room(standing, share, margin)
-                && !order.avoid.contains(&standing.listed.id)
+            let room = if brief {
+                let slots = standing.listed.slots * BRIEF_REQUESTS;
+                standing.own < slots.div_ceil(entries as u32)
+            } else {
+                has_room(standing, share, margin)
+            };
+            standing.is_usable(now) && room && !order.avoid.contains(&standing.listed.id)
         });
         let cost = |key: &UpstreamKey| self.upstreams[*key].cost(usual, &self.zone);
         // Entries with the same late reports must not all choose the same upstream, so each
--- a/crates/egretgate-gateway/src/desk.rs
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -8,7 +8,7 @@
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::lane::RequestNumber;
 use egretgate_core::gateway::peer::PeerReport;
-use egretgate_core::gateway::scheduler::{Admission, Order, Refusal, Scheduler, UpstreamKey};
+use egretgate_core::gateway::scheduler::{Admission, End, Order, Refusal, Scheduler, UpstreamKey};
 use egretgate_core::gateway::standing::{Listed, Outcome};
 use egretgate_core::{Digest, ServiceId, UpstreamId};
 use tokio::sync::{mpsc, oneshot};
@@ -33,6 +33,7 @@
     key: UpstreamKey,
     service: ServiceId,
     digest: Option<Digest>,
+    started: Instant,
     desk: DeskHandle,
     outcome: Outcome,
 }
@@ -52,13 +53,14 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.desk.tell(Message::Finish(Finish {
+        let end = End {
             service: std::mem::take(&mut self.service),
             key: self.key,
             outcome: self.outcome,
             digest: self.digest,
-            idle: self.idle.take(),
-        }));
+            started: self.started,
+        };
+        self.desk.tell(Message::Finish(end, self.idle.take()));
     }
 }
 
@@ -72,8 +74,8 @@
     Admit(Box<Order>, oneshot::Sender<Reply>),
     /// A request waits no longer.
     Withdraw(RequestNumber),
-    /// A started request ended.
-    Finish(Finish),
+    /// A started request ended, with its connection for another one.
+    Finish(End, Option<Connection>),
     /// A request at the upstream has been silent for long.
     Suspect(UpstreamKey),
     /// Declarations to put in force.
@@ -88,21 +90,6 @@
     Report(oneshot::Sender<(PeerReport, usize)>),
 }
 
-/// The end of a started request.
-#[derive(Debug)]
-pub(crate) struct Finish {
-    /// Service.
-    pub(crate) service: ServiceId,
-    /// Upstream.
-    pub(crate) key: UpstreamKey,
-    /// How it ended.
-    pub(crate) outcome: Outcome,
-    /// Digest of the request.
-    pub(crate) digest: Option<Digest>,
-    /// Connection for another request.
-    pub(crate) idle: Option<Connection>,
-}
-
 /// Reaches the desk.
 #[derive(Debug, Clone)]
 pub(crate) struct DeskHandle {
@@ -201,8 +188,8 @@
                 self.waiting.remove(&number);
                 self.scheduler.withdraw(number);
             }
-            Message::Finish(finish) => {
-                self.finish(finish, now);
+            Message::Finish(end, idle) => {
+                self.finish(&end, idle, now);
                 self.pump(now);
             }
             Message::Suspect(key) => self.scheduler.suspect(key, now),
@@ -217,7 +204,7 @@
             Message::Hear(report) => self.scheduler.hear(report, now),
             Message::Report(reply) => {
                 // The asking task may have ended.
-                let _ = reply.send((self.scheduler.report(now), self.scheduler.rank(now)));
+                let _ = reply.send((self.scheduler.report(), self.scheduler.rank(now)));
             }
         }
     }
@@ -272,6 +259,7 @@
             key,
             service: waiter.service,
             digest: waiter.digest,
+            started: now,
             desk: self.handle.clone(),
             outcome: Outcome::Left,
         };
@@ -279,9 +267,9 @@
         let _ = waiter.reply.send(Ok(lease));
     }
 
-    fn finish(&mut self, finish: Finish, now: Instant) {
-        let Finish { service, key, outcome, digest, idle } = finish;
-        self.scheduler.finish(&service, key, outcome, digest, now);
+    fn finish(&mut self, end: &End, idle: Option<Connection>, now: Instant) {
+        let key = end.key;
+        self.scheduler.finish(end, now);
         if self.scheduler.upstream(key).is_none() {
             return;
         }
--- a/crates/egretgate-gateway/src/front.rs
+++ b/crates/egretgate-gateway/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -52,10 +52,15 @@
 }
 
 impl Front {
-    /// Accepts connections until the process ends.
+    /// Accepts connections until they would come too late to be served.
     pub(crate) async fn run(self: Arc<Self>, listener: TcpListener) {
+        let mut phase = self.phase.clone();
         loop {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = closing(&mut phase) => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     tokio::spawn(Arc::clone(&self).connection(stream));
                 }
@@ -75,7 +80,10 @@
         let limits = self.limits();
         let mut phase = self.phase.clone();
         let front = Arc::clone(&self);
+        let asked = Arc::new(AtomicBool::new(false));
+        let seen = Arc::clone(&asked);
         let service = service_fn(move |request| {
+            seen.store(true, Ordering::Relaxed);
             let front = Arc::clone(&front);
             async move {
                 let mut response = Arc::clone(&front).answer(request).await;
@@ -94,6 +102,10 @@
         let result = tokio::select! {
             result = &mut connection => result,
             () = closing(&mut phase) => {
+                // A request that comes only now could not be served in time.
+                if !asked.load(Ordering::Relaxed) {
+                    return;
+                }
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -21,11 +21,9 @@
     running: HashMap<u64, u32>,
     #[prost(map = "fixed64, uint64", tag = "6")]
     admitted: HashMap<u64, u64>,
-    #[prost(map = "fixed64, float", tag = "7")]
-    asked: HashMap<u64, f32>,
-    #[prost(message, optional, tag = "8")]
+    #[prost(message, optional, tag = "7")]
     catalog: Option<Held>,
-    #[prost(message, optional, tag = "9")]
+    #[prost(message, optional, tag = "8")]
     roster: Option<Held>,
 }
 
@@ -55,7 +53,6 @@
 /// Returns the report as a datagram.
 pub fn encode(report: &PeerReport) -> Vec<u8> {
     let demand = report.demand.iter().map(|(service, demand)| (*service, *demand as f32));
-    let asked = report.asked.iter().map(|(team, rate)| (*team, *rate as f32));
     Datagram {
         name: report.name.clone(),
         incarnation: report.incarnation,
@@ -63,7 +60,6 @@
         demand: demand.collect(),
         running: report.running.clone(),
         admitted: report.admitted.clone(),
-        asked: asked.collect(),
         catalog: report.catalog.map(Held::from),
         roster: report.roster.map(Held::from),
     }
@@ -75,7 +71,6 @@
     let datagram = Datagram::decode(bytes).ok()?;
     let usable = |value: f32| if value.is_finite() { f64::from(value.max(0.0)) } else { 0.0 };
     let demand = datagram.demand.into_iter().map(|(service, demand)| (service, usable(demand)));
-    let asked = datagram.asked.into_iter().map(|(team, rate)| (team, usable(rate)));
     Some(PeerReport {
         name: datagram.name,
         incarnation: datagram.incarnation,
@@ -83,7 +78,6 @@
         demand: demand.collect(),
         running: datagram.running,
         admitted: datagram.admitted,
-        asked: asked.collect(),
         catalog: datagram.catalog.map(Report::from),
         roster: datagram.roster.map(Report::from),
     })
