feat(gateway): long answers go where they fit the deadline; callers wait for a starting entry

(2) After a restart of all, callers got 503 for the first 50 ms, until the declarations were read. Change: the likely number of events and the upstream's pace decide whether an answer fits; callers are accepted once the declarations are read.

--- a/crates/egretgate-core/src/gateway/catalog.rs
+++ b/crates/egretgate-core/src/gateway/catalog.rs
@@ -188,6 +188,8 @@
     pub limits: CallerLimits,
     routes: Vec<Route>,
     teams: Vec<Team>,
+    /// Tokens of an event of a stream, by service.
+    event_tokens: HashMap<ServiceId, u32>,
     /// Position in `teams` of a key's holder.
     keys: HashMap<String, usize>,
     /// Position in `routes` by host and prefix.
@@ -228,6 +230,18 @@
         self
     }
 
+    /// Sets the tokens that an event of the service's streams holds.
+    #[must_use]
+    pub fn with_event_tokens(mut self, service: &str, tokens: u32) -> Self {
+        self.event_tokens.insert(service.to_owned(), tokens.max(1));
+        self
+    }
+
+    /// Returns the tokens that an event of the service's streams holds; 1 if not declared.
+    pub fn event_tokens(&self, service: &str) -> u32 {
+        self.event_tokens.get(service).copied().unwrap_or(1)
+    }
+
     /// Returns every route.
     pub fn routes(&self) -> &[Route] {
         &self.routes
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -27,6 +27,11 @@
 /// Requests that all entries together may have at an upstream, for each slot, where they end
 /// too soon for reports: as many wait as run, which doubles a short time.
 const BRIEF_REQUESTS: u32 = 2;
+/// Time that an answer is reckoned to take against its likely length: nine of ten estimates are
+/// less than this factor off.
+const LENGTH_MARGIN: f64 = 1.7;
+/// Waiting requests that are looked at for one place, if those ahead need a faster upstream.
+const LOOKED_AT: usize = 24;
 /// Upstreams that are compared for a request, at least; all of them with this many entries.
 const COMPARED: usize = 4;
 /// Entries that may take a slot unseen between two reports, for each slot kept free.
@@ -54,6 +59,10 @@
     pub worthwhile: Duration,
     /// Time at which it gives up waiting.
     pub until: Instant,
+    /// Events that its answer is likely to have; 0 for an answer that is no stream.
+    pub events: f64,
+    /// Time at which its caller or its route gives up.
+    pub deadline: Instant,
     /// True if an upstream has got it before.
     pub repeat: bool,
     /// Upstreams that must not get it again.
@@ -271,10 +280,9 @@
             backlog.repeats.request(now, &self.limit);
         }
         backlog.lane.arrived(place.rank, now);
-        let first = backlog.lane.order().next();
-        let may_start = first.is_none_or(|first| first.rank > place.rank);
         let wait = backlog.lane.expected_wait(&place, now);
-        if may_start && let Some(key) = self.choose(&order, now) {
+        // Those that wait were looked at before: what has room now has none for them.
+        if let Some(key) = self.choose(&order, now) {
             self.begin(&order.service, key, now);
             return Admission::Started(key);
         }
@@ -419,10 +427,12 @@
         let mut starts = Vec::new();
         let Some(backlog) = self.services.get(service) else { return starts };
         let order: Vec<Place> = backlog.lane.order().collect();
+        let mut missed = 0;
         for place in order {
             let Some((_, order)) = self.waiting.get(&place.number) else { continue };
             let Some(key) = self.choose(order, now) else {
-                if order.avoid.is_empty() {
+                missed += 1;
+                if missed >= LOOKED_AT {
                     break;
                 }
                 continue;
@@ -455,6 +465,13 @@
         let margin = (entries as u32 - 1).div_ceil(ENTRIES_PER_SLOT);
         let usual = self.usual_pace(backlog);
         let brief = entries > 1 && backlog.is_brief();
+        let left = order.deadline.saturating_duration_since(now).as_secs_f64();
+        let in_time = |standing: &Standing| {
+            order.events * standing.pace().unwrap_or(usual) * LENGTH_MARGIN <= left
+        };
+        // A long answer waits for an upstream that is fast enough, if there is one at all.
+        let picky =
+            order.events > 0.0 && backlog.members.iter().any(|key| in_time(&self.upstreams[*key]));
         let usable = backlog.members.iter().copied().filter(|key| {
             let standing = &self.upstreams[*key];
             let room = if brief {
--- a/crates/egretgate-gateway/src/desk.rs
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -210,6 +210,7 @@
     }
 
     fn admit(&mut self, order: Order, reply: oneshot::Sender<Reply>, now: Instant) {
+        self.pump(now);
         let number = order.number;
         let waiter = Waiter { service: order.service.clone(), digest: order.digest, reply };
         match self.scheduler.admit(order, now) {
--- a/crates/egretgate-gateway/src/dialect.rs
+++ b/crates/egretgate-gateway/src/dialect.rs
@@ -15,6 +15,10 @@
     pub key: Option<String>,
     /// Prompt tokens and the most output tokens, added up.
     pub tokens: Option<u64>,
+    /// Output tokens that are likely, as the caller estimates them.
+    pub likely_output: Option<u64>,
+    /// Output tokens at most.
+    pub most_output: Option<u64>,
     /// Last event of the stream that the caller has got.
     pub last_event: Option<u64>,
 }
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -64,6 +64,8 @@
     upstream: UpstreamId,
     /// Event after which the stream goes on.
     resume_after: Option<u64>,
+    /// Events passed on.
+    pub(crate) events: u64,
     /// True once its end was logged.
     closed: bool,
 }
@@ -88,6 +90,8 @@
     team: Option<TeamId>,
     rank: Rank,
     charge: Option<Charge>,
+    /// Events that the answer is likely to have.
+    events: f64,
     version: u64,
     digest: Digest,
 }
@@ -134,6 +138,7 @@
             },
             team: team.map(|team| team.name.clone()),
             route: route.clone(),
+            events: likely_events(route, &request.head, catalog.event_tokens(&service)),
             service,
             charge,
             version: catalog.version,
@@ -149,6 +154,7 @@
             avoid: Vec::new(),
             upstream: UpstreamId::new(),
             resume_after,
+            events: 0,
             closed: false,
         })
     }
@@ -216,6 +222,9 @@
             "sent" => self.sent,
             "catalog" => self.plan.version,
             "took_ms" => took.as_millis() as u64,
+            "likely_output" => self.request.head.likely_output,
+            "most_output" => self.request.head.most_output,
+            "events" => self.events,
             "outcome" => outcome);
     }
 
@@ -287,6 +296,8 @@
             objective: self.request.received + self.plan.route.objective,
             worthwhile: patience::worthwhile_wait(&self.plan.route),
             until: now + patience::longest_wait(&self.plan.route, left),
+            events: self.plan.events,
+            deadline: self.deadline(),
             repeat: self.sent > 0,
             avoid: self.avoid.clone(),
             digest: Some(self.plan.digest),
@@ -481,6 +492,15 @@
     Cut(Lease),
 }
 
+/// Returns the events that the answer is likely to have; 0 if it is no stream.
+fn likely_events(route: &Route, head: &RequestHead, event_tokens: u32) -> f64 {
+    if !route.kind.is_stream() {
+        return 0.0;
+    }
+    let tokens = head.likely_output.or(head.most_output).unwrap_or(0);
+    (tokens as f64 / f64::from(event_tokens)).ceil()
+}
+
 /// Returns true if an answer can't be its upstream's whole answer to the request.
 fn is_spoiled(head: &AnswerHead, status: StatusCode, headers: &HeaderMap) -> bool {
     let promise = matches!(status.as_u16(), 408 | 421 | 429 | 503);
--- a/crates/egretgate-gateway/src/front.rs
+++ b/crates/egretgate-gateway/src/front.rs
@@ -17,13 +17,16 @@
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::answer::{Body, Fault};
 use crate::exchange::{Exchange, Parts, Shared};
 
 /// Time to come back while the entry starts.
 const START_RETURN: Duration = Duration::from_millis(400);
+/// Time for which callers are kept waiting while the entry starts; they allow a connection a
+/// second.
+const START_WAIT: Duration = Duration::from_millis(700);
 /// Pause after a failed accept, such as one for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Least read buffer that the HTTP library takes, in bytes.
@@ -55,6 +58,12 @@
     /// Accepts connections until they would come too late to be served.
     pub(crate) async fn run(self: Arc<Self>, listener: TcpListener) {
         let mut phase = self.phase.clone();
+        let mut catalog = self.catalog.clone();
+        // Callers that come before the declarations are better kept waiting than refused.
+        let known = catalog.wait_for(Option::is_some);
+        if timeout(START_WAIT, known).await.is_err() {
+            warn!(self.shared.log, "callers are refused until declarations are read");
+        }
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
--- a/crates/egretgate-gateway/src/relay.rs
+++ b/crates/egretgate-gateway/src/relay.rs
@@ -124,7 +124,9 @@
 
     /// Returns the bytes that may be passed on: whole events if the stream may be resumed.
     fn pass(&mut self, bytes: Bytes) -> Bytes {
+        let before = self.splitter.count();
         let whole = self.splitter.push(&bytes);
+        self.exchange.events += self.splitter.count() - before;
         if self.exchange.is_resumable() {
             return whole;
         }
