feat(limit): a team at its limit leaves tokens to its urgent requests

Ruled out: placing and waiting (no other team was refused). Change: each step down in urgency leaves 15 % of the burst to more urgent requests; small requests are exempt.

--- a/crates/egretgate-core/src/gateway/meter.rs
+++ b/crates/egretgate-core/src/gateway/meter.rs
@@ -7,7 +7,14 @@
 use std::time::{Duration, Instant};
 
 use super::catalog::TokenLimit;
+use crate::Tier;
 
+/// Part of the burst that each step down in urgency leaves to more urgent requests of the team.
+const RESERVE: f64 = 0.15;
+/// Steps down in urgency that are told apart.
+const MOST_STEPS: u8 = 3;
+/// Part of the burst up to which a request is too small for a reserve to matter.
+const SMALL: f64 = 0.005;
 /// Longest debt that is remembered, in seconds of the rate.
 const MOST_DEBT: f64 = 8.0;
 /// Longest wait that is named, in seconds.
@@ -38,13 +45,23 @@
 
     /// Takes a request's tokens, or returns the time after which they will be there.
     ///
-    /// `reach` is the part of the entries whose reports are heard: the others may spend their
-    /// part unseen.
-    pub fn take(&mut self, cost: u64, reach: f64, now: Instant) -> Result<(), Duration> {
+    /// `tier` is the tier of the request's route: while the team is at its limit, its less urgent
+    /// requests leave tokens to the more urgent ones. `reach` is the part of the entries whose
+    /// reports are heard: the others may spend their part unseen.
+    pub fn take(
+        &mut self,
+        cost: u64,
+        tier: Tier,
+        reach: f64,
+        now: Instant,
+    ) -> Result<(), Duration> {
         self.fill(reach, now);
         let cost = cost as f64;
+        let burst = self.limit.burst;
+        let steps = f64::from(tier.min(MOST_STEPS));
+        let reserve = if cost > burst * SMALL { steps * RESERVE * burst } else { 0.0 };
         // A request larger than the burst is let through when the bucket is full.
-        let need = cost.min(self.limit.burst);
+        let need = (cost + reserve).min(burst);
         if self.level >= need {
             self.level -= cost;
             self.admitted += cost as u64;
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -407,7 +407,7 @@
         let reached = (self.peers.fresh(now) + 1) as f64;
         let reach = (reached / entries).min(1.0);
         let meter = self.meters.get_mut(&charge.team)?;
-        meter.take(charge.tokens, reach, now).err().map(Refusal::OverLimit)
+        meter.take(charge.tokens, order.rank.route, reach, now).err().map(Refusal::OverLimit)
     }
 
     fn refund(&mut self, order: &Order) {
