fix(gateway): the fit of long answers is in force; waits are estimated by Little's law

The load test at twice the capacity showed that a first wait after an idle time was taken for the usual time between starts. Change: the condition; the rate of starts is what runs over the time it is held.

--- a/crates/egretgate-core/src/gateway/lane.rs
+++ b/crates/egretgate-core/src/gateway/lane.rs
@@ -17,10 +17,8 @@
 /// Number that names a request within one life of an entry.
 pub type RequestNumber = u64;
 
-/// Weight of a new sample in the running average of the time between starts.
-const SMOOTHING: f64 = 0.05;
-/// Shortest time between starts that is reckoned with, in seconds.
-const SHORTEST_SPACING: f64 = 1e-5;
+/// Least starts a second that are reckoned with, so that an estimate exists.
+const LEAST_STARTS: f64 = 1e-3;
 /// Least part of the starts that a rank is reckoned to get, so that an estimate exists.
 const LEAST_PART: f64 = 0.05;
 /// Longest wait that is told apart, in seconds; no caller waits as long.
@@ -42,10 +40,6 @@
 pub struct Lane {
     /// Waiting requests with the time at which each gives up.
     waiting: BTreeMap<Place, Instant>,
-    /// Running average of the seconds between starts while requests wait.
-    spacing: Option<f64>,
-    /// Start of the last request, if others have waited ever since.
-    last_start: Option<Instant>,
     /// Arrivals of each rank.
     arrivals: BTreeMap<Rank, Flow>,
 }
@@ -105,31 +99,18 @@
         self.waiting.keys().copied()
     }
 
-    /// Notes that a request started, from the queue or beside it.
-    pub fn started(&mut self, now: Instant) {
-        if self.waiting.is_empty() {
-            self.last_start = None;
-            return;
-        }
-        if let Some(last) = self.last_start {
-            let sample = now.duration_since(last).as_secs_f64();
-            let old = self.spacing.unwrap_or(sample);
-            self.spacing = Some(old + (sample - old) * SMOOTHING);
-        }
-        self.last_start = Some(now);
-    }
-
     /// Returns the time that a request at `place` is likely to wait.
     ///
     /// Those ahead start first, and so do the more urgent ones that come meanwhile: what is left
-    /// of the starts after these is what the request's rank gets.
-    pub fn expected_wait(&self, place: &Place, now: Instant) -> Duration {
+    /// of the `starts` a second after these is what the request's rank gets.
+    pub fn expected_wait(&self, place: &Place, starts: f64, now: Instant) -> Duration {
         let ahead = self.waiting.keys().filter(|other| other.rank <= place.rank).count();
-        let Some(spacing) = self.spacing.filter(|_| ahead > 0) else { return Duration::ZERO };
-        let starts = 1.0 / spacing.max(SHORTEST_SPACING);
+        if ahead == 0 {
+            return Duration::ZERO;
+        }
         let urgent = self.arrivals.range(..place.rank);
         let urgent: f64 = urgent.map(|(_, flow)| flow.rate(now)).sum();
-        let left = (starts - urgent).max(starts * LEAST_PART);
+        let left = (starts - urgent).max(starts * LEAST_PART).max(LEAST_STARTS);
         Duration::from_secs_f64((ahead as f64 / left).min(LONGEST_WAIT))
     }
 
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -167,6 +167,15 @@
         self.hold = Some(old + (sample - old) * HOLD_SMOOTHING);
     }
 
+    /// Returns the time that a request at `place` is likely to wait: by Little's law, places come
+    /// free as often as what runs is over the time that each is held.
+    fn expected_wait(&self, place: &Place, now: Instant) -> Duration {
+        let Some(hold) = self.hold.filter(|hold| *hold > 0.0 && self.running > 0) else {
+            return Duration::ZERO;
+        };
+        self.lane.expected_wait(place, f64::from(self.running) / hold, now)
+    }
+
     /// Returns true if requests end before other entries' reports of them arrive.
     fn is_brief(&self) -> bool {
         self.hold.is_some_and(|hold| hold < BRIEF_SECONDS)
@@ -261,6 +270,8 @@
     }
 
     /// Decides on a request that has just come, or comes again after an upstream didn't serve it.
+    ///
+    /// [`Scheduler::pump`] comes first, so that what waits goes before what comes.
     pub fn admit(&mut self, order: Order, now: Instant) -> Admission {
         if order.digest.as_ref().is_some_and(|digest| self.breaks.is_poison(digest)) {
             return Admission::Refused(Refusal::Poison);
@@ -280,10 +291,10 @@
             backlog.repeats.request(now, &self.limit);
         }
         backlog.lane.arrived(place.rank, now);
-        let wait = backlog.lane.expected_wait(&place, now);
+        let wait = backlog.expected_wait(&place, now);
         // Those that wait were looked at before: what has room now has none for them.
         if let Some(key) = self.choose(&order, now) {
-            self.begin(&order.service, key, now);
+            self.begin(&order.service, key);
             return Admission::Started(key);
         }
         if wait > order.worthwhile || now + wait > order.until {
@@ -441,19 +452,18 @@
             if let Some(backlog) = self.services.get_mut(service) {
                 backlog.lane.remove(&place);
             }
-            self.begin(service, key, now);
+            self.begin(service, key);
             starts.push(Start { number: place.number, upstream: key });
         }
         starts
     }
 
-    fn begin(&mut self, service: &ServiceId, key: UpstreamKey, now: Instant) {
+    fn begin(&mut self, service: &ServiceId, key: UpstreamKey) {
         if let Some(standing) = self.upstreams.get_mut(key) {
             standing.own += 1;
         }
         if let Some(backlog) = self.services.get_mut(service) {
             backlog.running += 1;
-            backlog.lane.started(now);
         }
     }
 
@@ -480,7 +490,10 @@
             } else {
                 has_room(standing, share, margin)
             };
-            standing.is_usable(now) && room && !order.avoid.contains(&standing.listed.id)
+            standing.is_usable(now)
+                && room
+                && (!picky || in_time(standing))
+                && !order.avoid.contains(&standing.listed.id)
         });
         let cost = |key: &UpstreamKey| self.upstreams[*key].cost(usual, &self.zone);
         // Entries with the same late reports must not all choose the same upstream, so each
--- /dev/null
+++ b/crates/egretgate-core/tests/gateway_follow.rs
@@ -0,0 +1,55 @@
+//! Who reads shared state, and when.
+
+use std::time::{Duration, Instant};
+
+use egretgate_core::gateway::follow::{Follower, Pace, Reading};
+
+const PACE: Pace = Pace {
+    period: Duration::from_millis(600),
+    takeover: Duration::from_millis(850),
+    step: Duration::from_millis(80),
+    limit: Duration::from_millis(1_300),
+};
+
+#[test]
+fn an_entry_reads_when_it_is_its_turn() {
+    struct Case {
+        name: &'static str,
+        rank: usize,
+        /// What another entry reports: mark, end and age in milliseconds.
+        heard: Option<(u64, u64, u64)>,
+        /// Milliseconds after the entry's own reading, which had the mark 1 and the end 10.
+        due_ms: u64,
+    }
+    let cases = [
+        Case { name: "the first reads for all", rank: 0, heard: None, due_ms: 600 },
+        Case { name: "the second takes over", rank: 1, heard: None, due_ms: 850 },
+        Case { name: "the third after it", rank: 2, heard: None, due_ms: 930 },
+        Case { name: "the last within the limit", rank: 25, heard: None, due_ms: 1_300 },
+        Case { name: "the same, later", rank: 1, heard: Some((1, 20, 0)), due_ms: 1_250 },
+        Case { name: "the same, aged", rank: 1, heard: Some((1, 20, 300)), due_ms: 950 },
+        Case { name: "something newer", rank: 25, heard: Some((2, 20, 0)), due_ms: 400 },
+        Case { name: "something older", rank: 1, heard: Some((2, 5, 0)), due_ms: 850 },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let heard_at = start + Duration::from_millis(400);
+        let mut follower = Follower::new(PACE);
+        follower.read(Reading { mark: 1, end: 10, at: start });
+        if let Some((mark, end, age)) = case.heard {
+            follower.hear(Reading { mark, end, at: heard_at - Duration::from_millis(age) });
+        }
+        let due = follower.due(case.rank, heard_at);
+        assert_eq!((due - start).as_millis() as u64, case.due_ms, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_entry_that_holds_nothing_reads_at_once() {
+    let now = Instant::now();
+    let mut follower = Follower::new(PACE);
+    assert_eq!(follower.due(7, now), now);
+    follower.hear(Reading { mark: 1, end: 1, at: now });
+    assert_eq!(follower.due(7, now), now);
+    assert_eq!(follower.held(), None);
+}
--- /dev/null
+++ b/crates/egretgate-core/tests/gateway_limits.rs
@@ -0,0 +1,161 @@
+//! Limits that several entries keep together: tokens of teams, repeats, shares of slots.
+
+use std::time::{Duration, Instant};
+
+use egretgate_core::gateway::catalog::TokenLimit;
+use egretgate_core::gateway::meter::Meter;
+use egretgate_core::gateway::repeat::{RepeatLimit, Repeats};
+use egretgate_core::gateway::share::Share;
+use proptest::prelude::*;
+
+const LIMIT: TokenLimit = TokenLimit { rate: 1_000.0, burst: 1_000.0 };
+
+fn seconds(value: f64) -> Duration {
+    Duration::from_secs_f64(value)
+}
+
+#[test]
+fn a_meter_grants_what_the_limit_leaves() {
+    struct Case {
+        name: &'static str,
+        /// Seconds since the start.
+        at: f64,
+        /// Tokens that other entries admitted before.
+        elsewhere: u64,
+        cost: u64,
+        tier: u8,
+        granted: bool,
+    }
+    let cases = [
+        Case { name: "empty at first", at: 0.0, elsewhere: 0, cost: 1, tier: 0, granted: false },
+        Case { name: "refilled", at: 0.5, elsewhere: 0, cost: 499, tier: 0, granted: true },
+        Case { name: "not beyond", at: 0.5, elsewhere: 0, cost: 501, tier: 0, granted: false },
+        Case { name: "capped", at: 60.0, elsewhere: 0, cost: 1_000, tier: 0, granted: true },
+        Case {
+            name: "larger than all",
+            at: 2.0,
+            elsewhere: 0,
+            cost: 9_000,
+            tier: 0,
+            granted: true,
+        },
+        Case {
+            name: "spent elsewhere",
+            at: 1.0,
+            elsewhere: 600,
+            cost: 500,
+            tier: 0,
+            granted: false,
+        },
+        Case {
+            name: "a debt is paid",
+            at: 1.0,
+            elsewhere: 3_000,
+            cost: 1,
+            tier: 0,
+            granted: false,
+        },
+        Case { name: "left to urgent", at: 0.5, elsewhere: 0, cost: 300, tier: 2, granted: false },
+        Case { name: "urgent takes it", at: 0.5, elsewhere: 0, cost: 300, tier: 0, granted: true },
+        Case { name: "small is exempt", at: 0.1, elsewhere: 0, cost: 4, tier: 2, granted: true },
+    ];
+    for case in cases {
+        let start = Instant::now();
+        let mut meter = Meter::new(LIMIT, start);
+        let now = start + seconds(case.at);
+        // Fills the bucket without taking from it.
+        assert!(meter.take(0, 0, 1.0, now).is_ok(), "{}", case.name);
+        meter.spend_elsewhere(case.elsewhere);
+        let taken = meter.take(case.cost, case.tier, 1.0, now);
+        assert_eq!(taken.is_ok(), case.granted, "{}", case.name);
+    }
+}
+
+#[test]
+fn entries_together_stay_at_the_rate_whatever_they_are_asked() {
+    // Reports take 200 ms between 26 entries, each asked for the whole rate every moment.
+    const ENTRIES: usize = 26;
+    const STEP: Duration = Duration::from_millis(10);
+    const STEPS: u32 = 1_000;
+    const REPORT_STEPS: u32 = 20;
+    let start = Instant::now();
+    let mut meters: Vec<Meter> = (0..ENTRIES).map(|_| Meter::new(LIMIT, start)).collect();
+    let mut told = vec![0; ENTRIES];
+    for step in 1..=STEPS {
+        let now = start + STEP * step;
+        for meter in &mut meters {
+            let _ = meter.take(10, 0, 1.0, now);
+        }
+        if step % REPORT_STEPS == 0 {
+            for sender in 0..ENTRIES {
+                let total = meters[sender].admitted();
+                let new = total - std::mem::replace(&mut told[sender], total);
+                let others = (0..ENTRIES).filter(|entry| *entry != sender);
+                others.for_each(|entry| meters[entry].spend_elsewhere(new));
+            }
+        }
+    }
+    let admitted: u64 = meters.iter().map(Meter::admitted).sum();
+    // Ten seconds of the rate, the burst, and a tenth above, as the platform allows.
+    assert!(admitted <= 12_100, "{admitted} tokens admitted");
+    assert!(admitted >= 9_000, "{admitted} tokens admitted");
+}
+
+#[test]
+fn a_lower_limit_binds_at_once() {
+    let start = Instant::now();
+    let mut meter = Meter::new(LIMIT, start);
+    let now = start + seconds(5.0);
+    assert!(meter.take(1, 0, 1.0, now).is_ok());
+    meter.set_limit(TokenLimit { rate: 10.0, burst: 10.0 });
+    assert!(meter.take(11, 0, 1.0, now).is_ok(), "a full bucket passes one larger request");
+    assert!(meter.take(1, 0, 1.0, now).is_err());
+}
+
+#[test]
+fn repeats_keep_to_the_budget_of_the_fleet() {
+    struct Case {
+        name: &'static str,
+        requests: u32,
+        entries: usize,
+        most: f64,
+    }
+    let limit = RepeatLimit { ratio: 0.2, slack: 54.0, window: Duration::from_secs(10) };
+    let cases = [
+        Case { name: "alone and idle", requests: 0, entries: 1, most: 54.0 },
+        Case { name: "one of four", requests: 100, entries: 4, most: 33.5 },
+        Case { name: "one of 26", requests: 100, entries: 26, most: 22.1 },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut repeats = Repeats::default();
+        for _ in 0..case.requests {
+            repeats.request(now, &limit);
+        }
+        let granted = (0..1_000).filter(|_| repeats.repeat(now, &limit, case.entries)).count();
+        assert!(granted as f64 <= case.most, "{}: {granted}", case.name);
+        assert!(granted > 0, "{}", case.name);
+        let later = now + limit.window + seconds(0.1);
+        assert!(repeats.repeat(later, &limit, case.entries), "{}: a new window", case.name);
+    }
+}
+
+proptest! {
+    #[test]
+    fn shares_divide_the_slots_exactly(
+        demands in proptest::collection::vec(0.0_f64..200.0, 1..30),
+        slots in 1_u32..40,
+        upstream in "[a-z]{1,12}",
+    ) {
+        let names: Vec<String> = (0..demands.len()).map(|i| format!("entry-{i:02}")).collect();
+        let shares = (0..demands.len()).map(|own| {
+            let others = (0..demands.len()).filter(|other| *other != own);
+            let others = others.map(|other| (names[other].as_str(), demands[other]));
+            Share::new(&names[own], demands[own], others)
+        });
+        let total: u32 = shares.map(|share| share.slots(&upstream, slots)).sum();
+        // Rounding at the seams may move one slot, never add to them.
+        prop_assert!(total <= slots + 1, "{total} of {slots}");
+        prop_assert!(total + 1 >= slots, "{total} of {slots}");
+    }
+}
--- /dev/null
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -0,0 +1,289 @@
+//! Which request starts where, which waits and which is refused.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use assert_matches::assert_matches;
+use egretgate_core::Digest;
+use egretgate_core::gateway::catalog::Catalog;
+use egretgate_core::gateway::lane::Rank;
+use egretgate_core::gateway::scheduler::{Admission, End, Order, Refusal, Scheduler, UpstreamKey};
+use egretgate_core::gateway::standing::{Listed, Outcome, Stage};
+
+const OBJECTIVE: Duration = Duration::from_millis(400);
+const DEADLINE: Duration = Duration::from_secs(8);
+
+fn listed(id: &str, slots: u32) -> Listed {
+    Listed {
+        id: id.to_owned(),
+        service: "writer".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "olinda".to_owned(),
+        version: "v1".to_owned(),
+        slots,
+        stage: Stage::Ready,
+        born: Some(1),
+    }
+}
+
+fn order(number: u64, route: u8, now: Instant) -> Order {
+    Order {
+        number,
+        service: "writer".to_owned(),
+        rank: Rank { tier: 0, route },
+        charge: None,
+        objective: now + OBJECTIVE,
+        worthwhile: OBJECTIVE.mul_f64(0.75),
+        until: now + Duration::from_millis(1_500),
+        events: 0.0,
+        deadline: now + DEADLINE,
+        repeat: false,
+        avoid: Vec::new(),
+        digest: None,
+    }
+}
+
+fn scheduler(roster: Vec<Listed>) -> Scheduler {
+    let mut scheduler = Scheduler::new("entry-1", "olinda", 1);
+    scheduler.set_catalog(Arc::new(Catalog::new(1)), Instant::now());
+    scheduler.set_roster(roster);
+    scheduler
+}
+
+fn end(key: UpstreamKey, outcome: Outcome, started: Instant) -> End {
+    End { service: "writer".to_owned(), key, outcome, digest: None, started }
+}
+
+fn good(pace: f64) -> Outcome {
+    Outcome::Good { pace: Some(pace) }
+}
+
+#[test]
+fn no_upstream_gets_more_than_its_slots() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(vec![listed("a", 3), listed("b", 2)]);
+    let admissions: Vec<_> = (0..7).map(|n| scheduler.admit(order(n, 0, now), now)).collect();
+    let started = admissions.iter().filter(|a| matches!(a, Admission::Started(_))).count();
+    assert_eq!(started, 5);
+    assert_eq!(scheduler.backlog(), 2);
+    for standing in scheduler.upstreams() {
+        assert!(standing.own <= standing.listed.slots);
+    }
+}
+
+#[test]
+fn urgent_requests_start_first() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(vec![listed("a", 1)]);
+    let Admission::Started(key) = scheduler.admit(order(0, 2, now), now) else {
+        panic!("an idle upstream has room");
+    };
+    for (number, route) in [(1, 2), (2, 1), (3, 0), (4, 0)] {
+        assert_matches!(scheduler.admit(order(number, route, now), now), Admission::Queued);
+    }
+    let mut starts = Vec::new();
+    for _ in 0..4 {
+        scheduler.finish(&end(key, good(1.0), now), now);
+        starts.extend(scheduler.pump(now).into_iter().map(|start| start.number));
+    }
+    assert_eq!(starts, [3, 4, 2, 1]);
+}
+
+#[test]
+fn what_an_outcome_means_for_the_next_request() {
+    struct Case {
+        name: &'static str,
+        outcomes: &'static [Outcome],
+        /// Milliseconds after the last outcome.
+        after_ms: u64,
+        usable: bool,
+    }
+    const GOOD: Outcome = Outcome::Good { pace: None };
+    let cases = [
+        Case { name: "good", outcomes: &[GOOD], after_ms: 0, usable: true },
+        Case { name: "one lost answer", outcomes: &[Outcome::Broken], after_ms: 0, usable: true },
+        Case {
+            name: "two in a row",
+            outcomes: &[Outcome::Broken, Outcome::Broken],
+            after_ms: 0,
+            usable: false,
+        },
+        Case {
+            name: "two with a good one between",
+            outcomes: &[Outcome::Broken, GOOD, Outcome::Broken],
+            after_ms: 0,
+            usable: true,
+        },
+        Case { name: "unreachable", outcomes: &[Outcome::Unreachable], after_ms: 0, usable: false },
+        Case {
+            name: "unreachable, a while ago",
+            outcomes: &[Outcome::Unreachable],
+            after_ms: 310,
+            usable: true,
+        },
+        Case { name: "full", outcomes: &[Outcome::Full], after_ms: 0, usable: false },
+        Case { name: "full, a moment ago", outcomes: &[Outcome::Full], after_ms: 70, usable: true },
+        Case {
+            name: "another's address",
+            outcomes: &[Outcome::Moved],
+            after_ms: 60_000,
+            usable: false,
+        },
+        Case { name: "the caller left", outcomes: &[Outcome::Left], after_ms: 0, usable: true },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut scheduler = scheduler(vec![listed("a", 9)]);
+        for (number, outcome) in case.outcomes.iter().enumerate() {
+            let admission = scheduler.admit(order(number as u64, 0, now), now);
+            let Admission::Started(key) = admission else { panic!("{}", case.name) };
+            scheduler.finish(&end(key, *outcome, now), now);
+        }
+        let then = now + Duration::from_millis(case.after_ms);
+        let admission = scheduler.admit(order(99, 0, then), then);
+        assert_eq!(matches!(admission, Admission::Started(_)), case.usable, "{}", case.name);
+    }
+}
+
+#[test]
+fn leaving_and_unlisted_upstreams_get_nothing() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(vec![listed("a", 9)]);
+    let leaving = Listed { stage: Stage::Leaving, ..listed("a", 9) };
+    assert!(scheduler.set_roster(vec![leaving]).is_empty(), "its running requests go on");
+    assert_matches!(scheduler.admit(order(1, 0, now), now), Admission::Queued);
+    assert_eq!(scheduler.set_roster(Vec::new()).len(), 1);
+    assert_matches!(scheduler.admit(order(2, 0, now), now), Admission::Queued);
+    scheduler.set_roster(vec![listed("a", 9)]);
+    assert_eq!(scheduler.pump(now).len(), 2);
+}
+
+#[test]
+fn a_second_life_under_the_same_name_starts_anew() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(vec![listed("a", 1)]);
+    assert_matches!(scheduler.admit(order(1, 0, now), now), Admission::Started(_));
+    let reborn = Listed { born: Some(2), ..listed("a", 1) };
+    assert_eq!(scheduler.set_roster(vec![reborn]).len(), 1);
+    assert_matches!(scheduler.admit(order(2, 0, now), now), Admission::Started(_));
+}
+
+#[test]
+fn long_answers_wait_for_a_fast_upstream() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(vec![listed("fast", 2), listed("slow", 2)]);
+    // Teaches the paces: 10 ms and 60 ms an event.
+    let keys: Vec<UpstreamKey> = (0..4)
+        .map(|number| match scheduler.admit(order(number, 0, now), now) {
+            Admission::Started(key) => key,
+            other => panic!("there is room: {other:?}"),
+        })
+        .collect();
+    for key in keys {
+        let slow = scheduler.upstream(key).unwrap().listed.id == "slow";
+        scheduler.finish(&end(key, good(if slow { 0.06 } else { 0.01 }), now), now);
+    }
+    let long = |number| Order { events: 200.0, ..order(number, 0, now) };
+    let place = |scheduler: &mut Scheduler, order: Order| match scheduler.admit(order, now) {
+        Admission::Started(key) => Some(scheduler.upstream(key).unwrap().listed.id.clone()),
+        _ => None,
+    };
+    assert_eq!(place(&mut scheduler, long(10)).as_deref(), Some("fast"));
+    assert_eq!(place(&mut scheduler, long(11)).as_deref(), Some("fast"));
+    assert_eq!(place(&mut scheduler, long(12)), None, "the slow one would take too long");
+    assert_eq!(place(&mut scheduler, order(13, 0, now)).as_deref(), Some("slow"));
+}
+
+#[test]
+fn a_request_that_breaks_three_upstreams_runs_no_more() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(vec![listed("a", 9), listed("b", 9), listed("c", 9)]);
+    let digest = Some(Digest::of(&[b"same body"]));
+    for number in 0..3 {
+        let poison = Order { digest, ..order(number, 0, now) };
+        let Admission::Started(key) = scheduler.admit(poison, now) else {
+            panic!("run {number} is allowed");
+        };
+        scheduler.finish(&End { digest, ..end(key, Outcome::Broken, now) }, now);
+    }
+    let again = Order { digest, ..order(9, 0, now) };
+    assert_eq!(scheduler.admit(again, now), Admission::Refused(Refusal::Poison));
+    assert_matches!(scheduler.admit(order(10, 0, now), now), Admission::Started(_));
+}
+
+#[test]
+fn a_withdrawn_request_never_starts() {
+    let now = Instant::now();
+    let mut scheduler = scheduler(vec![listed("a", 1)]);
+    let Admission::Started(key) = scheduler.admit(order(1, 0, now), now) else {
+        panic!("an idle upstream has room");
+    };
+    assert_matches!(scheduler.admit(order(2, 0, now), now), Admission::Queued);
+    scheduler.withdraw(2);
+    scheduler.finish(&end(key, good(1.0), now), now);
+    assert!(scheduler.pump(now).is_empty());
+}
+
+/// Plays a load of twice the capacity for some seconds and counts what callers get.
+///
+/// The load it answers is the burst of the heaviest days: three tiers of requests, each asking
+/// for two thirds of the slots, with unequal times.
+#[test]
+fn under_twice_the_load_urgent_callers_lose_nothing() {
+    const STEP: Duration = Duration::from_millis(5);
+    const STEPS: u64 = 2_000;
+    const SETTLING: u64 = 200;
+    const HOLD: Duration = Duration::from_millis(200);
+    // 20 slots and 200 ms make 100 requests a second; each tier sends 66 a second.
+    let start = Instant::now();
+    let mut scheduler = scheduler(vec![listed("a", 10), listed("b", 10)]);
+    let mut running: Vec<(Instant, UpstreamKey)> = Vec::new();
+    let mut tiers: BTreeMap<u64, (u8, Instant)> = BTreeMap::new();
+    let mut number = 0;
+    let mut asked = [0_u32; 3];
+    let mut in_time = [0_u32; 3];
+    let mut refused_late = 0;
+    for step in 0..STEPS {
+        let now = start + STEP * step as u32;
+        let (done, rest) = running.iter().partition(|(until, _)| *until <= now);
+        running = rest;
+        let done: Vec<(Instant, UpstreamKey)> = done;
+        for (until, key) in done {
+            scheduler.finish(&end(key, good(0.2), until - HOLD), now);
+        }
+        refused_late += scheduler.expire(now).len();
+        // Those that wait go before those that come, as the desk does it.
+        let mut begun = scheduler.pump(now);
+        for tier in 0..3_u8 {
+            // The last requests are let finish, so that each one's fate is known.
+            if step % 3 != u64::from(tier) || step + SETTLING > STEPS {
+                continue;
+            }
+            number += 1;
+            asked[usize::from(tier)] += 1;
+            tiers.insert(number, (tier, now + OBJECTIVE));
+            if let Admission::Started(key) = scheduler.admit(order(number, tier, now), now) {
+                running.push((now + HOLD, key));
+                in_time[usize::from(tier)] += 1;
+            }
+        }
+        begun.extend(scheduler.pump(now));
+        for begun in begun {
+            running.push((now + HOLD, begun.upstream));
+            let (tier, objective) = tiers[&begun.number];
+            in_time[usize::from(tier)] += u32::from(now < objective);
+        }
+    }
+    let share = |tier: usize| f64::from(in_time[tier]) / f64::from(asked[tier]);
+    assert!(share(0) >= 0.99, "top tier {}", share(0));
+    assert!(share(0) >= share(1) && share(1) >= share(2), "{in_time:?} of {asked:?}");
+    let total: u32 = in_time.iter().sum();
+    // The slots are used: 100 a second for nine seconds.
+    assert!(total >= 850, "{total} in time");
+    // Requests that can't be served are refused at once, not after a wait.
+    assert!(
+        refused_late <= asked.iter().sum::<u32>() as usize / 50,
+        "{refused_late} waited in vain"
+    );
+}
