--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -64,6 +64,10 @@
     upstream: UpstreamId,
     /// Event after which the stream goes on.
     resume_after: Option<u64>,
+    /// Time spent waiting for upstreams.
+    waited: Duration,
+    /// Time after which the caller was told to come back.
+    retry_after: Option<Duration>,
     /// Events passed on.
     pub(crate) events: u64,
     /// True once its end was logged.
@@ -154,6 +158,8 @@
             avoid: Vec::new(),
             upstream: UpstreamId::new(),
             resume_after,
+            waited: Duration::ZERO,
+            retry_after: None,
             events: 0,
             closed: false,
         })
@@ -168,6 +174,7 @@
                 response
             }
             Err(Ending::Fault(fault, retry_after)) => {
+                self.retry_after = retry_after;
                 self.close(fault.code());
                 fault.answer(retry_after)
             }
@@ -225,6 +232,8 @@
             "likely_output" => self.request.head.likely_output,
             "most_output" => self.request.head.most_output,
             "events" => self.events,
+            "waited_ms" => self.waited.as_millis() as u64,
+            "retry_after_ms" => self.retry_after.map(|wait| wait.as_millis() as u64),
             "outcome" => outcome);
     }
 
@@ -253,6 +262,7 @@
             };
             self.upstream.clone_from(&lease.id);
             let attempt = self.attempt(lease).await;
+            self.note(&attempt);
             self.avoid.push(self.upstream.clone());
             match attempt {
                 Attempt::Answer(run, status) => return Ok((run, status)),
@@ -276,6 +286,25 @@
         }
     }
 
+    /// Logs an attempt that gave no answer to pass on.
+    fn note(&self, attempt: &Attempt) {
+        let what = match attempt {
+            Attempt::Answer(..) => return,
+            Attempt::Failure(_) => "failed",
+            Attempt::NotRun => "refused",
+            Attempt::NotSent => "unreachable",
+            Attempt::Unknown => "lost",
+        };
+        metrics::counter!("egretgate_attempts_failed_total", "outcome" => what).increment(1);
+        info!(self.shared.log, "attempt";
+            "id" => &self.request.head.id,
+            "upstream" => &self.upstream,
+            "sent" => self.sent,
+            "took_ms" => self.request.received.elapsed().as_millis() as u64,
+            "left_ms" => self.left().as_millis() as u64,
+            "outcome" => what);
+    }
+
     /// Returns the end of a request that may have run.
     fn lost(&self) -> Ending {
         let fault = if self.left().is_zero() { Fault::TimedOut } else { Fault::AnswerLost };
@@ -299,7 +328,9 @@
             avoid: self.avoid.clone(),
             digest: Some(self.plan.digest),
         };
-        self.shared.desk.admit(order).await.map_err(|refusal| self.refusal(refusal))
+        let reply = self.shared.desk.admit(order).await;
+        self.waited += now.elapsed();
+        reply.map_err(|refusal| self.refusal(refusal))
     }
 
     fn refusal(&self, refusal: Refusal) -> Ending {
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -9,8 +9,9 @@
 use egretgate_core::gateway::repeat::RepeatLimit;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::{InstanceId, PlaceId};
+use http::StatusCode;
 use rand::RngExt;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout};
@@ -21,8 +22,9 @@
 use crate::exchange::Shared;
 use crate::front::{Front, Phase};
 use crate::gossip::{Exchanged, Gossip};
+use crate::pages::{Answer, Page};
 use crate::sync::Following;
-use crate::{ready, sync};
+use crate::{pages, sync};
 
 /// Where the entry listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -64,6 +66,8 @@
     pub repeats: RepeatLimit,
     /// Times within which it stops.
     pub bounds: Bounds,
+    /// Where metrics are served, and their page.
+    pub metrics: Option<(SocketAddr, Page)>,
 }
 
 /// The forwarding path while it runs.
@@ -83,7 +87,7 @@
         directory: D,
         log: Logger,
     ) -> std::io::Result<Self> {
-        let Options { name, zone, addresses, repeats, bounds } = options;
+        let Options { name, zone, addresses, repeats, bounds, metrics } = options;
         let front = TcpListener::bind(addresses.front).await?;
         let ready_listener = TcpListener::bind(addresses.ready).await?;
         let peers = UdpSocket::bind(addresses.peers).await?;
@@ -134,7 +138,18 @@
             log: log.clone(),
         };
         tokio::spawn(gossip.run());
-        tokio::spawn(ready::run(ready_listener, ready, log.clone()));
+        let ready_page = Page::new(move || Answer {
+            status: if *ready.borrow() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE },
+            text: String::new(),
+        });
+        tokio::spawn(pages::run(ready_listener, ready_page, log.clone()));
+        if let Some((address, page)) = metrics {
+            match TcpListener::bind(address).await {
+                Ok(listener) => drop(tokio::spawn(pages::run(listener, page, log.clone()))),
+                // Callers are served without metrics rather than not at all.
+                Err(error) => warn!(log, "no metrics"; "address" => %address, "error" => %error),
+            }
+        }
         tokio::spawn(readiness(catalog.clone(), roster, phase.clone(), ready_sender, log.clone()));
         let shared = Shared { dialect: Box::new(dialect), desk, log: log.clone() };
         let front_task = Arc::new(Front {
--- /dev/null
+++ b/crates/egretgate-gateway/src/pages.rs
@@ -0,0 +1,81 @@
+//! Pages for the platform and for operators: readiness and metrics.
+
+use std::convert::Infallible;
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use slog::{Logger, warn};
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+/// Time for the head of a question.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a failed accept, such as one for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// A page, made anew for each question.
+#[derive(Clone)]
+pub struct Page(Arc<dyn Fn() -> Answer + Send + Sync>);
+
+/// What a page says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Text.
+    pub text: String,
+}
+
+impl Page {
+    /// Returns the page that `make` makes.
+    pub fn new(make: impl Fn() -> Answer + Send + Sync + 'static) -> Self {
+        Self(Arc::new(make))
+    }
+}
+
+impl fmt::Debug for Page {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Page")
+    }
+}
+
+/// Serves a page at any path until the process ends.
+pub(crate) async fn run(listener: TcpListener, page: Page, log: Logger) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!(log, "accept failed"; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let page = page.clone();
+        let service = service_fn(move |_: Request<Incoming>| {
+            let answer = (page.0)();
+            async move { Ok::<_, Infallible>(respond(answer)) }
+        });
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIMEOUT)
+            .serve_connection(TokioIo::new(stream), service);
+        tokio::spawn(async move {
+            // The asker may leave at any time.
+            let _ = connection.await;
+        });
+    }
+}
+
+fn respond(answer: Answer) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(answer.text)));
+    *response.status_mut() = answer.status;
+    response
+}
--- a/crates/egretgate/src/command.rs
+++ b/crates/egretgate/src/command.rs
@@ -4,6 +4,7 @@
 mod args;
 mod check;
 mod connect;
+mod explain;
 mod failure;
 mod get;
 mod moves;
@@ -49,11 +50,12 @@
     CheckSettings,
     CheckFile,
     Status,
+    Explain,
 }
 
 impl Command {
     /// Every command; `check settings` stands before `check FILE`, which takes any word.
-    const ALL: [Self; 12] = [
+    const ALL: [Self; 13] = [
         Self::Apply,
         Self::Get,
         Self::Records,
@@ -66,6 +68,7 @@
         Self::CheckSettings,
         Self::CheckFile,
         Self::Status,
+        Self::Explain,
     ];
 
     const fn spec(self) -> &'static Spec {
@@ -82,6 +85,7 @@
             Self::CheckSettings => &check::SETTINGS,
             Self::CheckFile => &check::FILE,
             Self::Status => &status::SPEC,
+            Self::Explain => &explain::SPEC,
         }
     }
 
@@ -152,6 +156,7 @@
         Command::ReportBurn => report::run(&parsed, output).await,
         Command::CheckFile => check::file(&parsed, output),
         Command::Status => status::run(&parsed, output).await,
+        Command::Explain => explain::run(&parsed, output),
         Command::CheckSettings => Ok(()),
     }
 }
--- /dev/null
+++ b/crates/egretgate/src/command/explain.rs
@@ -0,0 +1,179 @@
+//! `explain ID`: the story of one request from the logs of the gateway.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader, stdin};
+
+use eyre::WrapErr;
+
+use super::args::{Parsed, Spec};
+use super::failure::{Failure, Result};
+use super::output::Output;
+
+/// `explain`.
+pub(super) static SPEC: Spec = Spec {
+    words: &["explain"],
+    operands: &["ID", "[FILE]"],
+    about: "Prints what the gateway's logs say of a request, from a file or from standard input.",
+    flags: &[],
+    remote: false,
+};
+
+/// Fields of a line that are not part of the story.
+const FRAME: [&str; 4] = ["level", "msg", "unix_ms", "id"];
+
+/// What an outcome means, and where to look next.
+struct Meaning {
+    outcome: &'static str,
+    text: &'static str,
+}
+
+const MEANINGS: [Meaning; 14] = [
+    Meaning { outcome: "served", text: "the caller got the upstream's whole answer" },
+    Meaning {
+        outcome: "failed_upstream",
+        text: "the upstream itself answered with a failure; look at that upstream",
+    },
+    Meaning {
+        outcome: "answer_lost",
+        text: "an upstream may have run it and its answer was cut or spoiled; \
+               look at the `attempt` lines and at that upstream",
+    },
+    Meaning { outcome: "cut", text: "the stream broke midway and could not go on elsewhere" },
+    Meaning { outcome: "timed_out", text: "the upstream did not answer within the route's time" },
+    Meaning {
+        outcome: "timed_out_waiting",
+        text: "no upstream had room within the route's time; it has not run",
+    },
+    Meaning {
+        outcome: "overloaded",
+        text: "it would have waited too long for an upstream; it has not run. \
+               Compare egretgate_waiting and the number of upstreams listed",
+    },
+    Meaning {
+        outcome: "no_upstream",
+        text: "no upstream took it; it has not run. Look at the `attempt` lines and at \
+               `upstreams listed`",
+    },
+    Meaning {
+        outcome: "over_limit",
+        text: "its team is over its token limit; it has not run. Look at the team's declaration",
+    },
+    Meaning {
+        outcome: "unauthorized",
+        text: "no team holds its key in the declarations named; it has not run. Look at \
+               `declarations in force` for when that version came",
+    },
+    Meaning {
+        outcome: "no_route",
+        text: "no route takes its host and path in the declarations named; it has not run",
+    },
+    Meaning {
+        outcome: "not_ready",
+        text: "the entry had not read its declarations; it has not run. Look at `directory lost`",
+    },
+    Meaning { outcome: "caller_left", text: "the caller closed its connection before the end" },
+    Meaning { outcome: "poison", text: "runs of the same request have broken several upstreams" },
+];
+
+/// A line that tells of the request.
+struct Line {
+    /// Time that the writing process read, in Unix milliseconds; 0 if the line names none.
+    at: u64,
+    event: String,
+    fields: BTreeMap<String, String>,
+}
+
+/// What was read.
+#[derive(Default)]
+struct Story {
+    lines: Vec<Line>,
+    /// Lines that name the request and can't be read.
+    unreadable: usize,
+    /// Lines whose time lies before that of the line above.
+    reversed: usize,
+}
+
+/// Prints the story of a request.
+pub(super) fn run(parsed: &Parsed, output: &mut Output<'_>) -> Result<()> {
+    let id = parsed.operand(0).unwrap_or_default();
+    let story = match parsed.operand(1) {
+        None | Some("-") => read(stdin().lock(), id)?,
+        Some(name) => {
+            let file = File::open(name).wrap_err_with(|| format!("{name}: can't be read"))?;
+            read(BufReader::new(file), id)?
+        }
+    };
+    if story.unreadable > 0 {
+        output.progress(format_args!("{} lines are cut or garbled", story.unreadable));
+    }
+    if story.reversed > 0 {
+        output.progress(format_args!(
+            "{} lines are out of order: clocks differ or logs were joined",
+            story.reversed
+        ));
+    }
+    if story.lines.is_empty() {
+        return Err(Failure::refused(format!("no line tells of request {id}")));
+    }
+    tell(&story, output)
+}
+
+fn read(lines: impl BufRead, id: &str) -> Result<Story> {
+    let mut story = Story::default();
+    for line in lines.split(b'\n') {
+        let line = line.wrap_err("the log can't be read")?;
+        let text = String::from_utf8_lossy(&line);
+        if !text.contains(id) {
+            continue;
+        }
+        match parse(&text) {
+            Some(line) if line.fields.get("id").is_some_and(|found| found == id) => {
+                let last = story.lines.last().map_or(0, |last| last.at);
+                story.reversed += usize::from(line.at < last);
+                story.lines.push(line);
+            }
+            Some(_) => {}
+            None => story.unreadable += 1,
+        }
+    }
+    story.lines.sort_by_key(|line| line.at);
+    Ok(story)
+}
+
+/// Reads a line of key=value pairs; `None` if it is cut within a quoted value or has no event.
+fn parse(text: &str) -> Option<Line> {
+    let pairs = shlex::split(text)?;
+    let fields: BTreeMap<String, String> = pairs
+        .iter()
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(key, value)| (key.to_owned(), value.to_owned()))
+        .collect();
+    let event = fields.get("msg")?.clone();
+    let at = fields.get("unix_ms").and_then(|at| at.parse().ok()).unwrap_or(0);
+    Some(Line { at, event, fields })
+}
+
+fn tell(story: &Story, output: &mut Output<'_>) -> Result<()> {
+    let first = story.lines.first().map_or(0, |line| line.at);
+    for line in &story.lines {
+        let fields = line.fields.iter().filter(|(key, _)| !FRAME.contains(&key.as_str()));
+        let fields: Vec<String> = fields.map(|(key, value)| format!("{key}={value}")).collect();
+        output.line(format_args!(
+            "{:>6} ms  {}  {}",
+            line.at - first,
+            line.event,
+            fields.join(" ")
+        ))?;
+    }
+    let last = story.lines.iter().rev().find(|line| line.event != "attempt");
+    let outcome = last.and_then(|line| line.fields.get("outcome")).map(String::as_str);
+    match outcome {
+        None => output.line("no end is logged: the process ended first, or the log is incomplete"),
+        Some(outcome) => {
+            let meaning = MEANINGS.iter().find(|meaning| meaning.outcome == outcome);
+            let text = meaning.map_or("see docs/OPERATIONS.md", |meaning| meaning.text);
+            output.line(format_args!("{outcome}: {text}"))
+        }
+    }
+}
--- a/crates/egretgate/src/host.rs
+++ b/crates/egretgate/src/host.rs
@@ -1,23 +1,39 @@
 //! `egretgate gateway`: the forwarding path on the users' platform.
 
 use std::ffi::OsString;
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::str::FromStr;
 
 use egretgate_adapter::{Headers, Settings, Store};
-use egretgate_gateway::Gateway;
+use egretgate_gateway::{Answer, Gateway, Page};
+use http::StatusCode;
+use lexopt::ValueExt as _;
+use metrics_exporter_prometheus::PrometheusBuilder;
 use slog::{Level, Logger, info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::command::Exit;
 
+/// Upper bounds of the latency histograms, in seconds: from a call of a plain service to the
+/// longest deadline.
+const LATENCY_BUCKETS: [f64; 12] =
+    [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
+
 /// Text of `egretgate gateway --help`.
-const HELP: &str = "Usage: egretgate gateway [--check]
+const HELP: &str = "Usage: egretgate gateway [--check] [--metrics-port PORT] [--log-level LEVEL]
 
 Forwards callers' requests to upstreams, as the platform's settings file says.
 
   --check
       Reads the settings file, reports its faults and ends.
 
+  --metrics-port PORT
+      Port of the metrics page on the instance's address; without it there is none.
+
+  --log-level LEVEL
+      Least level that is logged: error, warning, info or debug [default: info].
+
   --help
       Prints this text.
 
@@ -28,10 +44,19 @@
 /// Runs the subcommand.
 pub async fn run(args: Vec<OsString>) -> eyre::Result<ExitCode> {
     let mut check = false;
+    let mut flags = Flags { metrics_port: None, log_level: Level::Info };
     let mut parser = lexopt::Parser::from_args(args);
     while let Some(arg) = parser.next()? {
         match arg {
             lexopt::Arg::Long("check") => check = true,
+            lexopt::Arg::Long("metrics-port") => {
+                flags.metrics_port = Some(parser.value()?.parse()?);
+            }
+            lexopt::Arg::Long("log-level") => {
+                flags.log_level = parser.value()?.parse_with(|text| {
+                    Level::from_str(text).map_err(|()| eyre::eyre!("no such level: {text}"))
+                })?;
+            }
             lexopt::Arg::Long("help") | lexopt::Arg::Short('h') => {
                 print!("{HELP}");
                 return Ok(ExitCode::SUCCESS);
@@ -53,22 +78,42 @@
         println!("settings are valid");
         return Ok(ExitCode::SUCCESS);
     }
-    serve(settings).await?;
+    serve(settings, &flags).await?;
     Ok(ExitCode::SUCCESS)
 }
 
-async fn serve(settings: Settings) -> eyre::Result<()> {
-    let log = egretgate_settings::logger_to(std::io::stdout(), Level::Info);
+/// Settings of our own.
+struct Flags {
+    metrics_port: Option<u16>,
+    log_level: Level,
+}
+
+async fn serve(settings: Settings, flags: &Flags) -> eyre::Result<()> {
+    let log = egretgate_settings::logger_to(std::io::stdout(), flags.log_level);
     let mut terminate = signal(SignalKind::terminate())?;
     let hangup = signal(SignalKind::hangup())?;
     let store = Store::new(settings.store());
-    let gateway = Gateway::start(settings.options(), Headers, store, log.clone()).await?;
+    let mut options = settings.options();
+    options.metrics = match flags.metrics_port {
+        Some(port) => Some((SocketAddr::new(settings.ip(), port), metrics_page()?)),
+        None => None,
+    };
+    let gateway = Gateway::start(options, Headers, store, log.clone()).await?;
     tokio::spawn(reload(hangup, settings, log));
     terminate.recv().await;
     gateway.stop().await;
     Ok(())
 }
 
+/// Starts counting and returns the page that shows what was counted.
+fn metrics_page() -> eyre::Result<Page> {
+    let handle = PrometheusBuilder::new().set_buckets(&LATENCY_BUCKETS)?.install_recorder()?;
+    Ok(Page::new(move || {
+        handle.run_upkeep();
+        Answer { status: StatusCode::OK, text: handle.render() }
+    }))
+}
+
 /// Reads the settings anew at each signal. What they change needs a restart, which is logged.
 async fn reload(mut hangup: Signal, settings: Settings, log: Logger) {
     while hangup.recv().await.is_some() {
