--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -32,8 +32,11 @@
 const LENGTH_MARGIN: f64 = 1.7;
 /// Waiting requests that are looked at for one place, if those ahead need a faster upstream.
 const LOOKED_AT: usize = 24;
-/// Upstreams that are compared for a request, at least; all of them with this many entries.
-const COMPARED: usize = 4;
+/// Entries up to which each compares every upstream: their reports are young enough.
+const CLOSE_ENTRIES: usize = 4;
+/// Upstreams that are compared for a request at least: with late reports, the better of two
+/// spreads load best (Mitzenmacher, "How Useful Is Old Information?", 2000).
+const COMPARED: usize = 2;
 /// Entries that may take a slot unseen between two reports, for each slot kept free.
 const ENTRIES_PER_SLOT: u32 = 8;
 
@@ -498,7 +501,8 @@
         let cost = |key: &UpstreamKey| self.upstreams[*key].cost(usual, &self.zone);
         // Entries with the same late reports must not all choose the same upstream, so each
         // compares a part of them that differs from request to request.
-        let compared = (backlog.members.len() * COMPARED / entries).max(COMPARED);
+        let part = CLOSE_ENTRIES * CLOSE_ENTRIES;
+        let compared = (backlog.members.len() * part / (entries * entries)).max(COMPARED);
         let usable: Vec<UpstreamKey> = usable.collect();
         let first = spread(order.number, usable.len());
         let some = usable.iter().cycle().skip(first).take(compared.min(usable.len())).copied();
--- a/crates/egretgate-gateway/src/desk.rs
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -203,6 +203,7 @@
             Message::Expect(expected) => self.scheduler.expect_peers(expected),
             Message::Hear(report) => self.scheduler.hear(report, now),
             Message::Report(reply) => {
+                self.measure();
                 // The asking task may have ended.
                 let _ = reply.send((self.scheduler.report(), self.scheduler.rank(now)));
             }
@@ -225,6 +226,12 @@
         }
     }
 
+    /// Counts what waits and what is listed, for the metrics page.
+    fn measure(&self) {
+        metrics::gauge!("egretgate_waiting").set(self.waiting.len() as f64);
+        metrics::gauge!("egretgate_upstreams").set(self.scheduler.upstreams().count() as f64);
+    }
+
     fn tick(&mut self) {
         let now = Instant::now();
         for number in self.scheduler.expire(now) {
--- a/crates/egretgate-gateway/src/gossip.rs
+++ b/crates/egretgate-gateway/src/gossip.rs
@@ -16,7 +16,7 @@
 
 /// Time between reports for each other entry, so that all reports of a fleet cost an entry the
 /// same processor time up to the longest pause.
-const PAUSE_EACH: Duration = Duration::from_millis(10);
+const PAUSE_EACH: Duration = Duration::from_millis(4);
 /// Shortest time between reports: requests last some hundred milliseconds.
 const SHORTEST_PAUSE: Duration = Duration::from_millis(40);
 /// Longest time between reports.
