--- a/crates/egretgate/tests/soak.rs
+++ b/crates/egretgate/tests/soak.rs
@@ -171,7 +171,7 @@
 }
 
 /// Brings one fault about, or ends one.
-async fn disturb(
+fn disturb(
     rng: &mut ChaCha8Rng,
     entries: &mut [Entry],
     upstreams: &[Upstream],
@@ -231,7 +231,7 @@
         .collect();
     while Instant::now() < until {
         sleep(Duration::from_millis(rng.random_range(20..400))).await;
-        disturb(&mut rng, &mut entries, &upstreams, &store, &mut version).await;
+        disturb(&mut rng, &mut entries, &upstreams, &store, &mut version);
     }
     for caller in callers {
         caller.await.unwrap();
@@ -273,7 +273,9 @@
         let entry = server(upstream.address, "ready").to_string();
         store.put("keyed.servers", &format!("i-{index}"), entry.as_bytes());
     }
-    entries.iter().for_each(|entry| entry.signal("CONT"));
+    for entry in entries.iter() {
+        entry.signal("CONT");
+    }
 }
 
 /// Returns the entries that do not serve within the recovery time.
