feat(gateway): a version under an order to move gets no traffic, and the order is answered

Cause: an order to move a service's traffic was ignored, so a bad version would have had its full share at once. Carrying moves out by entries is not built. Change: such a version is held back and the order answered as rolled back, which is true: nothing was moved. Good versions are not moved either; that is open.

--- a/crates/egretgate-core/src/gateway/catalog.rs
+++ b/crates/egretgate-core/src/gateway/catalog.rs
@@ -14,7 +14,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::{RouteId, ServiceId, TeamId, Tier};
+use crate::{RouteId, ServiceId, TeamId, Tier, VersionId};
 
 /// Version of a set of declarations; a higher one replaces a lower one.
 pub type CatalogVersion = u64;
@@ -124,6 +124,15 @@
     }
 }
 
+/// An order to move a service's traffic to another version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MoveOrder {
+    /// Service.
+    pub service: ServiceId,
+    /// Version that is to get the traffic.
+    pub target: VersionId,
+}
+
 /// Limit on the tokens of a team over the whole fleet.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct TokenLimit {
@@ -188,6 +197,8 @@
     pub limits: CallerLimits,
     routes: Vec<Route>,
     teams: Vec<Team>,
+    /// Orders to move traffic, at most one for each service.
+    moves: Vec<MoveOrder>,
     /// Tokens of an event of a stream, by service.
     event_tokens: HashMap<ServiceId, u32>,
     /// Position in `teams` of a key's holder.
@@ -230,6 +241,24 @@
         self
     }
 
+    /// Sets the orders to move traffic.
+    #[must_use]
+    pub fn with_moves(mut self, moves: Vec<MoveOrder>) -> Self {
+        self.moves = moves;
+        self
+    }
+
+    /// Returns the orders to move traffic.
+    pub fn moves(&self) -> &[MoveOrder] {
+        &self.moves
+    }
+
+    /// Returns true if the version may get no traffic: it is the target of an order, and moves
+    /// are not carried out here.
+    pub fn is_held_back(&self, service: &str, version: &str) -> bool {
+        self.moves.iter().any(|order| order.service == service && order.target == version)
+    }
+
     /// Sets the tokens that an event of the service's streams holds.
     #[must_use]
     pub fn with_event_tokens(mut self, service: &str, tokens: u32) -> Self {
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -495,6 +495,7 @@
             };
             standing.is_usable(now)
                 && room
+                && !self.catalog.is_held_back(&order.service, &standing.listed.version)
                 && (!picky || in_time(standing))
                 && !order.avoid.contains(&standing.listed.id)
         });
--- a/crates/egretgate-gateway/src/directory.rs
+++ b/crates/egretgate-gateway/src/directory.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use egretgate_core::Offset;
-use egretgate_core::gateway::catalog::Catalog;
+use egretgate_core::gateway::catalog::{Catalog, MoveOrder};
 use egretgate_core::gateway::standing::Listed;
 
 /// Result of a call to the directory.
@@ -46,6 +46,9 @@
     /// Reads the upstreams that are listed now.
     fn upstreams(&self) -> impl Future<Output = Result<Seen<Vec<Listed>>>> + Send;
 
+    /// Says that the traffic was not moved and stays with the old version.
+    fn decline_move(&self, order: &MoveOrder) -> impl Future<Output = Result<()>> + Send;
+
     /// Lists this entry among the entries.
     fn announce(&self, name: &str, address: SocketAddr) -> impl Future<Output = Result<()>> + Send;
 
