refactor(gateway): no guard for connections that sent nothing

Cause: a break on purpose (the guard removed) failed no test: the HTTP library closes such a connection itself at a graceful shutdown.

--- a/crates/egretgate-gateway/src/front.rs
+++ b/crates/egretgate-gateway/src/front.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -89,10 +89,7 @@
         let limits = self.limits();
         let mut phase = self.phase.clone();
         let front = Arc::clone(&self);
-        let asked = Arc::new(AtomicBool::new(false));
-        let seen = Arc::clone(&asked);
         let service = service_fn(move |request| {
-            seen.store(true, Ordering::Relaxed);
             let front = Arc::clone(&front);
             async move {
                 let mut response = Arc::clone(&front).answer(request).await;
@@ -111,10 +108,6 @@
         let result = tokio::select! {
             result = &mut connection => result,
             () = closing(&mut phase) => {
-                // A request that comes only now could not be served in time.
-                if !asked.load(Ordering::Relaxed) {
-                    return;
-                }
                 connection.as_mut().graceful_shutdown();
                 connection.await
             }
