fix(limit): a fleet that starts together assumes half of each burst

Ruled out: the store (declarations in force 50 ms after the start). Change: each entry adds its part of half a burst once it knows how many there are.

--- a/crates/egretgate-core/src/gateway/meter.rs
+++ b/crates/egretgate-core/src/gateway/meter.rs
@@ -15,6 +15,9 @@
 const MOST_STEPS: u8 = 3;
 /// Part of the burst up to which a request is too small for a reserve to matter.
 const SMALL: f64 = 0.005;
+/// Part of the burst that a starting fleet assumes to be left. What was spent before is unknown;
+/// the platform forgives a tenth of what eight seconds allow, which is more than this part.
+const START: f64 = 0.5;
 /// Longest debt that is remembered, in seconds of the rate.
 const MOST_DEBT: f64 = 8.0;
 /// Longest wait that is named, in seconds.
@@ -32,11 +35,17 @@
 }
 
 impl Meter {
-    /// Returns a meter that starts empty, since what was spent before is unknown.
+    /// Returns a meter that starts empty; [`Meter::start`] follows once the entries are known.
     pub const fn new(limit: TokenLimit, now: Instant) -> Self {
         Self { limit, level: 0.0, filled: now, admitted: 0 }
     }
 
+    /// Adds this entry's part of what a fleet that starts together may assume to be left.
+    pub fn start(&mut self, entries: usize) {
+        let part = self.limit.burst * START / entries.max(1) as f64;
+        self.level = (self.level + part).min(self.limit.burst);
+    }
+
     /// Replaces the limit; what is left beyond the new one is dropped.
     pub fn set_limit(&mut self, limit: TokenLimit) {
         self.limit = limit;
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -146,8 +146,8 @@
     waiting: HashMap<RequestNumber, (Place, Order)>,
     meters: HashMap<TeamId, Meter>,
     peers: Peers,
-    /// Other entries that are known to exist, whether heard or not.
-    expected: usize,
+    /// Other entries that are known to exist, whether heard or not; `None` before they were read.
+    expected: Option<usize>,
     refreshed: Option<Instant>,
     breaks: Breaks,
 }
@@ -201,7 +201,7 @@
             waiting: HashMap::new(),
             meters: HashMap::new(),
             peers: Peers::default(),
-            expected: 0,
+            expected: None,
             refreshed: None,
             breaks: Breaks::default(),
         }
@@ -216,7 +216,10 @@
 
     /// Sets the number of other entries that are known to exist.
     pub fn expect_peers(&mut self, expected: usize) {
-        self.expected = expected;
+        if self.expected.is_none() {
+            self.meters.values_mut().for_each(|meter| meter.start(expected + 1));
+        }
+        self.expected = Some(expected);
     }
 
     /// Puts declarations in force.
@@ -225,7 +228,11 @@
             match (team.limit, self.meters.get_mut(&team.name)) {
                 (Some(limit), Some(meter)) => meter.set_limit(limit),
                 (Some(limit), None) => {
-                    self.meters.insert(team.name.clone(), Meter::new(limit, now));
+                    let mut meter = Meter::new(limit, now);
+                    if let Some(expected) = self.expected {
+                        meter.start(expected + 1);
+                    }
+                    self.meters.insert(team.name.clone(), meter);
                 }
                 (None, _) => {
                     self.meters.remove(&team.name);
@@ -434,7 +441,7 @@
 
     /// Returns the number of entries, this one among them.
     fn entries(&self) -> usize {
-        self.peers.known().max(self.expected) + 1
+        self.peers.known().max(self.expected.unwrap_or(0)) + 1
     }
 
     fn pump_service(&mut self, service: &ServiceId, now: Instant) -> Vec<Start> {
--- a/crates/egretgate-core/tests/gateway_limits.rs
+++ b/crates/egretgate-core/tests/gateway_limits.rs
@@ -101,6 +101,25 @@
     assert!(admitted >= 9_000, "{admitted} tokens admitted");
 }
 
+#[test]
+fn a_fleet_that_starts_together_assumes_half_a_burst() {
+    struct Case {
+        entries: usize,
+    }
+    for case in [Case { entries: 1 }, Case { entries: 4 }, Case { entries: 26 }] {
+        let now = Instant::now();
+        let mut admitted = 0;
+        for _ in 0..case.entries {
+            let mut meter = Meter::new(LIMIT, now);
+            meter.start(case.entries);
+            while meter.take(1, 0, 1.0, now).is_ok() {}
+            admitted += meter.admitted();
+        }
+        assert!(admitted <= 500, "{} entries admitted {admitted}", case.entries);
+        assert!(admitted >= 450, "{} entries admitted {admitted}", case.entries);
+    }
+}
+
 #[test]
 fn a_lower_limit_binds_at_once() {
     let start = Instant::now();
