--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod follow;
 pub mod lane;
 pub mod meter;
+pub mod order;
 pub mod patience;
 pub mod peer;
 pub mod poison;
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -4,18 +4,19 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::catalog::Catalog;
-use super::lane::{Lane, Place, Rank, RequestNumber};
+use super::lane::{Lane, Place, RequestNumber};
 use super::meter::Meter;
+use super::order::{Admission, End, Order, Refusal, Start, UpstreamKey};
 use super::peer::{PeerReport, Peers, name_hash};
 use super::poison::Breaks;
 use super::repeat::{RepeatLimit, Repeats};
 use super::share::Share;
 use super::standing::{Listed, Outcome, Standing};
-use crate::{Digest, Incarnation, InstanceId, PlaceId, ServiceId, TeamId, UpstreamId};
+use crate::{Incarnation, InstanceId, PlaceId, ServiceId, TeamId, UpstreamId};
 
 /// Age at which what is derived from other entries' reports is worked out anew.
 const REFRESH: Duration = Duration::from_millis(20);
@@ -40,97 +41,6 @@
 /// Entries that may take a slot unseen between two reports, for each slot kept free.
 const ENTRIES_PER_SLOT: u32 = 8;
 
-new_key_type! {
-    /// Names an upstream within one life of an entry.
-    pub struct UpstreamKey;
-}
-
-/// A request that asks for an upstream.
-#[derive(Debug, Clone)]
-pub struct Order {
-    /// Name within one life of the entry.
-    pub number: RequestNumber,
-    /// Service that it goes to.
-    pub service: ServiceId,
-    /// How urgent it is.
-    pub rank: Rank,
-    /// Team whose limit it counts against, with its tokens; `None` for one that was counted.
-    pub charge: Option<Charge>,
-    /// Time up to which an answer is in time.
-    pub objective: Instant,
-    /// Longest wait that is worth beginning.
-    pub worthwhile: Duration,
-    /// Time at which it gives up waiting.
-    pub until: Instant,
-    /// Events that its answer is likely to have; 0 for an answer that is no stream.
-    pub events: f64,
-    /// Time at which its caller or its route gives up.
-    pub deadline: Instant,
-    /// True if an upstream has got it before.
-    pub repeat: bool,
-    /// Upstreams that must not get it again.
-    pub avoid: Vec<UpstreamId>,
-    /// Digest of its contents.
-    pub digest: Option<Digest>,
-}
-
-/// Tokens that count against a team's limit.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Charge {
-    /// Team.
-    pub team: TeamId,
-    /// Tokens.
-    pub tokens: u64,
-}
-
-/// Why a request is refused; it has not run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// Its team is over its limit; there will be room after the given time.
-    OverLimit(Duration),
-    /// It would wait longer than its caller does.
-    Overloaded,
-    /// The budget of repeats is spent.
-    OverBudget,
-    /// It has crashed several upstreams.
-    Poison,
-}
-
-/// A start of a waiting request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Start {
-    /// Request.
-    pub number: RequestNumber,
-    /// Upstream.
-    pub upstream: UpstreamKey,
-}
-
-/// The end of a started request.
-#[derive(Debug, Clone)]
-pub struct End {
-    /// Service.
-    pub service: ServiceId,
-    /// Upstream.
-    pub key: UpstreamKey,
-    /// How it ended.
-    pub outcome: Outcome,
-    /// Digest of the request.
-    pub digest: Option<Digest>,
-    /// Time at which it started.
-    pub started: Instant,
-}
-
-/// What becomes of a request that has just come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Admission {
-    /// It starts at once.
-    Started(UpstreamKey),
-    /// It waits; a later [`Scheduler::pump`] starts it.
-    Queued,
-    /// It is refused.
-    Refused(Refusal),
-}
-
 /// The decisions of one entry.
 #[derive(Debug)]
 pub struct Scheduler {
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -8,7 +8,8 @@
 use egretgate_core::Digest;
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::lane::Rank;
-use egretgate_core::gateway::scheduler::{Admission, End, Order, Refusal, Scheduler, UpstreamKey};
+use egretgate_core::gateway::order::{Admission, End, Order, Refusal, UpstreamKey};
+use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::gateway::standing::{Listed, Outcome, Stage};
 
 const OBJECTIVE: Duration = Duration::from_millis(400);
--- a/crates/egretgate-gateway/src/desk.rs
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -7,8 +7,9 @@
 
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::lane::RequestNumber;
+use egretgate_core::gateway::order::{Admission, End, Order, Refusal, UpstreamKey};
 use egretgate_core::gateway::peer::PeerReport;
-use egretgate_core::gateway::scheduler::{Admission, End, Order, Refusal, Scheduler, UpstreamKey};
+use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::gateway::standing::{Listed, Outcome};
 use egretgate_core::{Digest, ServiceId, UpstreamId};
 use tokio::sync::{mpsc, oneshot};
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -3,16 +3,16 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use egretgate_core::gateway::catalog::{Catalog, Route};
 use egretgate_core::gateway::lane::{Rank, RequestNumber};
+use egretgate_core::gateway::order::{Charge, Order, Refusal};
 use egretgate_core::gateway::patience;
-use egretgate_core::gateway::scheduler::{Charge, Order, Refusal};
 use egretgate_core::gateway::standing::Outcome;
 use egretgate_core::{Digest, ServiceId, TeamId, UpstreamId};
-use http::header::{CONTENT_ENCODING, CONTENT_LENGTH};
+use http::header::CONTENT_LENGTH;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use rand::RngExt;
 use slog::{Logger, info};
@@ -21,7 +21,8 @@
 use crate::answer::{Body, Fault, full, streamed};
 use crate::connect::{Connection, SendError};
 use crate::desk::{DeskHandle, Lease};
-use crate::dialect::{AnswerHead, Dialect, Onward, RequestHead};
+use crate::dialect::{Dialect, Onward, RequestHead};
+use crate::judge::{Attempt, Whole, failure, is_spoiled, not_run, respond, whole};
 use crate::onward::{prepare_request, strip_connection};
 use crate::relay::{Relay, Run};
 
@@ -33,8 +34,6 @@
 const STREAM_SILENCE: Duration = Duration::from_millis(1_100);
 /// Tries that reach no upstream before a request is refused.
 const MOST_UNREACHED: u32 = 4;
-/// Largest answer that is read in whole before it is passed on, in bytes.
-const WHOLE_BYTES: usize = 1 << 20;
 /// Time that must be left for another try to make sense.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 /// Time after which a caller should come back if no upstream ran its request just now.
@@ -100,20 +99,6 @@
     digest: Digest,
 }
 
-/// What an attempt came to.
-enum Attempt {
-    /// An answer for the caller.
-    Answer(Run, StatusCode),
-    /// A failure that the upstream reported itself, read in whole.
-    Failure(Response<Body>),
-    /// The request did not run.
-    NotRun,
-    /// No byte was sent.
-    NotSent,
-    /// It may have run.
-    Unknown,
-}
-
 impl Exchange {
     /// Returns the exchange of a request that the declarations allow.
     pub(crate) fn new(
@@ -512,12 +497,6 @@
     Lost(Outcome),
 }
 
-/// An answer read in whole.
-enum Whole {
-    Read(Run, Bytes),
-    Cut(Lease),
-}
-
 /// Returns the events that the answer is likely to have; 0 if it is no stream.
 fn likely_events(route: &Route, head: &RequestHead, event_tokens: u32) -> f64 {
     if !route.kind.is_stream() {
@@ -526,64 +505,3 @@
     let tokens = head.likely_output.or(head.most_output).unwrap_or(0);
     (tokens as f64 / f64::from(event_tokens)).ceil()
 }
-
-/// Returns true if an answer can't be its upstream's whole answer to the request.
-fn is_spoiled(head: &AnswerHead, status: StatusCode, headers: &HeaderMap) -> bool {
-    let promise = matches!(status.as_u16(), 408 | 421 | 429 | 503);
-    // A success must be signed and name the request; a status that promises "not run" must say so.
-    let unsigned = status.is_success() && (!head.signed || head.id.is_none());
-    unsigned || promise || headers.contains_key(CONTENT_ENCODING)
-}
-
-async fn not_run(mut run: Run, status: StatusCode) -> Attempt {
-    let outcome =
-        if status == StatusCode::MISDIRECTED_REQUEST { Outcome::Moved } else { Outcome::Full };
-    // A refusal is short; reading it keeps the connection.
-    while let Some(frame) = run.body.frame().await {
-        if frame.is_err() {
-            run.lease.finish(outcome, None);
-            return Attempt::NotRun;
-        }
-    }
-    run.complete(outcome).await;
-    Attempt::NotRun
-}
-
-async fn failure(run: Run, status: StatusCode, deadline: Instant) -> Attempt {
-    let mut headers = run.headers.clone();
-    strip_connection(&mut headers);
-    match whole(run, deadline).await {
-        Whole::Read(run, bytes) => {
-            run.complete(Outcome::Failed).await;
-            Attempt::Failure(respond(status, headers, full(bytes)))
-        }
-        Whole::Cut(lease) => {
-            lease.finish(Outcome::Broken, None);
-            Attempt::Unknown
-        }
-    }
-}
-
-async fn whole(mut run: Run, deadline: Instant) -> Whole {
-    let mut bytes = BytesMut::new();
-    loop {
-        let frame = match timeout_at(deadline.into(), run.body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) => return Whole::Read(run, bytes.freeze()),
-            Ok(Some(Err(_))) | Err(_) => return Whole::Cut(run.lease),
-        };
-        if let Ok(data) = frame.into_data() {
-            bytes.extend_from_slice(&data);
-        }
-        if bytes.len() > WHOLE_BYTES {
-            return Whole::Cut(run.lease);
-        }
-    }
-}
-
-fn respond(status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    *response.headers_mut() = headers;
-    response
-}
--- a/crates/egretgate-gateway/src/lib.rs
+++ b/crates/egretgate-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod front;
 mod gateway;
 mod gossip;
+mod judge;
 mod onward;
 mod pages;
 mod relay;
