--- a/crates/egretgate/src/command.rs
+++ b/crates/egretgate/src/command.rs
@@ -114,7 +114,8 @@
 /// Returns the help text of the whole program.
 pub fn help() -> String {
     let mut out = String::from(
-        "Usage: egretgate COMMAND [ARGUMENT]...\n\nCommands:\n  serve\n      Runs the entry.\n",
+        "Usage: egretgate COMMAND [ARGUMENT]...\n\nCommands:\n  serve\n      Runs the entry.\n  \
+         gateway\n      Runs the forwarding path on the users' platform.\n",
     );
     for command in Command::ALL {
         let spec = command.spec();
--- a/crates/egretgate/tests/command/main.rs
+++ b/crates/egretgate/tests/command/main.rs
@@ -335,7 +335,9 @@
         .lines()
         .filter(|line| line.starts_with("  ") && !line.starts_with("   "))
         .collect();
-    let commands = commands.iter().map(|line| line.trim()).filter(|line| *line != "serve");
+    // The two that run a process print their help in the program itself.
+    let runs = ["serve", "gateway"];
+    let commands = commands.iter().map(|line| line.trim()).filter(|line| !runs.contains(line));
     let mut count = 0;
     for command in commands.filter(|line| !line.starts_with(char::is_numeric)) {
         let words = command.split(' ').filter(|word| word.chars().all(char::is_lowercase));
@@ -350,7 +352,11 @@
         assert!(ran.out.starts_with("Usage: egretgate "), "{}", ran.out);
         count += 1;
     }
-    assert_eq!(count, 12);
+    assert_eq!(count, 13);
+    for run in runs {
+        assert!(GUIDE.contains(&format!("### `egretgate {run}`")), "{run} is missing in the guide");
+        assert!(help.out.contains(&format!("\n  {run}\n")), "{run} is missing in the help");
+    }
 }
 
 #[tokio::test]
