fix(gateway): an entry that hears no other and can't read the directory keeps to its part

Cause: an entry that is cut off from the others took all slots for its own.

Change: if fewer than half of the other entries are heard and the directory can't be read, the others are taken to be at work: each has as much demand, and their part of each upstream's slots is in use. Which slots remain differs from entry to entry. Also: lines tell a request's tokens and each limit that comes in force; the pause between reports stands in the core.

--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -1,6 +1,6 @@
 //! What the entries of a fleet tell each other.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -14,6 +14,19 @@
 /// Silence after which another entry is taken to be gone rather than out of reach.
 pub const PEER_GONE: Duration = Duration::from_secs(20);
 
+/// Time between reports for each other entry, so that all reports of a fleet cost an entry the
+/// same processor time up to the longest pause.
+const PAUSE_EACH: Duration = Duration::from_millis(4);
+/// Shortest time between reports: requests last some hundred milliseconds.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(40);
+/// Longest time between reports.
+const LONGEST_PAUSE: Duration = Duration::from_millis(200);
+
+/// Returns the time between two reports of an entry to `others` other ones.
+pub fn report_pause(others: usize) -> Duration {
+    (PAUSE_EACH * others as u32).clamp(SHORTEST_PAUSE, LONGEST_PAUSE)
+}
+
 /// Hash of a name, which stands for it in reports.
 pub type NameHash = u64;
 
@@ -88,7 +101,7 @@
 /// The other entries, as far as they were heard.
 #[derive(Debug, Clone, Default)]
 pub struct Peers {
-    peers: HashMap<InstanceId, Peer>,
+    peers: BTreeMap<InstanceId, Peer>,
 }
 
 impl Peers {
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -38,6 +38,10 @@
 /// Upstreams that are compared for a request at least: with late reports, the better of two
 /// spreads load best (Mitzenmacher, "How Useful Is Old Information?", 2000).
 const COMPARED: usize = 2;
+/// Sorts before every name.
+const FIRST_NAME: &str = "";
+/// Sorts after every name.
+const LAST_NAME: &str = "\u{10ffff}";
 /// Time for which a refusal keeps what is less urgent back everywhere: some reports long.
 const PRESSURE: Duration = Duration::from_millis(250);
 /// Part of an upstream's slots that stay free of requests while more urgent ones are refused
@@ -57,12 +61,14 @@
     limit: RepeatLimit,
     upstreams: SlotMap<UpstreamKey, Standing>,
     by_id: HashMap<UpstreamId, UpstreamKey>,
-    services: HashMap<ServiceId, Backlog>,
+    services: BTreeMap<ServiceId, Backlog>,
     waiting: HashMap<RequestNumber, (Place, Order)>,
     meters: HashMap<TeamId, Meter>,
     peers: Peers,
     /// Other entries that are known to exist, whether heard or not; `None` before they were read.
     expected: Option<usize>,
+    /// False while the directory of entries can't be read.
+    in_touch: bool,
     refreshed: Option<Instant>,
     breaks: Breaks,
 }
@@ -128,11 +134,12 @@
             limit: RepeatLimit::default(),
             upstreams: SlotMap::with_key(),
             by_id: HashMap::new(),
-            services: HashMap::new(),
+            services: BTreeMap::new(),
             waiting: HashMap::new(),
             meters: HashMap::new(),
             peers: Peers::default(),
             expected: None,
+            in_touch: true,
             refreshed: None,
             breaks: Breaks::default(),
         }
@@ -153,6 +160,11 @@
         self.expected = Some(expected);
     }
 
+    /// Notes whether the directory of entries can be read.
+    pub const fn set_in_touch(&mut self, in_touch: bool) {
+        self.in_touch = in_touch;
+    }
+
     /// Puts declarations in force.
     pub fn set_catalog(&mut self, catalog: Arc<Catalog>, now: Instant) {
         for team in catalog.teams() {
@@ -392,6 +404,16 @@
         self.peers.known().max(self.expected.unwrap_or(0)) + 1
     }
 
+    /// Returns the number of entries that are taken to serve callers though they can't be heard.
+    ///
+    /// An entry that hears few of the others and can't read the directory either is cut off rather
+    /// than the only one left. Otherwise those that can't be heard are taken to be gone.
+    fn unheard(&self, now: Instant) -> usize {
+        let others = self.entries() - 1;
+        let heard = self.peers.fresh(now).min(others);
+        if !self.in_touch && heard * 2 < others { others - heard } else { 0 }
+    }
+
     fn pump_service(&mut self, service: &ServiceId, now: Instant) -> Vec<Start> {
         let mut starts = Vec::new();
         let Some(backlog) = self.services.get(service) else { return starts };
@@ -479,14 +501,23 @@
             return;
         }
         self.refreshed = Some(now);
+        let unheard = self.unheard(now);
+        let part = unheard as f64 / self.entries() as f64;
         for standing in self.upstreams.values_mut() {
-            standing.others = self.peers.running(&standing.listed.id, now);
+            let assumed = (f64::from(standing.listed.slots) * part).floor() as u32;
+            standing.others = self.peers.running(&standing.listed.id, now) + assumed;
         }
         for (service, backlog) in &mut self.services {
             let demand = f64::from(backlog.running) + backlog.lane.len() as f64;
             backlog.refused_elsewhere = self.peers.refused(service, now);
             let others = self.peers.demand(service, now);
-            backlog.share = Some(Share::new(&self.name, demand, others));
+            // Those that can't be heard are taken to have as much to do as this one. A part of them,
+            // another one at each entry, goes before it, so that entries which hear nothing don't
+            // take the same slots.
+            let before = (name_hash(&self.name) % (unheard as u64 + 1)) as usize;
+            let assumed = (0..unheard)
+                .map(|index| (if index < before { FIRST_NAME } else { LAST_NAME }, demand));
+            backlog.share = Some(Share::new(&self.name, demand, others.chain(assumed)));
         }
     }
 
--- a/crates/egretgate-core/tests/gateway_overload.rs
+++ b/crates/egretgate-core/tests/gateway_overload.rs
@@ -12,8 +12,9 @@
 use egretgate_core::gateway::standing::{Listed, Outcome, Stage};
 
 const STEP: Duration = Duration::from_millis(5);
-/// Time between two reports of an entry; they arrive with the next one.
-const REPORT: Duration = Duration::from_millis(40);
+/// Time between two reports of an entry for each entry, and at least; they arrive with the next.
+const REPORT_EACH: Duration = Duration::from_millis(4);
+const LEAST_REPORT: Duration = Duration::from_millis(40);
 const OBJECTIVE: Duration = Duration::from_millis(400);
 const SERVICE: &str = "writer";
 
@@ -65,6 +66,8 @@
 struct Fleet {
     entries: Vec<Scheduler>,
     slots: usize,
+    /// Entries from the end of the list that hear no other and are heard by none.
+    cut: usize,
     upstreams: BTreeMap<String, Upstream>,
     /// Reports that are on their way.
     reports: Vec<PeerReport>,
@@ -96,6 +99,7 @@
         Self {
             entries: (0..entries).map(entry).collect(),
             slots: slots as usize,
+            cut: 0,
             upstreams: BTreeMap::new(),
             reports: Vec::new(),
             waiting: BTreeMap::new(),
@@ -108,6 +112,8 @@
     fn play(&mut self, streams: &[Stream], time: Duration) -> &BTreeMap<u8, Tally> {
         let start = Instant::now();
         let mut due: Vec<f64> = streams.iter().map(|_| 0.0).collect();
+        let report = LEAST_REPORT.max(REPORT_EACH * self.entries.len() as u32);
+        let mut reported = start;
         let steps = time.as_millis() / STEP.as_millis();
         for step in 0..steps as u32 {
             let now = start + STEP * step;
@@ -115,7 +121,8 @@
                 self.tallies.clear();
             }
             self.end(now);
-            if (STEP * step).as_millis() % REPORT.as_millis() == 0 {
+            if now >= reported + report {
+                reported = now;
                 self.exchange(now);
             }
             for entry in 0..self.entries.len() {
@@ -156,12 +163,14 @@
     }
 
     fn exchange(&mut self, now: Instant) {
+        let reachable = self.entries.len() - self.cut;
         for report in std::mem::take(&mut self.reports) {
-            for entry in &mut self.entries {
+            for entry in &mut self.entries[..reachable] {
                 entry.hear(report.clone(), now);
             }
         }
-        self.reports = self.entries.iter_mut().map(|entry| entry.report(now)).collect();
+        let entries = self.entries[..reachable].iter_mut();
+        self.reports = entries.map(|entry| entry.report(now)).collect();
     }
 
     fn pump(&mut self, entry: usize, now: Instant) {
@@ -283,3 +292,114 @@
         }
     }
 }
+
+/// The load it answers: a service of short calls that is left with few slots behind many entries.
+#[test]
+fn many_entries_keep_few_slots_busy_with_short_calls() {
+    struct Case {
+        name: &'static str,
+        entries: usize,
+        upstreams: usize,
+        slots: u32,
+        hold: Duration,
+        /// Calls a second over all entries, against what the slots can run.
+        load: f64,
+        /// Least part of what the slots can run, or of the calls if those are fewer, that starts.
+        least: f64,
+    }
+    const CASES: [Case; 4] = [
+        Case {
+            name: "one upstream is left, overrun with longer calls",
+            entries: 26,
+            upstreams: 1,
+            slots: 6,
+            hold: Duration::from_millis(45),
+            load: 1.25,
+            least: 0.9,
+        },
+        Case {
+            name: "one upstream is left, overrun",
+            entries: 26,
+            upstreams: 1,
+            slots: 6,
+            hold: Duration::from_millis(30),
+            load: 1.25,
+            least: 0.9,
+        },
+        Case {
+            name: "one upstream is left, nearly full",
+            entries: 26,
+            upstreams: 1,
+            slots: 6,
+            hold: Duration::from_millis(30),
+            load: 0.8,
+            least: 0.95,
+        },
+        Case {
+            name: "five upstreams, overrun",
+            entries: 21,
+            upstreams: 5,
+            slots: 6,
+            hold: Duration::from_millis(30),
+            load: 1.25,
+            least: 0.9,
+        },
+    ];
+    for case in CASES {
+        let mut fleet = Fleet::new(case.entries, case.upstreams, case.slots);
+        let slots = case.upstreams as f64 * f64::from(case.slots);
+        let most = slots / case.hold.as_secs_f64();
+        let rate = most * case.load / case.entries as f64;
+        let stream = |entry| Stream { entry, tier: 0, rate, hold: case.hold };
+        let streams: Vec<Stream> = (0..case.entries).map(stream).collect();
+        let tally = fleet.play(&streams, Duration::from_secs(6))[&0];
+        let wanted = f64::from(tally.asked).min(most * 5.0);
+        let part = f64::from(tally.started) / wanted;
+        assert!(part >= case.least, "{}: {part:.2}: {tally:?}", case.name);
+    }
+}
+
+/// The load it answers: an overrun service behind entries some of which are cut off from the rest.
+#[test]
+fn an_entry_that_hears_no_other_keeps_to_its_part() {
+    struct Case {
+        name: &'static str,
+        entries: usize,
+        cut: usize,
+        upstreams: usize,
+        /// Requests a second over all entries, against what the slots can run.
+        load: f64,
+    }
+    const CASES: [Case; 4] = [
+        Case { name: "one of four", entries: 4, cut: 1, upstreams: 18, load: 1.5 },
+        Case { name: "nine of twenty-six", entries: 26, cut: 9, upstreams: 48, load: 1.5 },
+        Case { name: "all of four", entries: 4, cut: 4, upstreams: 18, load: 1.5 },
+        Case { name: "under the capacity", entries: 26, cut: 9, upstreams: 48, load: 0.6 },
+    ];
+    /// By how much cut entries may go beyond their part of the slots: parts are whole slots.
+    const SPARE: f64 = 0.05;
+    const SLOTS: u32 = 9;
+    const HOLD: Duration = Duration::from_millis(600);
+    for case in CASES {
+        let name = case.name;
+        let mut fleet = Fleet::new(case.entries, case.upstreams, SLOTS);
+        fleet.cut = case.cut;
+        let is_cut = |entry| entry >= case.entries - case.cut;
+        for entry in &mut fleet.entries[case.entries - case.cut..] {
+            entry.set_in_touch(false);
+        }
+        let slots = case.upstreams as f64 * f64::from(SLOTS);
+        let rate = slots / HOLD.as_secs_f64() * case.load / case.entries as f64;
+        // Callers of cut entries are counted apart, by a tier of their own.
+        let stream = |entry| Stream { entry, tier: u8::from(is_cut(entry)), rate, hold: HOLD };
+        let streams: Vec<Stream> = (0..case.entries).map(stream).collect();
+        let tallies = fleet.play(&streams, Duration::from_secs(6));
+        let part = tallies[&1].busy.as_secs_f64() / 5.0 / slots;
+        let most = case.cut as f64 / case.entries as f64 + SPARE;
+        assert!(part <= most, "{name}: {part:.2} of the slots: {tallies:?}");
+        if case.load < 1.0 {
+            let whole = |tally: &Tally| tally.in_time * 100 >= tally.asked * 99;
+            assert!(tallies.values().all(whole), "{name}: {tallies:?}");
+        }
+    }
+}
--- a/crates/egretgate-gateway/src/desk.rs
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -85,6 +85,8 @@
     Roster(Vec<Listed>),
     /// Other entries that are known to exist.
     Expect(usize),
+    /// Whether the directory can be read.
+    InTouch(bool),
     /// A report of another entry.
     Hear(PeerReport),
     /// Asks for this entry's report, and the number of reachable entries before it.
@@ -201,6 +203,7 @@
                 }
                 self.pump(now);
             }
+            Message::InTouch(in_touch) => self.scheduler.set_in_touch(in_touch),
             Message::Expect(expected) => self.scheduler.expect_peers(expected),
             Message::Hear(report) => self.scheduler.hear(report, now),
             Message::Report(reply) => {
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -93,6 +93,8 @@
     team: Option<TeamId>,
     rank: Rank,
     charge: Option<Charge>,
+    /// Tokens that count against the team's limit; 0 without one.
+    tokens: u64,
     /// Events that the answer is likely to have.
     events: f64,
     version: u64,
@@ -129,6 +131,7 @@
             route: route.clone(),
             events: likely_events(route, &request.head, catalog.event_tokens(&service)),
             service,
+            tokens: charge.as_ref().map_or(0, |charge| charge.tokens),
             charge,
             version: catalog.version,
             digest,
@@ -214,6 +217,7 @@
             "sent" => self.sent,
             "catalog" => self.plan.version,
             "took_ms" => took.as_millis() as u64,
+            "tokens" => self.plan.tokens,
             "likely_output" => self.request.head.likely_output,
             "most_output" => self.request.head.most_output,
             "events" => self.events,
--- a/crates/egretgate-gateway/src/gossip.rs
+++ b/crates/egretgate-gateway/src/gossip.rs
@@ -2,10 +2,10 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use egretgate_core::gateway::follow::Reading;
-use egretgate_core::gateway::peer::{PeerReport, Report};
+use egretgate_core::gateway::peer::{PeerReport, Report, report_pause};
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -14,13 +14,6 @@
 use crate::desk::{DeskHandle, Message};
 use crate::wire::{decode, encode};
 
-/// Time between reports for each other entry, so that all reports of a fleet cost an entry the
-/// same processor time up to the longest pause.
-const PAUSE_EACH: Duration = Duration::from_millis(4);
-/// Shortest time between reports: requests last some hundred milliseconds.
-const SHORTEST_PAUSE: Duration = Duration::from_millis(40);
-/// Longest time between reports.
-const LONGEST_PAUSE: Duration = Duration::from_millis(200);
 /// Largest datagram, in bytes; larger ones would be split on the way.
 const DATAGRAM_BYTES: usize = 8 << 10;
 
@@ -68,8 +61,7 @@
         loop {
             let targets: BTreeSet<SocketAddr> =
                 self.entries.borrow().iter().copied().chain(heard.iter().copied()).collect();
-            let pause = (PAUSE_EACH * targets.len() as u32).clamp(SHORTEST_PAUSE, LONGEST_PAUSE);
-            let mut timer = std::pin::pin!(sleep(pause));
+            let mut timer = std::pin::pin!(sleep(report_pause(targets.len())));
             loop {
                 tokio::select! {
                     () = &mut timer => break,
--- a/crates/egretgate-gateway/src/sync.rs
+++ b/crates/egretgate-gateway/src/sync.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::Offset;
-use egretgate_core::gateway::catalog::{Catalog, MoveOrder};
+use egretgate_core::gateway::catalog::{Catalog, MoveOrder, TokenLimit};
 use egretgate_core::gateway::follow::{Follower, Mark, Pace, Reading};
 use egretgate_core::gateway::peer::name_hash;
 use egretgate_core::gateway::standing::{Listed, Stage};
@@ -211,11 +211,28 @@
     }
     info!(log, "declarations in force"; "version" => newest.version, "before" => old,
         "routes" => newest.routes().len(), "teams" => newest.teams().len());
+    log_limits(catalog.borrow().as_deref(), &newest, log);
     let newest = Arc::new(newest);
     desk.tell(Message::Catalog(Arc::clone(&newest)));
     catalog.send_replace(Some(newest));
 }
 
+/// Logs the limits that differ from those in force before.
+fn log_limits(before: Option<&Catalog>, newest: &Catalog, log: &Logger) {
+    let limit = |catalog: &Catalog, name: &str| {
+        catalog.teams().iter().find(|team| team.name == name).and_then(|team| team.limit)
+    };
+    for team in newest.teams() {
+        let old = before.and_then(|before| limit(before, &team.name));
+        if before.is_some() && old == team.limit {
+            continue;
+        }
+        let tokens = |limit: Option<TokenLimit>| limit.map(|limit| (limit.rate, limit.burst));
+        info!(log, "limit in force"; "team" => &team.name, "version" => newest.version,
+            "rate_and_burst" => ?tokens(team.limit), "before" => ?tokens(old));
+    }
+}
+
 /// Keeps the list of upstreams up to date.
 pub(crate) async fn roster<D: Directory>(
     directory: Arc<D>,
@@ -232,6 +249,7 @@
         match directory.upstreams().await {
             Ok(seen) => {
                 backoff.worked("upstreams", &log);
+                desk.tell(Message::InTouch(true));
                 for fault in seen.faults.iter().filter(|fault| !told.contains(fault)) {
                     warn!(log, "record passed over"; "fault" => fault);
                 }
@@ -243,7 +261,10 @@
                 desk.tell(Message::Roster(seen.value));
                 known.send_replace(true);
             }
-            Err(error) => backoff.failed("upstreams", &error, &log).await,
+            Err(error) => {
+                desk.tell(Message::InTouch(false));
+                backoff.failed("upstreams", &error, &log).await;
+            }
         }
     }
 }
