feat(model): a model of the systems served and an experiment tool

A deterministic discrete-event model of engines, plain services, entries and callers runs the decisions of egretgate-core; egretmodel compares policies on the same callers with confidence intervals, as tables, CSV, JSON and SVG.

--- /dev/null
+++ b/crates/egretgate-model/src/engine.rs
@@ -0,0 +1,179 @@
+//! A model engine: continuous batching with chunked prefill and bounded memory.
+//!
+//! Each step reads a part of the prompts that are not read yet, oldest request first, and makes
+//! one token for every request whose prompt is read. Requests are admitted in the order of
+//! arrival. When memory runs out, the newest request gives way and is read again later.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::site::{EngineSpec, millis};
+
+/// Number of a request within a run.
+pub type RequestId = u64;
+
+/// What an upstream tells of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    /// An event of its stream.
+    Event(RequestId),
+    /// It has ended well.
+    Done(RequestId),
+}
+
+/// A request at an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct Job {
+    /// Number.
+    pub id: RequestId,
+    /// Tokens of the prompt.
+    pub prompt: u32,
+    /// Tokens of the answer; at least 1.
+    pub output: u32,
+    /// Tokens of the prompt that are read.
+    read: u32,
+    /// Tokens of the answer that are made.
+    made: u32,
+}
+
+impl Job {
+    /// Returns a job that has not begun.
+    pub const fn new(id: RequestId, prompt: u32, output: u32) -> Self {
+        Self { id, prompt, output, read: 0, made: 0 }
+    }
+
+    const fn is_read(&self) -> bool {
+        self.read >= self.prompt
+    }
+
+    fn held(&self) -> u64 {
+        u64::from(self.read) + u64::from(self.made)
+    }
+}
+
+/// An engine.
+#[derive(Debug)]
+pub struct Engine {
+    spec: EngineSpec,
+    slots: usize,
+    /// Factor of the time of a step.
+    speed: f64,
+    queue: VecDeque<Job>,
+    running: Vec<Job>,
+    /// Tokens of prompts that the step under way reads.
+    reading: u32,
+    preempted: u64,
+}
+
+impl Engine {
+    /// Returns an idle engine.
+    pub const fn new(spec: EngineSpec, slots: usize, speed: f64) -> Self {
+        Self {
+            spec,
+            slots,
+            speed,
+            queue: VecDeque::new(),
+            running: Vec::new(),
+            reading: 0,
+            preempted: 0,
+        }
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, job: Job) {
+        self.queue.push_back(job);
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, id: RequestId) {
+        self.queue.retain(|job| job.id != id);
+        self.running.retain(|job| job.id != id);
+    }
+
+    /// Removes and returns every request.
+    pub fn clear(&mut self) -> Vec<RequestId> {
+        let queue = self.queue.drain(..);
+        queue.chain(self.running.drain(..)).map(|job| job.id).collect()
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns the number of requests that run.
+    pub const fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns how often a request gave way for want of memory.
+    pub const fn preempted(&self) -> u64 {
+        self.preempted
+    }
+
+    /// Begins a step and returns its length; `None` if there is nothing to do.
+    pub fn begin(&mut self, slowness: f64) -> Option<Duration> {
+        self.admit();
+        if self.running.is_empty() {
+            return None;
+        }
+        let unread: u32 =
+            self.running.iter().map(|job| job.prompt - job.read.min(job.prompt)).sum();
+        self.reading = unread.min(self.spec.chunk);
+        let others = self.running.len() as f64 - 1.0;
+        let step = self.spec.step_ms + self.spec.slot_ms * others;
+        let read = f64::from(self.reading) / self.spec.prefill_per_ms;
+        Some(millis((step + read) * self.speed * slowness))
+    }
+
+    /// Ends a step.
+    pub fn end(&mut self) -> Vec<Signal> {
+        let mut signals = Vec::new();
+        let mut left = std::mem::take(&mut self.reading);
+        for job in &mut self.running {
+            if job.is_read() {
+                job.made += 1;
+                let last = job.made >= job.output;
+                if last || job.made.is_multiple_of(self.spec.event_tokens) {
+                    signals.push(Signal::Event(job.id));
+                }
+                if last {
+                    signals.push(Signal::Done(job.id));
+                }
+            } else {
+                let part = left.min(job.prompt - job.read);
+                job.read += part;
+                left -= part;
+            }
+        }
+        self.running.retain(|job| job.made < job.output);
+        while self.held() > self.spec.kv_tokens && self.running.len() > 1 {
+            self.preempt();
+        }
+        signals
+    }
+
+    fn admit(&mut self) {
+        while self.running.len() < self.slots
+            && let Some(job) = self.queue.front()
+        {
+            let fits = self.held() + u64::from(job.prompt) <= self.spec.kv_tokens;
+            if !fits && !self.running.is_empty() {
+                return;
+            }
+            self.running.extend(self.queue.pop_front());
+        }
+    }
+
+    /// Takes the newest request out. Its answer so far is read again with its prompt.
+    fn preempt(&mut self) {
+        if let Some(job) = self.running.pop() {
+            self.preempted += 1;
+            self.queue.push_front(Job { read: 0, ..job });
+        }
+    }
+
+    fn held(&self) -> u64 {
+        self.running.iter().map(Job::held).sum()
+    }
+}
--- /dev/null
+++ b/crates/egretgate-model/src/experiment.rs
@@ -0,0 +1,103 @@
+//! Many runs of one site, and the comparison of policies on the same seeds.
+
+use std::ops::Range;
+
+use indicatif::{ProgressBar, ProgressStyle};
+use rayon::prelude::*;
+use serde::Serialize;
+use statrs::distribution::{ContinuousCDF, StudentsT};
+
+use crate::policy::Policy;
+use crate::site::Site;
+use crate::tally::Results;
+use crate::world::play;
+
+/// Probability that an interval holds the mean.
+pub const CONFIDENCE: f64 = 0.95;
+
+/// Runs of one policy.
+#[derive(Debug, Clone)]
+pub struct Runs {
+    /// The policy.
+    pub policy: Policy,
+    /// Results in the order of the seeds.
+    pub results: Vec<Results>,
+}
+
+/// A mean with the interval that holds it with probability [`CONFIDENCE`].
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Estimate {
+    /// Mean.
+    pub mean: f64,
+    /// Half of the interval's width; infinite for fewer than two samples.
+    pub margin: f64,
+}
+
+impl Estimate {
+    /// Returns the estimate of the mean of independent samples, by Student's t distribution.
+    pub fn of(samples: &[f64]) -> Self {
+        let count = samples.len() as f64;
+        let mean = samples.iter().sum::<f64>() / count.max(1.0);
+        if samples.len() < 2 {
+            return Self { mean, margin: f64::INFINITY };
+        }
+        let squares: f64 = samples.iter().map(|sample| (sample - mean).powi(2)).sum();
+        let error = (squares / (count - 1.0) / count).sqrt();
+        let t = StudentsT::new(0.0, 1.0, count - 1.0).expect("two samples or more");
+        Self { mean, margin: t.inverse_cdf(f64::midpoint(1.0, CONFIDENCE)) * error }
+    }
+
+    /// Returns true if the interval lies above or below 0.
+    pub fn is_significant(self) -> bool {
+        self.mean.abs() > self.margin
+    }
+}
+
+/// The difference that a policy makes against another one with the same callers.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Difference {
+    /// Of the value.
+    pub value: Estimate,
+    /// Of the part that was answered at all.
+    pub served: Estimate,
+}
+
+impl Difference {
+    /// Returns what `runs` have over `base`, seed by seed.
+    pub fn between(runs: &Runs, base: &Runs) -> Self {
+        let of = |figure: fn(&Results) -> f64| {
+            let pairs = runs.results.iter().zip(&base.results);
+            let differences: Vec<f64> = pairs.map(|(a, b)| figure(a) - figure(b)).collect();
+            Estimate::of(&differences)
+        };
+        Self { value: of(|results| results.value), served: of(|results| results.served) }
+    }
+}
+
+/// Plays every policy with every seed, as many at once as the machine has cores for or as the
+/// caller's thread pool allows.
+pub fn run(site: &Site, policies: &[Policy], seeds: Range<u64>, bar: bool) -> Vec<Runs> {
+    let pairs: Vec<(Policy, u64)> =
+        policies.iter().flat_map(|policy| seeds.clone().map(|seed| (*policy, seed))).collect();
+    let progress = if bar { progress(pairs.len() as u64) } else { ProgressBar::hidden() };
+    let results: Vec<Results> = pairs
+        .par_iter()
+        .map(|(policy, seed)| {
+            let results = play(site, *policy, *seed);
+            progress.inc(1);
+            results
+        })
+        .collect();
+    progress.finish_and_clear();
+    let each = (seeds.end - seeds.start) as usize;
+    let chunks = results.chunks(each.max(1));
+    let runs = policies.iter().zip(chunks);
+    runs.map(|(policy, results)| Runs { policy: *policy, results: results.to_vec() }).collect()
+}
+
+fn progress(length: u64) -> ProgressBar {
+    let style = ProgressStyle::with_template("{bar:30} {pos}/{len} runs, {eta} left");
+    let bar = ProgressBar::new(length);
+    bar.set_style(style.expect("valid template"));
+    bar
+}
--- /dev/null
+++ b/crates/egretgate-model/src/lib.rs
@@ -0,0 +1,32 @@
+//! A deterministic model of the systems that entries serve, and experiments on it.
+//!
+//! The model runs the decisions of `egretgate-core` against engines, plain services and callers in
+//! simulated time. Runs with one site and one seed give the same callers to every policy, so that
+//! policies can be compared in pairs.
+//!
+//! ```
+//! use egretgate_model::{Policy, Site, play};
+//!
+//! let site = Site::parse(include_str!("../sites/small.toml")).unwrap();
+//! let results = play(&site, Policy::Egretgate, 1);
+//! assert!(results.served > 0.9);
+//! ```
+
+pub mod engine;
+pub mod experiment;
+pub mod plot;
+pub mod report;
+pub mod site;
+
+mod agenda;
+mod client;
+mod entry;
+mod policy;
+mod tally;
+mod upstream;
+mod world;
+
+pub use policy::Policy;
+pub use site::Site;
+pub use tally::{KindResult, Results, SecondResult};
+pub use world::play;
--- /dev/null
+++ b/crates/egretgate-model/src/report.rs
@@ -0,0 +1,200 @@
+//! Results as tables, CSV and JSON.
+
+use std::io::Write;
+
+use comfy_table::Table;
+use comfy_table::presets::ASCII_MARKDOWN;
+use eyre::Result;
+use serde::Serialize;
+
+use crate::experiment::{Difference, Estimate, Runs};
+use crate::site::Site;
+use crate::tally::{KindResult, Results};
+
+/// Form of a report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Form {
+    /// Tables for people: means over the seeds with their confidence intervals.
+    Table,
+    /// A line for each policy, seed and kind of request.
+    Csv,
+    /// One document with everything.
+    Json,
+}
+
+/// Writes a report of the runs; the first policy is the one that others are compared with.
+pub fn write(site: &Site, runs: &[Runs], form: Form, out: &mut impl Write) -> Result<()> {
+    match form {
+        Form::Table => write_tables(runs, out),
+        Form::Csv => write_csv(runs, out),
+        Form::Json => write_json(site, runs, out),
+    }
+}
+
+fn write_tables(runs: &[Runs], out: &mut impl Write) -> Result<()> {
+    let mut whole = Table::new();
+    whole.load_style(ASCII_MARKDOWN).force_no_tty();
+    whole.set_header([
+        "policy",
+        "value",
+        "served",
+        "slots used",
+        "queued",
+        "value against the first",
+    ]);
+    for run in runs {
+        let against = match runs.first() {
+            Some(base) if base.policy != run.policy => {
+                let difference = Difference::between(run, base).value;
+                let mark = if difference.is_significant() { "" } else { " (not significant)" };
+                format!("{}{mark}", shown(difference))
+            }
+            _ => String::new(),
+        };
+        whole.add_row([
+            run.policy.as_str().to_owned(),
+            shown(estimate(run, |results| results.value)),
+            shown(estimate(run, |results| results.served)),
+            shown(estimate(run, |results| results.used)),
+            shown(estimate(run, |results| results.queued)),
+            against,
+        ]);
+    }
+    writeln!(out, "{whole}\n")?;
+    let mut kinds = Table::new();
+    kinds.load_style(ASCII_MARKDOWN).force_no_tty();
+    kinds.set_header([
+        "policy",
+        "kind",
+        "tier",
+        "asked",
+        "in time",
+        "late",
+        "paused",
+        "refused",
+        "failed",
+        "value",
+        "median ms",
+        "p99 ms",
+    ]);
+    for run in runs {
+        let count = run.results.first().map_or(0, |results| results.kinds.len());
+        for index in 0..count {
+            kinds.add_row(kind_row(run, index));
+        }
+    }
+    writeln!(out, "{kinds}")?;
+    Ok(())
+}
+
+fn kind_row(run: &Runs, index: usize) -> Vec<String> {
+    let first = &run.results[0].kinds[index];
+    let of = |figure: fn(&KindResult) -> f64| {
+        estimate_by(run, |results| figure(&results.kinds[index])).mean
+    };
+    vec![
+        run.policy.as_str().to_owned(),
+        first.kind.clone(),
+        first.tier.to_string(),
+        format!("{:.0}", of(|kind| kind.asked as f64)),
+        format!("{:.0}", of(|kind| kind.in_time as f64)),
+        format!("{:.0}", of(|kind| kind.late as f64)),
+        format!("{:.0}", of(|kind| kind.paused as f64)),
+        format!("{:.0}", of(|kind| kind.refused as f64)),
+        format!("{:.0}", of(|kind| kind.failed as f64)),
+        format!("{:.3}", of(|kind| kind.value)),
+        format!("{:.0}", of(|kind| kind.median_ms)),
+        format!("{:.0}", of(|kind| kind.p99_ms)),
+    ]
+}
+
+#[derive(Debug, Serialize)]
+struct Line<'a> {
+    policy: &'a str,
+    seed: u64,
+    kind: &'a str,
+    tier: u8,
+    asked: u64,
+    in_time: u64,
+    late: u64,
+    paused: u64,
+    refused: u64,
+    failed: u64,
+    value: f64,
+    median_ms: f64,
+    p99_ms: f64,
+}
+
+fn write_csv(runs: &[Runs], out: &mut impl Write) -> Result<()> {
+    let mut csv = csv::Writer::from_writer(out);
+    for run in runs {
+        for results in &run.results {
+            for kind in &results.kinds {
+                csv.serialize(Line {
+                    policy: run.policy.as_str(),
+                    seed: results.seed,
+                    kind: &kind.kind,
+                    tier: kind.tier,
+                    asked: kind.asked,
+                    in_time: kind.in_time,
+                    late: kind.late,
+                    paused: kind.paused,
+                    refused: kind.refused,
+                    failed: kind.failed,
+                    value: kind.value,
+                    median_ms: kind.median_ms,
+                    p99_ms: kind.p99_ms,
+                })?;
+            }
+        }
+    }
+    csv.flush()?;
+    Ok(())
+}
+
+#[derive(Debug, Serialize)]
+struct Document<'a> {
+    site: &'a str,
+    policies: Vec<Part<'a>>,
+}
+
+#[derive(Debug, Serialize)]
+struct Part<'a> {
+    policy: &'a str,
+    value: Estimate,
+    served: Estimate,
+    /// Against the first policy.
+    difference: Option<Difference>,
+    runs: &'a [Results],
+}
+
+fn write_json(site: &Site, runs: &[Runs], out: &mut impl Write) -> Result<()> {
+    let policies = runs.iter().enumerate().map(|(index, run)| Part {
+        policy: run.policy.as_str(),
+        value: estimate(run, |results| results.value),
+        served: estimate(run, |results| results.served),
+        difference: (index > 0).then(|| Difference::between(run, &runs[0])),
+        runs: &run.results,
+    });
+    let document = Document { site: &site.name, policies: policies.collect() };
+    serde_json::to_writer_pretty(&mut *out, &document)?;
+    writeln!(out)?;
+    Ok(())
+}
+
+fn estimate(run: &Runs, figure: fn(&Results) -> f64) -> Estimate {
+    estimate_by(run, figure)
+}
+
+fn estimate_by(run: &Runs, figure: impl Fn(&Results) -> f64) -> Estimate {
+    let samples: Vec<f64> = run.results.iter().map(figure).collect();
+    Estimate::of(&samples)
+}
+
+fn shown(estimate: Estimate) -> String {
+    if estimate.margin.is_finite() {
+        format!("{:.3} ± {:.3}", estimate.mean, estimate.margin)
+    } else {
+        format!("{:.3}", estimate.mean)
+    }
+}
--- /dev/null
+++ b/crates/egretgate-model/src/site.rs
@@ -0,0 +1,286 @@
+//! A site: what is modelled, from a file.
+
+use std::collections::BTreeSet;
+use std::path::Path;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, ensure};
+use serde::Deserialize;
+
+/// A deployment with its load.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Site {
+    /// Name for reports.
+    pub name: String,
+    /// Length of a run, in seconds.
+    pub seconds: f64,
+    /// Time of a message one way between two machines, in milliseconds.
+    pub link_ms: f64,
+    /// The entries.
+    pub entries: Entries,
+    /// Services, each with upstreams that are alike but for their speed.
+    pub services: Vec<Service>,
+    /// Kinds of requests.
+    pub requests: Vec<Kind>,
+    /// What happens during the run.
+    #[serde(default)]
+    pub troubles: Vec<Trouble>,
+}
+
+/// The entries of a site.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Entries {
+    /// Number of entries; at least 1.
+    pub count: usize,
+    /// Time between two reports of an entry, in milliseconds.
+    pub report_ms: f64,
+    /// Availability zones with their part of the callers; entries and upstreams are dealt to them
+    /// in turn.
+    pub zones: Vec<Zone>,
+}
+
+/// An availability zone.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Zone {
+    /// Name.
+    pub name: String,
+    /// Weight of its callers.
+    pub weight: f64,
+}
+
+/// A service and its upstreams.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name.
+    pub name: String,
+    /// Number of upstreams; at least 1.
+    pub count: usize,
+    /// Requests that each runs at once; at least 1.
+    pub slots: u32,
+    /// Requests that wait at each at most; what comes beyond is refused.
+    pub queue: usize,
+    /// What runs the requests.
+    pub server: Server,
+}
+
+/// What an upstream is.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(tag = "type", rename_all = "lowercase", deny_unknown_fields)]
+pub enum Server {
+    /// A model engine with continuous batching.
+    Engine(EngineSpec),
+    /// A plain service: each request takes its own time in a slot.
+    Plain,
+}
+
+/// How fast an engine is.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EngineSpec {
+    /// Time of a step with one request, in milliseconds.
+    pub step_ms: f64,
+    /// Further time of a step for each further request, in milliseconds.
+    pub slot_ms: f64,
+    /// Tokens of prompts that are read in a millisecond.
+    pub prefill_per_ms: f64,
+    /// Tokens of prompts that one step reads at most.
+    pub chunk: u32,
+    /// Tokens that its memory holds.
+    pub kv_tokens: u64,
+    /// Tokens of one event of a stream; at least 1.
+    pub event_tokens: u32,
+    /// Factors of the time of a step, dealt to the engines in turn.
+    pub speeds: Vec<f64>,
+}
+
+/// A kind of request.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Kind {
+    /// Name.
+    pub name: String,
+    /// Service that runs it.
+    pub service: String,
+    /// Tier; 0 is the most urgent.
+    pub tier: u8,
+    /// Requests a second over all entries.
+    pub per_second: f64,
+    /// What is asked for.
+    pub answer: Answer,
+    /// Time up to which an answer, or a stream's first event, is in time, in milliseconds.
+    pub objective_ms: f64,
+    /// Time that a caller waits in all, in milliseconds.
+    pub deadline_ms: f64,
+    /// Worth of an answer in time.
+    pub worth: f64,
+    /// Worth of a late one.
+    pub late_worth: f64,
+    /// Times that a caller comes back after a refusal.
+    pub retries: u32,
+    /// Upstreams that one request is sent to at most; at least 1.
+    pub attempts: u32,
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(tag = "type", rename_all = "lowercase", deny_unknown_fields)]
+pub enum Answer {
+    /// A stream of events.
+    Stream {
+        /// Tokens of the prompt.
+        prompt: u32,
+        /// Mean number of events.
+        events: f64,
+        /// Spread of that number: the standard deviation of its logarithm.
+        spread: f64,
+        /// Most events.
+        most: u32,
+        /// Spread of the estimate that callers give.
+        estimate: f64,
+        /// Longest pause between events that is in time, in milliseconds.
+        gap_ms: f64,
+    },
+    /// One answer.
+    Call {
+        /// Mean time in a slot, in milliseconds.
+        work_ms: f64,
+        /// Spread of that time: the standard deviation of its logarithm.
+        spread: f64,
+        /// True if it may run more than once.
+        safe: bool,
+    },
+}
+
+/// Something that happens for a while.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    /// When it begins, in seconds from the start.
+    pub at: f64,
+    /// How long it lasts, in seconds.
+    pub seconds: f64,
+    /// What happens.
+    pub what: What,
+}
+
+/// What happens.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(tag = "type", rename_all = "lowercase", deny_unknown_fields)]
+pub enum What {
+    /// So many times the usual load.
+    Burst {
+        /// Factor.
+        factor: f64,
+    },
+    /// Part of a service's upstreams is down.
+    Crash {
+        /// Service.
+        service: String,
+        /// Part, in `0.0..=1.0`.
+        part: f64,
+    },
+    /// Part of a service's upstreams is slow.
+    Slow {
+        /// Service.
+        service: String,
+        /// Part, in `0.0..=1.0`.
+        part: f64,
+        /// Factor of their time.
+        factor: f64,
+    },
+    /// Part of a service's upstreams fails some requests at once.
+    Fail {
+        /// Service.
+        service: String,
+        /// Part, in `0.0..=1.0`.
+        part: f64,
+        /// Part of the requests that fail there.
+        rate: f64,
+    },
+    /// Part of the entries hears no other, is heard by none and can't read the directory.
+    Cut {
+        /// Part, in `0.0..=1.0`.
+        part: f64,
+    },
+}
+
+impl Site {
+    /// Reads a site from a file.
+    pub fn read(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+        Self::parse(&text).wrap_err_with(|| path.display().to_string())
+    }
+
+    /// Reads a site from the text of a file.
+    pub fn parse(text: &str) -> Result<Self> {
+        let site: Self = toml::from_str(text)?;
+        site.check()?;
+        Ok(site)
+    }
+
+    /// Returns the time of a message one way.
+    pub fn link(&self) -> Duration {
+        millis(self.link_ms)
+    }
+
+    /// Returns the length of a run.
+    pub fn length(&self) -> Duration {
+        Duration::from_secs_f64(self.seconds)
+    }
+
+    fn check(&self) -> Result<()> {
+        ensure!(self.seconds > 0.0, "seconds must be over 0");
+        ensure!(self.entries.count > 0, "entries.count must be over 0");
+        ensure!(self.entries.report_ms > 0.0, "entries.report_ms must be over 0");
+        let weights: f64 = self.entries.zones.iter().map(|zone| zone.weight).sum();
+        ensure!(weights > 0.0, "entries.zones needs a zone with a weight over 0");
+        let names: BTreeSet<&str> =
+            self.services.iter().map(|service| service.name.as_str()).collect();
+        ensure!(names.len() == self.services.len(), "two services have one name");
+        for service in &self.services {
+            service.check()?;
+        }
+        for kind in &self.requests {
+            let Kind { name, service, .. } = kind;
+            ensure!(names.contains(service.as_str()), "request {name}: no service {service}");
+            ensure!(kind.per_second >= 0.0, "request {name}: per_second is below 0");
+            ensure!(kind.objective_ms > 0.0, "request {name}: objective_ms must be over 0");
+            ensure!(kind.attempts > 0, "request {name}: attempts must be over 0");
+        }
+        for trouble in &self.troubles {
+            let service = match &trouble.what {
+                What::Crash { service, .. }
+                | What::Slow { service, .. }
+                | What::Fail { service, .. } => service,
+                What::Burst { .. } | What::Cut { .. } => continue,
+            };
+            ensure!(names.contains(service.as_str()), "trouble at {}: no service", trouble.at);
+        }
+        Ok(())
+    }
+}
+
+impl Service {
+    fn check(&self) -> Result<()> {
+        let name = &self.name;
+        ensure!(self.count > 0, "service {name}: count must be over 0");
+        ensure!(self.slots > 0, "service {name}: slots must be over 0");
+        if let Server::Engine(engine) = &self.server {
+            ensure!(engine.event_tokens > 0, "service {name}: event_tokens must be over 0");
+            ensure!(engine.prefill_per_ms > 0.0, "service {name}: prefill_per_ms must be over 0");
+            ensure!(engine.step_ms > 0.0, "service {name}: step_ms must be over 0");
+            ensure!(!engine.speeds.is_empty(), "service {name}: speeds is empty");
+            ensure!(engine.chunk > 0, "service {name}: chunk must be over 0");
+        }
+        Ok(())
+    }
+}
+
+/// Returns a time given in milliseconds.
+pub fn millis(ms: f64) -> Duration {
+    Duration::from_secs_f64(ms / 1_000.0)
+}
--- /dev/null
+++ b/crates/egretgate-model/src/tally.rs
@@ -0,0 +1,222 @@
+//! What callers got in one run.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use crate::site::Site;
+
+/// Longest time that is told apart, in microseconds.
+const LONGEST: u64 = 120_000_000;
+
+/// How a request ended for its caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Fate {
+    /// Whole, with its first event and its pauses in time.
+    InTime,
+    /// Whole, but its first event was late.
+    Late,
+    /// Whole, but a pause between its events was too long.
+    Paused,
+    /// Refused for good.
+    Refused,
+    /// Broken, failed or not there by the caller's deadline.
+    Failed,
+}
+
+/// Callers' results for one kind of request.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct KindResult {
+    /// Name of the kind.
+    pub kind: String,
+    /// Its tier.
+    pub tier: u8,
+    /// Requests.
+    pub asked: u64,
+    /// Answered in time.
+    pub in_time: u64,
+    /// Answered late.
+    pub late: u64,
+    /// Of the late ones, those whose first event was in time but a later one was not.
+    pub paused: u64,
+    /// Refused for good.
+    pub refused: u64,
+    /// Not answered.
+    pub failed: u64,
+    /// Worth earned over worth asked for.
+    pub value: f64,
+    /// Median time to the first event, in milliseconds.
+    pub median_ms: f64,
+    /// Ninety-ninth percentile of the time to the first event, in milliseconds.
+    pub p99_ms: f64,
+}
+
+/// Results of one second for one tier.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct SecondResult {
+    /// Second in which the requests came.
+    pub second: usize,
+    /// Tier.
+    pub tier: u8,
+    /// Requests.
+    pub asked: u64,
+    /// Answered in time.
+    pub in_time: u64,
+    /// Mean time to the first event of those that had one, in milliseconds.
+    pub first_ms: f64,
+}
+
+/// Results of one run.
+#[derive(Debug, Clone, Serialize)]
+pub struct Results {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Worth earned over worth asked for, over all kinds.
+    pub value: f64,
+    /// Part of the requests that were answered at all.
+    pub served: f64,
+    /// Part of the upstreams' slots in use, over the run.
+    pub used: f64,
+    /// Requests that wait at upstreams, for each slot, over the run.
+    pub queued: f64,
+    /// Times that an engine took a running request out for want of memory.
+    pub preempted: u64,
+    /// By kind of request.
+    pub kinds: Vec<KindResult>,
+    /// By second and tier.
+    pub seconds: Vec<SecondResult>,
+}
+
+/// Counts while a run goes on.
+#[derive(Debug)]
+pub(crate) struct Tally {
+    kinds: Vec<Count>,
+    /// By second, then tier.
+    seconds: Vec<Vec<Second>>,
+    busy: f64,
+    queued: f64,
+    samples: u64,
+}
+
+#[derive(Debug)]
+struct Count {
+    result: KindResult,
+    worth: f64,
+    late_worth: f64,
+    first: Histogram<u64>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Second {
+    asked: u64,
+    in_time: u64,
+    firsts: u64,
+    first: Duration,
+}
+
+impl Tally {
+    pub(crate) fn new(site: &Site) -> Self {
+        let count = |kind: &crate::site::Kind| Count {
+            result: KindResult {
+                kind: kind.name.clone(),
+                tier: kind.tier,
+                ..KindResult::default()
+            },
+            worth: kind.worth,
+            late_worth: kind.late_worth,
+            first: Histogram::new_with_bounds(1, LONGEST, 3).expect("valid bounds"),
+        };
+        let tiers = site.requests.iter().map(|kind| usize::from(kind.tier) + 1).max().unwrap_or(0);
+        let seconds = vec![vec![Second::default(); tiers]; site.seconds.ceil() as usize + 1];
+        let kinds = site.requests.iter().map(count).collect();
+        Self { kinds, seconds, busy: 0.0, queued: 0.0, samples: 0 }
+    }
+
+    /// Notes a request that came `at` after the start.
+    pub(crate) fn asked(&mut self, kind: usize, at: Duration) {
+        let count = &mut self.kinds[kind];
+        count.result.asked += 1;
+        let tier = usize::from(count.result.tier);
+        self.second(at, tier).asked += 1;
+    }
+
+    /// Notes the end of a request that came `at` after the start, with the time to its first
+    /// event.
+    pub(crate) fn ended(&mut self, kind: usize, at: Duration, fate: Fate, first: Option<Duration>) {
+        let count = &mut self.kinds[kind];
+        match fate {
+            Fate::InTime => count.result.in_time += 1,
+            Fate::Late => count.result.late += 1,
+            Fate::Paused => {
+                count.result.late += 1;
+                count.result.paused += 1;
+            }
+            Fate::Refused => count.result.refused += 1,
+            Fate::Failed => count.result.failed += 1,
+        }
+        if let Some(first) = first {
+            count.first.saturating_record(first.as_micros() as u64);
+        }
+        let tier = usize::from(count.result.tier);
+        let second = self.second(at, tier);
+        second.in_time += u64::from(fate == Fate::InTime);
+        if let Some(first) = first {
+            second.firsts += 1;
+            second.first += first;
+        }
+    }
+
+    /// Notes what runs and what waits at upstreams at one moment, for each slot.
+    pub(crate) fn sample(&mut self, used: f64, queued: f64) {
+        self.busy += used;
+        self.queued += queued;
+        self.samples += 1;
+    }
+
+    pub(crate) fn finish(mut self, seed: u64, preempted: u64) -> Results {
+        let (mut earned, mut owed, mut served, mut asked) = (0.0, 0.0, 0, 0);
+        for count in &mut self.kinds {
+            let result = &mut count.result;
+            let gained =
+                result.in_time as f64 * count.worth + result.late as f64 * count.late_worth;
+            let wanted = result.asked as f64 * count.worth;
+            result.value = part(gained, wanted);
+            result.median_ms = count.first.value_at_quantile(0.5) as f64 / 1_000.0;
+            result.p99_ms = count.first.value_at_quantile(0.99) as f64 / 1_000.0;
+            earned += gained;
+            owed += wanted;
+            served += result.in_time + result.late;
+            asked += result.asked;
+        }
+        let seconds = self.seconds.iter().enumerate().flat_map(|(second, tiers)| {
+            tiers.iter().enumerate().map(move |(tier, count)| SecondResult {
+                second,
+                tier: tier as u8,
+                asked: count.asked,
+                in_time: count.in_time,
+                first_ms: count.first.as_secs_f64() * 1_000.0 / count.firsts.max(1) as f64,
+            })
+        });
+        Results {
+            seed,
+            value: part(earned, owed),
+            served: part(served as f64, asked as f64),
+            used: part(self.busy, self.samples as f64),
+            queued: part(self.queued, self.samples as f64),
+            preempted,
+            seconds: seconds.filter(|second| second.asked > 0).collect(),
+            kinds: self.kinds.into_iter().map(|count| count.result).collect(),
+        }
+    }
+
+    fn second(&mut self, at: Duration, tier: usize) -> &mut Second {
+        let last = self.seconds.len() - 1;
+        &mut self.seconds[(at.as_secs() as usize).min(last)][tier]
+    }
+}
+
+/// Returns `some` over `all`; 1 of nothing.
+fn part(some: f64, all: f64) -> f64 {
+    if all > 0.0 { some / all } else { 1.0 }
+}
