--- /dev/null
+++ b/crates/egretgate/tests/operations.rs
@@ -0,0 +1,198 @@
+//! Failed requests of a real gateway process, each traced from its id to its cause by the log alone,
+//! as `docs/OPERATIONS.md` shows.
+
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use egretgate_adapter::PATH_VARIABLE;
+use egretgate_stand_ins::{
+    Behaviour, Store, Upstream, ask, config, free_address, request, settings, status,
+};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// Longest time until the process is ready, and until a line is in its log.
+const PATIENCE: Duration = Duration::from_secs(10);
+/// Requests that fill the upstream's eight slots and the queue behind them.
+const CROWD: usize = 24;
+
+/// A gateway process with its log.
+struct Gateway {
+    front: SocketAddr,
+    child: Child,
+    log: tempfile::NamedTempFile,
+    _settings: tempfile::NamedTempFile,
+}
+
+impl Gateway {
+    async fn start(store: &Store) -> Self {
+        let (front, ready) = (free_address().await, free_address().await);
+        let (file, log) =
+            (tempfile::NamedTempFile::new().unwrap(), tempfile::NamedTempFile::new().unwrap());
+        std::fs::write(file.path(), settings("entry-1", store.address, front, ready)).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_egretgate"))
+            .arg("gateway")
+            .env(PATH_VARIABLE, file.path())
+            .stdout(log.reopen().unwrap())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap();
+        let gateway = Self { front, child, log, _settings: file };
+        gateway.await_line("msg=ready").await;
+        gateway
+    }
+
+    /// Waits until the log holds a text: lines are written apart from requests.
+    async fn await_line(&self, text: &str) {
+        let until = Instant::now() + PATIENCE;
+        while !self.lines().contains(text) {
+            assert!(Instant::now() < until, "no {text} in the log: {}", self.lines());
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    fn lines(&self) -> String {
+        std::fs::read_to_string(self.log.path()).unwrap()
+    }
+
+    /// Returns what `egretgate explain` prints of a request.
+    async fn explain(&self, id: &str) -> String {
+        self.await_line(&format!("id={id}")).await;
+        let output = Command::new(env!("CARGO_BIN_EXE_egretgate"))
+            .args(["explain", id, self.log.path().to_str().unwrap()])
+            .output()
+            .unwrap();
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What makes a request fail.
+#[derive(Debug, Clone, Copy)]
+enum Trouble {
+    /// More requests than the upstream can run.
+    Overload,
+    /// The upstream runs the request and its answer is lost.
+    LostAnswer,
+    /// New declarations without the caller's key.
+    KeyRemoved,
+    /// New declarations without the route.
+    RouteRemoved,
+}
+
+struct Case {
+    trouble: Trouble,
+    status: u16,
+    /// Parts of what is printed, in order.
+    told: &'static [&'static str],
+    /// Line of the log that holds the cause besides.
+    cause: &'static str,
+}
+
+const CASES: [Case; 4] = [
+    Case {
+        trouble: Trouble::Overload,
+        status: 503,
+        told: &["request", "sent=0", "overloaded: it would have waited too long"],
+        cause: "msg=\"upstreams listed\"",
+    },
+    Case {
+        trouble: Trouble::LostAnswer,
+        status: 502,
+        told: &["attempt", "sent=1", "answer_lost: an upstream may have run it"],
+        cause: "outcome=lost",
+    },
+    Case {
+        trouble: Trouble::KeyRemoved,
+        status: 401,
+        told: &["refused", "catalog=2", "unauthorized: no team holds its key"],
+        cause: "msg=\"declarations in force\"",
+    },
+    Case {
+        trouble: Trouble::RouteRemoved,
+        status: 404,
+        told: &["refused", "catalog=2", "no_route"],
+        cause: "routes=3",
+    },
+];
+
+/// Brings a failure about; returns the id and the status of one failed request.
+async fn fail(
+    trouble: Trouble,
+    gateway: &Gateway,
+    store: &Store,
+    upstream: &Upstream,
+) -> (String, u16) {
+    let front = gateway.front;
+    let one = |id: &'static str| async move {
+        (id.to_owned(), status(&ask(front, &request("/unsafe/x", id, "hello")).await))
+    };
+    match trouble {
+        Trouble::Overload => {
+            upstream.set(Behaviour::Silent);
+            let mut calls = JoinSet::new();
+            for number in 0..CROWD {
+                let id = format!("crowd-{number}");
+                calls.spawn(async move {
+                    let answer = ask(front, &request("/unsafe/x", &id, "hello")).await;
+                    (id, status(&answer))
+                });
+            }
+            let answers = calls.join_all().await;
+            answers.into_iter().find(|(_, status)| *status == 503).expect("not all fit")
+        }
+        Trouble::LostAnswer => {
+            upstream.set(Behaviour::Hangup);
+            one("lost-1").await
+        }
+        Trouble::KeyRemoved => {
+            let mut changed = config(2);
+            changed["tenants"][0]["apiKeys"] = serde_json::json!(["key-2"]);
+            declare(store, gateway, &changed).await;
+            one("key-1-call").await
+        }
+        Trouble::RouteRemoved => {
+            let mut changed = config(2);
+            let routes = changed["routes"].as_array_mut().expect("routes");
+            routes.retain(|route| route["name"] != "unsafe");
+            declare(store, gateway, &changed).await;
+            one("route-1").await
+        }
+    }
+}
+
+async fn declare(store: &Store, gateway: &Gateway, config: &serde_json::Value) {
+    store.put("keyed.op", "config", config.to_string().as_bytes());
+    gateway.await_line("version=2").await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failed_request_is_traced_to_its_cause_by_the_log_alone() {
+    for case in CASES {
+        let trouble = case.trouble;
+        let store = Store::start().await;
+        store.declare(1);
+        let upstream = Upstream::start(Behaviour::Whole).await;
+        store.list(0, upstream.address, "ready");
+        let gateway = Gateway::start(&store).await;
+        let (id, status) = fail(trouble, &gateway, &store, &upstream).await;
+        assert_eq!(status, case.status, "{trouble:?}: {id}");
+        let story = gateway.explain(&id).await;
+        let mut rest = story.as_str();
+        for told in case.told {
+            let at = rest.find(told);
+            let at = at.unwrap_or_else(|| panic!("{trouble:?}: no {told} in {story}"));
+            rest = &rest[at + told.len()..];
+        }
+        gateway.await_line(case.cause).await;
+        assert!(!gateway.lines().contains("key-1\""), "{trouble:?}: a key is in the log");
+    }
+}
