--- a/crates/egretgate/tests/soak.rs
+++ b/crates/egretgate/tests/soak.rs
@@ -1,8 +1,9 @@
 //! A randomized soak: real gateway processes behind stand-ins, with faults from outside.
 //!
-//! Signals stop, pause, kill and restart the processes in series that overlap; the store goes away
-//! and comes back; declarations change; upstreams cut, lose and refuse answers. Callers check each
-//! answer, and the upstreams what reached them. `EGRETGATE_SOAK_SEEDS` names the seeds of a run by
+//! Signals stop, pause, kill and restart the processes in series that overlap; relays between them,
+//! the store and the upstreams delay, cut, hold up and silence connections, each way by itself; the
+//! store goes away and comes back; declarations change; upstreams cut, lose and refuse answers.
+//! Callers check each answer, and the upstreams what reached them. `EGRETGATE_SOAK_SEEDS` names the seeds of a run by
 //! hand, such as `100..150`; without it the regression seeds and one more are played.
 
 use std::collections::HashMap;
@@ -12,6 +13,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_adapter::PATH_VARIABLE;
+use egretgate_fakes::relay::{Block, Relay};
 use egretgate_stand_ins::{
     Behaviour, Mood, Store, Upstream, free_address, is_signed_for, request, settings, status,
 };
@@ -168,16 +170,66 @@
     }
 }
 
+/// What a run disturbs.
+struct World {
+    store: Store,
+    upstreams: Vec<Upstream>,
+    entries: Vec<Entry>,
+    /// Relays between each entry and the store.
+    store_relays: Vec<Relay>,
+    /// Relays before each upstream.
+    relays: Vec<Relay>,
+    /// Version of the declarations.
+    version: u64,
+}
+
+impl World {
+    async fn start() -> Self {
+        let store = Store::start().await;
+        store.declare(1);
+        let (mut upstreams, mut relays) = (Vec::new(), Vec::new());
+        for index in 0..UPSTREAMS {
+            let upstream = Upstream::start(Behaviour::ByRoute).await;
+            let relay = Relay::start(upstream.address).await.unwrap();
+            store.list(index, relay.address(), "ready");
+            upstreams.push(upstream);
+            relays.push(relay);
+        }
+        let (mut entries, mut store_relays) = (Vec::new(), Vec::new());
+        for number in 1..=ENTRIES {
+            let relay = Relay::start(store.address).await.unwrap();
+            entries.push(Entry::start(&format!("entry-{number}"), relay.address()).await);
+            store_relays.push(relay);
+        }
+        Self { store, upstreams, entries, store_relays, relays, version: 1 }
+    }
+}
+
+/// Disturbs a link, or ends what disturbs it.
+fn disturb_link(rng: &mut ChaCha8Rng, relay: &Relay) {
+    match rng.random_range(0..5) {
+        0 => relay.set_delay(Duration::from_millis(rng.random_range(1..300))),
+        1 => relay.cut(),
+        2 => {
+            let blocks = [Block::None, Block::Forth, Block::Back, Block::Both];
+            relay.set_block(*blocks.choose(rng).unwrap());
+        }
+        3 => relay.set_down(rng.random_bool(0.5)),
+        _ => heal_link(relay),
+    }
+}
+
+fn heal_link(relay: &Relay) {
+    relay.set_delay(Duration::ZERO);
+    relay.set_block(Block::None);
+    relay.set_down(false);
+}
+
 /// Brings one fault about, or ends one.
-fn disturb(
-    rng: &mut ChaCha8Rng,
-    entries: &mut [Entry],
-    upstreams: &[Upstream],
-    store: &Store,
-    version: &mut u64,
-) {
+fn disturb(rng: &mut ChaCha8Rng, world: &mut World) {
+    let World { store, upstreams, entries, store_relays, relays, version } = world;
     let at = rng.random_range(0..entries.len());
-    match rng.random_range(0..9) {
+    match rng.random_range(0..11) {
         0 => entries[at].signal("TERM"),
         1 => entries[at].signal("KILL"),
         2 => entries[at].signal("STOP"),
@@ -194,7 +246,12 @@
         7 => {
             let upstream = rng.random_range(0..upstreams.len());
             let stage = *["ready", "draining"].choose(rng).unwrap();
-            store.list(upstream, upstreams[upstream].address, stage);
+            store.list(upstream, relays[upstream].address(), stage);
+        }
+        8 => disturb_link(rng, &store_relays[at]),
+        9 => {
+            let relay = rng.random_range(0..relays.len());
+            disturb_link(rng, &relays[relay]);
         }
         _ => {
             upstreams.choose(rng).unwrap().set(*BEHAVIOURS.choose(rng).unwrap());
@@ -206,20 +263,8 @@
 /// Plays one seed; returns what went wrong.
 async fn play(seed: u64) -> Vec<String> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let store = Store::start().await;
-    let mut version = 1;
-    store.declare(version);
-    let mut upstreams = Vec::new();
-    for index in 0..UPSTREAMS {
-        let upstream = Upstream::start(Behaviour::ByRoute).await;
-        store.list(index, upstream.address, "ready");
-        upstreams.push(upstream);
-    }
-    let mut entries = Vec::new();
-    for number in 1..=ENTRIES {
-        entries.push(Entry::start(&format!("entry-{number}"), store.address).await);
-    }
-    let fronts: Vec<SocketAddr> = entries.iter().map(|entry| entry.front).collect();
+    let mut world = World::start().await;
+    let fronts: Vec<SocketAddr> = world.entries.iter().map(|entry| entry.front).collect();
     let told = Arc::new(Mutex::new(Told::default()));
     let until = Instant::now() + LENGTH;
     let callers: Vec<_> = (0..CALLERS)
@@ -227,15 +272,15 @@
         .collect();
     while Instant::now() < until {
         sleep(Duration::from_millis(rng.random_range(20..400))).await;
-        disturb(&mut rng, &mut entries, &upstreams, &store, &mut version);
+        disturb(&mut rng, &mut world);
     }
     for caller in callers {
         caller.await.unwrap();
     }
     let mut faults = std::mem::take(&mut told.lock().unwrap().broken);
-    faults.extend(judge(&told.lock().unwrap(), &upstreams));
-    heal(&mut entries, &upstreams, &store);
-    faults.extend(recover(&mut entries).await);
+    faults.extend(judge(&told.lock().unwrap(), &world.upstreams));
+    heal(&world);
+    faults.extend(recover(&mut world.entries).await);
     faults
 }
 
@@ -261,13 +306,14 @@
     faults
 }
 
-fn heal(entries: &mut [Entry], upstreams: &[Upstream], store: &Store) {
-    store.set_mood(Mood::Well);
-    for (index, upstream) in upstreams.iter().enumerate() {
+fn heal(world: &World) {
+    world.store.set_mood(Mood::Well);
+    world.store_relays.iter().chain(&world.relays).for_each(heal_link);
+    for (index, upstream) in world.upstreams.iter().enumerate() {
         upstream.set(Behaviour::ByRoute);
-        store.list(index, upstream.address, "ready");
+        world.store.list(index, world.relays[index].address(), "ready");
     }
-    for entry in entries.iter() {
+    for entry in &world.entries {
         entry.signal("CONT");
     }
 }
