--- a/crates/egretgate-caller/src/call.rs
+++ b/crates/egretgate-caller/src/call.rs
@@ -67,7 +67,7 @@
 }
 
 /// Part of an answer, in order: [`Reply::Head`], any [`Reply::Data`], then [`Reply::End`]; or
-/// [`Reply::Failed`] at any place.
+/// [`Reply::Failed`] at any point.
 #[derive(Debug)]
 pub enum Reply {
     /// Start of the answer.
--- a/crates/egretgate-core/benches/choice.rs
+++ b/crates/egretgate-core/benches/choice.rs
@@ -8,8 +8,8 @@
 use rand_chacha::ChaCha8Rng;
 
 const SIZES: [usize; 3] = [20, 630, 10_000];
-/// Upstreams of one place at the target: 10,000 over 38 places.
-const PLACE_SIZE: usize = 264;
+/// Upstreams of one zone at the target: 10,000 over 38 zones.
+const ZONE_SIZE: usize = 264;
 
 fn main() {
     divan::main();
@@ -21,7 +21,7 @@
     for index in 0..size {
         let key = fleet.insert(Upstream {
             id: format!("forecast-{index}"),
-            place: format!("place-{}", index / PLACE_SIZE),
+            zone: format!("zone-{}", index / ZONE_SIZE),
             service: "forecast-llm".into(),
             versions: vec!["v1".into()],
         });
@@ -49,7 +49,7 @@
         prompt: 500,
         output: 100,
         prefix: rng.random(),
-        place: "place-0",
+        zone: "zone-0",
         excluded: &[],
     }
 }
--- a/crates/egretgate-core/examples/choices.rs
+++ b/crates/egretgate-core/examples/choices.rs
@@ -8,8 +8,8 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-/// Places, each with a third of the entries and upstreams.
-const PLACES: [&str; 3] = ["boa-viagem", "santo-amaro", "olinda"];
+/// Zones, each with a third of the entries and upstreams.
+const ZONES: [&str; 3] = ["boa-viagem", "santo-amaro", "olinda"];
 /// Speeds of the upstreams, equally many of each.
 const SPEEDS: [f64; 3] = [1.0, 2.0, 4.0];
 /// The upstream that always reports to be idle; one of the slowest.
@@ -132,7 +132,7 @@
 
 /// Returns the speed of an upstream.
 fn speed(server: usize) -> f64 {
-    SPEEDS[server / PLACES.len() % SPEEDS.len()]
+    SPEEDS[server / ZONES.len() % SPEEDS.len()]
 }
 
 impl Figures {
@@ -166,7 +166,7 @@
             for fleet in &mut fleets {
                 let key = fleet.insert(Upstream {
                     id: format!("forecast-{index}"),
-                    place: PLACES[index % PLACES.len()].into(),
+                    zone: ZONES[index % ZONES.len()].into(),
                     service: "forecast-llm".into(),
                     versions: vec!["v1".into()],
                 });
@@ -260,7 +260,7 @@
             prompt: request.prompt,
             output: request.guess,
             prefix: request.prefix,
-            place: PLACES[request.entry % PLACES.len()],
+            zone: ZONES[request.entry % ZONES.len()],
             excluded: &request.tried,
         };
         let fleet = &mut self.fleets[request.entry];
@@ -290,8 +290,8 @@
         }
         let requests = &self.requests;
         let waiting = server.queue.iter().enumerate();
-        let (place, _) = waiting.min_by_key(|&(_, &r)| (requests[r].tier, r)).expect("a request");
-        let chosen = server.queue.remove(place);
+        let (zone, _) = waiting.min_by_key(|&(_, &r)| (requests[r].tier, r)).expect("a request");
+        let chosen = server.queue.remove(zone);
         server.running += 1;
         let request = &self.requests[chosen];
         let hit = server.cache.contains(&request.prefix);
--- a/crates/egretgate-core/src/check/file.rs
+++ b/crates/egretgate-core/src/check/file.rs
@@ -34,7 +34,7 @@
     let declarations = file.declarations();
     if file.faults.is_empty() {
         let found = faults(&declarations);
-        file.faults = found.into_iter().map(|fault| file.place(fault)).collect();
+        file.faults = found.into_iter().map(|fault| file.locate(fault)).collect();
     }
     if file.faults.is_empty() { Ok(declarations) } else { Err(file.faults) }
 }
@@ -90,7 +90,7 @@
     }
 
     /// Returns `fault` with the line of the deepest part of its path that stands in the file.
-    fn place(&self, mut fault: Fault) -> Fault {
+    fn locate(&self, mut fault: Fault) -> Fault {
         let mut line = 1;
         let mut table = Some(self.table);
         for part in &fault.path {
--- a/crates/egretgate-core/src/choice.rs
+++ b/crates/egretgate-core/src/choice.rs
@@ -11,7 +11,7 @@
 
 use std::time::Duration;
 
-use crate::ids::{PlaceId, ServiceId, Tier, UpstreamId, VersionId};
+use crate::ids::{ServiceId, Tier, UpstreamId, VersionId, ZoneId};
 
 pub use fleet::Fleet;
 pub use policy::Policy;
@@ -27,8 +27,8 @@
 pub struct Upstream {
     /// Name.
     pub id: UpstreamId,
-    /// Place in which it runs.
-    pub place: PlaceId,
+    /// Availability zone in which it runs.
+    pub zone: ZoneId,
     /// Service that it serves.
     pub service: ServiceId,
     /// Versions that its engines hold.
@@ -73,8 +73,8 @@
     pub output: u32,
     /// Hash of the prompt's prefix, for affinity.
     pub prefix: u64,
-    /// Place of the entry.
-    pub place: &'a str,
+    /// Availability zone of the entry.
+    pub zone: &'a str,
     /// Upstreams that already refused the request.
     pub excluded: &'a [UpstreamKey],
 }
--- a/crates/egretgate-core/src/choice/fleet.rs
+++ b/crates/egretgate-core/src/choice/fleet.rs
@@ -1,4 +1,4 @@
-//! The upstreams that one entry knows, indexed by service, version and place.
+//! The upstreams that one entry knows, indexed by service, version and zone.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::ops::Bound;
@@ -10,7 +10,7 @@
 
 use super::view::{Prior, rank};
 use super::{Ask, Flight, Policy, Report, Upstream, UpstreamKey, View};
-use crate::ids::{MAX_TIERS, PlaceId, ServiceId, Tier, VersionId};
+use crate::ids::{MAX_TIERS, ServiceId, Tier, VersionId, ZoneId};
 
 /// Points of one upstream on the hash ring of its group.
 const POINTS: u64 = 16;
@@ -18,9 +18,9 @@
 const RING_STEPS: usize = 4;
 /// Members of a pool up to which a choice looks at all of them.
 const SMALL_POOL: usize = 24;
-/// Random candidates from the own place.
+/// Random candidates from the own zone.
 const NEAR_SAMPLES: usize = 4;
-/// Random candidates from other places.
+/// Random candidates from other zones.
 const FAR_SAMPLES: usize = 2;
 /// Views that a Prequal-style decision looks at.
 const PROBES: usize = 6;
@@ -30,11 +30,11 @@
 const OVERLOAD: f64 = 1.5;
 /// Part of the prompt that affinity is expected to save.
 const EXPECTED_HIT: f64 = 0.75;
-/// Predicted gain below which a request stays in its own place, in seconds.
+/// Predicted gain below which a request stays in its own zone, in seconds.
 const SPILL_MARGIN: f64 = 0.02;
 /// Added to the prediction of an upstream that says it would refuse, in seconds.
 const SHED_PENALTY: f64 = 60.0;
-/// One-way latency to a place of which none was set.
+/// One-way latency to a zone of which none was set.
 const DEFAULT_LATENCY: Duration = Duration::from_millis(1);
 /// Excluded upstreams beyond which a scan looks them up in a set.
 const SMALL_EXCLUDED: usize = 16;
@@ -43,10 +43,10 @@
     struct GroupKey;
 }
 
-/// Upstreams of one service and version in one place.
+/// Upstreams of one service and version in one zone.
 #[derive(Debug, Default)]
 struct Group {
-    place: PlaceId,
+    zone: ZoneId,
     members: Vec<UpstreamKey>,
     /// Hash ring: point to upstream.
     ring: BTreeMap<u64, UpstreamKey>,
@@ -64,13 +64,13 @@
     others: u64,
 }
 
-/// Groups of one service and version, one for each place.
+/// Groups of one service and version, one for each zone.
 #[derive(Debug, Default)]
 struct Pool {
     /// Every member of every group.
     members: Vec<UpstreamKey>,
     groups: Vec<GroupKey>,
-    places: HashMap<PlaceId, usize>,
+    zones: HashMap<ZoneId, usize>,
 }
 
 /// What a member adds to the sums of its groups.
@@ -103,7 +103,7 @@
 /// let mut fleet = Fleet::new(Policy::Affinity);
 /// let key = fleet.insert(Upstream {
 ///     id: "forecast-1".into(),
-///     place: "olinda".into(),
+///     zone: "olinda".into(),
 ///     service: "forecast-llm".into(),
 ///     versions: vec!["v1".into()],
 /// });
@@ -114,7 +114,7 @@
 ///     prompt: 200,
 ///     output: 50,
 ///     prefix: 7,
-///     place: "olinda",
+///     zone: "olinda",
 ///     excluded: &[],
 /// };
 /// let mut rng = rand_chacha::ChaCha8Rng::seed_from_u64(1);
@@ -127,8 +127,8 @@
     groups: SlotMap<GroupKey, Group>,
     /// Pools by service, then by version; the empty version stands for any.
     pools: HashMap<ServiceId, HashMap<VersionId, Pool>>,
-    /// One-way latency to other places.
-    latencies: HashMap<PlaceId, Duration>,
+    /// One-way latency to other zones.
+    latencies: HashMap<ZoneId, Duration>,
 }
 
 impl Fleet {
@@ -137,9 +137,9 @@
         Self { policy, ..Self::default() }
     }
 
-    /// Sets the one-way latency to a place.
-    pub fn set_latency(&mut self, place: &str, latency: Duration) {
-        self.latencies.insert(place.to_owned(), latency);
+    /// Sets the one-way latency to a zone.
+    pub fn set_latency(&mut self, zone: &str, latency: Duration) {
+        self.latencies.insert(zone.to_owned(), latency);
     }
 
     /// Adds an upstream at full weight.
@@ -308,7 +308,7 @@
         (0..RANDOM_TRIES).find_map(|_| self.draw_any(pool, ask, rng))
     }
 
-    /// Finds any eligible member, the own place first, from a random start in each group.
+    /// Finds any eligible member, the own zone first, from a random start in each group.
     fn scan<R: Rng + ?Sized>(
         &self,
         pool: &Pool,
@@ -322,7 +322,7 @@
             let excluded = if many { set.contains(&key) } else { ask.excluded.contains(&key) };
             !excluded && self.members[key].view.eligible()
         };
-        let own = pool.places.get(ask.place).map(|&index| pool.groups[index]);
+        let own = pool.zones.get(ask.zone).map(|&index| pool.groups[index]);
         let others = pool.groups.iter().copied().filter(|&key| Some(key) != own);
         own.into_iter().chain(others).find_map(|group| {
             let members = &self.groups[group].members;
@@ -399,7 +399,7 @@
                 best = Some((score, key));
             }
         };
-        let own = pool.places.get(ask.place).map(|&index| pool.groups[index]);
+        let own = pool.zones.get(ask.zone).map(|&index| pool.groups[index]);
         let own = own.filter(|&group| !self.groups[group].members.is_empty());
         let near = own.map(|key| &self.groups[key]);
         let prior = near.map(|group| group.prior(ask.tier)).unwrap_or_default();
@@ -410,7 +410,7 @@
             for &group in &pool.groups {
                 let group = &self.groups[group];
                 let prior = group.prior(ask.tier);
-                let away = if group.place == ask.place { 0.0 } else { self.distance(group) };
+                let away = if group.zone == ask.zone { 0.0 } else { self.distance(group) };
                 for &key in &group.members {
                     let Some(view) = self.allowed(key, ask) else { continue };
                     if admitted(view, rng) {
@@ -486,9 +486,9 @@
         predicted + shed
     }
 
-    /// Returns what weighs against another place, in seconds.
+    /// Returns what weighs against another zone, in seconds.
     fn distance(&self, group: &Group) -> f64 {
-        let latency = self.latencies.get(&group.place).copied().unwrap_or(DEFAULT_LATENCY);
+        let latency = self.latencies.get(&group.zone).copied().unwrap_or(DEFAULT_LATENCY);
         2.0 * latency.as_secs_f64() + SPILL_MARGIN
     }
 
@@ -508,7 +508,7 @@
             let versions = self.pools.entry(upstream.service.clone()).or_default();
             let pool = versions.entry(version).or_default();
             pool.members.push(key);
-            let group = pool.group(&upstream.place, &mut self.groups);
+            let group = pool.group(&upstream.zone, &mut self.groups);
             self.groups[group].join(key, &upstream.id);
             joined.push(group);
         }
@@ -542,13 +542,13 @@
 }
 
 impl Pool {
-    /// Returns the group of a place, made if there is none.
-    fn group(&mut self, place: &str, groups: &mut SlotMap<GroupKey, Group>) -> GroupKey {
-        if let Some(&index) = self.places.get(place) {
+    /// Returns the group of a zone, made if there is none.
+    fn group(&mut self, zone: &str, groups: &mut SlotMap<GroupKey, Group>) -> GroupKey {
+        if let Some(&index) = self.zones.get(zone) {
             return self.groups[index];
         }
-        let key = groups.insert(Group { place: place.to_owned(), ..Group::default() });
-        self.places.insert(place.to_owned(), self.groups.len());
+        let key = groups.insert(Group { zone: zone.to_owned(), ..Group::default() });
+        self.zones.insert(zone.to_owned(), self.groups.len());
         self.groups.push(key);
         key
     }
--- a/crates/egretgate-core/src/choice/policy.rs
+++ b/crates/egretgate-core/src/choice/policy.rs
@@ -12,7 +12,7 @@
     /// Hot and cold by requests in flight, then least latency (Prequal, NSDI '24).
     Prequal,
     /// Prefix affinity under a load bound (Mirrokni et al., SODA '18) against sampled upstreams,
-    /// by predicted time to first token; own place first.
+    /// by predicted time to first token; own zone first.
     #[default]
     Affinity,
 }
--- a/crates/egretgate-core/src/choice/view.rs
+++ b/crates/egretgate-core/src/choice/view.rs
@@ -54,7 +54,7 @@
 /// What one entry knows of one upstream.
 #[derive(Debug, Clone)]
 pub struct View {
-    /// Name, place, service and versions.
+    /// Name, zone, service and versions.
     pub upstream: Upstream,
     /// Share of its full load that it may take, in 0..=1; 0 excludes it.
     pub(super) weight: f64,
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -16,7 +16,7 @@
 use super::repeat::{RepeatLimit, Repeats};
 use super::share::Share;
 use super::standing::{Listed, Outcome, Standing};
-use crate::{Incarnation, InstanceId, PlaceId, ServiceId, TeamId, UpstreamId};
+use crate::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId, ZoneId};
 
 /// Age at which what is derived from other entries' reports is worked out anew.
 const REFRESH: Duration = Duration::from_millis(20);
@@ -54,7 +54,7 @@
 #[derive(Debug)]
 pub struct Scheduler {
     name: InstanceId,
-    zone: PlaceId,
+    zone: ZoneId,
     incarnation: Incarnation,
     sequence: u64,
     catalog: Arc<Catalog>,
--- a/crates/egretgate-core/src/gateway/standing.rs
+++ b/crates/egretgate-core/src/gateway/standing.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use crate::{PlaceId, ServiceId, UpstreamId, VersionId};
+use crate::{ServiceId, UpstreamId, VersionId, ZoneId};
 
 /// Factor by which a new sample moves a running average; about the last ten samples count.
 const SMOOTHING: f64 = 0.1;
@@ -40,7 +40,7 @@
     /// Address.
     pub address: SocketAddr,
     /// Availability zone.
-    pub zone: PlaceId,
+    pub zone: ZoneId,
     /// Version of its software.
     pub version: VersionId,
     /// Requests that it runs at once; at least 1.
--- a/crates/egretgate-core/src/ids.rs
+++ b/crates/egretgate-core/src/ids.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 /// Name of an availability zone, as declared by operators.
-pub type PlaceId = String;
+pub type ZoneId = String;
 /// Name of a customer of the service.
 pub type TeamId = String;
 /// Name of a group of upstreams that serve the same calls.
--- a/crates/egretgate-core/src/lib.rs
+++ b/crates/egretgate-core/src/lib.rs
@@ -36,6 +36,6 @@
 
 pub use error::{Answer, Error, ErrorKind, Ran, Result};
 pub use ids::{
-    Digest, Fence, Incarnation, InstanceId, MAX_TIERS, Offset, OperatorId, PlaceId, Revision,
-    RouteId, ServiceId, TeamId, Ticket, Tier, UpstreamId, VersionId,
+    Digest, Fence, Incarnation, InstanceId, MAX_TIERS, Offset, OperatorId, Revision, RouteId,
+    ServiceId, TeamId, Ticket, Tier, UpstreamId, VersionId, ZoneId,
 };
--- a/crates/egretgate-core/src/membership.rs
+++ b/crates/egretgate-core/src/membership.rs
@@ -2,7 +2,7 @@
 //!
 //! The signs are heartbeats, a goodbye or a cut on the link, and the platform's instance list,
 //! which lags. Whichever comes first takes an upstream out of the choice; only silence for long,
-//! with no sign that its whole place was cut off, counts as its death.
+//! with no sign that its whole zone was cut off, counts as its death.
 //!
 //! ```
 //! use std::time::Instant;
@@ -21,7 +21,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
-use crate::ids::{Incarnation, PlaceId, UpstreamId};
+use crate::ids::{Incarnation, UpstreamId, ZoneId};
 
 mod suspicion;
 
@@ -50,7 +50,7 @@
     Suspect,
     /// It leaves and takes no new work; what runs on it finishes.
     Leaving,
-    /// It is behind a cut with its whole place; not counted as dead.
+    /// It is behind a cut with its whole zone; not counted as dead.
     Unreachable,
     /// It is dead.
     Gone,
@@ -76,10 +76,10 @@
     Left(UpstreamId),
     /// The upstream died.
     Died(UpstreamId),
-    /// Most upstreams of the place went silent together.
-    PlaceCut(PlaceId),
-    /// An upstream of the cut place was heard again.
-    PlaceBack(PlaceId),
+    /// Most upstreams of the zone went silent together.
+    ZoneCut(ZoneId),
+    /// An upstream of the cut zone was heard again.
+    ZoneBack(ZoneId),
 }
 
 /// Bounds of a [`Membership`].
@@ -90,9 +90,9 @@
     /// Suspicion level from which an upstream takes no work.
     pub suspect: f64,
     /// Suspicion level from which it counts as dead. Over four times `suspect`, so that a whole
-    /// place is suspected before any of its upstreams counts as dead.
+    /// zone is suspected before any of its upstreams counts as dead.
     pub dead: f64,
-    /// Longest time between the silences of a cut place.
+    /// Longest time between the silences of a cut zone.
     pub window: Duration,
     /// Time over which an upstream's weight rises to 1 once it joins.
     pub ramp: Duration,
@@ -119,7 +119,7 @@
 /// One upstream.
 #[derive(Debug, Clone)]
 struct Member {
-    place: PlaceId,
+    zone: ZoneId,
     incarnation: Incarnation,
     /// Life before this one, whose late frames count for nothing.
     former: Option<Incarnation>,
@@ -140,8 +140,8 @@
 pub struct Membership {
     options: MembershipOptions,
     members: BTreeMap<UpstreamId, Member>,
-    /// Places that count as cut.
-    cuts: BTreeSet<PlaceId>,
+    /// Zones that count as cut.
+    cuts: BTreeSet<ZoneId>,
 }
 
 impl Membership {
@@ -162,13 +162,13 @@
     pub fn heard(
         &mut self,
         upstream: &str,
-        place: &str,
+        zone: &str,
         incarnation: Incarnation,
         now: Instant,
     ) -> Vec<Change> {
         let mut changes = Vec::new();
         let Some(member) = self.members.get_mut(upstream) else {
-            let member = Member::new(place, incarnation, now, &self.options);
+            let member = Member::new(zone, incarnation, now, &self.options);
             self.members.insert(upstream.to_owned(), member);
             changes.push(Change::Joined(upstream.to_owned()));
             return changes;
@@ -178,7 +178,7 @@
         }
         if member.incarnation != incarnation {
             let former = Some(member.incarnation);
-            *member = Member { former, ..Member::new(place, incarnation, now, &self.options) };
+            *member = Member { former, ..Member::new(zone, incarnation, now, &self.options) };
             changes.push(Change::Joined(upstream.to_owned()));
             return changes;
         }
@@ -256,8 +256,8 @@
             .filter(|&(_, weight)| weight > 0.0)
     }
 
-    /// Returns the places that count as cut.
-    pub fn cut_places(&self) -> impl Iterator<Item = &str> {
+    /// Returns the zones that count as cut.
+    pub fn cut_zones(&self) -> impl Iterator<Item = &str> {
         self.cuts.iter().map(String::as_str)
     }
 
@@ -276,26 +276,26 @@
         }
     }
 
-    /// A place is cut while most of its upstreams that were in use, and at least two, are silent
+    /// A zone is cut while most of its upstreams that were in use, and at least two, are silent
     /// since times that lie within the window.
     fn find_cuts(&mut self, now: Instant, changes: &mut Vec<Change>) {
-        let mut places: BTreeMap<PlaceId, Silence> = BTreeMap::new();
+        let mut zones: BTreeMap<ZoneId, Silence> = BTreeMap::new();
         for member in self.members.values().filter(|member| member.is_counted()) {
-            places.entry(member.place.clone()).or_default().count(member);
+            zones.entry(member.zone.clone()).or_default().count(member);
         }
         let window = self.options.window;
-        let cuts: BTreeSet<PlaceId> = places
+        let cuts: BTreeSet<ZoneId> = zones
             .into_iter()
-            .filter_map(|(place, silence)| silence.spans_most(window).then_some(place))
+            .filter_map(|(zone, silence)| silence.spans_most(window).then_some(zone))
             .collect();
-        for place in cuts.difference(&self.cuts) {
-            changes.push(Change::PlaceCut(place.clone()));
+        for zone in cuts.difference(&self.cuts) {
+            changes.push(Change::ZoneCut(zone.clone()));
         }
-        for place in self.cuts.difference(&cuts) {
-            changes.push(Change::PlaceBack(place.clone()));
+        for zone in self.cuts.difference(&cuts) {
+            changes.push(Change::ZoneBack(zone.clone()));
         }
         for member in self.members.values_mut() {
-            member.follow(cuts.contains(&member.place), now);
+            member.follow(cuts.contains(&member.zone), now);
         }
         self.cuts = cuts;
     }
@@ -323,13 +323,13 @@
 
 impl Member {
     fn new(
-        place: &str,
+        zone: &str,
         incarnation: Incarnation,
         now: Instant,
         options: &MembershipOptions,
     ) -> Self {
         Self {
-            place: place.to_owned(),
+            zone: zone.to_owned(),
             incarnation,
             former: None,
             standing: Standing::Live,
@@ -358,7 +358,7 @@
         vec![Change::Left(upstream.to_owned())]
     }
 
-    /// Follows what was found about the place. Once it is back, silence counts from `now`.
+    /// Follows what was found about the zone. Once it is back, silence counts from `now`.
     fn follow(&mut self, cut: bool, now: Instant) {
         match self.standing {
             Standing::Suspect if cut => self.standing = Standing::Unreachable,
@@ -370,7 +370,7 @@
         }
     }
 
-    /// Returns true if the upstream counts when its place is weighed.
+    /// Returns true if the upstream counts when its zone is weighed.
     const fn is_counted(&self) -> bool {
         matches!(self.standing, Standing::Live | Standing::Suspect | Standing::Unreachable)
     }
@@ -385,7 +385,7 @@
     }
 }
 
-/// Silences of one place.
+/// Silences of one zone.
 #[derive(Debug, Default)]
 struct Silence {
     /// Upstreams in use before.
@@ -402,7 +402,7 @@
         }
     }
 
-    /// Returns true if most of the place, and at least two, fell silent within `window`.
+    /// Returns true if most of the zone, and at least two, fell silent within `window`.
     fn spans_most(mut self, window: Duration) -> bool {
         let needed = (self.total / 2 + 1).max(2);
         self.heard.sort_unstable();
--- a/crates/egretgate-core/tests/choice.rs
+++ b/crates/egretgate-core/tests/choice.rs
@@ -6,13 +6,13 @@
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const PLACES: [&str; 3] = ["boa-viagem", "santo-amaro", "olinda"];
+const ZONES: [&str; 3] = ["boa-viagem", "santo-amaro", "olinda"];
 const VERSIONS: [&str; 2] = ["v1", "v2"];
 
 fn upstream(index: usize, versions: &[&str]) -> Upstream {
     Upstream {
         id: format!("forecast-{index}"),
-        place: PLACES[index % PLACES.len()].into(),
+        zone: ZONES[index % ZONES.len()].into(),
         service: "forecast-llm".into(),
         versions: versions.iter().map(ToString::to_string).collect(),
     }
@@ -26,7 +26,7 @@
         prompt: 1_000,
         output: 200,
         prefix: 42,
-        place: PLACES[0],
+        zone: ZONES[0],
         excluded: &[],
     }
 }
@@ -35,7 +35,7 @@
     Report { limit: 8, healthy: true, ..Report::default() }
 }
 
-/// Returns a fleet of `size` idle upstreams, one place after the other.
+/// Returns a fleet of `size` idle upstreams, one zone after the other.
 fn fleet(policy: Policy, size: usize, now: Instant) -> (Fleet, Vec<UpstreamKey>) {
     let mut fleet = Fleet::new(policy);
     let keys: Vec<_> = (0..size).map(|index| fleet.insert(upstream(index, &["v1"]))).collect();
@@ -114,7 +114,7 @@
                         let ask = Ask {
                             version,
                             prefix: rng.random(),
-                            place: PLACES[rng.random_range(0..3)],
+                            zone: ZONES[rng.random_range(0..3)],
                             excluded: &excluded,
                             ..ask()
                         };
@@ -146,7 +146,7 @@
 }
 
 #[test]
-fn an_idle_fleet_keeps_a_prefix_at_one_upstream_of_the_own_place() {
+fn an_idle_fleet_keeps_a_prefix_at_one_upstream_of_the_own_zone() {
     for size in [9, 90, 600] {
         let now = Instant::now();
         let (mut fleet, _) = fleet(Policy::Affinity, size, now);
@@ -155,7 +155,7 @@
         for prefix in 0..50 {
             let ask = Ask { prefix: xxhash_rust::xxh3::xxh3_64(&[prefix]), ..ask() };
             let first = fleet.choose(&ask, now, &mut rng).expect("an upstream");
-            assert_eq!(fleet.view(first).expect("known").upstream.place, PLACES[0]);
+            assert_eq!(fleet.view(first).expect("known").upstream.zone, ZONES[0]);
             for _ in 0..5 {
                 let flight = fleet.begin(first, &ask, now);
                 fleet.end(first, flight, 0, now);
@@ -173,8 +173,8 @@
         let now = Instant::now();
         let (mut fleet, keys) = fleet(Policy::Affinity, size, now);
         let mut rng = ChaCha8Rng::seed_from_u64(4);
-        // Each upstream of the own place has slots for 8; all requests share one prefix.
-        let own = size / PLACES.len();
+        // Each upstream of the own zone has slots for 8; all requests share one prefix.
+        let own = size / ZONES.len();
         for _ in 0..own * 8 {
             let key = fleet.choose(&ask(), now, &mut rng).expect("an upstream");
             fleet.begin(key, &ask(), now);
@@ -185,7 +185,7 @@
 }
 
 #[test]
-fn load_in_the_own_place_spills_to_others() {
+fn load_in_the_own_zone_spills_to_others() {
     for size in [9, 90] {
         let now = Instant::now();
         let (mut fleet, keys) = fleet(Policy::Affinity, size, now);
@@ -201,9 +201,9 @@
         let mut away = 0;
         for _ in 0..200 {
             let key = fleet.choose(&ask(), now, &mut rng).expect("an upstream");
-            away += u32::from(fleet.view(key).expect("known").upstream.place != PLACES[0]);
+            away += u32::from(fleet.view(key).expect("known").upstream.zone != ZONES[0]);
         }
-        // A sample of two places in three misses the others one time in nine.
+        // A sample of two zones in three misses the others one time in nine.
         assert!(away >= 150, "size {size}: {away} of 200 elsewhere");
     }
 }
--- a/crates/egretgate-core/tests/membership.rs
+++ b/crates/egretgate-core/tests/membership.rs
@@ -1,4 +1,4 @@
-//! Membership: goodbyes, silences, cut places and returns.
+//! Membership: goodbyes, silences, cut zones and returns.
 
 use std::time::{Duration, Instant};
 
@@ -62,7 +62,7 @@
         for op in ops {
             match op {
                 Op::Heard(at, life) => {
-                    members.heard(&name(at), "place", life, now);
+                    members.heard(&name(at), "zone", life, now);
                     let one = &mut known[at];
                     if one.former == Some(life) {
                         continue;
@@ -113,25 +113,25 @@
 
 struct Scene {
     name: &'static str,
-    /// Upstreams that fall silent, as a range of 20; upstream `n` is in place `n % 4`.
+    /// Upstreams that fall silent, as a range of 20; upstream `n` is in zone `n % 4`.
     silent: fn(usize) -> bool,
     /// Seconds between the first silence and the last.
     spread: u32,
-    /// Places found cut.
+    /// Zones found cut.
     cuts: usize,
     /// Upstreams found dead.
     deaths: usize,
 }
 
-/// Twenty upstreams in four places beat every half second with jitter; some fall silent.
+/// Twenty upstreams in four zones beat every half second with jitter; some fall silent.
 #[test]
-fn a_cut_place_is_not_many_deaths() {
+fn a_cut_zone_is_not_many_deaths() {
     let cases = [
         Scene { name: "none", silent: |_| false, spread: 0, cuts: 0, deaths: 0 },
         Scene { name: "one", silent: |at| at == 7, spread: 0, cuts: 0, deaths: 1 },
         Scene { name: "two", silent: |at| at == 0 || at == 4, spread: 0, cuts: 0, deaths: 2 },
-        Scene { name: "one in each place", silent: |at| at < 4, spread: 0, cuts: 0, deaths: 4 },
-        Scene { name: "a place", silent: |at| at % 4 == 1, spread: 0, cuts: 1, deaths: 0 },
+        Scene { name: "one in each zone", silent: |at| at < 4, spread: 0, cuts: 0, deaths: 4 },
+        Scene { name: "a zone", silent: |at| at % 4 == 1, spread: 0, cuts: 1, deaths: 0 },
         Scene { name: "own link", silent: |_| true, spread: 0, cuts: 4, deaths: 0 },
         Scene {
             name: "3 s apart",
@@ -167,8 +167,8 @@
             }
             changes.extend(members.tick(now));
             for change in changes {
-                cuts += usize::from(matches!(change, Change::PlaceCut(_)));
-                backs += usize::from(matches!(change, Change::PlaceBack(_)));
+                cuts += usize::from(matches!(change, Change::ZoneCut(_)));
+                backs += usize::from(matches!(change, Change::ZoneBack(_)));
                 deaths += usize::from(matches!(change, Change::Died(_)));
             }
         }
@@ -200,13 +200,13 @@
         let mut now = Instant::now();
         let mut members = Membership::new(options);
         for _ in 0..40 {
-            members.heard("a", "place", 1, now);
+            members.heard("a", "zone", 1, now);
             now += options.interval;
         }
         assert!(members.weight("a", now) >= 1.0);
         now += MS * case.silence;
         members.tick(now);
-        members.heard("a", "place", case.life, now);
+        members.heard("a", "zone", case.life, now);
         let found = [0, 1, 2].map(|step| members.weight("a", now + options.ramp / 2 * step));
         let expected = [case.weight, f64::midpoint(case.weight, 1.0), 1.0];
         let same = found.iter().zip(expected).all(|(found, due)| (found - due).abs() < 1e-9);
@@ -232,7 +232,7 @@
         let mut membership = Membership::new(MembershipOptions::default());
         membership.heard("writer-1", "olinda", 1, start);
         membership.set_interval(heartbeat_pause(case.entries));
-        // Another upstream of the place is heard, so that the place isn't taken for cut.
+        // Another upstream of the zone is heard, so that the zone isn't taken for cut.
         let now = start + case.silence;
         for other in ["writer-2", "writer-3"] {
             membership.heard(other, "olinda", 1, now);
--- a/crates/egretgate-fakes/examples/fleet/world.rs
+++ b/crates/egretgate-fakes/examples/fleet/world.rs
@@ -13,8 +13,8 @@
 use crate::options::Options;
 use crate::start;
 
-/// Places of the example.
-const PLACES: [&str; 3] = ["boa-viagem", "santo-amaro", "olinda"];
+/// Availability zones of the example.
+const ZONES: [&str; 3] = ["boa-viagem", "santo-amaro", "olinda"];
 /// Number of entries.
 const ENTRIES: usize = 2;
 /// Declarations of the example.
@@ -70,7 +70,7 @@
         let instances = Instances::start().await?;
         let mut engines = Vec::new();
         let mut sides = Vec::new();
-        for (place, factor) in PLACES.iter().zip([1, 2, 4]) {
+        for (zone, factor) in ZONES.iter().zip([1, 2, 4]) {
             let spec = EngineSpec::new()
                 .token_time(Duration::from_millis(2) * factor)
                 .prefill_time(Duration::from_micros(20) * factor)
@@ -79,22 +79,22 @@
             let engine = Engine::start(spec).await?;
             let name = format!("forecast-{factor}");
             let address = engine.address();
-            let side = start::side(&name, place, "forecast-llm", "engine", address).await?;
-            let entry = Instance::new(name, *place, "forecast-llm", side.link_address());
+            let side = start::side(&name, zone, "forecast-llm", "engine", address).await?;
+            let entry = Instance::new(name, *zone, "forecast-llm", side.link_address());
             instances.set(entry);
             engines.push(engine);
             sides.push(side);
         }
         let service = Service::start().await?;
         let address = service.address();
-        let side = start::side("desk-1", PLACES[0], "client-desk", "plain", address).await?;
-        instances.set(Instance::new("desk-1", PLACES[0], "client-desk", side.link_address()));
+        let side = start::side("desk-1", ZONES[0], "client-desk", "plain", address).await?;
+        instances.set(Instance::new("desk-1", ZONES[0], "client-desk", side.link_address()));
         sides.push(side);
         let mut entries = Vec::new();
         for index in 0..ENTRIES {
             let name = format!("entry-{index}");
-            let place = PLACES[index % PLACES.len()];
-            let entry = start::entry(&name, place, &log, &instances, options.policy).await?;
+            let zone = ZONES[index % ZONES.len()];
+            let entry = start::entry(&name, zone, &log, &instances, options.policy).await?;
             entries.push(entry);
         }
         start::declare(&entries, DECLARATIONS).await?;
--- a/crates/egretgate-fakes/examples/support/start.rs
+++ b/crates/egretgate-fakes/examples/support/start.rs
@@ -19,7 +19,7 @@
 /// Starts a side process before the upstream at `upstream`.
 pub async fn side(
     name: &str,
-    place: &str,
+    zone: &str,
     service: &str,
     kind: &str,
     upstream: SocketAddr,
@@ -27,7 +27,7 @@
     let engine = format!("{upstream}:v1");
     let flags = [
         ("--instance", name),
-        ("--place", place),
+        ("--zone", zone),
         ("--service", service),
         ("--kind", kind),
         ("--engine", &engine),
@@ -49,7 +49,7 @@
 /// Starts an entry that chooses by `policy`.
 pub async fn entry(
     name: &str,
-    place: &str,
+    zone: &str,
     log: &Log,
     instances: &Instances,
     policy: Policy,
@@ -57,7 +57,7 @@
     let (log, list) = (log.address().to_string(), instances.address().to_string());
     let flags = [
         ("--instance", name),
-        ("--place", place),
+        ("--zone", zone),
         ("--caller-address", "127.0.0.1:0"),
         ("--admin-address", "127.0.0.1:0"),
         ("--operator-address", "127.0.0.1:0"),
--- a/crates/egretgate-fakes/src/engine/driver.rs
+++ b/crates/egretgate-fakes/src/engine/driver.rs
@@ -60,7 +60,11 @@
         self.note_load();
     }
 
+    /// Takes a request in. One that reached the engine while it died is dropped with its connection.
     fn admit(&mut self, mut sequence: Sequence) {
+        if self.shared.state().dead.is_some_and(|dead| Instant::now() < dead) {
+            return;
+        }
         sequence.set_cached(self.cache.find(&sequence.blocks));
         self.batch.push(sequence);
         let mut state = self.shared.state();
@@ -104,6 +108,7 @@
         drop(state);
         if stepped.poisoned {
             self.shared.crash(self.shared.spec.down);
+            self.clear();
         }
         self.note_load();
     }
--- a/crates/egretgate-fakes/src/engine/state.rs
+++ b/crates/egretgate-fakes/src/engine/state.rs
@@ -9,6 +9,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde::Deserialize;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 use super::batch::{Ended, Sequence};
 use super::cache::CacheChange;
@@ -61,6 +62,8 @@
 
 #[derive(Debug)]
 pub(crate) struct State {
+    /// Time until which the engine is down.
+    pub(crate) dead: Option<Instant>,
     pub(crate) counts: EngineCounts,
     pub(crate) ids: HashMap<String, u64>,
     pub(crate) digests: HashMap<Digest, u64>,
@@ -111,7 +114,10 @@
 
     /// Crashes the engine and refuses connections for `down`.
     pub(crate) fn crash(&self, down: Duration) {
-        self.state().counts.deaths += 1;
+        let mut state = self.state();
+        state.counts.deaths += 1;
+        state.dead = Some(Instant::now() + down);
+        drop(state);
         self.control.crash(down);
         let _ = self.commands.send(Command::Crash);
     }
@@ -121,6 +127,7 @@
     fn new(spec: &EngineSpec) -> Self {
         Self {
             counts: EngineCounts::default(),
+            dead: None,
             ids: HashMap::new(),
             digests: HashMap::new(),
             by_version: HashMap::new(),
--- a/crates/egretgate-fakes/src/instances.rs
+++ b/crates/egretgate-fakes/src/instances.rs
@@ -28,8 +28,8 @@
 pub struct Instance {
     /// Name of the instance.
     pub name: String,
-    /// Place where it stands.
-    pub place: String,
+    /// Availability zone where it stands.
+    pub zone: String,
     /// Service that it serves.
     pub service: String,
     /// Address of its process.
@@ -42,12 +42,12 @@
     /// Returns a live instance.
     pub fn new(
         name: impl Into<String>,
-        place: impl Into<String>,
+        zone: impl Into<String>,
         service: impl Into<String>,
         address: SocketAddr,
     ) -> Self {
         let state = InstanceState::Live;
-        Self { name: name.into(), place: place.into(), service: service.into(), address, state }
+        Self { name: name.into(), zone: zone.into(), service: service.into(), address, state }
     }
 }
 
--- a/crates/egretgate-fakes/tests/engine.rs
+++ b/crates/egretgate-fakes/tests/engine.rs
@@ -157,6 +157,23 @@
     assert_eq!(engine.counts().unfinished, 1);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn poisonous_requests_at_once_are_one_death() {
+    for round in 0..20 {
+        let engine = Engine::start(fast().down(HOUR)).await.unwrap();
+        engine.set_poison(Some("toxin"));
+        // Each has its own connection, so that some are taken in while the engine dies.
+        let calls = (0..40).map(|_| {
+            let client = EngineClient::new(engine.address());
+            tokio::spawn(async move { run(&client, "some toxin here").await })
+        });
+        for ended in join_all(calls).await {
+            assert!(ended.unwrap().is_err(), "round {round}: nobody gets an answer");
+        }
+        assert_eq!(engine.counts().deaths, 1, "round {round}");
+    }
+}
+
 #[tokio::test]
 async fn a_poisonous_request_takes_its_neighbours_down() {
     let (engine, client) = start(fast().down(HOUR)).await;
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -8,7 +8,7 @@
 use egretgate_core::gateway::follow::Pace;
 use egretgate_core::gateway::repeat::RepeatLimit;
 use egretgate_core::gateway::scheduler::Scheduler;
-use egretgate_core::{InstanceId, PlaceId};
+use egretgate_core::{InstanceId, ZoneId};
 use http::StatusCode;
 use rand::RngExt;
 use slog::{Logger, info, warn};
@@ -59,7 +59,7 @@
     /// Name of the instance.
     pub name: InstanceId,
     /// Availability zone.
-    pub zone: PlaceId,
+    pub zone: ZoneId,
     /// Where it listens.
     pub addresses: Addresses,
     /// Budget of repeats over the whole fleet.
--- a/crates/egretgate-link/src/message.rs
+++ b/crates/egretgate-link/src/message.rs
@@ -126,9 +126,9 @@
     /// Instance name of the entry.
     #[prost(string, tag = "3")]
     pub instance: String,
-    /// Place of the entry.
+    /// Availability zone of the entry.
     #[prost(string, tag = "4")]
-    pub place: String,
+    pub zone: String,
 }
 
 /// Answer to [`Hello`], with what stands behind the side process.
@@ -140,9 +140,9 @@
     /// Name of the upstream instance.
     #[prost(string, tag = "2")]
     pub upstream: String,
-    /// Place of the upstream.
+    /// Availability zone of the upstream.
     #[prost(string, tag = "3")]
-    pub place: String,
+    pub zone: String,
     /// Service that the upstream serves.
     #[prost(string, tag = "4")]
     pub service: String,
--- a/crates/egretgate-platform/src/instance.rs
+++ b/crates/egretgate-platform/src/instance.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use egretgate_core::{InstanceId, PlaceId, ServiceId};
+use egretgate_core::{InstanceId, ServiceId, ZoneId};
 use egretgate_http::{Call, Client};
 use serde::Deserialize;
 
@@ -14,8 +14,8 @@
 pub struct Instance {
     /// Name of the instance.
     pub name: InstanceId,
-    /// Place where it stands.
-    pub place: PlaceId,
+    /// Availability zone where it stands.
+    pub zone: ZoneId,
     /// Service that it serves.
     pub service: ServiceId,
     /// Address of its process.
--- a/crates/egretgate-settings/src/entry.rs
+++ b/crates/egretgate-settings/src/entry.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use egretgate_core::{InstanceId, PlaceId};
+use egretgate_core::{InstanceId, ZoneId};
 
 use crate::fault::{Fault, Faults, Result};
 use crate::rule;
@@ -16,8 +16,8 @@
 pub struct Settings {
     /// Name of this instance.
     pub instance: InstanceId,
-    /// Place of this instance.
-    pub place: PlaceId,
+    /// Availability zone of this instance.
+    pub zone: ZoneId,
     /// Where callers reach it.
     pub caller_address: SocketAddr,
     /// Where health and metrics are read.
@@ -51,7 +51,7 @@
     fn blank() -> Self {
         Self {
             instance: InstanceId::new(),
-            place: PlaceId::new(),
+            zone: ZoneId::new(),
             caller_address: rule::NO_ADDRESS,
             admin_address: rule::NO_ADDRESS,
             operator_address: rule::NO_ADDRESS,
@@ -118,11 +118,11 @@
             |settings| vec![settings.instance.clone()],
         ),
         Row::new(
-            "place",
+            "zone",
             "NAME",
-            "Place (availability zone) of this instance.",
-            |settings, text| put(&mut settings.place, value::name(text)),
-            |settings| vec![settings.place.clone()],
+            "Availability zone of this instance.",
+            |settings, text| put(&mut settings.zone, value::name(text)),
+            |settings| vec![settings.zone.clone()],
         ),
         Row::new(
             "caller-address",
--- a/crates/egretgate-settings/src/side.rs
+++ b/crates/egretgate-settings/src/side.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use egretgate_core::declaration::ServiceKind;
-use egretgate_core::{InstanceId, PlaceId, ServiceId};
+use egretgate_core::{InstanceId, ServiceId, ZoneId};
 
 use crate::fault::{Fault, Faults, Result};
 use crate::rule;
@@ -17,8 +17,8 @@
 pub struct Settings {
     /// Name of the upstream instance.
     pub instance: InstanceId,
-    /// Place of the upstream instance.
-    pub place: PlaceId,
+    /// Availability zone of the upstream instance.
+    pub zone: ZoneId,
     /// Service that the upstream serves.
     pub service: ServiceId,
     /// Kind of what stands behind the side process.
@@ -42,7 +42,7 @@
     fn blank() -> Self {
         Self {
             instance: InstanceId::new(),
-            place: PlaceId::new(),
+            zone: ZoneId::new(),
             service: ServiceId::new(),
             kind: ServiceKind::Engine,
             engines: Vec::new(),
@@ -113,11 +113,11 @@
             |settings| vec![settings.instance.clone()],
         ),
         Row::new(
-            "place",
+            "zone",
             "NAME",
-            "Place (availability zone) of the upstream instance.",
-            |settings, text| put(&mut settings.place, value::name(text)),
-            |settings| vec![settings.place.clone()],
+            "Availability zone of the upstream instance.",
+            |settings, text| put(&mut settings.zone, value::name(text)),
+            |settings| vec![settings.zone.clone()],
         ),
         Row::new(
             "service",
--- a/crates/egretgate-settings/tests/logging.rs
+++ b/crates/egretgate-settings/tests/logging.rs
@@ -45,7 +45,7 @@
     let log = logger_to(lines.clone(), Level::Info);
     info!(log, "request ended"; "team" => "guild", "detail" => "two words");
     debug!(log, "not written");
-    warn!(log, "place cut"; "place" => "olinda");
+    warn!(log, "zone cut"; "zone" => "olinda");
     drop(log);
     let text = String::from_utf8(lines.0.lock().expect("no panic").clone()).expect("text");
     let found: Vec<_> = text.lines().map(|line| pairs(line).expect(line)).collect();
@@ -56,6 +56,6 @@
     assert_eq!(value(0, "msg"), Some("request ended"));
     assert_eq!(value(0, "detail"), Some("two words"));
     assert_eq!(value(0, "level"), Some("INFO"));
-    assert_eq!(value(1, "place"), Some("olinda"));
+    assert_eq!(value(1, "zone"), Some("olinda"));
     assert!(value(0, "unix_ms").is_some_and(|time| time.parse::<u64>().is_ok()), "{text}");
 }
--- a/crates/egretgate-settings/tests/settings.rs
+++ b/crates/egretgate-settings/tests/settings.rs
@@ -13,7 +13,7 @@
 const ENTRY: &[&str] = &[
     "--instance",
     "entry-1",
-    "--place",
+    "--zone",
     "boa-viagem",
     "--log-address",
     "127.0.0.1:7001",
@@ -24,7 +24,7 @@
 const SIDE: &[&str] = &[
     "--instance",
     "engine-1",
-    "--place",
+    "--zone",
     "olinda",
     "--service",
     "forecast-llm",
@@ -110,9 +110,9 @@
     },
     Case {
         name: "doubled flag",
-        flags: &["--place", "olinda"],
+        flags: &["--zone", "olinda"],
         vars: &[],
-        setting: "--place",
+        setting: "--zone",
         what: "more than once",
     },
     Case {
@@ -228,7 +228,7 @@
         "--colour:",
         "EGRETGATE_HUE:",
         "--instance: required",
-        "--place: required",
+        "--zone: required",
         "--log-address:",
         "--instances-address: required",
         "--caller-timeout:",
@@ -239,9 +239,9 @@
 
 #[test]
 fn flags_go_before_variables() {
-    let pairs = [("EGRETGATE_PLACE", "olinda"), ("EGRETGATE_CALLER_TIMEOUT", "7")];
+    let pairs = [("EGRETGATE_ZONE", "olinda"), ("EGRETGATE_CALLER_TIMEOUT", "7")];
     let found = settings(read_entry(&[], &pairs));
-    assert_eq!((found.place.as_str(), found.caller_timeout.as_millis()), ("boa-viagem", 7));
+    assert_eq!((found.zone.as_str(), found.caller_timeout.as_millis()), ("boa-viagem", 7));
 }
 
 #[test]
@@ -304,7 +304,7 @@
 /// A valid text for a flag of the entry.
 fn text(flag: &'static str) -> BoxedStrategy<String> {
     match flag {
-        "instance" | "place" => "[a-z0-9._-]{1,20}".boxed(),
+        "instance" | "zone" => "[a-z0-9._-]{1,20}".boxed(),
         "link-token" | "operator-token" => "[!-~]{16,40}".boxed(),
         "log-level" => {
             prop_oneof!["critical", "error", "warning", "info", "debug", "trace"].boxed()
--- a/crates/egretgate/src/command/apply.rs
+++ b/crates/egretgate/src/command/apply.rs
@@ -220,8 +220,8 @@
         return format!("accepted, but after {wait} s it is not known where it is in force");
     };
     let lines = behind.iter().map(|process| {
-        let proto::Process { role, instance, place, offset, age_ms, .. } = process;
-        format!("  {role} {instance} in {place}: at offset {offset}, heard {age_ms} ms ago")
+        let proto::Process { role, instance, zone, offset, age_ms, .. } = process;
+        format!("  {role} {instance} in {zone}: at offset {offset}, heard {age_ms} ms ago")
     });
     let lines: Vec<String> = lines.collect();
     format!("accepted, but after {wait} s not in force in\n{}", lines.join("\n"))
--- a/crates/egretgate/src/command/status.rs
+++ b/crates/egretgate/src/command/status.rs
@@ -34,7 +34,7 @@
 struct Process {
     role: String,
     instance: String,
-    place: String,
+    zone: String,
     offset: u64,
     digest: String,
     age_ms: u64,
@@ -71,14 +71,14 @@
         vec![
             process.role.clone(),
             process.instance.clone(),
-            process.place.clone(),
+            process.zone.clone(),
             process.offset.to_string(),
             format!("{} ms", process.age_ms),
             process.state.to_owned(),
         ]
     };
     let rows = report.processes.iter().map(row).collect();
-    output.table(&["role", "instance", "place", "offset", "heard", "state"], rows)
+    output.table(&["role", "instance", "zone", "offset", "heard", "state"], rows)
 }
 
 fn describe(process: &proto::Process, reply: &proto::StatusReply) -> Process {
@@ -91,7 +91,7 @@
     Process {
         role: process.role.clone(),
         instance: process.instance.clone(),
-        place: process.place.clone(),
+        zone: process.zone.clone(),
         offset: process.offset,
         digest: hex(&process.digest),
         age_ms: process.age_ms,
--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -8,7 +8,7 @@
 use egretgate_core::membership::{Membership, MembershipOptions, heartbeat_pause};
 use egretgate_core::moves::Split;
 use egretgate_core::retry::RetryBudget;
-use egretgate_core::{PlaceId, ServiceId, TeamId};
+use egretgate_core::{ServiceId, TeamId, ZoneId};
 use egretgate_link::message::Heartbeat;
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, warn};
@@ -52,7 +52,7 @@
 #[derive(Debug)]
 pub(crate) struct Fleet {
     identity: Identity,
-    place: PlaceId,
+    zone: ZoneId,
     sides: SlotMap<LinkKey, Side>,
     by_upstream: HashMap<UpstreamKey, LinkKey>,
     choice: choice::Fleet,
@@ -85,7 +85,7 @@
     ) -> Self {
         let now = Instant::now();
         Self {
-            place: identity.place.clone(),
+            zone: identity.zone.clone(),
             identity,
             sides: SlotMap::with_key(),
             by_upstream: HashMap::new(),
--- a/crates/egretgate/src/entry/fleet/choosing.rs
+++ b/crates/egretgate/src/entry/fleet/choosing.rs
@@ -40,7 +40,7 @@
         if let Some(digest) = wish.suspect {
             return self.pick_by_digest(wish, digest);
         }
-        let ask = ask_of(wish, &self.place, &[]);
+        let ask = ask_of(wish, &self.zone, &[]);
         self.choice.choose(&ask, now, &mut self.rng)
     }
 
@@ -68,14 +68,14 @@
             .filter(|(key, view)| serves(view, wish) && !left.contains(key))
             .map(|(key, _)| key)
             .collect();
-        let ask = ask_of(wish, &self.place, &excluded);
+        let ask = ask_of(wish, &self.zone, &excluded);
         let chosen = self.choice.choose(&ask, now, &mut self.rng);
         chosen.filter(|key| left.contains(key)).or_else(|| keys.first().copied())
     }
 
     pub(super) fn begin(&mut self, wish: &Wish, key: UpstreamKey, now: Instant) -> Option<Chosen> {
         let side = self.sides.get(*self.by_upstream.get(&key)?)?;
-        let ask = ask_of(wish, &self.place, &[]);
+        let ask = ask_of(wish, &self.zone, &[]);
         let link = side.messages.clone();
         let upstream = side.name.clone();
         let flight = self.choice.begin(key, &ask, now);
@@ -147,7 +147,7 @@
     wish.tried.iter().any(|attempt| attempt.key == key)
 }
 
-fn ask_of<'a>(wish: &'a Wish, place: &'a str, excluded: &'a [UpstreamKey]) -> choice::Ask<'a> {
+fn ask_of<'a>(wish: &'a Wish, zone: &'a str, excluded: &'a [UpstreamKey]) -> choice::Ask<'a> {
     choice::Ask {
         service: &wish.service,
         version: Some(&wish.version),
@@ -155,7 +155,7 @@
         prompt: wish.prompt,
         output: wish.output,
         prefix: wish.prefix,
-        place,
+        zone,
         excluded,
     }
 }
--- a/crates/egretgate/src/entry/fleet/message.rs
+++ b/crates/egretgate/src/entry/fleet/message.rs
@@ -7,7 +7,7 @@
 use egretgate_core::gate::Attempt;
 use egretgate_core::moves::Outcome;
 use egretgate_core::{
-    Digest, Error, PlaceId, Result, RouteId, ServiceId, TeamId, Ticket, Tier, UpstreamId, VersionId,
+    Digest, Error, Result, RouteId, ServiceId, TeamId, Ticket, Tier, UpstreamId, VersionId, ZoneId,
 };
 use egretgate_link::message::{Deaths, Heartbeat, Load, Records, Welcome};
 use egretgate_platform::Instance;
@@ -112,8 +112,8 @@
     pub digest: Bytes,
     /// True while the link stands.
     pub connected: bool,
-    /// Place of the upstream.
-    pub place: PlaceId,
+    /// Availability zone of the upstream.
+    pub zone: ZoneId,
     /// Time since it last told its load.
     pub age: Duration,
 }
--- a/crates/egretgate/src/entry/fleet/sides.rs
+++ b/crates/egretgate/src/entry/fleet/sides.rs
@@ -7,7 +7,7 @@
 use egretgate_core::choice::{Report, Upstream, UpstreamKey};
 use egretgate_core::gate::Signal;
 use egretgate_core::membership::{Change, Listing};
-use egretgate_core::{Incarnation, PlaceId, ServiceId, Tier, UpstreamId};
+use egretgate_core::{Incarnation, ServiceId, Tier, UpstreamId, ZoneId};
 use egretgate_link::message::{Deaths, Heartbeat, Load, Welcome};
 use egretgate_platform::{Instance, InstanceState};
 use slog::{info, warn};
@@ -37,7 +37,7 @@
 pub(super) struct Known {
     pub(super) key: UpstreamKey,
     pub(super) incarnation: Incarnation,
-    pub(super) place: PlaceId,
+    pub(super) zone: ZoneId,
     pub(super) service: ServiceId,
 }
 
@@ -47,7 +47,7 @@
         side.connected = true;
         let upstream = Upstream {
             id: side.name.clone(),
-            place: welcome.place.clone(),
+            zone: welcome.zone.clone(),
             service: welcome.service.clone(),
             versions: welcome.versions.clone(),
         };
@@ -61,7 +61,7 @@
         side.known = Some(Known {
             key: upstream_key,
             incarnation: welcome.incarnation,
-            place: welcome.place,
+            zone: welcome.zone,
             service: welcome.service,
         });
         let _ = side.messages.try_send(LinkMessage::Heartbeat(self.beat.clone()));
@@ -96,7 +96,7 @@
         side.heard = now;
         side.offset = load.offset;
         side.digest = load.digest.clone();
-        let changes = self.membership.heard(&name, &known.place, known.incarnation, now);
+        let changes = self.membership.heard(&name, &known.zone, known.incarnation, now);
         self.note_changes(&changes);
         let report = report_of(load);
         self.choice.report(known.key, report, now);
@@ -232,8 +232,8 @@
                 }
                 Change::Left(name) => info!(self.log, "upstream leaving"; "upstream" => name),
                 Change::Died(name) => warn!(self.log, "upstream died"; "upstream" => name),
-                Change::PlaceCut(place) => warn!(self.log, "place cut"; "place" => place),
-                Change::PlaceBack(place) => info!(self.log, "place back"; "place" => place),
+                Change::ZoneCut(zone) => warn!(self.log, "zone cut"; "zone" => zone),
+                Change::ZoneBack(zone) => info!(self.log, "zone back"; "zone" => zone),
             }
         }
     }
@@ -244,7 +244,7 @@
             offset: side.offset,
             digest: side.digest.clone(),
             connected: side.connected,
-            place: side.known.as_ref().map(|known| known.place.clone()).unwrap_or_default(),
+            zone: side.known.as_ref().map(|known| known.zone.clone()).unwrap_or_default(),
             age: side.heard.elapsed(),
         };
         self.sides.values().map(status).collect()
--- a/crates/egretgate/src/entry/link.rs
+++ b/crates/egretgate/src/entry/link.rs
@@ -87,8 +87,8 @@
     pub incarnation: Incarnation,
     /// Instance name.
     pub instance: String,
-    /// Place.
-    pub place: String,
+    /// Zone.
+    pub zone: String,
 }
 
 /// A link to one side process.
@@ -407,8 +407,8 @@
     let stream = TcpStream::connect(address).await.ok()?;
     stream.set_nodelay(true).ok()?;
     let mut connection: Connection = Framed::new(stream, Codec::new());
-    let Identity { token, incarnation, instance, place } = identity;
-    let hello = Hello { token, incarnation, instance, place };
+    let Identity { token, incarnation, instance, zone } = identity;
+    let hello = Hello { token, incarnation, instance, zone };
     connection.send(to_side::Body::Hello(hello).into()).await.ok()?;
     match connection.next().await?.ok()?.body? {
         to_entry::Body::Welcome(welcome) => Some((connection, welcome)),
--- a/crates/egretgate/src/entry/operator.rs
+++ b/crates/egretgate/src/entry/operator.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::record::Body;
-use egretgate_core::{Error, ErrorKind, Incarnation, InstanceId, Offset, PlaceId, Result};
+use egretgate_core::{Error, ErrorKind, Incarnation, InstanceId, Offset, Result, ZoneId};
 use egretgate_operator::Call;
 use tokio::sync::{mpsc, oneshot};
 
@@ -23,7 +23,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Operator {
     instance: InstanceId,
-    place: PlaceId,
+    zone: ZoneId,
     incarnation: Incarnation,
     desks: Desks,
     started: Instant,
@@ -33,11 +33,11 @@
     /// Returns the operators' side of the entry named `instance`.
     pub(crate) fn new(
         instance: InstanceId,
-        place: PlaceId,
+        zone: ZoneId,
         incarnation: Incarnation,
         desks: Desks,
     ) -> Self {
-        Self { instance, place, incarnation, desks, started: Instant::now() }
+        Self { instance, zone, incarnation, desks, started: Instant::now() }
     }
 
     /// Answers calls until the server is gone.
--- a/crates/egretgate/src/entry/operator/show.rs
+++ b/crates/egretgate/src/entry/operator/show.rs
@@ -109,14 +109,14 @@
 
     pub(super) async fn status(&self) -> Result<proto::StatusReply> {
         let sides = self.sides().await?;
-        let (instance, place) = (self.instance.clone(), self.place.clone());
+        let (instance, zone) = (self.instance.clone(), self.zone.clone());
         self.inspect(move |journal| {
             let shared = journal.state().shared();
             let digest = shared.digest().as_bytes().to_vec();
             let own = proto::Process {
                 role: "entry".to_owned(),
                 instance,
-                place,
+                zone,
                 offset: shared.next(),
                 digest: digest.clone(),
                 age_ms: 0,
@@ -124,7 +124,7 @@
             let sides = sides.into_iter().map(|side| proto::Process {
                 role: "side".to_owned(),
                 instance: side.upstream,
-                place: side.place,
+                zone: side.zone,
                 offset: side.offset,
                 digest: side.digest.to_vec(),
                 age_ms: side.age.as_millis() as u64,
--- a/crates/egretgate/src/entry/serve.rs
+++ b/crates/egretgate/src/entry/serve.rs
@@ -128,7 +128,7 @@
         let desks = Desks { view, fleet, journal, tally: tally_sender, log };
         let operator_task = Operator::new(
             settings.instance.clone(),
-            settings.place.clone(),
+            settings.zone.clone(),
             incarnation,
             desks.clone(),
         );
@@ -217,6 +217,6 @@
         token: settings.link_token.as_ref().map(Secret::expose).unwrap_or_default().to_owned(),
         incarnation,
         instance,
-        place: settings.place.clone(),
+        zone: settings.zone.clone(),
     }
 }
--- a/crates/egretgate/tests/command/fixture.rs
+++ b/crates/egretgate/tests/command/fixture.rs
@@ -194,7 +194,7 @@
         let process = |role: &str, instance: &str, offset| proto::Process {
             role: role.to_owned(),
             instance: instance.to_owned(),
-            place: "olinda".to_owned(),
+            zone: "olinda".to_owned(),
             offset,
             digest: digest.clone(),
             age_ms: 40,
--- a/crates/egretgate/tests/command/main.rs
+++ b/crates/egretgate/tests/command/main.rs
@@ -291,7 +291,7 @@
         what: "refused (unknown_route): no such route",
     },
     UsageCase { args: &["quarantine", "lift", "12"], exit: Exit::Usage, what: "32 hexadecimal" },
-    UsageCase { args: &["check", "settings"], exit: Exit::Usage, what: "--place: required" },
+    UsageCase { args: &["check", "settings"], exit: Exit::Usage, what: "--zone: required" },
     UsageCase { args: &["check", "settings", "--x=1"], exit: Exit::Usage, what: "--x: no such" },
 ];
 
@@ -361,7 +361,7 @@
 
 #[tokio::test]
 async fn checked_settings_are_shown_without_secrets() {
-    let args = ["check", "settings", "--instance", "entry-1", "--place", "olinda"];
+    let args = ["check", "settings", "--instance", "entry-1", "--zone", "olinda"];
     let more = ["--log-address", "127.0.0.1:7001", "--instances-address", "127.0.0.1:7002"];
     let vars = [("EGRETGATE_OPERATOR_TOKEN", TOKEN), ("EGRETGATE_OPERATOR", "ana")];
     let ran = run_with(&vars, &[&args[..], &more[..]].concat()).await;
--- a/crates/egretgate/tests/processes/bed.rs
+++ b/crates/egretgate/tests/processes/bed.rs
@@ -16,8 +16,8 @@
 
 /// Longest time that a process may take to serve.
 const START: Duration = Duration::from_secs(20);
-/// Place in which everything stands unless a test says otherwise.
-pub const PLACE: &str = "ub-sukhbaatar";
+/// Availability zone in which everything stands unless a test says otherwise.
+pub const ZONE: &str = "ub-sukhbaatar";
 /// Declarations of every test.
 const DECLARATIONS: &str = include_str!("declarations.toml");
 
@@ -156,8 +156,8 @@
             "serve",
             "--instance",
             name,
-            "--place",
-            PLACE,
+            "--zone",
+            ZONE,
             "--service",
             kind.service(),
             "--kind",
@@ -174,7 +174,7 @@
 
     /// Lists an upstream at the address of its side process, or of a relay before it.
     pub fn list(&self, name: &str, kind: Kind, address: SocketAddr) {
-        self.instances.set(Instance::new(name, PLACE, kind.service(), address));
+        self.instances.set(Instance::new(name, ZONE, kind.service(), address));
     }
 
     /// Starts an entry.
@@ -189,8 +189,8 @@
             "serve",
             "--instance",
             name,
-            "--place",
-            PLACE,
+            "--zone",
+            ZONE,
             "--caller-address",
             "127.0.0.1:0",
             "--admin-address",
--- a/crates/egretside/src/desk.rs
+++ b/crates/egretside/src/desk.rs
@@ -6,7 +6,7 @@
 use egretgate_core::limit::{Lengths, Reserve};
 use egretgate_core::queue::{GivenUp, Offered, Queue, QueueOptions, Work};
 use egretgate_core::{
-    Digest, Error, ErrorKind, Incarnation, PlaceId, ServiceId, Ticket, Tier, UpstreamId,
+    Digest, Error, ErrorKind, Incarnation, ServiceId, Ticket, Tier, UpstreamId, ZoneId,
 };
 use egretgate_link::message::{
     Deaths, Goodbye, Load, Offer, Query, Refused, Snapshot, Standing, TicketId, TicketState,
@@ -89,8 +89,8 @@
     pub incarnation: Incarnation,
     /// Name of the upstream.
     pub upstream: UpstreamId,
-    /// Place of the upstream.
-    pub place: PlaceId,
+    /// Availability zone of the upstream.
+    pub zone: ZoneId,
     /// Service that the upstream serves.
     pub service: ServiceId,
 }
@@ -250,7 +250,7 @@
         let welcome = Welcome {
             incarnation: self.identity.incarnation,
             upstream: self.identity.upstream.clone(),
-            place: self.identity.place.clone(),
+            zone: self.identity.zone.clone(),
             service: self.identity.service.clone(),
             versions: self.engines.versions(),
             load: Some(self.load()),
--- a/crates/egretside/src/serve.rs
+++ b/crates/egretside/src/serve.rs
@@ -126,7 +126,7 @@
     let identity = Identity {
         incarnation: rand::random(),
         upstream: settings.instance.clone(),
-        place: settings.place.clone(),
+        zone: settings.zone.clone(),
         service: settings.service.clone(),
     };
     let rng = ChaCha8Rng::seed_from_u64(rand::random());
--- a/crates/egretside/tests/program.rs
+++ b/crates/egretside/tests/program.rs
@@ -14,7 +14,7 @@
         Case { args: &["--help"], code: 0, says: "Usage: egretside" },
         Case { args: &["serve", "--help"], code: 0, says: "--link-address" },
         Case { args: &["nonsense"], code: 2, says: "Usage: egretside" },
-        Case { args: &["check", "--place", "olinda"], code: 2, says: "--instance" },
+        Case { args: &["check", "--zone", "olinda"], code: 2, says: "--instance" },
         Case { args: &["check", "--engine", "host:80:v1"], code: 2, says: "--engine" },
     ];
     for case in cases {
