--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -16,3 +16,6 @@
 pub mod scheduler;
 pub mod share;
 pub mod standing;
+
+mod backlog;
+mod room;
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -2,53 +2,26 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use slotmap::SlotMap;
-use xxhash_rust::xxh3::xxh3_64;
 
+use super::backlog::Backlog;
 use super::catalog::Catalog;
-use super::lane::{Lane, Place, Rank, RequestNumber};
+use super::lane::{Place, RequestNumber};
 use super::meter::Meter;
 use super::order::{Admission, End, Order, Refusal, Start, UpstreamKey};
 use super::peer::{PeerReport, Peers, name_hash};
 use super::poison::Breaks;
-use super::repeat::{RepeatLimit, Repeats};
-use super::share::Share;
+use super::repeat::RepeatLimit;
 use super::standing::{Listed, Outcome, Standing};
 use crate::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId, ZoneId};
 
-/// Age at which what is derived from other entries' reports is worked out anew.
-const REFRESH: Duration = Duration::from_millis(20);
+mod others;
+mod placing;
 
-/// Factor by which a new sample moves the running average of the time at an upstream.
-const HOLD_SMOOTHING: f64 = 0.05;
-/// Time at an upstream below which reports of other entries are out of date, in seconds.
-const BRIEF_SECONDS: f64 = 0.15;
-/// Requests that all entries together may have at an upstream, for each slot, where they end
-/// too soon for reports: as many wait as run, which doubles a short time.
-const BRIEF_REQUESTS: u32 = 2;
-/// Time that an answer is reckoned to take against its likely length: nine of ten estimates are
-/// less than this factor off.
-const LENGTH_MARGIN: f64 = 1.7;
 /// Waiting requests that are looked at for one place, if those ahead need a faster upstream.
 const LOOKED_AT: usize = 24;
-/// Entries up to which each compares every upstream: their reports are young enough.
-const CLOSE_ENTRIES: usize = 4;
-/// Upstreams that are compared for a request at least: with late reports, the better of two
-/// spreads load best (Mitzenmacher, "How Useful Is Old Information?", 2000).
-const COMPARED: usize = 2;
-/// Sorts before every name.
-const FIRST_NAME: &str = "";
-/// Sorts after every name.
-const LAST_NAME: &str = "\u{10ffff}";
-/// Time for which a refusal keeps what is less urgent back everywhere: some reports long.
-const PRESSURE: Duration = Duration::from_millis(250);
-/// Part of an upstream's slots that stay free of requests while more urgent ones are refused
-/// elsewhere: enough that the entries which refuse see room.
-const KEPT_FREE: f64 = 1.0 / 3.0;
-/// Entries that may take a slot unseen between two reports, for each slot kept free.
-const ENTRIES_PER_SLOT: u32 = 8;
 
 /// The decisions of one entry.
 #[derive(Debug)]
@@ -73,55 +46,6 @@
     breaks: Breaks,
 }
 
-#[derive(Debug, Default)]
-struct Backlog {
-    lane: Lane,
-    repeats: Repeats,
-    members: Vec<UpstreamKey>,
-    share: Option<Share>,
-    running: u32,
-    /// Running average of the seconds that a request is at an upstream.
-    hold: Option<f64>,
-    /// When a request of each rank was last refused here for want of room.
-    refused: BTreeMap<Rank, Instant>,
-    /// Most urgent rank that other entries refuse.
-    refused_elsewhere: Option<Rank>,
-}
-
-impl Backlog {
-    fn note_hold(&mut self, hold: Duration) {
-        let sample = hold.as_secs_f64();
-        let old = self.hold.unwrap_or(sample);
-        self.hold = Some(old + (sample - old) * HOLD_SMOOTHING);
-    }
-
-    /// Returns the time that a request at `place` is likely to wait: by Little's law, places come
-    /// free as often as what runs is over the time that each is held.
-    fn expected_wait(&self, place: &Place, now: Instant) -> Duration {
-        let Some(hold) = self.hold.filter(|hold| *hold > 0.0 && self.running > 0) else {
-            return Duration::ZERO;
-        };
-        self.lane.expected_wait(place, f64::from(self.running) / hold, now)
-    }
-
-    /// Returns the most urgent rank that this entry refuses.
-    fn refused(&self, now: Instant) -> Option<Rank> {
-        let recent = |at: &Instant| now.saturating_duration_since(*at) < PRESSURE;
-        self.refused.iter().find(|(_, at)| recent(at)).map(|(rank, _)| *rank)
-    }
-
-    /// Returns true if requests more urgent than `rank` are refused here or elsewhere.
-    fn gives_way(&self, rank: Rank, now: Instant) -> bool {
-        let refused = self.refused(now).into_iter().chain(self.refused_elsewhere).min();
-        refused.is_some_and(|refused| refused < rank)
-    }
-
-    /// Returns true if requests end before other entries' reports of them arrive.
-    fn is_brief(&self) -> bool {
-        self.hold.is_some_and(|hold| hold < BRIEF_SECONDS)
-    }
-}
-
 impl Scheduler {
     /// Returns the scheduler of the entry `name` in `zone`.
     pub fn new(name: &str, zone: &str, incarnation: Incarnation) -> Self {
@@ -399,21 +323,6 @@
         }
     }
 
-    /// Returns the number of entries, this one among them.
-    fn entries(&self) -> usize {
-        self.peers.known().max(self.expected.unwrap_or(0)) + 1
-    }
-
-    /// Returns the number of entries that are taken to serve callers though they can't be heard.
-    ///
-    /// An entry that hears few of the others and can't read the directory either is cut off rather
-    /// than the only one left. Otherwise those that can't be heard are taken to be gone.
-    fn unheard(&self, now: Instant) -> usize {
-        let others = self.entries() - 1;
-        let heard = self.peers.fresh(now).min(others);
-        if !self.in_touch && heard * 2 < others { others - heard } else { 0 }
-    }
-
     fn pump_service(&mut self, service: &ServiceId, now: Instant) -> Vec<Start> {
         let mut starts = Vec::new();
         let Some(backlog) = self.services.get(service) else { return starts };
@@ -447,80 +356,6 @@
         }
     }
 
-    /// Returns the upstream with room that is likely to serve the request soonest.
-    fn choose(&self, order: &Order, now: Instant) -> Option<UpstreamKey> {
-        let backlog = self.services.get(&order.service)?;
-        let share = backlog.share.unwrap_or(Share::WHOLE);
-        let entries = self.entries();
-        let margin = (entries as u32 - 1).div_ceil(ENTRIES_PER_SLOT);
-        let usual = self.usual_pace(backlog);
-        let brief = entries > 1 && backlog.is_brief();
-        let gives_way = backlog.gives_way(order.rank, now);
-        let left = order.deadline.saturating_duration_since(now).as_secs_f64();
-        let in_time = |standing: &Standing| {
-            order.events * standing.pace().unwrap_or(usual) * LENGTH_MARGIN <= left
-        };
-        // A long answer waits for an upstream that is fast enough, if there is one at all.
-        let picky =
-            order.events > 0.0 && backlog.members.iter().any(|key| in_time(&self.upstreams[*key]));
-        let usable = backlog.members.iter().copied().filter(|key| {
-            let standing = &self.upstreams[*key];
-            let room = if gives_way {
-                has_spare(standing)
-            } else if brief {
-                let slots = standing.listed.slots * BRIEF_REQUESTS;
-                standing.own < slots.div_ceil(entries as u32)
-            } else {
-                has_room(standing, share, margin)
-            };
-            standing.is_usable(now)
-                && room
-                && !self.catalog.is_held_back(&order.service, &standing.listed.version)
-                && (!picky || in_time(standing))
-                && !order.avoid.contains(&standing.listed.id)
-        });
-        let cost = |key: &UpstreamKey| self.upstreams[*key].cost(usual, &self.zone);
-        // Entries with the same late reports must not all choose the same upstream, so each
-        // compares a part of them that differs from request to request.
-        let part = CLOSE_ENTRIES * CLOSE_ENTRIES;
-        let compared = (backlog.members.len() * part / (entries * entries)).max(COMPARED);
-        let usable: Vec<UpstreamKey> = usable.collect();
-        let first = spread(order.number, usable.len());
-        let some = usable.iter().cycle().skip(first).take(compared.min(usable.len())).copied();
-        some.min_by(|a, b| cost(a).total_cmp(&cost(b)))
-    }
-
-    fn usual_pace(&self, backlog: &Backlog) -> f64 {
-        let paces = backlog.members.iter().filter_map(|key| self.upstreams[*key].pace());
-        let (count, sum) = paces.fold((0, 0.0), |(count, sum), pace| (count + 1, sum + pace));
-        if count == 0 { 1.0 } else { sum / f64::from(count) }
-    }
-
-    fn refresh(&mut self, now: Instant) {
-        if self.refreshed.is_some_and(|last| now.duration_since(last) < REFRESH) {
-            return;
-        }
-        self.refreshed = Some(now);
-        let unheard = self.unheard(now);
-        let part = unheard as f64 / self.entries() as f64;
-        for standing in self.upstreams.values_mut() {
-            let assumed = (f64::from(standing.listed.slots) * part).floor() as u32;
-            standing.others = self.peers.running(&standing.listed.id, now) + assumed;
-        }
-        for (service, backlog) in &mut self.services {
-            let demand = f64::from(backlog.running) + backlog.lane.len() as f64;
-            backlog.refused_elsewhere = self.peers.refused(service, now);
-            let others = self.peers.demand(service, now);
-            // Those that can't be heard are taken to have as much to do as this one. A part of them,
-            // another one at each entry, goes before it, so that entries which hear nothing don't
-            // take the same slots.
-            let before = (name_hash(&self.name) % (unheard as u64 + 1)) as usize;
-            let assumed = (0..unheard)
-                .map(|index| (if index < before { FIRST_NAME } else { LAST_NAME }, demand));
-            backlog.share = Some(Share::new(&self.name, demand, others.chain(assumed)));
-        }
-    }
-
     fn regroup(&mut self) {
         for backlog in self.services.values_mut() {
             backlog.members.clear();
@@ -531,26 +366,3 @@
         }
     }
 }
-
-/// Returns true if this entry may send one more request to the upstream.
-///
-/// Its own part of the slots is its to use, with one request waiting at the upstream at most. Any
-/// other slot may be taken while `margin` slots stay free for entries whose reports are on their
-/// way.
-fn has_room(standing: &Standing, share: Share, margin: u32) -> bool {
-    let slots = standing.listed.slots;
-    let used = standing.own + standing.others;
-    let own = standing.own < share.slots(&standing.listed.id, slots) && used <= slots;
-    own || used + margin.min(slots / 2) < slots
-}
-
-/// Returns true if the upstream has room to spare beside more urgent requests.
-fn has_spare(standing: &Standing) -> bool {
-    let slots = f64::from(standing.listed.slots);
-    f64::from(standing.own + standing.others) < (slots * (1.0 - KEPT_FREE)).floor()
-}
-
-/// Returns a position below `count` that differs from request to request.
-fn spread(number: RequestNumber, count: usize) -> usize {
-    (xxh3_64(&number.to_le_bytes()) % count.max(1) as u64) as usize
-}
--- /dev/null
+++ b/crates/egretgate-core/src/gateway/scheduler/placing.rs
@@ -0,0 +1,83 @@
+//! Where a request goes: the upstream with room that is likely to serve it soonest.
+
+use std::time::Instant;
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::Scheduler;
+use crate::gateway::backlog::Backlog;
+use crate::gateway::lane::RequestNumber;
+use crate::gateway::order::{Order, UpstreamKey};
+use crate::gateway::room::{has_room, has_spare};
+use crate::gateway::share::Share;
+use crate::gateway::standing::Standing;
+
+/// Requests that all entries together may have at an upstream, for each slot, where they end
+/// too soon for reports: as many wait as run, which doubles a short time.
+const BRIEF_REQUESTS: u32 = 2;
+/// Time that an answer is reckoned to take against its likely length: nine of ten estimates are
+/// less than this factor off.
+const LENGTH_MARGIN: f64 = 1.7;
+/// Entries up to which each compares every upstream: their reports are young enough.
+const CLOSE_ENTRIES: usize = 4;
+/// Upstreams that are compared for a request at least: with late reports, the better of two
+/// spreads load best (Mitzenmacher, "How Useful Is Old Information?", 2000).
+const COMPARED: usize = 2;
+/// Entries that may take a slot unseen between two reports, for each slot kept free.
+const ENTRIES_PER_SLOT: u32 = 8;
+
+impl Scheduler {
+    /// Returns the upstream with room that is likely to serve the request soonest.
+    pub(super) fn choose(&self, order: &Order, now: Instant) -> Option<UpstreamKey> {
+        let backlog = self.services.get(&order.service)?;
+        let share = backlog.share.unwrap_or(Share::WHOLE);
+        let entries = self.entries();
+        let margin = (entries as u32 - 1).div_ceil(ENTRIES_PER_SLOT);
+        let usual = self.usual_pace(backlog);
+        let brief = entries > 1 && backlog.is_brief();
+        let gives_way = backlog.gives_way(order.rank, now);
+        let left = order.deadline.saturating_duration_since(now).as_secs_f64();
+        let in_time = |standing: &Standing| {
+            order.events * standing.pace().unwrap_or(usual) * LENGTH_MARGIN <= left
+        };
+        // A long answer waits for an upstream that is fast enough, if there is one at all.
+        let picky =
+            order.events > 0.0 && backlog.members.iter().any(|key| in_time(&self.upstreams[*key]));
+        let usable = backlog.members.iter().copied().filter(|key| {
+            let standing = &self.upstreams[*key];
+            let room = if gives_way {
+                has_spare(standing)
+            } else if brief {
+                let slots = standing.listed.slots * BRIEF_REQUESTS;
+                standing.own < slots.div_ceil(entries as u32)
+            } else {
+                has_room(standing, share, margin)
+            };
+            standing.is_usable(now)
+                && room
+                && !self.catalog.is_held_back(&order.service, &standing.listed.version)
+                && (!picky || in_time(standing))
+                && !order.avoid.contains(&standing.listed.id)
+        });
+        let cost = |key: &UpstreamKey| self.upstreams[*key].cost(usual, &self.zone);
+        // Entries with the same late reports must not all choose the same upstream, so each
+        // compares a part of them that differs from request to request.
+        let part = CLOSE_ENTRIES * CLOSE_ENTRIES;
+        let compared = (backlog.members.len() * part / (entries * entries)).max(COMPARED);
+        let usable: Vec<UpstreamKey> = usable.collect();
+        let first = spread(order.number, usable.len());
+        let some = usable.iter().cycle().skip(first).take(compared.min(usable.len())).copied();
+        some.min_by(|a, b| cost(a).total_cmp(&cost(b)))
+    }
+
+    fn usual_pace(&self, backlog: &Backlog) -> f64 {
+        let paces = backlog.members.iter().filter_map(|key| self.upstreams[*key].pace());
+        let (count, sum) = paces.fold((0, 0.0), |(count, sum), pace| (count + 1, sum + pace));
+        if count == 0 { 1.0 } else { sum / f64::from(count) }
+    }
+}
+
+/// Returns a position below `count` that differs from request to request.
+fn spread(number: RequestNumber, count: usize) -> usize {
+    (xxh3_64(&number.to_le_bytes()) % count.max(1) as u64) as usize
+}
