--- a/crates/egretgate-model/src/report.rs
+++ b/crates/egretgate-model/src/report.rs
@@ -90,7 +90,7 @@
 fn kind_row(run: &Runs, index: usize) -> Vec<String> {
     let first = &run.results[0].kinds[index];
     let of = |figure: fn(&KindResult) -> f64| {
-        estimate_by(run, |results| figure(&results.kinds[index])).mean
+        estimate(run, |results| figure(&results.kinds[index])).mean
     };
     vec![
         run.policy.as_str().to_owned(),
@@ -182,11 +182,7 @@
     Ok(())
 }
 
-fn estimate(run: &Runs, figure: fn(&Results) -> f64) -> Estimate {
-    estimate_by(run, figure)
-}
-
-fn estimate_by(run: &Runs, figure: impl Fn(&Results) -> f64) -> Estimate {
+fn estimate(run: &Runs, figure: impl Fn(&Results) -> f64) -> Estimate {
     let samples: Vec<f64> = run.results.iter().map(figure).collect();
     Estimate::of(&samples)
 }
