--- a/crates/egretgate/tests/operations.rs
+++ b/crates/egretgate/tests/operations.rs
@@ -7,7 +7,7 @@
 
 use egretgate_adapter::PATH_VARIABLE;
 use egretgate_stand_ins::{
-    Behaviour, Store, Upstream, ask, config, free_address, request, settings, status,
+    Behaviour, Store, Upstream, ask, free_address, request, settings, status,
 };
 use tokio::task::JoinSet;
 use tokio::time::sleep;
@@ -154,26 +154,18 @@
             one("lost-1").await
         }
         Trouble::KeyRemoved => {
-            let mut changed = config(2);
-            changed["tenants"][0]["apiKeys"] = serde_json::json!(["key-2"]);
-            declare(store, gateway, &changed).await;
+            store.declare_other_key(2);
+            gateway.await_line("version=2").await;
             one("key-1-call").await
         }
         Trouble::RouteRemoved => {
-            let mut changed = config(2);
-            let routes = changed["routes"].as_array_mut().expect("routes");
-            routes.retain(|route| route["name"] != "unsafe");
-            declare(store, gateway, &changed).await;
+            store.declare_without(2, "unsafe");
+            gateway.await_line("version=2").await;
             one("route-1").await
         }
     }
 }
 
-async fn declare(store: &Store, gateway: &Gateway, config: &serde_json::Value) {
-    store.put("keyed.op", "config", config.to_string().as_bytes());
-    gateway.await_line("version=2").await;
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_failed_request_is_traced_to_its_cause_by_the_log_alone() {
     for case in CASES {
