fix(gateway): a service left with one upstream serves what it can

(1) One refusal of a rank anywhere kept all less urgent ranks out of a third of the slots for 250 ms; a handful of requests on new routes did that all the time. (2) An answer that got lost held an entry's only place for 800 ms, and its silence paused the only upstream. (3) With queueing at the upstream, short calls no longer counted as short, and entries whose part of the slots rounds to none starved. Change: what gives way follows the fleet's share of refusals, in proportion for short calls; parts smaller than a slot are used by turns; overdue answers hold no room; one silent answer makes an upstream doubtful, which is passed over only if there are others; time at the upstream counts in the wait.

--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -5,6 +5,7 @@
 //! arrival, while several entries share the same upstreams.
 
 pub mod catalog;
+pub mod flow;
 pub mod follow;
 pub mod lane;
 pub mod meter;
@@ -16,6 +17,7 @@
 pub mod scheduler;
 pub mod share;
 pub mod standing;
+pub mod strain;
 
 mod backlog;
 mod room;
--- a/crates/egretgate-core/src/gateway/lane.rs
+++ b/crates/egretgate-core/src/gateway/lane.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use super::flow::Flow;
 use crate::Tier;
 
 /// How urgent a request is: the tier of its team where it has one, then its route's.
@@ -21,6 +22,8 @@
 const LEAST_STARTS: f64 = 1e-3;
 /// Least part of the starts that a rank is reckoned to get, so that an estimate exists.
 const LEAST_PART: f64 = 0.05;
+/// Time over which arrivals are counted; bursts last for seconds.
+const MEMORY: Duration = Duration::from_secs(1);
 /// Longest wait that is told apart, in seconds; no caller waits as long.
 const LONGEST_WAIT: f64 = 60.0;
 
@@ -44,33 +47,10 @@
     arrivals: BTreeMap<Rank, Flow>,
 }
 
-/// Rate of arrivals, by a running average that forgets with time.
-#[derive(Debug, Clone, Copy)]
-struct Flow {
-    /// Arrivals a second.
-    rate: f64,
-    seen: Instant,
-}
-
-impl Flow {
-    /// Time in which an arrival loses two thirds of its weight; bursts last for seconds.
-    const MEMORY: f64 = 1.0;
-
-    fn rate(&self, now: Instant) -> f64 {
-        let passed = now.saturating_duration_since(self.seen).as_secs_f64();
-        self.rate * (-passed / Self::MEMORY).exp()
-    }
-
-    fn note(&mut self, now: Instant) {
-        self.rate = self.rate(now) + 1.0 / Self::MEMORY;
-        self.seen = now;
-    }
-}
-
 impl Lane {
     /// Notes that a request came.
     pub fn arrived(&mut self, rank: Rank, now: Instant) {
-        self.arrivals.entry(rank).or_insert(Flow { rate: 0.0, seen: now }).note(now);
+        self.arrivals.entry(rank).or_insert(Flow::new(MEMORY, now)).note(now);
     }
 
     /// Adds a request that gives up at `until`.
--- a/crates/egretgate-core/src/gateway/order.rs
+++ b/crates/egretgate-core/src/gateway/order.rs
@@ -86,6 +86,8 @@
     pub digest: Option<Digest>,
     /// Time at which it started.
     pub started: Instant,
+    /// True if [`Scheduler::suspect`](super::scheduler::Scheduler::suspect) was told of it.
+    pub suspected: bool,
 }
 
 /// What becomes of a request that has just come.
--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -7,6 +7,7 @@
 
 use super::follow::{Mark, Reading};
 use super::lane::Rank;
+use super::strain::Strain;
 use crate::{Incarnation, InstanceId, Offset, ServiceId, UpstreamId};
 
 /// Silence after which another entry's load no longer counts: several reports are missing then.
@@ -48,8 +49,8 @@
     pub demand: HashMap<NameHash, f64>,
     /// Requests in flight, by upstream.
     pub running: HashMap<NameHash, u32>,
-    /// Most urgent rank of which requests were refused for want of room just now, by service.
-    pub refused: HashMap<NameHash, Rank>,
+    /// What came and what was refused for want of room, by service and rank.
+    pub strains: BTreeMap<(NameHash, Rank), Strain>,
     /// Tokens admitted in that life, by team.
     pub admitted: HashMap<NameHash, u64>,
     /// Declarations that it holds.
@@ -151,10 +152,15 @@
         })
     }
 
-    /// Returns the most urgent rank of a service that a fresh entry refuses for want of room.
-    pub fn refused(&self, service: &ServiceId, now: Instant) -> Option<Rank> {
+    /// Returns what came and what was refused for want of room at each fresh entry, by rank.
+    pub fn strains(
+        &self,
+        service: &ServiceId,
+        now: Instant,
+    ) -> impl Iterator<Item = (Rank, Strain)> + '_ {
         let hash = name_hash(service);
-        self.live(now).filter_map(|report| report.refused.get(&hash).copied()).min()
+        let strains = self.live(now).flat_map(|report| &report.strains);
+        strains.filter(move |((of, _), _)| *of == hash).map(|((_, rank), strain)| (*rank, *strain))
     }
 
     /// Returns the number of fresh entries whose names come before `name`.
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -14,6 +14,7 @@
 use super::peer::{PeerReport, Peers, name_hash};
 use super::poison::Breaks;
 use super::repeat::RepeatLimit;
+use super::share::Turn;
 use super::standing::{Listed, Outcome, Standing};
 use crate::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId, ZoneId};
 
@@ -22,6 +23,8 @@
 
 /// Waiting requests that are looked at for one place, if those ahead need a faster upstream.
 const LOOKED_AT: usize = 24;
+/// Weight of a rank's arrivals below which it isn't reported: less than a tenth of a request.
+const LEAST_ARRIVED: f64 = 0.1;
 
 /// The decisions of one entry.
 #[derive(Debug)]
@@ -43,6 +46,7 @@
     /// False while the directory of entries can't be read.
     in_touch: bool,
     refreshed: Option<Instant>,
+    turn: Turn,
     breaks: Breaks,
 }
 
@@ -65,6 +69,7 @@
             expected: None,
             in_touch: true,
             refreshed: None,
+            turn: Turn::default(),
             breaks: Breaks::default(),
         }
     }
@@ -168,13 +173,14 @@
             backlog.repeats.request(now, &self.limit);
         }
         backlog.lane.arrived(place.rank, now);
+        backlog.strains.arrived(place.rank, now);
         let wait = backlog.expected_wait(&place, now);
         // Those that wait were looked at before: what has room now has none for them.
         if let Some(key) = self.choose(&order, now) {
             self.begin(&order.service, key);
             return Admission::Started(key);
         }
-        let gives_way = self.gives_way(&order, now);
+        let gives_way = self.gives_way(&order);
         if gives_way || wait > order.worthwhile || now + wait > order.until {
             self.note_refused(&order, now);
             return Admission::Refused(Refusal::Overloaded);
@@ -229,8 +235,7 @@
             }
         }
         if let Some(standing) = self.upstreams.get_mut(key) {
-            standing.own = standing.own.saturating_sub(1);
-            standing.note(outcome, now);
+            standing.note(outcome, end.suspected, now);
         }
         match (digest, outcome) {
             (Some(digest), Outcome::Broken) => self.breaks.note(digest, now),
@@ -239,10 +244,10 @@
         }
     }
 
-    /// Notes that a request at the upstream has been silent for long.
-    pub fn suspect(&mut self, key: UpstreamKey, now: Instant) {
+    /// Notes that a request at the upstream has been silent since `since`.
+    pub fn suspect(&mut self, key: UpstreamKey, since: Instant, now: Instant) {
         if let Some(standing) = self.upstreams.get_mut(key) {
-            standing.suspect(now);
+            standing.suspect(since, now);
         }
     }
 
@@ -265,11 +270,17 @@
         let demand = self.services.iter().map(|(service, backlog)| {
             (name_hash(service), f64::from(backlog.running) + backlog.lane.len() as f64)
         });
-        let refused = self.services.iter().filter_map(|(service, backlog)| {
-            backlog.refused(now).map(|rank| (name_hash(service), rank))
+        let strains = self.services.iter().flat_map(|(service, backlog)| {
+            let hash = name_hash(service);
+            backlog.strains.ranks(now).map(move |(rank, strain)| ((hash, rank), strain))
         });
-        let running = self.upstreams.values().filter(|standing| standing.own > 0);
-        let running = running.map(|standing| (name_hash(&standing.listed.id), standing.own));
+        let strains = strains.filter(|(_, strain)| strain.arrived > LEAST_ARRIVED);
+        let running = self.upstreams.values().map(|standing| {
+            let brief = self.services.get(&standing.listed.service).is_some_and(Backlog::is_brief);
+            let running = if brief { standing.at_work() } else { standing.own };
+            (name_hash(&standing.listed.id), running)
+        });
+        let running = running.filter(|(_, running)| *running > 0);
         let admitted = self.meters.iter().map(|(team, meter)| (name_hash(team), meter.admitted()));
         PeerReport {
             name: self.name.clone(),
@@ -277,7 +288,7 @@
             sequence: self.sequence,
             demand: demand.collect(),
             running: running.collect(),
-            refused: refused.collect(),
+            strains: strains.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
             catalog: None,
             roster: None,
@@ -303,15 +314,10 @@
         meter.take(charge.tokens, order.rank.route, reach, now).err().map(Refusal::OverLimit)
     }
 
-    fn gives_way(&self, order: &Order, now: Instant) -> bool {
-        let backlog = self.services.get(&order.service);
-        backlog.is_some_and(|backlog| backlog.gives_way(order.rank, now))
-    }
-
     fn note_refused(&mut self, order: &Order, now: Instant) {
         self.refund(order);
         if let Some(backlog) = self.services.get_mut(&order.service) {
-            backlog.refused.insert(order.rank, now);
+            backlog.strains.refused(order.rank, now);
         }
     }
 
@@ -359,10 +365,13 @@
     fn regroup(&mut self) {
         for backlog in self.services.values_mut() {
             backlog.members.clear();
+            backlog.slots = 0;
         }
         for (key, standing) in &self.upstreams {
             let service = standing.listed.service.clone();
-            self.services.entry(service).or_default().members.push(key);
+            let backlog = self.services.entry(service).or_default();
+            backlog.members.push(key);
+            backlog.slots += standing.listed.slots;
         }
     }
 }
--- a/crates/egretgate-core/src/gateway/scheduler/others.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/others.rs
@@ -5,6 +5,7 @@
 use super::Scheduler;
 use crate::gateway::peer::name_hash;
 use crate::gateway::share::Share;
+use crate::gateway::strain::Excess;
 
 /// Age at which what is derived from other entries' reports is worked out anew.
 const REFRESH: Duration = Duration::from_millis(20);
@@ -35,6 +36,7 @@
             return;
         }
         self.refreshed = Some(now);
+        self.turn.pass(now);
         let unheard = self.unheard(now);
         let part = unheard as f64 / self.entries() as f64;
         for standing in self.upstreams.values_mut() {
@@ -43,7 +45,8 @@
         }
         for (service, backlog) in &mut self.services {
             let demand = f64::from(backlog.running) + backlog.lane.len() as f64;
-            backlog.refused_elsewhere = self.peers.refused(service, now);
+            let strains = backlog.strains.ranks(now).chain(self.peers.strains(service, now));
+            backlog.excess = Excess::new(strains);
             let others = self.peers.demand(service, now);
             // Those that can't be heard are taken to have as much to do as this one. A part of them,
             // another one at each entry, goes before it, so that entries which hear nothing don't
--- a/crates/egretgate-core/src/gateway/scheduler/placing.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/placing.rs
@@ -8,7 +8,8 @@
 use crate::gateway::backlog::Backlog;
 use crate::gateway::lane::RequestNumber;
 use crate::gateway::order::{Order, UpstreamKey};
-use crate::gateway::room::{has_room, has_spare};
+use crate::gateway::peer::name_hash;
+use crate::gateway::room::{has_free, has_room, has_spare};
 use crate::gateway::share::Share;
 use crate::gateway::standing::Standing;
 
@@ -35,7 +36,11 @@
         let margin = (entries as u32 - 1).div_ceil(ENTRIES_PER_SLOT);
         let usual = self.usual_pace(backlog);
         let brief = entries > 1 && backlog.is_brief();
-        let gives_way = backlog.gives_way(order.rank, now);
+        let left_free = backlog.left_free(order.rank);
+        let goes_ahead = backlog.goes_ahead(order.rank);
+        // Where slots are fewer than entries, one whose part is less than a slot has its turns too.
+        let first = backlog.running == 0
+            && share.slots_in_turn(self.turn, name_hash(&self.name), backlog.slots) > 0;
         let left = order.deadline.saturating_duration_since(now).as_secs_f64();
         let in_time = |standing: &Standing| {
             order.events * standing.pace().unwrap_or(usual) * LENGTH_MARGIN <= left
@@ -43,17 +48,29 @@
         // A long answer waits for an upstream that is fast enough, if there is one at all.
         let picky =
             order.events > 0.0 && backlog.members.iter().any(|key| in_time(&self.upstreams[*key]));
+        // An upstream that missed one answer is passed over only if there are others.
+        let is_sound = |standing: &Standing| standing.is_usable(now) && !standing.is_doubted(now);
+        let doubtful = !backlog.members.iter().any(|key| is_sound(&self.upstreams[*key]));
         let usable = backlog.members.iter().copied().filter(|key| {
             let standing = &self.upstreams[*key];
-            let room = if gives_way {
-                has_spare(standing)
+            let left = slots_left(left_free, standing);
+            let room = if left > 0 {
+                has_spare(standing, left)
             } else if brief {
                 let slots = standing.listed.slots * BRIEF_REQUESTS;
-                standing.own < slots.div_ceil(entries as u32)
+                let seed = name_hash(&self.name) ^ name_hash(&standing.listed.id);
+                let own = share.slots_in_turn(self.turn, seed, slots);
+                // An urgent call doesn't wait for this entry's turn, nor for one that can wait.
+                let own = if goes_ahead { own.max(1) + 1 } else { own };
+                // Reports come too late for entries to see each other take the same free slot, so
+                // each takes one at a time at most.
+                let free = standing.at_work() == 0 && has_free(standing, margin);
+                standing.at_work() < own || free
             } else {
-                has_room(standing, share, margin)
+                first || has_room(standing, share, margin)
             };
             standing.is_usable(now)
+                && (doubtful || !standing.is_doubted(now))
                 && room
                 && !self.catalog.is_held_back(&order.service, &standing.listed.version)
                 && (!picky || in_time(standing))
@@ -70,6 +87,14 @@
         some.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    /// Returns true if the request leaves slots to more urgent ones that are refused.
+    pub(super) fn gives_way(&self, order: &Order) -> bool {
+        self.services.get(&order.service).is_some_and(|backlog| {
+            let part = backlog.left_free(order.rank);
+            backlog.members.iter().any(|key| slots_left(part, &self.upstreams[*key]) > 0)
+        })
+    }
+
     fn usual_pace(&self, backlog: &Backlog) -> f64 {
         let paces = backlog.members.iter().filter_map(|key| self.upstreams[*key].pace());
         let (count, sum) = paces.fold((0, 0.0), |(count, sum), pace| (count + 1, sum + pace));
@@ -77,6 +102,11 @@
     }
 }
 
+/// Returns the slots of an upstream that are left to more urgent requests.
+fn slots_left(part: f64, standing: &Standing) -> u32 {
+    (part * f64::from(standing.listed.slots)).round() as u32
+}
+
 /// Returns a position below `count` that differs from request to request.
 fn spread(number: RequestNumber, count: usize) -> usize {
     (xxh3_64(&number.to_le_bytes()) % count.max(1) as u64) as usize
--- a/crates/egretgate-core/src/gateway/standing.rs
+++ b/crates/egretgate-core/src/gateway/standing.rs
@@ -97,10 +97,16 @@
     faults: f64,
     /// Broken or silent answers since the last good one.
     broken: u32,
+    /// Requests of `own` that have been silent for long; at most `own`.
+    silent: u32,
+    /// Time of the last answer from it.
+    heard: Option<Instant>,
     /// Pauses in a row; doubles the next.
     pauses: u32,
     /// End of the current pause.
     paused: Option<Instant>,
+    /// End of the time for which others are preferred, after a single silent answer.
+    doubted: Option<Instant>,
     /// True once another upstream was met at the address.
     moved: bool,
 }
@@ -115,8 +121,11 @@
             pace: None,
             faults: 0.0,
             broken: 0,
+            silent: 0,
+            heard: None,
             pauses: 0,
             paused: None,
+            doubted: None,
             moved: false,
         }
     }
@@ -125,10 +134,16 @@
     pub fn is_usable(&self, now: Instant) -> bool {
         let waiting = self.paused.is_some_and(|until| now < until);
         // After a pause, one request at a time tries whether the upstream works again.
-        let trying = self.pauses > 0 && self.own > 0;
+        let trying = self.pauses > 0 && self.at_work() > 0;
         self.listed.stage == Stage::Ready && !self.moved && !waiting && !trying
     }
 
+    /// Returns true if other upstreams are to be preferred: an answer is overdue, which may be the
+    /// answer's fault or the upstream's.
+    pub fn is_doubted(&self, now: Instant) -> bool {
+        self.doubted.is_some_and(|until| now < until)
+    }
+
     /// Returns how slow the upstream is for one more request; `usual` stands in while its own
     /// pace is unknown.
     pub fn cost(&self, usual: f64, zone: &str) -> f64 {
@@ -143,8 +158,19 @@
         self.pace
     }
 
-    /// Notes how a request ended.
-    pub fn note(&mut self, outcome: Outcome, now: Instant) {
+    /// Returns this entry's requests that are likely to be at work there: an answer that is long
+    /// overdue was probably lost.
+    pub const fn at_work(&self) -> u32 {
+        self.own.saturating_sub(self.silent)
+    }
+
+    /// Notes how a request ended; `suspected` if its silence was noted before.
+    pub fn note(&mut self, outcome: Outcome, suspected: bool, now: Instant) {
+        self.own = self.own.saturating_sub(1);
+        self.silent = self.silent.saturating_sub(u32::from(suspected)).min(self.own);
+        if matches!(outcome, Outcome::Good { .. } | Outcome::Failed | Outcome::Full) {
+            self.heard = Some(now);
+        }
         match outcome {
             Outcome::Good { pace } => self.succeed(pace),
             Outcome::Failed => self.fail(),
@@ -156,18 +182,32 @@
             }
             Outcome::Broken | Outcome::Silent => {
                 self.fail();
-                self.broken += 1;
-                if self.broken >= BROKEN_IN_A_ROW {
-                    self.pause(now);
+                // A silence that was noted before counts once.
+                if !suspected {
+                    self.miss(now);
                 }
             }
             Outcome::Left => {}
         }
     }
 
-    /// Notes that a request in flight has been silent for long.
-    pub fn suspect(&mut self, now: Instant) {
-        self.pause(now);
+    /// Notes that a request in flight has been silent since `since`.
+    ///
+    /// If the upstream has answered others meanwhile, it works, and only that answer is overdue.
+    pub fn suspect(&mut self, since: Instant, now: Instant) {
+        self.silent = (self.silent + 1).min(self.own);
+        if self.heard.is_none_or(|heard| heard <= since) {
+            self.doubted = Some(now + FIRST_PAUSE);
+            self.miss(now);
+        }
+    }
+
+    /// Counts an answer that didn't come.
+    fn miss(&mut self, now: Instant) {
+        self.broken += 1;
+        if self.broken >= BROKEN_IN_A_ROW {
+            self.pause(now);
+        }
     }
 
     fn succeed(&mut self, pace: Option<f64>) {
@@ -175,6 +215,7 @@
         self.broken = 0;
         self.pauses = 0;
         self.paused = None;
+        self.doubted = None;
         if let Some(sample) = pace {
             let old = self.pace.unwrap_or(sample);
             self.pace = Some(old + (sample - old) * SMOOTHING);
--- a/crates/egretgate-core/tests/gateway_overload.rs
+++ b/crates/egretgate-core/tests/gateway_overload.rs
@@ -10,6 +10,8 @@
 use egretgate_core::gateway::peer::PeerReport;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::gateway::standing::{Listed, Outcome, Stage};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 const STEP: Duration = Duration::from_millis(5);
 /// Time between two reports of an entry for each entry, and at least; they arrive with the next.
@@ -18,6 +20,10 @@
 const OBJECTIVE: Duration = Duration::from_millis(400);
 const SERVICE: &str = "writer";
 
+/// Silence after which an entry suspects an upstream, and after which it gives a call up.
+const SUSPECT_AFTER: Duration = Duration::from_millis(400);
+const GIVE_UP_AFTER: Duration = Duration::from_millis(800);
+
 /// Requests of one kind that come to one entry.
 #[derive(Debug, Clone, Copy)]
 struct Stream {
@@ -53,6 +59,15 @@
     hold: Duration,
     /// When it ends, once it has a slot.
     until: Option<Instant>,
+    /// True if its answer gets lost.
+    lost: bool,
+}
+
+/// A request whose answer got lost.
+#[derive(Debug, Clone, Copy)]
+struct Lost {
+    sent: Sent,
+    suspected: bool,
 }
 
 /// Runs as many requests as it has slots, the rest in the order of arrival.
@@ -69,6 +84,11 @@
     /// Entries from the end of the list that hear no other and are heard by none.
     cut: usize,
     upstreams: BTreeMap<String, Upstream>,
+    /// Part of the answers that get lost, in `0.0..=1.0`.
+    losses: f64,
+    lost: Vec<Lost>,
+    /// Makes arrivals and losses random; arrivals are evenly spaced without it.
+    rng: Option<ChaCha8Rng>,
     /// Reports that are on their way.
     reports: Vec<PeerReport>,
     /// Tier, objective and time at an upstream of each request that has not started.
@@ -101,6 +121,9 @@
             slots: slots as usize,
             cut: 0,
             upstreams: BTreeMap::new(),
+            losses: 0.0,
+            lost: Vec::new(),
+            rng: None,
             reports: Vec::new(),
             waiting: BTreeMap::new(),
             tallies: BTreeMap::new(),
@@ -121,6 +144,7 @@
                 self.tallies.clear();
             }
             self.end(now);
+            self.give_up(now);
             if now >= reported + report {
                 reported = now;
                 self.exchange(now);
@@ -131,7 +155,8 @@
             for (stream, due) in streams.iter().zip(&mut due) {
                 *due += stream.rate * STEP.as_secs_f64();
                 while *due >= 1.0 {
-                    *due -= 1.0;
+                    // Arrivals of many callers: exponential times between them.
+                    *due -= self.rng.as_mut().map_or(1.0, |rng| -rng.random::<f64>().ln());
                     self.ask(*stream, now);
                 }
             }
@@ -144,9 +169,13 @@
         for upstream in self.upstreams.values_mut() {
             let is_done = |sent: &mut Sent| sent.until.is_some_and(|until| until <= now);
             for sent in upstream.running.extract_if(.., is_done).collect::<Vec<_>>() {
+                if sent.lost {
+                    self.lost.push(Lost { sent, suspected: false });
+                    continue;
+                }
                 let outcome = Outcome::Good { pace: Some(0.2) };
                 let (service, key, started) = (SERVICE.to_owned(), sent.key, sent.at);
-                let end = End { service, key, outcome, digest: None, started };
+                let end = End { service, key, outcome, digest: None, started, suspected: false };
                 self.entries[sent.entry].finish(&end, now);
             }
             while upstream.running.len() < self.slots
@@ -162,6 +191,29 @@
         }
     }
 
+    /// Notices lost answers as late as a caller's request would.
+    fn give_up(&mut self, now: Instant) {
+        for lost in &mut self.lost {
+            if !lost.suspected && now >= lost.sent.at + SUSPECT_AFTER {
+                lost.suspected = true;
+                self.entries[lost.sent.entry].suspect(lost.sent.key, lost.sent.at, now);
+            }
+        }
+        let is_over = |lost: &mut Lost| now >= lost.sent.at + GIVE_UP_AFTER;
+        for lost in self.lost.extract_if(.., is_over) {
+            let Sent { entry, key, at, .. } = lost.sent;
+            let end = End {
+                service: SERVICE.to_owned(),
+                key,
+                outcome: Outcome::Silent,
+                digest: None,
+                started: at,
+                suspected: true,
+            };
+            self.entries[entry].finish(&end, now);
+        }
+    }
+
     fn exchange(&mut self, now: Instant) {
         let reachable = self.entries.len() - self.cut;
         for report in std::mem::take(&mut self.reports) {
@@ -215,7 +267,9 @@
     fn start(&mut self, entry: usize, number: u64, key: UpstreamKey, now: Instant) {
         let (tier, objective, hold) = self.waiting.remove(&number).expect("it waits");
         let id = self.entries[entry].upstream(key).expect("listed").listed.id.clone();
-        let sent = Sent { entry, key, at: now, tier, objective, hold, until: None };
+        let losses = self.losses;
+        let lost = self.rng.as_mut().is_some_and(|rng| rng.random_bool(losses));
+        let sent = Sent { entry, key, at: now, tier, objective, hold, until: None, lost };
         self.upstreams.entry(id).or_default().queue.push_back(sent);
     }
 }
@@ -403,3 +457,53 @@
         }
     }
 }
+
+/// The load it answers: a service of short calls that is left with one upstream, which is asked for
+/// more than it can run, by two tiers and with answers that get lost.
+#[test]
+fn a_service_left_with_one_upstream_serves_what_it_can() {
+    struct Case {
+        name: &'static str,
+        /// Calls a second of each tier over all entries, against what the slots can run.
+        loads: [f64; 2],
+        /// Part of the answers that get lost.
+        losses: f64,
+        /// Least part of the urgent calls that start in time.
+        urgent: f64,
+        /// Least part of what the slots can run, or of the calls if those are fewer, that starts.
+        least: f64,
+    }
+    const CASES: [Case; 4] = [
+        Case { name: "nearly full", loads: [0.2, 0.6], losses: 0.0, urgent: 0.95, least: 0.95 },
+        Case { name: "overrun", loads: [0.35, 1.1], losses: 0.0, urgent: 0.95, least: 0.9 },
+        Case { name: "answers lost", loads: [0.2, 0.6], losses: 0.05, urgent: 0.9, least: 0.9 },
+        Case { name: "overrun, lost", loads: [0.35, 1.1], losses: 0.05, urgent: 0.9, least: 0.85 },
+    ];
+    const ENTRIES: usize = 26;
+    const SLOTS: u32 = 6;
+    const HOLD: Duration = Duration::from_millis(35);
+    for case in CASES {
+        for seed in 0..4 {
+            let mut fleet = Fleet::new(ENTRIES, 1, SLOTS);
+            fleet.losses = case.losses;
+            fleet.rng = Some(ChaCha8Rng::seed_from_u64(seed));
+            let most = f64::from(SLOTS) / HOLD.as_secs_f64();
+            let streams = (0..2 * ENTRIES).map(|index| {
+                let (entry, tier) = (index / 2, index % 2);
+                // Callers are spread unevenly over entries.
+                let part = if entry % 2 == 0 { 1.5 } else { 0.5 };
+                let rate = most * case.loads[tier] * part / ENTRIES as f64;
+                Stream { entry, tier: tier as u8, rate, hold: HOLD }
+            });
+            let streams: Vec<Stream> = streams.collect();
+            let tallies = fleet.play(&streams, Duration::from_secs(8));
+            let (urgent, others) = (tallies[&0], tallies[&1]);
+            let name = case.name;
+            let in_time = f64::from(urgent.in_time) / f64::from(urgent.asked);
+            assert!(in_time >= case.urgent, "{name}, seed {seed}: {in_time:.2}: {tallies:?}");
+            let wanted = f64::from(urgent.asked + others.asked).min(most * 7.0);
+            let part = f64::from(urgent.started + others.started) / wanted;
+            assert!(part >= case.least, "{name}, seed {seed}: {part:.2}: {tallies:?}");
+        }
+    }
+}
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -53,7 +53,7 @@
 }
 
 fn end(key: UpstreamKey, outcome: Outcome, started: Instant) -> End {
-    End { service: "writer".to_owned(), key, outcome, digest: None, started }
+    End { service: "writer".to_owned(), key, outcome, digest: None, started, suspected: false }
 }
 
 fn good(pace: f64) -> Outcome {
--- a/crates/egretgate-gateway/src/desk.rs
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -35,6 +35,8 @@
     service: ServiceId,
     digest: Option<Digest>,
     started: Instant,
+    /// True once the desk was told of its silence.
+    suspected: bool,
     desk: DeskHandle,
     outcome: Outcome,
 }
@@ -47,8 +49,9 @@
     }
 
     /// Notes that the upstream has been silent for long.
-    pub(crate) fn suspect(&self) {
-        self.desk.tell(Message::Suspect(self.key));
+    pub(crate) fn suspect(&mut self, since: Instant) {
+        self.suspected = true;
+        self.desk.tell(Message::Suspect(self.key, since));
     }
 }
 
@@ -60,6 +63,7 @@
             outcome: self.outcome,
             digest: self.digest,
             started: self.started,
+            suspected: self.suspected,
         };
         self.desk.tell(Message::Finish(end, self.idle.take()));
     }
@@ -77,8 +81,8 @@
     Withdraw(RequestNumber),
     /// A started request ended, with its connection for another one.
     Finish(End, Option<Connection>),
-    /// A request at the upstream has been silent for long.
-    Suspect(UpstreamKey),
+    /// A request at the upstream has been silent since then.
+    Suspect(UpstreamKey, Instant),
     /// Declarations to put in force.
     Catalog(Arc<Catalog>),
     /// The list of upstreams.
@@ -195,7 +199,10 @@
                 self.finish(&end, idle, now);
                 self.pump(now);
             }
-            Message::Suspect(key) => self.scheduler.suspect(key, now),
+            Message::Suspect(key, since) => {
+                self.scheduler.suspect(key, since, now);
+                self.pump(now);
+            }
             Message::Catalog(catalog) => self.scheduler.set_catalog(catalog, now),
             Message::Roster(roster) => {
                 for key in self.scheduler.set_roster(roster) {
@@ -272,6 +279,7 @@
             service: waiter.service,
             digest: waiter.digest,
             started: now,
+            suspected: false,
             desk: self.handle.clone(),
             outcome: Outcome::Left,
         };
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -349,7 +349,7 @@
                 lease.finish(Outcome::Unreachable, None);
                 return Attempt::NotSent;
             };
-            match self.send(&lease, &mut open, request).await {
+            match self.send(&mut lease, &mut open, request).await {
                 Ok(response) => {
                     self.sent += 1;
                     return self.judge(lease, open, response).await;
@@ -386,7 +386,7 @@
     /// Sends and waits for the answer's head.
     async fn send(
         &self,
-        lease: &Lease,
+        lease: &mut Lease,
         connection: &mut Connection,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Unsent> {
@@ -404,7 +404,7 @@
         let mut answer =
             timeout_at((begun + SUSPECT_AFTER).min(silence).into(), &mut sending).await;
         if answer.is_err() {
-            lease.suspect();
+            lease.suspect(begun);
             answer = timeout_at(silence.into(), sending).await;
         }
         match answer {
--- a/crates/egretgate-gateway/src/relay.rs
+++ b/crates/egretgate-gateway/src/relay.rs
@@ -155,7 +155,7 @@
                 Err(_) if Instant::now() >= deadline => return Next::TimedOut,
                 Err(_) if suspected => return Next::Silent,
                 Err(_) => {
-                    run.lease.suspect();
+                    run.lease.suspect(self.last);
                     suspected = true;
                     limit = self.last + RESUME_AFTER;
                 }
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -5,7 +5,8 @@
 
 use egretgate_core::Tier;
 use egretgate_core::gateway::lane::Rank;
-use egretgate_core::gateway::peer::{PeerReport, Report};
+use egretgate_core::gateway::peer::{NameHash, PeerReport, Report};
+use egretgate_core::gateway::strain::Strain;
 use prost::Message;
 
 /// A report as it is sent.
@@ -27,29 +28,43 @@
     catalog: Option<Held>,
     #[prost(message, optional, tag = "8")]
     roster: Option<Held>,
-    #[prost(map = "fixed64, message", tag = "9")]
-    refused: HashMap<u64, Refused>,
+    #[prost(message, repeated, tag = "10")]
+    strains: Vec<RankStrain>,
 }
 
-/// A rank.
+/// What came and what was refused of one rank.
 #[derive(Clone, Copy, PartialEq, Message)]
-struct Refused {
-    #[prost(uint32, tag = "1")]
-    tier: u32,
+struct RankStrain {
+    #[prost(fixed64, tag = "1")]
+    service: u64,
     #[prost(uint32, tag = "2")]
+    tier: u32,
+    #[prost(uint32, tag = "3")]
     route: u32,
+    #[prost(float, tag = "4")]
+    arrived: f32,
+    #[prost(float, tag = "5")]
+    refused: f32,
 }
 
-impl From<Rank> for Refused {
-    fn from(rank: Rank) -> Self {
-        Self { tier: rank.tier.into(), route: rank.route.into() }
+impl From<((NameHash, Rank), Strain)> for RankStrain {
+    fn from(((service, rank), strain): ((NameHash, Rank), Strain)) -> Self {
+        Self {
+            service,
+            tier: rank.tier.into(),
+            route: rank.route.into(),
+            arrived: strain.arrived as f32,
+            refused: strain.refused as f32,
+        }
     }
 }
 
-impl From<Refused> for Rank {
-    fn from(refused: Refused) -> Self {
+impl From<RankStrain> for ((NameHash, Rank), Strain) {
+    fn from(sent: RankStrain) -> Self {
         let tier = |value| Tier::try_from(value).unwrap_or(Tier::MAX);
-        Self { tier: tier(refused.tier), route: tier(refused.route) }
+        let rank = Rank { tier: tier(sent.tier), route: tier(sent.route) };
+        let strain = Strain { arrived: count(sent.arrived), refused: count(sent.refused) };
+        ((sent.service, rank), strain)
     }
 }
 
@@ -88,7 +103,7 @@
         admitted: report.admitted.clone(),
         catalog: report.catalog.map(Held::from),
         roster: report.roster.map(Held::from),
-        refused: report.refused.iter().map(|(service, rank)| (*service, (*rank).into())).collect(),
+        strains: report.strains.iter().map(|(of, strain)| (*of, *strain).into()).collect(),
     }
     .encode_to_vec()
 }
@@ -96,21 +111,21 @@
 /// Returns the report in a datagram; `None` if it holds none.
 pub fn decode(bytes: &[u8]) -> Option<PeerReport> {
     let datagram = Datagram::decode(bytes).ok()?;
-    let usable = |value: f32| if value.is_finite() { f64::from(value.max(0.0)) } else { 0.0 };
-    let demand = datagram.demand.into_iter().map(|(service, demand)| (service, usable(demand)));
+    let demand = datagram.demand.into_iter().map(|(service, demand)| (service, count(demand)));
     Some(PeerReport {
         name: datagram.name,
         incarnation: datagram.incarnation,
         sequence: datagram.sequence,
         demand: demand.collect(),
         running: datagram.running,
-        refused: datagram
-            .refused
-            .into_iter()
-            .map(|(service, rank)| (service, rank.into()))
-            .collect(),
+        strains: datagram.strains.into_iter().map(Into::into).collect(),
         admitted: datagram.admitted,
         catalog: datagram.catalog.map(Report::from),
         roster: datagram.roster.map(Report::from),
     })
 }
+
+/// Returns a count as it was sent, or 0 for what no entry sends.
+fn count(value: f32) -> f64 {
+    if value.is_finite() { f64::from(value.max(0.0)) } else { 0.0 }
+}
