feat(gateway): version moves on the platform

Cause: an order to move a service's traffic was answered as rolled back, so good versions were never moved, which operators count on most. Change: each entry counts both versions, tells the others, and judges by the existing controller; the leading entry lets all traffic move and records the end, on condition that nothing else was recorded.

--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -9,6 +9,7 @@
 pub mod follow;
 pub mod lane;
 pub mod meter;
+pub mod moving;
 pub mod order;
 pub mod patience;
 pub mod peer;
--- a/crates/egretgate-core/src/gateway/catalog.rs
+++ b/crates/egretgate-core/src/gateway/catalog.rs
@@ -131,6 +131,15 @@
     pub service: ServiceId,
     /// Version that is to get the traffic.
     pub target: VersionId,
+    /// Time within which the move is to be done or taken back.
+    pub within: Duration,
+}
+
+impl MoveOrder {
+    /// Returns true if both orders move the same service to the same version.
+    pub fn is_same(&self, other: &Self) -> bool {
+        self.service == other.service && self.target == other.target
+    }
 }
 
 /// Limit on the tokens of a team over the whole fleet.
@@ -253,12 +262,6 @@
         &self.moves
     }
 
-    /// Returns true if the version may get no traffic: it is the target of an order, and moves
-    /// are not carried out here.
-    pub fn is_held_back(&self, service: &str, version: &str) -> bool {
-        self.moves.iter().any(|order| order.service == service && order.target == version)
-    }
-
     /// Sets the tokens that an event of the service's streams holds.
     #[must_use]
     pub fn with_event_tokens(mut self, service: &str, tokens: u32) -> Self {
--- /dev/null
+++ b/crates/egretgate-core/src/gateway/moving.rs
@@ -0,0 +1,397 @@
+//! Which version of a service gets a request while an operator has its traffic moved.
+//!
+//! Every entry counts how requests of both versions end and tells the others, so each judges by the
+//! same [`Controller`] from nearly the same counts. An entry that finds the new version worse gives
+//! it nothing from then on, whatever the others do. The entry that leads lets all traffic move and
+//! has the end of the move recorded; if it dies, the next one finds the counts with the others.
+//!
+//! The load it answers: moves of some seconds, in which a version that fails or is slow from the
+//! start, later or on one route must get a small share, and a good one must get all traffic in time.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use super::catalog::MoveOrder;
+use super::lane::RequestNumber;
+use super::peer::{NameHash, name_hash};
+use crate::moves::{
+    Budget, Cap, Cell, Controller, Counts, Decision, Evidence, Move, Ppm, Progress, WHOLE,
+};
+use crate::{Incarnation, RouteId, VersionId};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// How much worse the new version may be. Wide margins: a version that is bad at all fails or
+/// delays a good part of its requests, and in some seconds a small share brings few samples.
+const BUDGET: Budget = Budget {
+    errors: 0.2,
+    first: 0.3,
+    between: 0.3,
+    samples: 10,
+    dwell: Duration::from_millis(1_200),
+};
+/// Share of a version that is not proven, in parts per million: below the tenth that users allow.
+const TRIED_SHARE: Ppm = 80_000;
+/// Bound on unproven traffic in flight: none beyond the share.
+const CAP: Cap = Cap::InFlight(u32::MAX);
+/// Part of the ordered time from which half is waited until all traffic may move: a fault that
+/// shows late must still meet a small share, of which users allow a tenth over the whole time.
+const BEGIN_PART: f64 = 0.4;
+/// Part of the ordered time at which the move ends: the rest is for recording it.
+const END_PART: f64 = 0.9;
+/// Time without a word of an entry that lets all traffic move, after which the share is small again.
+const LEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Factor by which an answer is slower than usual that counts as slow: users call versions bad that
+/// are several times slower.
+const SLOW: f64 = 2.5;
+/// Factor by which a new sample moves what is usual.
+const SMOOTHING: f64 = 0.05;
+/// Least part of the old version's requests that makes a route count in the verdict.
+const MATERIAL: f64 = 0.05;
+
+/// How a move stands in the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum MoveState {
+    /// The store was not asked yet.
+    Unknown,
+    /// It is ordered, and nothing is recorded.
+    Ordered,
+    /// It has begun.
+    Running,
+    /// All traffic goes to the new version.
+    Done,
+    /// All traffic stays with the old version.
+    TakenBack,
+}
+
+impl MoveState {
+    /// Returns true if the move is over.
+    pub const fn is_end(self) -> bool {
+        matches!(self, Self::Done | Self::TakenBack)
+    }
+}
+
+/// A move with its state in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct MoveStatus {
+    /// What was ordered.
+    pub order: MoveOrder,
+    /// How it stands.
+    pub state: MoveState,
+}
+
+/// How a request ended, as the judgement of its version sees it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ending {
+    /// True if it failed.
+    pub error: bool,
+    /// Time to the head of its answer.
+    pub first: Option<Duration>,
+    /// Seconds between its events.
+    pub pace: Option<f64>,
+}
+
+/// What requests of a route take at the old version, as running averages.
+#[derive(Debug, Clone, Copy, Default)]
+struct Usual {
+    /// Seconds to the head of an answer.
+    first: Option<f64>,
+    /// Seconds between events.
+    pace: Option<f64>,
+}
+
+/// What an entry tells the others of one move.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct MoveReport {
+    /// Time since the order was first seen.
+    pub age: Duration,
+    /// True if the sender leads and lets all traffic move.
+    pub whole: bool,
+    /// How the move ended, once that is recorded.
+    pub ended: Option<MoveState>,
+    /// The sender's counts by route; true for the new version.
+    pub counts: Vec<(NameHash, bool, Counts)>,
+}
+
+/// Names a move in reports: its service and its new version.
+pub type MoveKey = (NameHash, NameHash);
+
+/// One order to move traffic, as an entry sees it.
+#[derive(Debug, Clone)]
+struct Moving {
+    order: MoveOrder,
+    /// Time at which any entry first saw the order.
+    begun: Instant,
+    state: MoveState,
+    progress: Progress,
+    evidence: Evidence,
+    /// This entry's own counts.
+    own: BTreeMap<Cell, Counts>,
+    usual: HashMap<RouteId, Usual>,
+    /// True once this entry found the new version worse.
+    stopped: bool,
+    /// Last time that another entry let all traffic move.
+    led: Option<Instant>,
+}
+
+/// The orders to move traffic, at most one for each service.
+#[derive(Debug, Clone, Default)]
+pub struct Moves {
+    moves: HashMap<String, Moving>,
+}
+
+impl Moves {
+    /// Takes in the orders that stand.
+    pub fn set_orders(&mut self, orders: &[MoveOrder], now: Instant) {
+        self.moves.retain(|_, moving| orders.contains(&moving.order));
+        for order in orders {
+            self.moves.entry(order.service.clone()).or_insert_with(|| Moving::new(order, now));
+        }
+    }
+
+    /// Takes in how a move stands in the store. A recorded end stands.
+    pub fn record(&mut self, order: &MoveOrder, state: MoveState) {
+        if let Some(moving) = self.find(order).filter(|moving| !moving.has_ended()) {
+            moving.state = state;
+        }
+    }
+
+    /// Returns the orders of which it isn't known yet how they stand in the store.
+    pub fn unknown(&self) -> Vec<MoveOrder> {
+        let unknown = self.moves.values().filter(|moving| moving.state == MoveState::Unknown);
+        unknown.map(|moving| moving.order.clone()).collect()
+    }
+
+    /// Returns the version that a request is to go to, and whether it must.
+    ///
+    /// `tries` is false if the request must not meet an unproven version.
+    pub fn aim(&self, service: &str, number: RequestNumber, tries: bool, now: Instant) -> Aim<'_> {
+        let Some(moving) = self.moves.get(service) else { return Aim::Any };
+        let target = &moving.order.target;
+        let share = moving.share(now);
+        let point = xxh3_64_with_seed(&number.to_le_bytes(), name_hash(target)) % u64::from(WHOLE);
+        if share == WHOLE {
+            Aim::Preferred(target)
+        } else if tries && point < u64::from(share) {
+            Aim::Tried(target)
+        } else {
+            Aim::Other(target)
+        }
+    }
+
+    /// Counts how a request ended.
+    pub fn note(&mut self, service: &str, version: &VersionId, route: &RouteId, ending: Ending) {
+        let Some(moving) = self.moves.get_mut(service) else { return };
+        let is_new = *version == moving.order.target;
+        let usual = moving.usual.entry(route.clone()).or_default();
+        let first = ending.first.map(|first| first.as_secs_f64());
+        let (slow_first, slow_between) =
+            (is_slow(first, usual.first), is_slow(ending.pace, usual.pace));
+        if !is_new {
+            usual.first = average(usual.first, first);
+            usual.pace = average(usual.pace, ending.pace);
+        }
+        let cell = Cell::new(route.clone(), if is_new { NEW } else { OLD }, 0);
+        moving.own.entry(cell).or_default().record(ending.error, slow_first, slow_between);
+    }
+
+    /// Returns true while requests of the service are judged.
+    pub fn is_judged(&self, service: &str) -> bool {
+        self.moves.get(service).is_some_and(|moving| !moving.has_ended())
+    }
+
+    /// Returns what this entry tells the others.
+    pub fn report(&self, leads: bool, now: Instant) -> BTreeMap<MoveKey, MoveReport> {
+        let reports = self.moves.values().filter(|moving| moving.state != MoveState::Unknown);
+        reports.map(|moving| (key(&moving.order), moving.report(leads, now))).collect()
+    }
+
+    /// Takes in what another entry tells of a move.
+    pub fn hear(&mut self, from: Incarnation, of: MoveKey, report: MoveReport, now: Instant) {
+        let Some(moving) = self.moves.values_mut().find(|moving| key(&moving.order) == of) else {
+            return;
+        };
+        if let Some(begun) = now.checked_sub(report.age) {
+            moving.begun = moving.begun.min(begun);
+        }
+        if let Some(ended) = report.ended {
+            moving.state = ended;
+        }
+        if report.whole {
+            moving.led = Some(now);
+        }
+        for (route, new, counts) in report.counts {
+            let side = if new { NEW } else { OLD };
+            moving.evidence.merge(from, Cell::new(route_name(route), side, 0), counts);
+        }
+    }
+
+    /// Judges every move that goes on and returns what is to be recorded.
+    ///
+    /// `own` is this entry's life, `leads` is true if it leads, and `old_running` tells for a
+    /// service how many requests any entry has at the old version.
+    pub fn judge(
+        &mut self,
+        own: Incarnation,
+        leads: bool,
+        old_running: impl Fn(&MoveOrder) -> u32,
+        now: Instant,
+    ) -> Vec<MoveStatus> {
+        let going = self.moves.values_mut().filter(|moving| !moving.has_ended());
+        going.filter_map(|moving| moving.judge(own, leads, &old_running, now)).collect()
+    }
+
+    fn find(&mut self, order: &MoveOrder) -> Option<&mut Moving> {
+        self.moves.get_mut(&order.service).filter(|moving| moving.order == *order)
+    }
+}
+
+/// The version that a request is to go to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Aim<'a> {
+    /// Any.
+    Any,
+    /// This one, or another one if it has no upstream.
+    Preferred(&'a VersionId),
+    /// This one, or another one if it has no room.
+    Tried(&'a VersionId),
+    /// Any but this one.
+    Other(&'a VersionId),
+}
+
+/// Name of the old versions in counts.
+const OLD: &str = "old";
+/// Name of the new version in counts.
+const NEW: &str = "new";
+
+impl Moving {
+    fn new(order: &MoveOrder, now: Instant) -> Self {
+        Self {
+            order: order.clone(),
+            begun: now,
+            state: MoveState::Unknown,
+            progress: Progress::new(UNIX_EPOCH),
+            evidence: Evidence::default(),
+            own: BTreeMap::new(),
+            usual: HashMap::new(),
+            stopped: false,
+            led: None,
+        }
+    }
+
+    fn has_ended(&self) -> bool {
+        self.state.is_end()
+    }
+
+    /// Returns the new version's share of the requests.
+    fn share(&self, now: Instant) -> Ppm {
+        match self.state {
+            MoveState::Done => WHOLE,
+            // Until the store was asked, the move may have been taken back before.
+            MoveState::Unknown | MoveState::TakenBack => 0,
+            MoveState::Ordered | MoveState::Running if self.stopped => 0,
+            MoveState::Ordered | MoveState::Running => {
+                let recent = |led| now.saturating_duration_since(led) < LEAD_TIMEOUT;
+                let whole = self.led.is_some_and(recent) || self.progress.step > 0;
+                if whole { WHOLE } else { TRIED_SHARE }
+            }
+        }
+    }
+
+    fn report(&self, leads: bool, now: Instant) -> MoveReport {
+        let counts = self
+            .own
+            .iter()
+            .map(|(cell, counts)| (name_hash(&cell.route), cell.version == NEW, *counts));
+        MoveReport {
+            age: now.saturating_duration_since(self.begun),
+            whole: leads && self.progress.step > 0 && !self.stopped,
+            ended: self.has_ended().then_some(self.state),
+            counts: counts.collect(),
+        }
+    }
+
+    fn judge(
+        &mut self,
+        own: Incarnation,
+        leads: bool,
+        old_running: impl Fn(&MoveOrder) -> u32,
+        now: Instant,
+    ) -> Option<MoveStatus> {
+        if self.state == MoveState::Unknown {
+            return None;
+        }
+        for (cell, counts) in &self.own {
+            let cell = Cell::new(route_name(name_hash(&cell.route)), cell.version.clone(), 0);
+            self.evidence.merge(own, cell, *counts);
+        }
+        // The controller's clock counts from the order on; the time of day may jump.
+        let time = UNIX_EPOCH + now.saturating_duration_since(self.begun);
+        let plan = self.plan();
+        let state = match Controller.decide(&plan, self.progress, &self.evidence, time) {
+            Decision::TakeBack(..) => {
+                self.stopped = true;
+                Some(MoveState::TakenBack)
+            }
+            Decision::Step { step, .. } => {
+                if leads {
+                    self.progress = Progress::at(step, time);
+                    self.evidence.mark();
+                }
+                None
+            }
+            // The old version's upstreams stop at once when the move is done.
+            Decision::Done(_) => (old_running(&self.order) == 0).then_some(MoveState::Done),
+            Decision::Hold => None,
+        };
+        let state =
+            state.or_else(|| (self.state == MoveState::Ordered).then_some(MoveState::Running))?;
+        leads.then(|| MoveStatus { order: self.order.clone(), state })
+    }
+
+    fn plan(&self) -> Move {
+        let at = |part: f64| SystemTime::UNIX_EPOCH + self.order.within.mul_f64(part);
+        Move {
+            service: self.order.service.clone(),
+            routes: self.material_routes(),
+            from: OLD.to_owned(),
+            to: NEW.to_owned(),
+            steps: vec![TRIED_SHARE, WHOLE],
+            cap: CAP,
+            budget: BUDGET,
+            begin: at(BEGIN_PART),
+            end: at(END_PART),
+        }
+    }
+
+    /// Returns the routes that bring a good part of the old version's requests.
+    fn material_routes(&self) -> Vec<RouteId> {
+        let totals = self.evidence.totals();
+        let old = || totals.iter().filter(|(cell, _)| cell.version == OLD);
+        let all: u64 = old().map(|(_, counts)| counts.total).sum();
+        let least = (all as f64 * MATERIAL).max(1.0);
+        let material = old().filter(|(_, counts)| counts.total as f64 >= least);
+        let routes: Vec<RouteId> = material.map(|(cell, _)| cell.route.clone()).collect();
+        // Without requests nothing is proven: a route that none names keeps the verdict open.
+        if routes.is_empty() { vec![RouteId::new()] } else { routes }
+    }
+}
+
+fn is_slow(sample: Option<f64>, usual: Option<f64>) -> bool {
+    sample.zip(usual).is_some_and(|(sample, usual)| sample > usual * SLOW)
+}
+
+fn average(old: Option<f64>, sample: Option<f64>) -> Option<f64> {
+    match (old, sample) {
+        (Some(old), Some(sample)) => Some(old + (sample - old) * SMOOTHING),
+        (old, sample) => old.or(sample),
+    }
+}
+
+fn key(order: &MoveOrder) -> MoveKey {
+    (name_hash(&order.service), name_hash(&order.target))
+}
+
+/// Returns the name that stands for a route in counts of several entries.
+fn route_name(hash: NameHash) -> RouteId {
+    format!("{hash:016x}")
+}
--- a/crates/egretgate-core/src/gateway/order.rs
+++ b/crates/egretgate-core/src/gateway/order.rs
@@ -6,7 +6,7 @@
 
 use super::lane::{Rank, RequestNumber};
 use super::standing::Outcome;
-use crate::{Digest, ServiceId, TeamId, UpstreamId};
+use crate::{Digest, RouteId, ServiceId, TeamId, UpstreamId};
 
 new_key_type! {
     /// Names an upstream within one life of an entry.
@@ -20,6 +20,8 @@
     pub number: RequestNumber,
     /// Service that it goes to.
     pub service: ServiceId,
+    /// Route that it came by.
+    pub route: RouteId,
     /// How urgent it is.
     pub rank: Rank,
     /// Team whose limit it counts against, with its tokens; `None` for one that was counted.
@@ -78,8 +80,12 @@
 pub struct End {
     /// Service.
     pub service: ServiceId,
+    /// Route.
+    pub route: RouteId,
     /// Upstream.
     pub key: UpstreamKey,
+    /// Time to the head of its answer; `None` if there was none.
+    pub first: Option<Duration>,
     /// How it ended.
     pub outcome: Outcome,
     /// Digest of the request.
--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -7,6 +7,7 @@
 
 use super::follow::{Mark, Reading};
 use super::lane::Rank;
+use super::moving::{MoveKey, MoveReport};
 use super::strain::Strain;
 use crate::{Incarnation, InstanceId, Offset, ServiceId, UpstreamId};
 
@@ -53,6 +54,8 @@
     pub strains: BTreeMap<(NameHash, Rank), Strain>,
     /// Tokens admitted in that life, by team.
     pub admitted: HashMap<NameHash, u64>,
+    /// What it counted and decided of moves that go on.
+    pub moves: BTreeMap<MoveKey, MoveReport>,
     /// Declarations that it holds.
     pub catalog: Option<Report>,
     /// List of upstreams that it holds.
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -8,8 +8,10 @@
 
 use super::backlog::Backlog;
 use super::catalog::Catalog;
+use super::catalog::MoveOrder;
 use super::lane::{Place, RequestNumber};
 use super::meter::Meter;
+use super::moving::{Ending, MoveState, MoveStatus, Moves};
 use super::order::{Admission, End, Order, Refusal, Start, UpstreamKey};
 use super::peer::{PeerReport, Peers, name_hash};
 use super::poison::Breaks;
@@ -48,6 +50,7 @@
     refreshed: Option<Instant>,
     turn: Turn,
     breaks: Breaks,
+    moves: Moves,
 }
 
 impl Scheduler {
@@ -71,6 +74,7 @@
             refreshed: None,
             turn: Turn::default(),
             breaks: Breaks::default(),
+            moves: Moves::default(),
         }
     }
 
@@ -111,6 +115,7 @@
                 }
             }
         }
+        self.moves.set_orders(catalog.moves(), now);
         self.catalog = catalog;
     }
 
@@ -236,6 +241,9 @@
         }
         if let Some(standing) = self.upstreams.get_mut(key) {
             standing.note(outcome, end.suspected, now);
+            if let Some(ending) = judged(end) {
+                self.moves.note(&end.service, &standing.listed.version, &end.route, ending);
+            }
         }
         match (digest, outcome) {
             (Some(digest), Outcome::Broken) => self.breaks.note(digest, now),
@@ -256,6 +264,9 @@
         if report.name == self.name {
             return;
         }
+        for (of, told) in &report.moves {
+            self.moves.hear(report.incarnation, *of, told.clone(), now);
+        }
         for spent in self.peers.hear(report, now) {
             let meters = self.meters.iter_mut();
             for (_, meter) in meters.filter(|(team, _)| name_hash(team) == spent.team) {
@@ -290,11 +301,35 @@
             running: running.collect(),
             strains: strains.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
+            moves: self.moves.report(self.leads(now), now),
             catalog: None,
             roster: None,
         }
     }
 
+    /// Returns the orders to move traffic of which it isn't known how they stand in the store.
+    pub fn unknown_moves(&self) -> Vec<MoveOrder> {
+        self.moves.unknown()
+    }
+
+    /// Takes in how a move stands in the store.
+    pub fn record_move(&mut self, order: &MoveOrder, state: MoveState) {
+        self.moves.record(order, state);
+    }
+
+    /// Judges the moves that go on and returns what is to be recorded of them.
+    pub fn judge_moves(&mut self, now: Instant) -> Vec<MoveStatus> {
+        self.refresh(now);
+        let leads = self.leads(now);
+        let old_running = |order: &MoveOrder| {
+            let old = self.upstreams.values().filter(|standing| {
+                standing.listed.service == order.service && standing.listed.version != order.target
+            });
+            old.map(|standing| standing.own + standing.others).sum()
+        };
+        self.moves.judge(self.incarnation, leads, old_running, now)
+    }
+
     /// Returns the number of reachable entries whose names come before this one's.
     pub fn rank(&self, now: Instant) -> usize {
         self.peers.rank(&self.name, now)
@@ -375,3 +410,13 @@
         }
     }
 }
+
+/// Returns what the end of a request says of its upstream's version; `None` if nothing.
+fn judged(end: &End) -> Option<Ending> {
+    let (error, pace) = match end.outcome {
+        Outcome::Good { pace } => (false, pace),
+        Outcome::Failed | Outcome::Broken | Outcome::Silent => (true, None),
+        Outcome::Full | Outcome::Moved | Outcome::Unreachable | Outcome::Left => return None,
+    };
+    Some(Ending { error, first: end.first, pace })
+}
--- a/crates/egretgate-core/src/gateway/scheduler/others.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/others.rs
@@ -30,6 +30,11 @@
         if !self.in_touch && heard * 2 < others { others - heard } else { 0 }
     }
 
+    /// Returns true if this entry acts for all: the first of those that hear each other.
+    pub(super) fn leads(&self, now: Instant) -> bool {
+        self.rank(now) == 0 && self.unheard(now) == 0
+    }
+
     /// Takes in what other entries reported since the last look.
     pub(super) fn refresh(&mut self, now: Instant) {
         if self.refreshed.is_some_and(|last| now.duration_since(last) < REFRESH) {
--- a/crates/egretgate-core/src/gateway/scheduler/placing.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/placing.rs
@@ -5,13 +5,15 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Scheduler;
+use crate::VersionId;
 use crate::gateway::backlog::Backlog;
 use crate::gateway::lane::RequestNumber;
+use crate::gateway::moving::Aim;
 use crate::gateway::order::{Order, UpstreamKey};
 use crate::gateway::peer::name_hash;
 use crate::gateway::room::{has_free, has_room, has_spare};
 use crate::gateway::share::Share;
-use crate::gateway::standing::Standing;
+use crate::gateway::standing::{Stage, Standing};
 
 /// Requests that all entries together may have at an upstream, for each slot, where they end
 /// too soon for reports: as many wait as run, which doubles a short time.
@@ -28,9 +30,38 @@
 const ENTRIES_PER_SLOT: u32 = 8;
 
 impl Scheduler {
-    /// Returns the upstream with room that is likely to serve the request soonest.
+    /// Returns the upstream with room that is likely to serve the request soonest, of the version
+    /// that is to get it.
     pub(super) fn choose(&self, order: &Order, now: Instant) -> Option<UpstreamKey> {
         let backlog = self.services.get(&order.service)?;
+        let pick = |fits: &dyn Fn(&VersionId) -> bool| self.pick(order, backlog, fits, now);
+        // An entry that hears few others doesn't learn what these find of a version.
+        let tries = !order.repeat && self.peers.fresh(now) * 2 >= self.entries() - 1;
+        match self.moves.aim(&order.service, order.number, tries, now) {
+            Aim::Any => pick(&|_| true),
+            Aim::Other(target) => pick(&|version| version != target),
+            Aim::Tried(target) => {
+                pick(&|version| version == target).or_else(|| pick(&|version| version != target))
+            }
+            Aim::Preferred(target) => {
+                let listed = |key: &UpstreamKey| &self.upstreams[*key].listed;
+                let is_there = |key: &UpstreamKey| {
+                    let listed = listed(key);
+                    listed.version == *target && listed.stage == Stage::Ready
+                };
+                let there = backlog.members.iter().any(is_there);
+                pick(&|version| version == target || !there)
+            }
+        }
+    }
+
+    fn pick(
+        &self,
+        order: &Order,
+        backlog: &Backlog,
+        fits: &dyn Fn(&VersionId) -> bool,
+        now: Instant,
+    ) -> Option<UpstreamKey> {
         let share = backlog.share.unwrap_or(Share::WHOLE);
         let entries = self.entries();
         let margin = (entries as u32 - 1).div_ceil(ENTRIES_PER_SLOT);
@@ -72,7 +103,7 @@
             standing.is_usable(now)
                 && (doubtful || !standing.is_doubted(now))
                 && room
-                && !self.catalog.is_held_back(&order.service, &standing.listed.version)
+                && fits(&standing.listed.version)
                 && (!picky || in_time(standing))
                 && !order.avoid.contains(&standing.listed.id)
         });
--- /dev/null
+++ b/crates/egretgate-core/tests/gateway_moving.rs
@@ -0,0 +1,304 @@
+//! What callers and operators get while a service's traffic is moved to another version.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use egretgate_core::gateway::catalog::{Catalog, MoveOrder};
+use egretgate_core::gateway::lane::Rank;
+use egretgate_core::gateway::moving::MoveState;
+use egretgate_core::gateway::order::{Admission, End, Order, UpstreamKey};
+use egretgate_core::gateway::scheduler::Scheduler;
+use egretgate_core::gateway::standing::{Listed, Outcome, Stage};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SERVICE: &str = "writer";
+const ENTRIES: usize = 4;
+const STEP: Duration = Duration::from_millis(10);
+/// Steps between reports, and between judgements.
+const REPORT_STEPS: u32 = 4;
+const JUDGE_STEPS: u32 = 20;
+const WITHIN: Duration = Duration::from_secs(12);
+/// Requests a second over all entries.
+const RATE: f64 = 200.0;
+/// What users allow a bad version: a part of all requests, and some more.
+const SHARE: f64 = 0.1;
+const SLACK: f64 = 50.0;
+/// Bad answers after which a version must get nothing within the time.
+const BAD_ANSWERS: usize = 50;
+const STOP_WITHIN: Duration = Duration::from_secs(5);
+
+/// A version's faults.
+#[derive(Debug, Clone, Copy)]
+struct Faults {
+    /// Seconds after the order at which they begin.
+    after: f64,
+    /// Part of the answers that fail.
+    errors: f64,
+    /// Factor by which answers are late.
+    slow: f64,
+    /// Only on this one of the three routes, if any.
+    route: Option<usize>,
+}
+
+const NONE: Faults = Faults { after: 0.0, errors: 0.0, slow: 1.0, route: None };
+
+struct Case {
+    name: &'static str,
+    faults: Faults,
+    /// Second at which the leading entry dies, and loses all it knows.
+    death: Option<f64>,
+    /// Second at which an entry is cut off from the others.
+    cut: Option<f64>,
+    end: MoveState,
+}
+
+struct Running {
+    until: Instant,
+    entry: usize,
+    end: End,
+}
+
+/// What came of a move.
+#[derive(Debug, Default)]
+struct Told {
+    asked: usize,
+    /// Requests that the new version got, by time.
+    tried: Vec<Instant>,
+    bad: Vec<Instant>,
+    end: Option<(MoveState, Duration)>,
+}
+
+fn listed(index: usize) -> Listed {
+    let new = index >= 6;
+    Listed {
+        id: format!("writer-{index}"),
+        service: SERVICE.to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "olinda".to_owned(),
+        version: if new { "v2" } else { "v1" }.to_owned(),
+        slots: 9,
+        stage: Stage::Ready,
+        born: Some(1),
+    }
+}
+
+fn entry(index: usize, order: &MoveOrder, now: Instant) -> Scheduler {
+    let mut entry =
+        Scheduler::new(&format!("entry-{index}"), "olinda", now.elapsed().subsec_nanos().into());
+    entry.expect_peers(ENTRIES - 1);
+    entry.set_catalog(Arc::new(Catalog::new(1).with_moves(vec![order.clone()])), now);
+    entry.set_roster((0..12).map(listed).collect());
+    entry
+}
+
+fn play(case: &Case, seed: u64) -> Told {
+    let start = Instant::now();
+    let order = MoveOrder { service: SERVICE.to_owned(), target: "v2".to_owned(), within: WITHIN };
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut entries: Vec<Scheduler> =
+        (0..ENTRIES).map(|index| entry(index, &order, start)).collect();
+    let mut stored = MoveState::Ordered;
+    let mut running: Vec<Running> = Vec::new();
+    let mut waiting: BTreeMap<u64, (usize, usize)> = BTreeMap::new();
+    let mut told = Told::default();
+    let (mut number, mut due) = (0, 0.0);
+    let at = |second: Option<f64>, now: Instant| {
+        second.is_some_and(|second| now.duration_since(start).as_secs_f64() >= second)
+    };
+    let mut died = false;
+    for step in 0..(WITHIN.as_millis() / STEP.as_millis()) as u32 {
+        let now = start + STEP * step;
+        if at(case.death, now) && !std::mem::replace(&mut died, true) {
+            running.retain(|running| running.entry != 0);
+            waiting.retain(|_, (of, _)| *of != 0);
+            entries[0] = entry(0, &order, now);
+        }
+        for ended in running.extract_if(.., |running| running.until <= now).collect::<Vec<_>>() {
+            entries[ended.entry].finish(&ended.end, now);
+        }
+        let cut = at(case.cut, now).then_some(ENTRIES - 1);
+        if step % REPORT_STEPS == 0 {
+            let reports: Vec<_> = entries.iter_mut().map(|entry| entry.report(now)).collect();
+            for (from, report) in reports.into_iter().enumerate() {
+                for (to, entry) in entries.iter_mut().enumerate() {
+                    if from != to && cut != Some(from) && cut != Some(to) {
+                        entry.hear(report.clone(), now);
+                    }
+                }
+            }
+        }
+        if step % JUDGE_STEPS == 0 {
+            for entry in &mut entries {
+                for order in entry.unknown_moves() {
+                    entry.record_move(&order, stored);
+                }
+                for status in entry.judge_moves(now) {
+                    // The first end that is recorded stands.
+                    if !matches!(stored, MoveState::Done | MoveState::TakenBack) {
+                        stored = status.state;
+                        told.end = Some((stored, now.duration_since(start)));
+                    }
+                    entry.record_move(&order, stored);
+                }
+            }
+        }
+        due += RATE * STEP.as_secs_f64();
+        let mut starts: VecDeque<(usize, usize, UpstreamKey)> = VecDeque::new();
+        for (index, entry) in entries.iter_mut().enumerate() {
+            for number in entry.expire(now) {
+                waiting.remove(&number);
+            }
+            for start in entry.pump(now) {
+                let (_, route) = waiting.remove(&start.number).expect("it waits");
+                starts.push_back((index, route, start.upstream));
+            }
+        }
+        while due >= 1.0 {
+            due -= 1.0;
+            number += 1;
+            told.asked += 1;
+            let (index, route) = (rng.random_range(0..ENTRIES), rng.random_range(0..3));
+            let order = Order {
+                number,
+                service: SERVICE.to_owned(),
+                route: format!("route-{route}"),
+                rank: Rank::default(),
+                charge: None,
+                objective: now + Duration::from_millis(400),
+                worthwhile: Duration::from_millis(300),
+                until: now + Duration::from_millis(1_500),
+                events: 0.0,
+                deadline: now + Duration::from_secs(8),
+                repeat: false,
+                avoid: Vec::new(),
+                digest: None,
+            };
+            match entries[index].admit(order, now) {
+                Admission::Started(key) => starts.push_back((index, route, key)),
+                Admission::Queued => {
+                    waiting.insert(number, (index, route));
+                }
+                Admission::Refused(_) => {}
+            }
+        }
+        for (index, route, key) in starts {
+            let standing = entries[index].upstream(key).expect("listed");
+            let new = standing.listed.version == "v2";
+            // Engines differ in speed, and answers in length.
+            let speed = if standing.listed.id.ends_with('0') { 3.0 } else { 0.7 };
+            let since = now.duration_since(start).as_secs_f64();
+            let faults = case.faults;
+            let faulty =
+                new && since >= faults.after && faults.route.is_none_or(|only| only == route);
+            let failed = rng.random_bool(if faulty { faults.errors } else { 0.003 });
+            let slow = if faulty { faults.slow } else { 1.0 };
+            let first = Duration::from_secs_f64(0.03 * speed * slow * rng.random_range(0.7..1.5));
+            let pace = 0.02 * speed * slow * rng.random_range(0.8..1.25);
+            let events = rng.random_range(4..30);
+            if new {
+                told.tried.push(now);
+                if failed || slow > 1.0 {
+                    told.bad.push(now);
+                }
+            }
+            let outcome = if failed { Outcome::Failed } else { Outcome::Good { pace: Some(pace) } };
+            let end = End {
+                service: SERVICE.to_owned(),
+                route: format!("route-{route}"),
+                key,
+                first: Some(first),
+                outcome,
+                digest: None,
+                started: now,
+                suspected: false,
+            };
+            let time = first + Duration::from_secs_f64(pace * f64::from(events));
+            running.push(Running { until: now + time, entry: index, end });
+        }
+    }
+    told
+}
+
+#[test]
+fn a_good_version_gets_all_traffic_in_time_and_a_bad_one_little() {
+    let cases = [
+        Case { name: "good", faults: NONE, death: None, cut: None, end: MoveState::Done },
+        Case {
+            name: "good, the leader dies",
+            faults: NONE,
+            death: Some(5.0),
+            cut: None,
+            end: MoveState::Done,
+        },
+        Case {
+            name: "fails at once",
+            faults: Faults { errors: 0.5, ..NONE },
+            death: None,
+            cut: None,
+            end: MoveState::TakenBack,
+        },
+        Case {
+            name: "fails at once, the leader dies",
+            faults: Faults { errors: 0.5, ..NONE },
+            death: Some(2.0),
+            cut: None,
+            end: MoveState::TakenBack,
+        },
+        Case {
+            name: "fails at once, an entry is cut off",
+            faults: Faults { errors: 0.5, ..NONE },
+            death: None,
+            cut: Some(1.0),
+            end: MoveState::TakenBack,
+        },
+        Case {
+            name: "fails later",
+            faults: Faults { after: 5.0, errors: 0.6, ..NONE },
+            death: None,
+            cut: None,
+            end: MoveState::TakenBack,
+        },
+        Case {
+            name: "slow",
+            faults: Faults { slow: 5.0, ..NONE },
+            death: None,
+            cut: None,
+            end: MoveState::TakenBack,
+        },
+        Case {
+            name: "fails on one route",
+            faults: Faults { errors: 0.8, route: Some(1), ..NONE },
+            death: None,
+            cut: None,
+            end: MoveState::TakenBack,
+        },
+    ];
+    for case in &cases {
+        for seed in 0..6 {
+            let told = play(case, seed);
+            let name = case.name;
+            let (end, took) = told.end.expect("a move ends");
+            assert_eq!(
+                end,
+                case.end,
+                "{name}, seed {seed}, after {took:?}, tried {}",
+                told.tried.len()
+            );
+            assert!(took <= WITHIN, "{name}, seed {seed}: {took:?}");
+            if end == MoveState::TakenBack {
+                let most = SHARE * told.asked as f64 + SLACK;
+                assert!(
+                    told.tried.len() as f64 <= most,
+                    "{name}, seed {seed}: {}",
+                    told.tried.len()
+                );
+                if let Some(known) = told.bad.get(BAD_ANSWERS) {
+                    let late = told.tried.iter().filter(|at| **at > *known + STOP_WITHIN);
+                    assert_eq!(late.count(), 0, "{name}, seed {seed}");
+                }
+            }
+        }
+    }
+}
--- a/crates/egretgate-gateway/src/desk.rs
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -7,15 +7,17 @@
 
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::lane::RequestNumber;
+use egretgate_core::gateway::moving::MoveStatus;
 use egretgate_core::gateway::order::{Admission, End, Order, Refusal, UpstreamKey};
 use egretgate_core::gateway::peer::PeerReport;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::gateway::standing::{Listed, Outcome};
-use egretgate_core::{Digest, ServiceId, UpstreamId};
+use egretgate_core::{Digest, RouteId, ServiceId, UpstreamId};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::connect::Connection;
+use crate::moves::Judged;
 
 /// Time between looks at the queue while requests wait.
 const TICK: Duration = Duration::from_millis(15);
@@ -37,6 +39,8 @@
     started: Instant,
     /// True once the desk was told of its silence.
     suspected: bool,
+    route: RouteId,
+    first: Option<Duration>,
     desk: DeskHandle,
     outcome: Outcome,
 }
@@ -48,6 +52,11 @@
         self.idle = idle;
     }
 
+    /// Notes that the head of the answer came.
+    pub(crate) fn answered(&mut self) {
+        self.first = Some(self.started.elapsed());
+    }
+
     /// Notes that the upstream has been silent for long.
     pub(crate) fn suspect(&mut self, since: Instant) {
         self.suspected = true;
@@ -64,6 +73,8 @@
             digest: self.digest,
             started: self.started,
             suspected: self.suspected,
+            route: std::mem::take(&mut self.route),
+            first: self.first,
         };
         self.desk.tell(Message::Finish(end, self.idle.take()));
     }
@@ -93,6 +104,10 @@
     InTouch(bool),
     /// A report of another entry.
     Hear(PeerReport),
+    /// Asks for what is to be recorded of moves.
+    JudgeMoves(oneshot::Sender<Judged>),
+    /// How a move stands in the directory.
+    RecordMove(MoveStatus),
     /// Asks for this entry's report, and the number of reachable entries before it.
     Report(oneshot::Sender<(PeerReport, usize)>),
 }
@@ -134,6 +149,18 @@
         reply.unwrap_or(Err(Refusal::Overloaded))
     }
 
+    /// Has the moves of traffic judged; `None` if the process ends.
+    pub(crate) async fn judge_moves(&self) -> Option<Judged> {
+        let (reply, answer) = oneshot::channel();
+        self.tell(Message::JudgeMoves(reply));
+        answer.await.ok()
+    }
+
+    /// Tells how a move stands in the directory.
+    pub(crate) fn record_move(&self, status: MoveStatus) {
+        self.tell(Message::RecordMove(status));
+    }
+
     /// Returns this entry's report and its rank; `None` if the process ends.
     pub(crate) async fn report(&self) -> Option<(PeerReport, usize)> {
         let (reply, answer) = oneshot::channel();
@@ -167,6 +194,7 @@
 
 struct Waiter {
     service: ServiceId,
+    route: RouteId,
     digest: Option<Digest>,
     reply: oneshot::Sender<Reply>,
 }
@@ -213,6 +241,13 @@
             Message::InTouch(in_touch) => self.scheduler.set_in_touch(in_touch),
             Message::Expect(expected) => self.scheduler.expect_peers(expected),
             Message::Hear(report) => self.scheduler.hear(report, now),
+            Message::JudgeMoves(reply) => {
+                let unknown = self.scheduler.unknown_moves();
+                let ends = self.scheduler.judge_moves(now);
+                // The asking task may have ended.
+                let _ = reply.send(Judged { unknown, ends });
+            }
+            Message::RecordMove(status) => self.scheduler.record_move(&status.order, status.state),
             Message::Report(reply) => {
                 self.measure();
                 // The asking task may have ended.
@@ -224,7 +259,8 @@
     fn admit(&mut self, order: Order, reply: oneshot::Sender<Reply>, now: Instant) {
         self.pump(now);
         let number = order.number;
-        let waiter = Waiter { service: order.service.clone(), digest: order.digest, reply };
+        let (service, route) = (order.service.clone(), order.route.clone());
+        let waiter = Waiter { service, route, digest: order.digest, reply };
         match self.scheduler.admit(order, now) {
             Admission::Started(key) => self.grant(waiter, key, now),
             Admission::Queued => {
@@ -280,6 +316,8 @@
             digest: waiter.digest,
             started: now,
             suspected: false,
+            route: waiter.route,
+            first: None,
             desk: self.handle.clone(),
             outcome: Outcome::Left,
         };
--- a/crates/egretgate-gateway/src/directory.rs
+++ b/crates/egretgate-gateway/src/directory.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use egretgate_core::Offset;
-use egretgate_core::gateway::catalog::{Catalog, MoveOrder};
+use egretgate_core::gateway::catalog::Catalog;
+use egretgate_core::gateway::moving::MoveStatus;
 use egretgate_core::gateway::standing::Listed;
 
 /// Result of a call to the directory.
@@ -46,8 +47,16 @@
     /// Reads the upstreams that are listed now.
     fn upstreams(&self) -> impl Future<Output = Result<Seen<Vec<Listed>>>> + Send;
 
-    /// Says that the traffic was not moved and stays with the old version.
-    fn decline_move(&self, order: &MoveOrder) -> impl Future<Output = Result<()>> + Send;
+    /// Reads how moves of traffic stand; those of which nothing is recorded are left out.
+    fn moves(&self) -> impl Future<Output = Result<Seen<Vec<MoveStatus>>>> + Send;
+
+    /// Records how a move stands, if nothing was recorded since `end`; returns the position after
+    /// it, or `None` if something was.
+    fn record_move(
+        &self,
+        status: &MoveStatus,
+        end: Offset,
+    ) -> impl Future<Output = Result<Option<Offset>>> + Send;
 
     /// Lists this entry among the entries.
     fn announce(&self, name: &str, address: SocketAddr) -> impl Future<Output = Result<()>> + Send;
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -306,6 +306,7 @@
         let order = Order {
             number: self.number,
             service: self.plan.service.clone(),
+            route: self.plan.route.name.clone(),
             rank: self.plan.rank,
             charge: self.plan.charge.take(),
             objective: self.request.received + self.plan.route.objective,
@@ -408,7 +409,10 @@
             answer = timeout_at(silence.into(), sending).await;
         }
         match answer {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => {
+                lease.answered();
+                Ok(response)
+            }
             Ok(Err(SendError::NotSent(request))) => Err(Unsent::Closed(request)),
             Ok(Err(SendError::Sent)) => Err(Unsent::Lost(Outcome::Broken)),
             Err(_) => Err(Unsent::Lost(Outcome::Silent)),
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -24,7 +24,7 @@
 use crate::gossip::{Exchanged, Gossip};
 use crate::pages::{Answer, Page};
 use crate::sync::Following;
-use crate::{pages, sync};
+use crate::{moves, pages, sync};
 
 /// Where the entry listens.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -113,6 +113,12 @@
             desk.clone(),
             log.clone(),
         ));
+        tokio::spawn(moves::run(
+            Arc::clone(&directory),
+            catalog.clone(),
+            desk.clone(),
+            log.clone(),
+        ));
         tokio::spawn(sync::roster(
             Arc::clone(&directory),
             roster_following,
--- a/crates/egretgate-gateway/src/lib.rs
+++ b/crates/egretgate-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod gateway;
 mod gossip;
 mod judge;
+mod moves;
 mod onward;
 mod pages;
 mod relay;
--- a/crates/egretgate-gateway/src/sync.rs
+++ b/crates/egretgate-gateway/src/sync.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::Offset;
-use egretgate_core::gateway::catalog::{Catalog, MoveOrder, TokenLimit};
+use egretgate_core::gateway::catalog::{Catalog, TokenLimit};
 use egretgate_core::gateway::follow::{Follower, Mark, Pace, Reading};
 use egretgate_core::gateway::peer::name_hash;
 use egretgate_core::gateway::standing::{Listed, Stage};
@@ -129,7 +129,6 @@
     log: Logger,
 ) {
     let mut backoff = Backoff::new();
-    let mut declined = Vec::new();
     loop {
         following.due().await;
         if let Some(end) = following.leads()
@@ -147,9 +146,6 @@
                 }
                 let version = seen.value.as_ref().map_or(0, |catalog| catalog.version);
                 if let Some(newest) = seen.value {
-                    if following.leads().is_some() {
-                        decline(&*directory, newest.moves(), &mut declined, &log).await;
-                    }
                     apply(newest, &catalog, &desk, &log);
                 }
                 following.read(version, seen.end);
@@ -162,29 +158,6 @@
     }
 }
 
-/// Answers orders to move traffic. They are not carried out here, so each is answered at once and
-/// truly: nothing was moved.
-async fn decline<D: Directory>(
-    directory: &D,
-    orders: &[MoveOrder],
-    declined: &mut Vec<MoveOrder>,
-    log: &Logger,
-) {
-    for order in
-        orders.iter().filter(|order| !declined.contains(order)).cloned().collect::<Vec<_>>()
-    {
-        match directory.decline_move(&order).await {
-            Ok(()) => {
-                info!(log, "move declined"; "service" => &order.service, "target" => &order.target);
-                declined.push(order);
-            }
-            Err(error) => warn!(log, "move not answered"; "service" => &order.service,
-                "target" => &order.target, "error" => %error),
-        }
-    }
-    declined.retain(|order| orders.contains(order));
-}
-
 /// Waits for a change of the declarations; true if there may be one.
 async fn changed<D: Directory>(directory: &D, end: Offset, log: &Logger) -> bool {
     match directory.changed(end, CHANGE_WAIT).await {
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -5,8 +5,10 @@
 
 use egretgate_core::Tier;
 use egretgate_core::gateway::lane::Rank;
+use egretgate_core::gateway::moving::{MoveKey, MoveReport, MoveState};
 use egretgate_core::gateway::peer::{NameHash, PeerReport, Report};
 use egretgate_core::gateway::strain::Strain;
+use egretgate_core::moves::Counts;
 use prost::Message;
 
 /// A report as it is sent.
@@ -30,6 +32,79 @@
     roster: Option<Held>,
     #[prost(message, repeated, tag = "10")]
     strains: Vec<RankStrain>,
+    #[prost(message, repeated, tag = "11")]
+    moves: Vec<Moved>,
+}
+
+/// What the sender counted and decided of a move.
+#[derive(Clone, PartialEq, Message)]
+struct Moved {
+    #[prost(fixed64, tag = "1")]
+    service: u64,
+    #[prost(fixed64, tag = "2")]
+    target: u64,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+    #[prost(bool, tag = "4")]
+    whole: bool,
+    #[prost(bool, tag = "5")]
+    done: bool,
+    #[prost(bool, tag = "6")]
+    taken_back: bool,
+    #[prost(message, repeated, tag = "7")]
+    counts: Vec<RouteCounts>,
+}
+
+/// How requests of a route ended at one version.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct RouteCounts {
+    #[prost(fixed64, tag = "1")]
+    route: u64,
+    #[prost(bool, tag = "2")]
+    new: bool,
+    #[prost(uint64, tag = "3")]
+    total: u64,
+    #[prost(uint64, tag = "4")]
+    errors: u64,
+    #[prost(uint64, tag = "5")]
+    slow_first: u64,
+    #[prost(uint64, tag = "6")]
+    slow_between: u64,
+}
+
+impl From<(MoveKey, MoveReport)> for Moved {
+    fn from(((service, target), report): (MoveKey, MoveReport)) -> Self {
+        let counts = report.counts.into_iter().map(|(route, new, counts)| {
+            let Counts { total, errors, slow_first, slow_between } = counts;
+            RouteCounts { route, new, total, errors, slow_first, slow_between }
+        });
+        Self {
+            service,
+            target,
+            age_ms: report.age.as_millis() as u64,
+            whole: report.whole,
+            done: report.ended == Some(MoveState::Done),
+            taken_back: report.ended == Some(MoveState::TakenBack),
+            counts: counts.collect(),
+        }
+    }
+}
+
+impl From<Moved> for (MoveKey, MoveReport) {
+    fn from(sent: Moved) -> Self {
+        let counts = sent.counts.into_iter().map(|sent| {
+            let RouteCounts { route, new, total, errors, slow_first, slow_between } = sent;
+            (route, new, Counts { total, errors, slow_first, slow_between })
+        });
+        let ended = match (sent.done, sent.taken_back) {
+            (true, _) => Some(MoveState::Done),
+            (_, true) => Some(MoveState::TakenBack),
+            _ => None,
+        };
+        let age = Duration::from_millis(sent.age_ms);
+        let report = MoveReport { age, whole: sent.whole, ended, counts: counts.collect() };
+        ((sent.service, sent.target), report)
+    }
 }
 
 /// What came and what was refused of one rank.
@@ -103,6 +178,7 @@
         admitted: report.admitted.clone(),
         catalog: report.catalog.map(Held::from),
         roster: report.roster.map(Held::from),
+        moves: report.moves.iter().map(|(of, told)| (*of, told.clone()).into()).collect(),
         strains: report.strains.iter().map(|(of, strain)| (*of, *strain).into()).collect(),
     }
     .encode_to_vec()
@@ -118,6 +194,7 @@
         sequence: datagram.sequence,
         demand: demand.collect(),
         running: datagram.running,
+        moves: datagram.moves.into_iter().map(Into::into).collect(),
         strains: datagram.strains.into_iter().map(Into::into).collect(),
         admitted: datagram.admitted,
         catalog: datagram.catalog.map(Report::from),
--- a/crates/egretgate-model/src/entry.rs
+++ b/crates/egretgate-model/src/entry.rs
@@ -132,7 +132,16 @@
                 let Some(key) = self.keys.remove(&id) else { return };
                 let service = run.service.to_owned();
                 let Run { outcome, started, .. } = *run;
-                let end = End { service, key, outcome, digest: None, started, suspected: false };
+                let end = End {
+                    service,
+                    route: String::new(),
+                    first: None,
+                    key,
+                    outcome,
+                    digest: None,
+                    started,
+                    suspected: false,
+                };
                 scheduler.finish(&end, now);
             }
             Decider::Simple(simple) => simple.finish(run.upstream),
--- a/crates/egretgate-model/src/world/entries.rs
+++ b/crates/egretgate-model/src/world/entries.rs
@@ -23,6 +23,7 @@
         Order {
             number: id,
             service: self.site.requests[request.kind].service.clone(),
+            route: String::new(),
             rank: Rank { tier: route.tier, route: route.tier },
             charge: None,
             objective: request.received + route.objective,
