feat(gateway): a stream that would end too late goes on at a faster upstream

Ruled out: refusals, lost answers (their runs ended 'cut' at the deadline, after a first event in time). Change: a resumable stream that has used 60% of its time and may not end in the rest at its pace takes a place at an upstream twice as fast, if there is one at once, stops, and goes on after its last event.

--- a/crates/egretgate-core/src/gateway/order.rs
+++ b/crates/egretgate-core/src/gateway/order.rs
@@ -36,6 +36,9 @@
     pub events: f64,
     /// Time at which its caller or its route gives up.
     pub deadline: Instant,
+    /// Seconds between events at the upstream where it runs now: it only wants one that is
+    /// clearly faster, at once.
+    pub pace: Option<f64>,
     /// True if an upstream has got it before.
     pub repeat: bool,
     /// Upstreams that must not get it again.
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -167,6 +167,9 @@
             return Admission::Refused(refusal);
         }
         self.refresh(now);
+        if order.pace.is_some() {
+            return self.admit_faster(&order, now);
+        }
         let entries = self.entries();
         let place = Place { rank: order.rank, objective: order.objective, number: order.number };
         let backlog = self.services.entry(order.service.clone()).or_default();
@@ -197,6 +200,21 @@
         Admission::Queued
     }
 
+    /// Decides on a running request that would do better elsewhere. It doesn't wait, and its refusal
+    /// is no want of room.
+    fn admit_faster(&mut self, order: &Order, now: Instant) -> Admission {
+        let Some(key) = self.choose(order, now) else {
+            return Admission::Refused(Refusal::Overloaded);
+        };
+        let entries = self.entries();
+        let backlog = self.services.entry(order.service.clone()).or_default();
+        if !backlog.repeats.repeat(now, &self.limit, entries) {
+            return Admission::Refused(Refusal::OverBudget);
+        }
+        self.begin(&order.service, key);
+        Admission::Started(key)
+    }
+
     /// Starts waiting requests for which there is room.
     pub fn pump(&mut self, now: Instant) -> Vec<Start> {
         self.refresh(now);
--- a/crates/egretgate-core/src/gateway/scheduler/placing.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/placing.rs
@@ -21,6 +21,8 @@
 /// Time that an answer is reckoned to take against its likely length: nine of ten estimates are
 /// less than this factor off.
 const LENGTH_MARGIN: f64 = 1.7;
+/// Pace, against that of a running request, at which an upstream is worth reading the prompt again.
+const FASTER: f64 = 0.5;
 /// Entries up to which each compares every upstream: their reports are young enough.
 const CLOSE_ENTRIES: usize = 4;
 /// Upstreams that are compared for a request at least: with late reports, the better of two
@@ -104,6 +106,7 @@
                 && (doubtful || !standing.is_doubted(now))
                 && room
                 && fits(&standing.listed.version)
+                && order.pace.is_none_or(|pace| is_faster(standing, pace))
                 && (!picky || in_time(standing))
                 && !order.avoid.contains(&standing.listed.id)
         });
@@ -133,6 +136,11 @@
     }
 }
 
+/// Returns true if the upstream is known to be clearly faster than `pace`.
+fn is_faster(standing: &Standing, pace: f64) -> bool {
+    standing.pace().is_some_and(|own| own < pace * FASTER)
+}
+
 /// Returns the slots of an upstream that are left to more urgent requests.
 fn slots_left(part: f64, standing: &Standing) -> u32 {
     (part * f64::from(standing.listed.slots)).round() as u32
--- a/crates/egretgate-core/tests/gateway_moving.rs
+++ b/crates/egretgate-core/tests/gateway_moving.rs
@@ -171,6 +171,7 @@
                 until: now + Duration::from_millis(1_500),
                 events: 0.0,
                 deadline: now + Duration::from_secs(8),
+                pace: None,
                 repeat: false,
                 avoid: Vec::new(),
                 digest: None,
--- a/crates/egretgate-core/tests/gateway_overload.rs
+++ b/crates/egretgate-core/tests/gateway_overload.rs
@@ -262,6 +262,7 @@
             until: now + Duration::from_millis(1_500),
             events: 0.0,
             deadline: now + Duration::from_secs(8),
+            pace: None,
             repeat: false,
             avoid: Vec::new(),
             digest: None,
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -40,6 +40,7 @@
         until: now + Duration::from_millis(1_500),
         events: 0.0,
         deadline: now + DEADLINE,
+        pace: None,
         repeat: false,
         avoid: Vec::new(),
         digest: None,
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -34,6 +34,9 @@
 const STREAM_SILENCE: Duration = Duration::from_millis(1_100);
 /// Tries that reach no upstream before a request is refused.
 const MOST_UNREACHED: u32 = 4;
+/// Part of a stream's time that may be left before a faster upstream is looked for: nearly all answers
+/// have ended by then, and a faster upstream still has the time to end the others.
+const LEFT_PART: f64 = 0.4;
 /// Time that must be left for another try to make sense.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 /// Time after which a caller should come back if no upstream ran its request just now.
@@ -97,6 +100,8 @@
     tokens: u64,
     /// Events that the answer is likely to have.
     events: f64,
+    /// Events that it may have at most; `None` if the caller sets no limit.
+    most_events: Option<f64>,
     version: u64,
     digest: Digest,
 }
@@ -130,6 +135,7 @@
             team: team.map(|team| team.name.clone()),
             route: route.clone(),
             events: likely_events(route, &request.head, catalog.event_tokens(&service)),
+            most_events: most_events(&request.head, catalog.event_tokens(&service)),
             service,
             tokens: charge.as_ref().map_or(0, |charge| charge.tokens),
             charge,
@@ -155,7 +161,7 @@
 
     /// Serves the request.
     pub(crate) async fn serve(mut self) -> Response<Body> {
-        match self.run().await {
+        match self.run(None).await {
             Ok((run, status)) => self.pass_on(run, status).await,
             Err(Ending::Failure(response)) => {
                 self.close("failed_upstream");
@@ -189,11 +195,30 @@
         self.is_resumable() && self.may_repeat()
     }
 
-    /// Goes on with a cut stream at another upstream.
-    pub(crate) async fn resume(&mut self, last: Option<u64>) -> Result<Run, Fault> {
+    /// Returns true if the stream may still be under way when its caller gives up, with `pace`
+    /// seconds between events, and has run for long enough to think so.
+    pub(crate) fn may_end_late(&self, pace: f64) -> bool {
+        let whole = self.patience().min(self.plan.route.timeout);
+        let left = self.left();
+        let events = self.plan.most_events.map(|most| most - self.events as f64);
+        left < whole.mul_f64(LEFT_PART)
+            && events.is_some_and(|events| events * pace > left.as_secs_f64())
+    }
+
+    /// Returns a place at an upstream that is clearly faster than `pace`, if there is one now.
+    pub(crate) async fn faster(&mut self, pace: f64) -> Option<Lease> {
+        self.lease(Some(pace)).await.ok()
+    }
+
+    /// Goes on with a cut stream at another upstream, at `lease` if it is given.
+    pub(crate) async fn resume(
+        &mut self,
+        last: Option<u64>,
+        lease: Option<Lease>,
+    ) -> Result<Run, Fault> {
         self.resume_after = last.or(self.resume_after);
         self.avoid.push(self.upstream.clone());
-        match self.run().await {
+        match self.run(lease).await {
             Ok((run, status)) if status.is_success() => Ok(run),
             Ok(_) | Err(Ending::Failure(_)) => Err(Fault::AnswerLost),
             Err(Ending::Fault(fault, _)) => Err(fault),
@@ -241,13 +266,16 @@
     }
 
     /// Returns the first answer worth passing on.
-    async fn run(&mut self) -> Result<(Run, StatusCode), Ending> {
+    async fn run(&mut self, mut lease: Option<Lease>) -> Result<(Run, StatusCode), Ending> {
         let mut unreached = 0;
         let mut failure = None;
         loop {
-            let lease = match self.lease().await {
-                Ok(lease) => lease,
-                Err(ending) => return Err(failure.map_or(ending, Ending::Failure)),
+            let lease = match lease.take() {
+                Some(lease) => lease,
+                None => match self.lease(None).await {
+                    Ok(lease) => lease,
+                    Err(ending) => return Err(failure.map_or(ending, Ending::Failure)),
+                },
             };
             self.upstream.clone_from(&lease.id);
             let attempt = self.attempt(lease).await;
@@ -300,7 +328,7 @@
         Ending::Fault(fault, None)
     }
 
-    async fn lease(&mut self) -> Result<Lease, Ending> {
+    async fn lease(&mut self, pace: Option<f64>) -> Result<Lease, Ending> {
         let left = self.left();
         let now = Instant::now();
         let order = Order {
@@ -314,6 +342,7 @@
             until: now + patience::longest_wait(&self.plan.route, left),
             events: self.plan.events,
             deadline: self.deadline(),
+            pace,
             repeat: self.sent > 0,
             avoid: self.avoid.clone(),
             digest: Some(self.plan.digest),
@@ -513,3 +542,8 @@
     let tokens = head.likely_output.or(head.most_output).unwrap_or(0);
     (tokens as f64 / f64::from(event_tokens)).ceil()
 }
+
+/// Returns the events that an answer may have at most.
+fn most_events(head: &RequestHead, event_tokens: u32) -> Option<f64> {
+    head.most_output.map(|tokens| (tokens as f64 / f64::from(event_tokens)).ceil())
+}
--- a/crates/egretgate-gateway/src/relay.rs
+++ b/crates/egretgate-gateway/src/relay.rs
@@ -21,6 +21,8 @@
 const SUSPECT_AFTER: Duration = Duration::from_millis(500);
 /// Silence within a stream after which it goes on at another upstream; callers leave after 2 s.
 const RESUME_AFTER: Duration = Duration::from_secs(1);
+/// Time between looks for a faster upstream.
+const HASTEN_PAUSE: Duration = Duration::from_millis(250);
 /// Least events that tell an upstream's pace.
 const PACE_EVENTS: u64 = 4;
 
@@ -73,6 +75,8 @@
     splitter: EventSplitter,
     first: Option<Instant>,
     last: Instant,
+    /// Time from which a faster upstream may be looked for.
+    hasten_at: Instant,
 }
 
 impl Relay {
@@ -82,7 +86,8 @@
         run: Run,
     ) -> BoxStream<'static, Result<Frame<Bytes>, Broken>> {
         let splitter = EventSplitter::after(exchange.last_event());
-        let relay = Self { exchange, run: Some(run), splitter, first: None, last: Instant::now() };
+        let last = Instant::now();
+        let relay = Self { exchange, run: Some(run), splitter, first: None, last, hasten_at: last };
         let parts = stream::unfold(relay, |mut relay| async {
             let part = relay.part().await?;
             Some((part.map(Frame::data), relay))
@@ -94,6 +99,10 @@
     async fn part(&mut self) -> Option<Result<Bytes, Broken>> {
         loop {
             self.run.as_ref()?;
+            self.hasten().await;
+            if self.run.is_none() {
+                return Some(Err(Broken));
+            }
             match self.next().await {
                 Next::Data(bytes) => {
                     self.first.get_or_insert_with(Instant::now);
@@ -163,6 +172,28 @@
         }
     }
 
+    /// Goes on at a faster upstream if the stream may otherwise not end in time.
+    ///
+    /// The load it answers: engines several times slower than others, and answers that turn out
+    /// longer than estimated.
+    async fn hasten(&mut self) {
+        let now = Instant::now();
+        if now < self.hasten_at || !self.exchange.may_resume() {
+            return;
+        }
+        let Some(pace) = self.pace().filter(|pace| self.exchange.may_end_late(*pace)) else {
+            return;
+        };
+        self.hasten_at = now + HASTEN_PAUSE;
+        let Some(lease) = self.exchange.faster(pace).await else { return };
+        let Some(run) = self.run.take() else { return };
+        // The slower upstream must have stopped before the other one starts.
+        drop(run.body);
+        drop(run.connection);
+        run.lease.finish(Outcome::Good { pace: Some(pace) }, None);
+        self.go_on(Some(lease)).await;
+    }
+
     async fn end(&mut self) {
         if let Some(run) = self.run.take() {
             self.exchange.close("served");
@@ -183,13 +214,18 @@
         drop(run.body);
         drop(run.connection);
         run.lease.finish(outcome, None);
-        self.splitter.rest();
         if !self.exchange.may_resume() {
             self.exchange.close("cut");
             return;
         }
+        self.go_on(None).await;
+    }
+
+    /// Starts the run that goes on after the last whole event.
+    async fn go_on(&mut self, lease: Option<Lease>) {
+        self.splitter.rest();
         let last = self.splitter.last();
-        match self.exchange.resume(last).await {
+        match self.exchange.resume(last, lease).await {
             Ok(run) => {
                 self.run = Some(run);
                 self.last = Instant::now();
--- a/crates/egretgate-model/src/world/entries.rs
+++ b/crates/egretgate-model/src/world/entries.rs
@@ -31,6 +31,7 @@
             until: self.now + patience::longest_wait(route, left),
             events: request.asked.expected,
             deadline: request.deadline,
+            pace: None,
             repeat: request.sent > 0,
             avoid: request.avoid.clone(),
             digest: None,
