fix(gateway): entries tell each other of requests that break upstreams

Cause: each entry counted a request's broken runs for itself, so one that crashes upstreams and comes again at any of 26 entries could run three times at each of them. Change: reports carry what changed lately; a run that ends well clears the count everywhere. A stale report changes nothing. The wire format of reports has a test of its own.

--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -9,7 +9,7 @@
 use super::lane::Rank;
 use super::moving::{MoveKey, MoveReport};
 use super::strain::Strain;
-use crate::{Incarnation, InstanceId, Offset, ServiceId, UpstreamId};
+use crate::{Digest, Incarnation, InstanceId, Offset, ServiceId, UpstreamId};
 
 /// Silence after which another entry's load no longer counts: several reports are missing then.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -54,6 +54,8 @@
     pub strains: BTreeMap<(NameHash, Rank), Strain>,
     /// Tokens admitted in that life, by team.
     pub admitted: HashMap<NameHash, u64>,
+    /// Requests whose runs broke at it lately, with the number of these; 0 after a good run.
+    pub breaks: Vec<(Digest, u32)>,
     /// What it counted and decided of moves that go on.
     pub moves: BTreeMap<MoveKey, MoveReport>,
     /// Declarations that it holds.
@@ -109,12 +111,19 @@
 }
 
 impl Peers {
+    /// Returns true if a report is newer than what was heard of its sender's life.
+    pub fn is_news(&self, report: &PeerReport) -> bool {
+        let old = self.peers.get(&report.name).map(|peer| &peer.report);
+        let same = old.filter(|old| old.incarnation == report.incarnation);
+        same.is_none_or(|old| old.sequence < report.sequence)
+    }
+
     /// Takes in a report and returns what was newly spent; nothing for one that is out of date.
     pub fn hear(&mut self, report: PeerReport, now: Instant) -> Vec<Spent> {
         let old = self.peers.get(&report.name).map(|peer| &peer.report);
         let known = old.is_some();
         let same = old.filter(|old| old.incarnation == report.incarnation);
-        if same.is_some_and(|old| old.sequence >= report.sequence) {
+        if !self.is_news(&report) {
             return Vec::new();
         }
         let spent = report.admitted.iter().map(|(team, total)| {
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -265,7 +265,7 @@
         }
         match (digest, outcome) {
             (Some(digest), Outcome::Broken) => self.breaks.note(digest, now),
-            (Some(digest), Outcome::Good { .. }) => self.breaks.clear(&digest),
+            (Some(digest), Outcome::Good { .. }) => self.breaks.clear(&digest, now),
             _ => {}
         }
     }
@@ -279,9 +279,12 @@
 
     /// Takes in what another entry reports.
     pub fn hear(&mut self, report: PeerReport, now: Instant) {
-        if report.name == self.name {
+        if report.name == self.name || !self.peers.is_news(&report) {
             return;
         }
+        for (digest, breaks) in &report.breaks {
+            self.breaks.hear(report.incarnation, *digest, *breaks, now);
+        }
         for (of, told) in &report.moves {
             self.moves.hear(report.incarnation, *of, told.clone(), now);
         }
@@ -319,6 +322,7 @@
             running: running.collect(),
             strains: strains.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
+            breaks: self.breaks.told(now),
             moves: self.moves.report(self.leads(now), now),
             catalog: None,
             roster: None,
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -299,3 +299,71 @@
         "{refused_late} waited in vain"
     );
 }
+
+/// The load it answers: a request that crashes upstreams and comes again at any entry.
+#[test]
+fn a_request_that_broke_upstreams_behind_several_entries_is_refused_by_all() {
+    struct Case {
+        name: &'static str,
+        /// Entry and outcome of each run.
+        runs: &'static [(usize, Outcome)],
+        /// Whether it may run once more, at any entry.
+        runs_again: bool,
+    }
+    const GOOD: Outcome = Outcome::Good { pace: None };
+    let cases = [
+        Case {
+            name: "three entries, a break each",
+            runs: &[(0, Outcome::Broken), (1, Outcome::Broken), (2, Outcome::Broken)],
+            runs_again: false,
+        },
+        Case {
+            name: "two breaks",
+            runs: &[(0, Outcome::Broken), (1, Outcome::Broken)],
+            runs_again: true,
+        },
+        Case {
+            name: "one entry, then another",
+            runs: &[(0, Outcome::Broken), (0, Outcome::Broken), (1, Outcome::Broken)],
+            runs_again: false,
+        },
+        Case {
+            name: "a good run between",
+            runs: &[(0, Outcome::Broken), (0, GOOD), (1, Outcome::Broken), (2, Outcome::Broken)],
+            runs_again: true,
+        },
+    ];
+    let digest = Some(Digest::of(&[b"poison"]));
+    for case in cases {
+        let start = Instant::now();
+        let mut entries: Vec<Scheduler> = (0..3)
+            .map(|index| {
+                let mut entry = Scheduler::new(&format!("entry-{index}"), "olinda", index + 1);
+                entry.set_roster((0..9).map(|n| listed(&format!("u-{n}"), 4)).collect());
+                entry
+            })
+            .collect();
+        for (number, (at, outcome)) in case.runs.iter().enumerate() {
+            let now = start + Duration::from_secs(number as u64);
+            let poison = Order { digest, ..order(number as u64, 0, now) };
+            let Admission::Started(key) = entries[*at].admit(poison, now) else {
+                panic!("{}: run {number} is allowed", case.name);
+            };
+            entries[*at].finish(&End { digest, ..end(key, *outcome, now) }, now);
+            let reports: Vec<_> = entries.iter_mut().map(|entry| entry.report(now)).collect();
+            for entry in &mut entries {
+                for report in &reports {
+                    entry.hear(report.clone(), now);
+                }
+            }
+        }
+        // Long after the last report of it.
+        let later = start + Duration::from_mins(1);
+        for (index, entry) in entries.iter_mut().enumerate() {
+            let again = Order { digest, ..order(90, 0, later) };
+            let admission = entry.admit(again, later);
+            let runs = matches!(admission, Admission::Started(_));
+            assert_eq!(runs, case.runs_again, "{}: entry {index}: {admission:?}", case.name);
+        }
+    }
+}
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -3,12 +3,12 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use egretgate_core::Tier;
 use egretgate_core::gateway::lane::Rank;
 use egretgate_core::gateway::moving::{MoveKey, MoveReport, MoveState};
 use egretgate_core::gateway::peer::{NameHash, PeerReport, Report};
 use egretgate_core::gateway::strain::Strain;
 use egretgate_core::moves::Counts;
+use egretgate_core::{Digest, Tier};
 use prost::Message;
 
 /// A report as it is sent.
@@ -34,6 +34,17 @@
     strains: Vec<RankStrain>,
     #[prost(message, repeated, tag = "11")]
     moves: Vec<Moved>,
+    #[prost(message, repeated, tag = "12")]
+    breaks: Vec<Broken>,
+}
+
+/// Broken runs of a request.
+#[derive(Clone, PartialEq, Message)]
+struct Broken {
+    #[prost(bytes = "vec", tag = "1")]
+    digest: Vec<u8>,
+    #[prost(uint32, tag = "2")]
+    runs: u32,
 }
 
 /// What the sender counted and decided of a move.
@@ -178,6 +189,11 @@
         admitted: report.admitted.clone(),
         catalog: report.catalog.map(Held::from),
         roster: report.roster.map(Held::from),
+        breaks: report
+            .breaks
+            .iter()
+            .map(|(digest, runs)| Broken { digest: digest.as_bytes().to_vec(), runs: *runs })
+            .collect(),
         moves: report.moves.iter().map(|(of, told)| (*of, told.clone()).into()).collect(),
         strains: report.strains.iter().map(|(of, strain)| (*of, *strain).into()).collect(),
     }
@@ -188,12 +204,16 @@
 pub fn decode(bytes: &[u8]) -> Option<PeerReport> {
     let datagram = Datagram::decode(bytes).ok()?;
     let demand = datagram.demand.into_iter().map(|(service, demand)| (service, count(demand)));
+    let breaks = datagram.breaks.into_iter().filter_map(|broken| {
+        Digest::from_slice(&broken.digest).map(|digest| (digest, broken.runs))
+    });
     Some(PeerReport {
         name: datagram.name,
         incarnation: datagram.incarnation,
         sequence: datagram.sequence,
         demand: demand.collect(),
         running: datagram.running,
+        breaks: breaks.collect(),
         moves: datagram.moves.into_iter().map(Into::into).collect(),
         strains: datagram.strains.into_iter().map(Into::into).collect(),
         admitted: datagram.admitted,
--- /dev/null
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -0,0 +1,97 @@
+//! Reports among entries survive the wire, and bytes that are no report are told from them.
+
+use std::time::Duration;
+
+use egretgate_core::Digest;
+use egretgate_core::gateway::lane::Rank;
+use egretgate_core::gateway::moving::{MoveReport, MoveState};
+use egretgate_core::gateway::peer::{PeerReport, Report, name_hash};
+use egretgate_core::gateway::strain::Strain;
+use egretgate_core::moves::Counts;
+use egretgate_gateway::{decode, encode};
+
+fn moved(ended: Option<MoveState>) -> MoveReport {
+    let counts = Counts { total: 40, errors: 3, slow_first: 2, slow_between: 1 };
+    MoveReport {
+        age: Duration::from_millis(2_500),
+        whole: true,
+        ended,
+        counts: vec![(name_hash("brief"), true, counts), (name_hash("note"), false, counts)],
+    }
+}
+
+fn full() -> PeerReport {
+    let held = |mark| Report { mark, end: 9, age: Duration::from_millis(30) };
+    let move_of = |version: &str| (name_hash("writer"), name_hash(version));
+    PeerReport {
+        name: "entry-1".to_owned(),
+        incarnation: u64::MAX,
+        sequence: 7,
+        demand: [(name_hash("writer"), 2.5)].into(),
+        running: [(name_hash("writer-1"), 4)].into(),
+        strains: [(
+            (name_hash("writer"), Rank { tier: 1, route: 2 }),
+            Strain { arrived: 8.0, refused: 0.5 },
+        )]
+        .into(),
+        admitted: [(name_hash("atelier"), 1 << 40)].into(),
+        breaks: vec![(Digest::of(&[b"poison"]), 2), (Digest::of(&[b"innocent"]), 0)],
+        moves: [
+            (move_of("v2"), moved(None)),
+            (move_of("v3"), moved(Some(MoveState::Done))),
+            (move_of("v4"), moved(Some(MoveState::TakenBack))),
+        ]
+        .into(),
+        catalog: Some(held(1)),
+        roster: Some(held(2)),
+    }
+}
+
+#[test]
+fn a_report_arrives_as_it_was_sent() {
+    struct Case {
+        name: &'static str,
+        report: PeerReport,
+    }
+    let cases = [
+        Case { name: "empty", report: PeerReport::default() },
+        Case { name: "full", report: full() },
+    ];
+    for case in cases {
+        assert_eq!(decode(&encode(&case.report)).as_ref(), Some(&case.report), "{}", case.name);
+    }
+}
+
+#[test]
+fn what_no_entry_sends_is_told_from_a_report_or_made_harmless() {
+    struct Case {
+        name: &'static str,
+        bytes: Vec<u8>,
+        /// Whether it is read as a report.
+        read: bool,
+    }
+    let whole = encode(&full());
+    let cases = [
+        Case { name: "text", bytes: b"GET / HTTP/1.1".to_vec(), read: false },
+        Case { name: "cut in the middle", bytes: whole[..whole.len() - 3].to_vec(), read: false },
+        Case { name: "nothing", bytes: Vec::new(), read: true },
+        // A field that no entry of this build knows: number 90, a varint.
+        Case {
+            name: "unknown field",
+            bytes: [&whole[..], &[0xd0, 0x05, 0x01]].concat(),
+            read: true,
+        },
+        // Demand of one service that is not a number.
+        Case {
+            name: "not a number",
+            bytes: [&[0x22, 14, 0x09][..], &[1; 8], &[0x15], &f32::NAN.to_le_bytes()].concat(),
+            read: true,
+        },
+    ];
+    for case in cases {
+        let report = decode(&case.bytes);
+        assert_eq!(report.is_some(), case.read, "{}", case.name);
+        let counts = report.iter().flat_map(|report| report.demand.values());
+        assert!(counts.into_iter().all(|demand| demand.is_finite()), "{}", case.name);
+    }
+}
