feat(log): why there is no room, and when a stream goes on elsewhere

Change: a line 'crowded' with reason, expected wait and queue for each refusal for want of room, and one for each stream that leaves a slow upstream. The operations test failed before ('no crowded in').

--- a/crates/egretgate-core/src/gateway/order.rs
+++ b/crates/egretgate-core/src/gateway/order.rs
@@ -61,14 +61,62 @@
 pub enum Refusal {
     /// Its team is over its limit; there will be room after the given time.
     OverLimit(Duration),
-    /// It would wait longer than its caller does.
-    Overloaded,
+    /// There is no room for it in time.
+    Overloaded(Crowd),
     /// The budget of repeats is spent.
     OverBudget,
     /// It has crashed several upstreams.
     Poison,
 }
 
+/// Why there is no room for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// It leaves room to more urgent requests that are refused.
+    GivesWay,
+    /// It would wait for too long to be of use.
+    TooLong,
+    /// It has waited for as long as it may.
+    Expired,
+    /// No upstream is clearly faster than the one where it runs.
+    NoneFaster,
+    /// The entry stops.
+    Stopping,
+}
+
+/// What decided that there is no room for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Crowd {
+    /// Why.
+    pub reason: Reason,
+    /// Time that it was expected to wait.
+    pub expected: Duration,
+    /// Requests of the service that wait here.
+    pub waiting: usize,
+    /// Requests of the service that this entry has at upstreams.
+    pub running: u32,
+}
+
+impl Crowd {
+    /// Returns what is known without the state of a service.
+    pub const fn because(reason: Reason) -> Self {
+        Self { reason, expected: Duration::ZERO, waiting: 0, running: 0 }
+    }
+}
+
+impl Reason {
+    /// Returns the name used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::GivesWay => "gives_way",
+            Self::TooLong => "too_long",
+            Self::Expired => "expired",
+            Self::NoneFaster => "none_faster",
+            Self::Stopping => "stopping",
+        }
+    }
+}
+
 /// A start of a waiting request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Start {
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
 
@@ -12,7 +12,7 @@
 use super::lane::{Place, RequestNumber};
 use super::meter::Meter;
 use super::moving::{Ending, MoveState, MoveStatus, Moves};
-use super::order::{Admission, End, Order, Refusal, Start, UpstreamKey};
+use super::order::{Admission, Crowd, End, Order, Reason, Refusal, Start, UpstreamKey};
 use super::peer::{PeerReport, Peers, name_hash};
 use super::poison::Breaks;
 use super::repeat::RepeatLimit;
@@ -188,10 +188,15 @@
             self.begin(&order.service, key);
             return Admission::Started(key);
         }
-        let gives_way = self.gives_way(&order);
-        if gives_way || wait > order.worthwhile || now + wait > order.until {
+        let reason = if self.gives_way(&order) {
+            Some(Reason::GivesWay)
+        } else {
+            (wait > order.worthwhile || now + wait > order.until).then_some(Reason::TooLong)
+        };
+        if let Some(reason) = reason {
             self.note_refused(&order, now);
-            return Admission::Refused(Refusal::Overloaded);
+            let crowd = self.crowd(&order.service, reason, wait);
+            return Admission::Refused(Refusal::Overloaded(crowd));
         }
         if let Some(backlog) = self.services.get_mut(&order.service) {
             backlog.lane.push(place, order.until);
@@ -204,7 +209,7 @@
     /// is no want of room.
     fn admit_faster(&mut self, order: &Order, now: Instant) -> Admission {
         let Some(key) = self.choose(order, now) else {
-            return Admission::Refused(Refusal::Overloaded);
+            return Admission::Refused(Refusal::Overloaded(Crowd::because(Reason::NoneFaster)));
         };
         let entries = self.entries();
         let backlog = self.services.entry(order.service.clone()).or_default();
@@ -234,18 +239,21 @@
     }
 
     /// Removes and returns the requests that have waited as long as they may.
-    pub fn expire(&mut self, now: Instant) -> Vec<RequestNumber> {
+    pub fn expire(&mut self, now: Instant) -> Vec<(RequestNumber, Crowd)> {
         let mut gone = Vec::new();
-        for backlog in self.services.values_mut() {
-            gone.extend(backlog.lane.expire(now).into_iter().map(|place| place.number));
-        }
-        for number in &gone {
-            if let Some((_, order)) = self.waiting.remove(number) {
+        for (service, backlog) in &mut self.services {
+            let places = backlog.lane.expire(now);
+            gone.extend(places.into_iter().map(|place| (place.number, service.clone())));
+        }
+        let mut refused = Vec::with_capacity(gone.len());
+        for (number, service) in gone {
+            refused.push((number, self.crowd(&service, Reason::Expired, Duration::ZERO)));
+            if let Some((_, order)) = self.waiting.remove(&number) {
                 self.note_refused(&order, now);
             }
         }
         self.peers.expire(now);
-        gone
+        refused
     }
 
     /// Notes how a started request ended.
@@ -371,6 +379,13 @@
         meter.take(charge.tokens, order.rank.route, reach, now).err().map(Refusal::OverLimit)
     }
 
+    fn crowd(&self, service: &ServiceId, reason: Reason, expected: Duration) -> Crowd {
+        let backlog = self.services.get(service);
+        let waiting = backlog.map_or(0, |backlog| backlog.lane.len());
+        let running = backlog.map_or(0, |backlog| backlog.running);
+        Crowd { reason, expected, waiting, running }
+    }
+
     fn note_refused(&mut self, order: &Order, now: Instant) {
         self.refund(order);
         if let Some(backlog) = self.services.get_mut(&order.service) {
--- a/crates/egretgate-core/tests/gateway_moving.rs
+++ b/crates/egretgate-core/tests/gateway_moving.rs
@@ -147,7 +147,7 @@
         due += RATE * STEP.as_secs_f64();
         let mut starts: VecDeque<(usize, usize, UpstreamKey)> = VecDeque::new();
         for (index, entry) in entries.iter_mut().enumerate() {
-            for number in entry.expire(now) {
+            for (number, _) in entry.expire(now) {
                 waiting.remove(&number);
             }
             for start in entry.pump(now) {
--- a/crates/egretgate-core/tests/gateway_overload.rs
+++ b/crates/egretgate-core/tests/gateway_overload.rs
@@ -237,7 +237,7 @@
     }
 
     fn pump(&mut self, entry: usize, now: Instant) {
-        for number in self.entries[entry].expire(now) {
+        for (number, _) in self.entries[entry].expire(now) {
             self.waiting.remove(&number);
         }
         for start in self.entries[entry].pump(now) {
--- a/crates/egretgate-gateway/src/desk.rs
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -8,7 +8,7 @@
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::lane::RequestNumber;
 use egretgate_core::gateway::moving::MoveStatus;
-use egretgate_core::gateway::order::{Admission, End, Order, Refusal, UpstreamKey};
+use egretgate_core::gateway::order::{Admission, Crowd, End, Order, Reason, Refusal, UpstreamKey};
 use egretgate_core::gateway::peer::PeerReport;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::gateway::standing::{Listed, Outcome};
@@ -146,7 +146,7 @@
         let mut waiting = Waiting { desk: self, number: Some(number) };
         let reply = answer.await;
         waiting.number = None;
-        reply.unwrap_or(Err(Refusal::Overloaded))
+        reply.unwrap_or(Err(Refusal::Overloaded(Crowd::because(Reason::Stopping))))
     }
 
     /// Has the moves of traffic judged; `None` if the process ends.
@@ -281,10 +281,10 @@
 
     fn tick(&mut self) {
         let now = Instant::now();
-        for number in self.scheduler.expire(now) {
+        for (number, crowd) in self.scheduler.expire(now) {
             if let Some(waiter) = self.waiting.remove(&number) {
                 // A caller that has left needs no answer.
-                let _ = waiter.reply.send(Err(Refusal::Overloaded));
+                let _ = waiter.reply.send(Err(Refusal::Overloaded(crowd)));
             }
         }
         self.pump(now);
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use egretgate_core::gateway::catalog::{Catalog, Route};
 use egretgate_core::gateway::lane::{Rank, RequestNumber};
-use egretgate_core::gateway::order::{Charge, Order, Refusal};
+use egretgate_core::gateway::order::{Charge, Crowd, Order, Refusal};
 use egretgate_core::gateway::patience;
 use egretgate_core::gateway::standing::Outcome;
 use egretgate_core::{Digest, ServiceId, TeamId, UpstreamId};
@@ -207,7 +207,9 @@
 
     /// Returns a place at an upstream that is clearly faster than `pace`, if there is one now.
     pub(crate) async fn faster(&mut self, pace: f64) -> Option<Lease> {
-        self.lease(Some(pace)).await.ok()
+        let lease = self.ask_lease(Some(pace)).await.ok()?;
+        self.note_faster(&lease, pace);
+        Some(lease)
     }
 
     /// Goes on with a cut stream at another upstream, at `lease` if it is given.
@@ -272,7 +274,7 @@
         loop {
             let lease = match lease.take() {
                 Some(lease) => lease,
-                None => match self.lease(None).await {
+                None => match self.lease().await {
                     Ok(lease) => lease,
                     Err(ending) => return Err(failure.map_or(ending, Ending::Failure)),
                 },
@@ -322,13 +324,40 @@
             "outcome" => what);
     }
 
+    /// Logs what decided that there is no room for the request.
+    fn note_crowd(&self, crowd: Crowd) {
+        info!(self.shared.log, "crowded";
+            "id" => &self.request.head.id,
+            "service" => &self.plan.service,
+            "reason" => crowd.reason.as_str(),
+            "expected_wait_ms" => crowd.expected.as_millis() as u64,
+            "waiting" => crowd.waiting,
+            "running" => crowd.running);
+    }
+
+    /// Logs that the stream goes on at a faster upstream.
+    fn note_faster(&self, lease: &Lease, pace: f64) {
+        info!(self.shared.log, "goes on faster";
+            "id" => &self.request.head.id,
+            "from" => &self.upstream,
+            "to" => &lease.id,
+            "pace_ms" => (pace * 1_000.0) as u64,
+            "events" => self.events,
+            "left_ms" => self.left().as_millis() as u64);
+    }
+
     /// Returns the end of a request that may have run.
     fn lost(&self) -> Ending {
         let fault = if self.left().is_zero() { Fault::TimedOut } else { Fault::AnswerLost };
         Ending::Fault(fault, None)
     }
 
-    async fn lease(&mut self, pace: Option<f64>) -> Result<Lease, Ending> {
+    async fn lease(&mut self) -> Result<Lease, Ending> {
+        let reply = self.ask_lease(None).await;
+        reply.map_err(|refusal| self.refusal(refusal))
+    }
+
+    async fn ask_lease(&mut self, pace: Option<f64>) -> Result<Lease, Refusal> {
         let left = self.left();
         let now = Instant::now();
         let order = Order {
@@ -349,7 +378,7 @@
         };
         let reply = self.shared.desk.admit(order).await;
         self.waited += now.elapsed();
-        reply.map_err(|refusal| self.refusal(refusal))
+        reply
     }
 
     fn refusal(&self, refusal: Refusal) -> Ending {
@@ -357,10 +386,14 @@
         let later = patience::come_back(left, &mut rand::rng());
         match refusal {
             Refusal::OverLimit(wait) => Ending::Fault(Fault::OverLimit, Some(wait.max(later))),
-            Refusal::Overloaded if self.left().is_zero() => {
+            Refusal::Overloaded(crowd) if self.left().is_zero() => {
+                self.note_crowd(crowd);
                 Ending::Fault(Fault::TimedOutWaiting, Some(SHORT_RETURN))
             }
-            Refusal::Overloaded => Ending::Fault(Fault::Overloaded, Some(later)),
+            Refusal::Overloaded(crowd) => {
+                self.note_crowd(crowd);
+                Ending::Fault(Fault::Overloaded, Some(later))
+            }
             Refusal::OverBudget => Ending::Fault(Fault::NoUpstream, Some(SHORT_RETURN)),
             Refusal::Poison => Ending::Fault(Fault::Poison, None),
         }
--- a/crates/egretgate-model/src/entry.rs
+++ b/crates/egretgate-model/src/entry.rs
@@ -112,7 +112,9 @@
     /// Returns the requests that have waited as long as they may.
     pub(crate) fn expire(&mut self, now: Instant) -> Vec<RequestId> {
         match &mut self.decider {
-            Decider::Core { scheduler, .. } => scheduler.expire(now),
+            Decider::Core { scheduler, .. } => {
+                scheduler.expire(now).into_iter().map(|(number, _)| number).collect()
+            }
             Decider::Simple(_) => Vec::new(),
         }
     }
--- a/crates/egretgate/tests/operations.rs
+++ b/crates/egretgate/tests/operations.rs
@@ -101,7 +101,16 @@
     Case {
         trouble: Trouble::Overload,
         status: 503,
-        told: &["request", "sent=0", "overloaded: it would have waited too long"],
+        told: &[
+            "crowded",
+            "expected_wait_ms=",
+            "reason=",
+            "running=",
+            "waiting=",
+            "request",
+            "sent=0",
+            "overloaded: it would have waited too long",
+        ],
         cause: "msg=\"upstreams listed\"",
     },
     Case {
