--- a/crates/egretgate-core/src/gateway/order.rs
+++ b/crates/egretgate-core/src/gateway/order.rs
@@ -147,6 +147,27 @@
     pub suspected: bool,
 }
 
+impl End {
+    /// Returns the end of a request of which only the outcome matters.
+    pub const fn new(
+        service: ServiceId,
+        key: UpstreamKey,
+        outcome: Outcome,
+        started: Instant,
+    ) -> Self {
+        Self {
+            service,
+            route: RouteId::new(),
+            key,
+            first: None,
+            outcome,
+            digest: None,
+            started,
+            suspected: false,
+        }
+    }
+}
+
 /// What becomes of a request that has just come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
--- a/crates/egretgate-core/src/gateway/scheduler/placing.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/placing.rs
@@ -31,6 +31,22 @@
 /// Entries that may take a slot unseen between two reports, for each slot kept free.
 const ENTRIES_PER_SLOT: u32 = 8;
 
+/// What decides for one request whether an upstream has room.
+struct Terms {
+    share: Share,
+    /// Slots kept free for entries whose reports are on their way.
+    margin: u32,
+    /// True if requests end before other entries' reports of them arrive.
+    brief: bool,
+    /// Part of the slots that is left to more urgent requests.
+    left_free: f64,
+    /// True if it goes before less urgent ones that are refused.
+    goes_ahead: bool,
+    /// True if this entry has nothing at the service, and its turn to have one request there: where
+    /// slots are fewer than entries, one whose part is less than a slot has its turns too.
+    first: bool,
+}
+
 impl Scheduler {
     /// Returns the upstream with room that is likely to serve the request soonest, of the version
     /// that is to get it.
@@ -57,6 +73,7 @@
         }
     }
 
+    /// Returns the best upstream among those whose version fits.
     fn pick(
         &self,
         order: &Order,
@@ -64,16 +81,8 @@
         fits: &dyn Fn(&VersionId) -> bool,
         now: Instant,
     ) -> Option<UpstreamKey> {
-        let share = backlog.share.unwrap_or(Share::WHOLE);
-        let entries = self.entries();
-        let margin = (entries as u32 - 1).div_ceil(ENTRIES_PER_SLOT);
         let usual = self.usual_pace(backlog);
-        let brief = entries > 1 && backlog.is_brief();
-        let left_free = backlog.left_free(order.rank);
-        let goes_ahead = backlog.goes_ahead(order.rank);
-        // Where slots are fewer than entries, one whose part is less than a slot has its turns too.
-        let first = backlog.running == 0
-            && share.slots_in_turn(self.turn, name_hash(&self.name), backlog.slots) > 0;
+        let terms = self.terms(order, backlog);
         let left = order.deadline.saturating_duration_since(now).as_secs_f64();
         let in_time = |standing: &Standing| {
             order.events * standing.pace().unwrap_or(usual) * LENGTH_MARGIN <= left
@@ -86,25 +95,9 @@
         let doubtful = !backlog.members.iter().any(|key| is_sound(&self.upstreams[*key]));
         let usable = backlog.members.iter().copied().filter(|key| {
             let standing = &self.upstreams[*key];
-            let left = slots_left(left_free, standing);
-            let room = if left > 0 {
-                has_spare(standing, left)
-            } else if brief {
-                let slots = standing.listed.slots * BRIEF_REQUESTS;
-                let seed = name_hash(&self.name) ^ name_hash(&standing.listed.id);
-                let own = share.slots_in_turn(self.turn, seed, slots);
-                // An urgent call doesn't wait for this entry's turn, nor for one that can wait.
-                let own = if goes_ahead { own.max(1) + 1 } else { own };
-                // Reports come too late for entries to see each other take the same free slot, so
-                // each takes one at a time at most.
-                let free = standing.at_work() == 0 && has_free(standing, margin);
-                standing.at_work() < own || free
-            } else {
-                first || has_room(standing, share, margin)
-            };
             standing.is_usable(now)
                 && (doubtful || !standing.is_doubted(now))
-                && room
+                && self.has_room(standing, &terms)
                 && fits(&standing.listed.version)
                 && order.pace.is_none_or(|pace| is_faster(standing, pace))
                 && (!picky || in_time(standing))
@@ -114,6 +107,7 @@
         // Entries with the same late reports must not all choose the same upstream, so each
         // compares a part of them that differs from request to request.
         let part = CLOSE_ENTRIES * CLOSE_ENTRIES;
+        let entries = self.entries();
         let compared = (backlog.members.len() * part / (entries * entries)).max(COMPARED);
         let usable: Vec<UpstreamKey> = usable.collect();
         let first = spread(order.number, usable.len());
@@ -121,6 +115,41 @@
         some.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    /// Returns what decides for a request whether an upstream has room.
+    fn terms(&self, order: &Order, backlog: &Backlog) -> Terms {
+        let share = backlog.share.unwrap_or(Share::WHOLE);
+        let others = self.entries() as u32 - 1;
+        let seed = name_hash(&self.name);
+        Terms {
+            share,
+            margin: others.div_ceil(ENTRIES_PER_SLOT),
+            brief: others > 0 && backlog.is_brief(),
+            left_free: backlog.left_free(order.rank),
+            goes_ahead: backlog.goes_ahead(order.rank),
+            first: backlog.running == 0 && share.slots_in_turn(self.turn, seed, backlog.slots) > 0,
+        }
+    }
+
+    /// Returns true if this entry may send one more request to the upstream.
+    fn has_room(&self, standing: &Standing, terms: &Terms) -> bool {
+        let left = slots_left(terms.left_free, standing);
+        if left > 0 {
+            return has_spare(standing, left);
+        }
+        if !terms.brief {
+            return terms.first || has_room(standing, terms.share, terms.margin);
+        }
+        let slots = standing.listed.slots * BRIEF_REQUESTS;
+        let seed = name_hash(&self.name) ^ name_hash(&standing.listed.id);
+        let own = terms.share.slots_in_turn(self.turn, seed, slots);
+        // An urgent call doesn't wait for this entry's turn, nor for one that can wait.
+        let own = if terms.goes_ahead { own.max(1) + 1 } else { own };
+        // Reports come too late for entries to see each other take the same free slot, so each
+        // takes one at a time at most.
+        let free = standing.at_work() == 0 && has_free(standing, terms.margin);
+        standing.at_work() < own || free
+    }
+
     /// Returns true if the request leaves slots to more urgent ones that are refused.
     pub(super) fn gives_way(&self, order: &Order) -> bool {
         self.services.get(&order.service).is_some_and(|backlog| {
--- a/crates/egretgate-core/tests/gateway_moving.rs
+++ b/crates/egretgate-core/tests/gateway_moving.rs
@@ -206,14 +206,9 @@
             }
             let outcome = if failed { Outcome::Failed } else { Outcome::Good { pace: Some(pace) } };
             let end = End {
-                service: SERVICE.to_owned(),
                 route: format!("route-{route}"),
-                key,
                 first: Some(first),
-                outcome,
-                digest: None,
-                started: now,
-                suspected: false,
+                ..End::new(SERVICE.to_owned(), key, outcome, now)
             };
             let time = first + Duration::from_secs_f64(pace * f64::from(events));
             running.push(Running { until: now + time, entry: index, end });
--- a/crates/egretgate-core/tests/gateway_overload.rs
+++ b/crates/egretgate-core/tests/gateway_overload.rs
@@ -175,16 +175,7 @@
                 }
                 let outcome = Outcome::Good { pace: Some(0.2) };
                 let (service, key, started) = (SERVICE.to_owned(), sent.key, sent.at);
-                let end = End {
-                    service,
-                    route: String::new(),
-                    first: None,
-                    key,
-                    outcome,
-                    digest: None,
-                    started,
-                    suspected: false,
-                };
+                let end = End::new(service, key, outcome, started);
                 self.entries[sent.entry].finish(&end, now);
             }
             while upstream.running.len() < self.slots
@@ -211,16 +202,8 @@
         let is_over = |lost: &mut Lost| now >= lost.sent.at + GIVE_UP_AFTER;
         for lost in self.lost.extract_if(.., is_over) {
             let Sent { entry, key, at, .. } = lost.sent;
-            let end = End {
-                service: SERVICE.to_owned(),
-                route: String::new(),
-                first: None,
-                key,
-                outcome: Outcome::Silent,
-                digest: None,
-                started: at,
-                suspected: true,
-            };
+            let end =
+                End { suspected: true, ..End::new(SERVICE.to_owned(), key, Outcome::Silent, at) };
             self.entries[entry].finish(&end, now);
         }
     }
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -55,16 +55,7 @@
 }
 
 fn end(key: UpstreamKey, outcome: Outcome, started: Instant) -> End {
-    End {
-        service: "writer".to_owned(),
-        route: String::new(),
-        first: None,
-        key,
-        outcome,
-        digest: None,
-        started,
-        suspected: false,
-    }
+    End::new("writer".to_owned(), key, outcome, started)
 }
 
 fn good(pace: f64) -> Outcome {
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -4,26 +4,26 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use egretgate_core::gateway::catalog::{Catalog, Route};
-use egretgate_core::gateway::lane::{Rank, RequestNumber};
-use egretgate_core::gateway::order::{Charge, Crowd, Order, Refusal};
+use egretgate_core::UpstreamId;
+use egretgate_core::gateway::catalog::Catalog;
+use egretgate_core::gateway::lane::RequestNumber;
+use egretgate_core::gateway::order::{Crowd, Order, Refusal};
 use egretgate_core::gateway::patience;
 use egretgate_core::gateway::standing::Outcome;
-use egretgate_core::{Digest, ServiceId, TeamId, UpstreamId};
 use http::header::CONTENT_LENGTH;
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use rand::RngExt;
 use slog::{Logger, info};
 use tokio::time::timeout_at;
 
 use crate::answer::{Body, Fault, full, streamed};
 use crate::connect::{Connection, SendError};
 use crate::desk::{DeskHandle, Lease};
-use crate::dialect::{Dialect, Onward, RequestHead};
+use crate::dialect::{Dialect, Onward};
 use crate::judge::{Attempt, Whole, failure, is_spoiled, not_run, respond, whole};
 use crate::onward::{prepare_request, strip_connection};
+use crate::plan::{Parts, Plan};
 use crate::relay::{Relay, Run};
 
 /// Silence after which an upstream gets nothing new; first events take some 50 ms.
@@ -76,36 +76,6 @@
     closed: bool,
 }
 
-/// The request as the caller sent it.
-pub(crate) struct Parts {
-    pub(crate) head: RequestHead,
-    pub(crate) method: Method,
-    pub(crate) uri: Uri,
-    pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
-    /// True if the caller framed a body, be it empty.
-    pub(crate) has_body: bool,
-    /// Time at which its head was read.
-    pub(crate) received: Instant,
-}
-
-/// What the declarations say of the request.
-struct Plan {
-    route: Route,
-    service: ServiceId,
-    team: Option<TeamId>,
-    rank: Rank,
-    charge: Option<Charge>,
-    /// Tokens that count against the team's limit; 0 without one.
-    tokens: u64,
-    /// Events that the answer is likely to have.
-    events: f64,
-    /// Events that it may have at most; `None` if the caller sets no limit.
-    most_events: Option<f64>,
-    version: u64,
-    digest: Digest,
-}
-
 impl Exchange {
     /// Returns the exchange of a request that the declarations allow.
     pub(crate) fn new(
@@ -114,34 +84,7 @@
         request: Parts,
         number: RequestNumber,
     ) -> Result<Self, Fault> {
-        let host = request.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
-        let host = host.or_else(|| request.uri.host()).unwrap_or_default();
-        let route = catalog.route(host, request.uri.path()).ok_or(Fault::NoRoute)?;
-        let team =
-            catalog.team(route, request.head.key.as_deref()).map_err(|_| Fault::Unauthorized)?;
-        let service = route.service(rand::rng().random()).ok_or(Fault::NoUpstream)?.clone();
-        let charge = team.filter(|team| team.limit.is_some()).map(|team| Charge {
-            team: team.name.clone(),
-            tokens: request.head.tokens.unwrap_or(team.default_cost),
-        });
-        let key = request.head.key.as_deref().unwrap_or_default();
-        let target = request.uri.to_string();
-        let digest = Digest::of(&[target.as_bytes(), key.as_bytes(), &request.body]);
-        let plan = Plan {
-            rank: Rank {
-                tier: team.and_then(|team| team.tier).unwrap_or(route.tier),
-                route: route.tier,
-            },
-            team: team.map(|team| team.name.clone()),
-            route: route.clone(),
-            events: likely_events(route, &request.head, catalog.event_tokens(&service)),
-            most_events: most_events(&request.head, catalog.event_tokens(&service)),
-            service,
-            tokens: charge.as_ref().map_or(0, |charge| charge.tokens),
-            charge,
-            version: catalog.version,
-            digest,
-        };
+        let plan = Plan::new(catalog, &request)?;
         let resume_after = request.head.last_event;
         Ok(Self {
             shared,
@@ -566,17 +509,3 @@
     /// The request may have run.
     Lost(Outcome),
 }
-
-/// Returns the events that the answer is likely to have; 0 if it is no stream.
-fn likely_events(route: &Route, head: &RequestHead, event_tokens: u32) -> f64 {
-    if !route.kind.is_stream() {
-        return 0.0;
-    }
-    let tokens = head.likely_output.or(head.most_output).unwrap_or(0);
-    (tokens as f64 / f64::from(event_tokens)).ceil()
-}
-
-/// Returns the events that an answer may have at most.
-fn most_events(head: &RequestHead, event_tokens: u32) -> Option<f64> {
-    head.most_output.map(|tokens| (tokens as f64 / f64::from(event_tokens)).ceil())
-}
--- a/crates/egretgate-gateway/src/front.rs
+++ b/crates/egretgate-gateway/src/front.rs
@@ -20,7 +20,8 @@
 use tokio::time::{sleep, timeout};
 
 use crate::answer::{Body, Fault};
-use crate::exchange::{Exchange, Parts, Shared};
+use crate::exchange::{Exchange, Shared};
+use crate::plan::Parts;
 
 /// Time to come back while the entry starts.
 const START_RETURN: Duration = Duration::from_millis(400);
--- a/crates/egretgate-gateway/src/lib.rs
+++ b/crates/egretgate-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod moves;
 mod onward;
 mod pages;
+mod plan;
 mod relay;
 mod sync;
 mod wire;
--- /dev/null
+++ b/crates/egretgate-gateway/src/plan.rs
@@ -0,0 +1,92 @@
+//! What the declarations say of one request.
+
+use std::time::Instant;
+
+use bytes::Bytes;
+use egretgate_core::gateway::catalog::{Catalog, Route};
+use egretgate_core::gateway::lane::Rank;
+use egretgate_core::gateway::order::Charge;
+use egretgate_core::{Digest, ServiceId, TeamId};
+use http::{HeaderMap, Method, Uri};
+use rand::RngExt;
+
+use crate::answer::Fault;
+use crate::dialect::RequestHead;
+
+/// The request as the caller sent it.
+pub(crate) struct Parts {
+    pub(crate) head: RequestHead,
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// True if the caller framed a body, be it empty.
+    pub(crate) has_body: bool,
+    /// Time at which its head was read.
+    pub(crate) received: Instant,
+}
+
+/// What the declarations say of the request.
+pub(crate) struct Plan {
+    pub(crate) route: Route,
+    pub(crate) service: ServiceId,
+    pub(crate) team: Option<TeamId>,
+    pub(crate) rank: Rank,
+    pub(crate) charge: Option<Charge>,
+    /// Tokens that count against the team's limit; 0 without one.
+    pub(crate) tokens: u64,
+    /// Events that the answer is likely to have.
+    pub(crate) events: f64,
+    /// Events that it may have at most; `None` if the caller sets no limit.
+    pub(crate) most_events: Option<f64>,
+    pub(crate) version: u64,
+    pub(crate) digest: Digest,
+}
+
+impl Plan {
+    /// Returns the plan of a request that the declarations allow.
+    pub(crate) fn new(catalog: &Catalog, request: &Parts) -> Result<Self, Fault> {
+        let host = request.headers.get(http::header::HOST).and_then(|host| host.to_str().ok());
+        let host = host.or_else(|| request.uri.host()).unwrap_or_default();
+        let route = catalog.route(host, request.uri.path()).ok_or(Fault::NoRoute)?;
+        let team =
+            catalog.team(route, request.head.key.as_deref()).map_err(|_| Fault::Unauthorized)?;
+        let service = route.service(rand::rng().random()).ok_or(Fault::NoUpstream)?.clone();
+        let charge = team.filter(|team| team.limit.is_some()).map(|team| Charge {
+            team: team.name.clone(),
+            tokens: request.head.tokens.unwrap_or(team.default_cost),
+        });
+        let key = request.head.key.as_deref().unwrap_or_default();
+        let target = request.uri.to_string();
+        let digest = Digest::of(&[target.as_bytes(), key.as_bytes(), &request.body]);
+        Ok(Self {
+            rank: Rank {
+                tier: team.and_then(|team| team.tier).unwrap_or(route.tier),
+                route: route.tier,
+            },
+            team: team.map(|team| team.name.clone()),
+            route: route.clone(),
+            events: likely_events(route, &request.head, catalog.event_tokens(&service)),
+            most_events: most_events(&request.head, catalog.event_tokens(&service)),
+            service,
+            tokens: charge.as_ref().map_or(0, |charge| charge.tokens),
+            charge,
+            version: catalog.version,
+            digest,
+        })
+    }
+}
+
+/// Returns the events that the answer is likely to have; 0 if it is no stream.
+fn likely_events(route: &Route, head: &RequestHead, event_tokens: u32) -> f64 {
+    if !route.kind.is_stream() {
+        return 0.0;
+    }
+    let tokens = head.likely_output.or(head.most_output).unwrap_or(0);
+    (tokens as f64 / f64::from(event_tokens)).ceil()
+}
+
+/// Returns the events that an answer may have at most.
+fn most_events(head: &RequestHead, event_tokens: u32) -> Option<f64> {
+    head.most_output.map(|tokens| (tokens as f64 / f64::from(event_tokens)).ceil())
+}
--- a/crates/egretgate-model/src/entry.rs
+++ b/crates/egretgate-model/src/entry.rs
@@ -134,16 +134,7 @@
                 let Some(key) = self.keys.remove(&id) else { return };
                 let service = run.service.to_owned();
                 let Run { outcome, started, .. } = *run;
-                let end = End {
-                    service,
-                    route: String::new(),
-                    first: None,
-                    key,
-                    outcome,
-                    digest: None,
-                    started,
-                    suspected: false,
-                };
+                let end = End::new(service, key, outcome, started);
                 scheduler.finish(&end, now);
             }
             Decider::Simple(simple) => simple.finish(run.upstream),
--- a/crates/egretgate/tests/soak.rs
+++ b/crates/egretgate/tests/soak.rs
@@ -2,7 +2,8 @@
 //!
 //! Signals stop, pause, kill and restart the processes in series that overlap; relays between them,
 //! the store and the upstreams delay, cut, hold up and silence connections, each way by itself; the
-//! store goes away and comes back; declarations change; upstreams cut, lose and refuse answers.
+//! store goes away and comes back; declarations change; traffic is ordered to move; upstreams cut, lose and refuse
+//! answers.
 //! Callers check each answer, and the upstreams what reached them. `EGRETGATE_SOAK_SEEDS` names the seeds of a run by
 //! hand, such as `100..150`; without it the regression seeds and one more are played.
 
@@ -15,7 +16,8 @@
 use egretgate_adapter::PATH_VARIABLE;
 use egretgate_fakes::relay::{Block, Relay};
 use egretgate_stand_ins::{
-    Behaviour, Mood, Store, Upstream, free_address, is_signed_for, request, settings, status,
+    Behaviour, Mood, Store, Upstream, free_address, is_signed_for, request, server, settings,
+    status,
 };
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -225,11 +227,22 @@
     relay.set_down(false);
 }
 
+/// Orders traffic to be moved to an upstream of another version.
+fn order_move(rng: &mut ChaCha8Rng, store: &Store, relays: &[Relay]) {
+    let target = *["v2", "v3"].choose(rng).unwrap();
+    let index = rng.random_range(0..relays.len());
+    let mut entry = server(relays[index].address(), "ready");
+    entry["version"] = serde_json::json!(target);
+    store.put("keyed.servers", &format!("i-{index}"), entry.to_string().as_bytes());
+    let order = serde_json::json!({"backend": "writer", "target": target, "stepS": 1});
+    store.put("keyed.op", "rollout/writer", order.to_string().as_bytes());
+}
+
 /// Brings one fault about, or ends one.
 fn disturb(rng: &mut ChaCha8Rng, world: &mut World) {
     let World { store, upstreams, entries, store_relays, relays, version } = world;
     let at = rng.random_range(0..entries.len());
-    match rng.random_range(0..11) {
+    match rng.random_range(0..12) {
         0 => entries[at].signal("TERM"),
         1 => entries[at].signal("KILL"),
         2 => entries[at].signal("STOP"),
@@ -253,6 +266,7 @@
             let relay = rng.random_range(0..relays.len());
             disturb_link(rng, &relays[relay]);
         }
+        10 => order_move(rng, store, relays),
         _ => {
             upstreams.choose(rng).unwrap().set(*BEHAVIOURS.choose(rng).unwrap());
         }
