fix(gateway): an order to move traffic reaches entries that read through another one

Cause: entries that follow the one which reads compare the version of the declarations, and an order comes without a new version: the others never read it. Found while reading the change; the path tests had one entry. The new test failed before (19 of 20 requests at the old version behind entry 2). Change: the mark that entries compare holds the orders too.

--- a/crates/egretgate-core/src/gateway/moving.rs
+++ b/crates/egretgate-core/src/gateway/moving.rs
@@ -194,11 +194,6 @@
         moving.own.entry(cell).or_default().record(ending.error, slow_first, slow_between);
     }
 
-    /// Returns true while requests of the service are judged.
-    pub fn is_judged(&self, service: &str) -> bool {
-        self.moves.get(service).is_some_and(|moving| !moving.has_ended())
-    }
-
     /// Returns what this entry tells the others.
     pub fn report(&self, leads: bool, now: Instant) -> BTreeMap<MoveKey, MoveReport> {
         let reports = self.moves.values().filter(|moving| moving.state != MoveState::Unknown);
--- a/crates/egretgate-gateway/src/sync.rs
+++ b/crates/egretgate-gateway/src/sync.rs
@@ -144,12 +144,12 @@
                 for fault in &seen.faults {
                     warn!(log, "record passed over"; "fault" => fault);
                 }
-                let version = seen.value.as_ref().map_or(0, |catalog| catalog.version);
+                let mark = seen.value.as_ref().map_or(0, catalog_mark);
                 if let Some(newest) = seen.value {
                     apply(newest, &catalog, &desk, &log);
                 }
-                following.read(version, seen.end);
-                if version == 0 {
+                following.read(mark, seen.end);
+                if mark == 0 {
                     sleep(FIRST_RETRY).await;
                 }
             }
@@ -158,6 +158,14 @@
     }
 }
 
+/// Returns the same number for the same declarations with the same orders, which have no version
+/// of their own; 0 stands for none.
+fn catalog_mark(catalog: &Catalog) -> Mark {
+    catalog.moves().iter().fold(catalog.version, |mark, order| {
+        mark ^ name_hash(&format!("{} {} {:?}", order.service, order.target, order.within))
+    })
+}
+
 /// Waits for a change of the declarations; true if there may be one.
 async fn changed<D: Directory>(directory: &D, end: Offset, log: &Logger) -> bool {
     match directory.changed(end, CHANGE_WAIT).await {
