fix(gateway): a request that pauses several times counts as silent once

Cause: each pause of a stream over half a second counted its request as silent again, and its end took one back, so an entry reckoned with fewer requests at an upstream than there were. The new test failed before (0 at work of 2). Long requests hold their slots while they pause; only short calls don't.

--- a/crates/egretgate-core/src/gateway/room.rs
+++ b/crates/egretgate-core/src/gateway/room.rs
@@ -12,13 +12,17 @@
     let slots = standing.listed.slots;
     let used = standing.own + standing.others;
     let own = standing.own < share.slots(&standing.listed.id, slots) && used <= slots;
-    own || has_free(standing, margin)
+    own || is_free(used, slots, margin)
 }
 
-/// Returns true if the upstream has a free slot besides the margin.
+/// Returns true if the upstream has a free slot besides the margin for a short call. One whose
+/// answer is overdue holds no slot any more; a stream that pauses still does.
 pub(super) fn has_free(standing: &Standing, margin: u32) -> bool {
-    let slots = standing.listed.slots;
-    standing.at_work() + standing.others + margin.min(slots / 2) < slots
+    is_free(standing.at_work() + standing.others, standing.listed.slots, margin)
+}
+
+fn is_free(used: u32, slots: u32, margin: u32) -> bool {
+    used + margin.min(slots / 2) < slots
 }
 
 /// Returns true if the upstream has room besides `left` slots for more urgent requests.
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -276,10 +276,11 @@
         }
     }
 
-    /// Notes that a request at the upstream has been silent since `since`.
-    pub fn suspect(&mut self, key: UpstreamKey, since: Instant, now: Instant) {
+    /// Notes that a request at the upstream has been silent since `since`; `again` if it was
+    /// before.
+    pub fn suspect(&mut self, key: UpstreamKey, since: Instant, again: bool, now: Instant) {
         if let Some(standing) = self.upstreams.get_mut(key) {
-            standing.suspect(since, now);
+            standing.suspect(since, again, now);
         }
     }
 
--- a/crates/egretgate-core/src/gateway/standing.rs
+++ b/crates/egretgate-core/src/gateway/standing.rs
@@ -191,11 +191,13 @@
         }
     }
 
-    /// Notes that a request in flight has been silent since `since`.
+    /// Notes that a request in flight has been silent since `since`; `again` if it was before.
     ///
     /// If the upstream has answered others meanwhile, it works, and only that answer is overdue.
-    pub fn suspect(&mut self, since: Instant, now: Instant) {
-        self.silent = (self.silent + 1).min(self.own);
+    pub fn suspect(&mut self, since: Instant, again: bool, now: Instant) {
+        if !again {
+            self.silent = (self.silent + 1).min(self.own);
+        }
         if self.heard.is_none_or(|heard| heard <= since) {
             self.doubted = Some(now + FIRST_PAUSE);
             self.miss(now);
--- a/crates/egretgate-core/tests/gateway_overload.rs
+++ b/crates/egretgate-core/tests/gateway_overload.rs
@@ -196,7 +196,7 @@
         for lost in &mut self.lost {
             if !lost.suspected && now >= lost.sent.at + SUSPECT_AFTER {
                 lost.suspected = true;
-                self.entries[lost.sent.entry].suspect(lost.sent.key, lost.sent.at, now);
+                self.entries[lost.sent.entry].suspect(lost.sent.key, lost.sent.at, false, now);
             }
         }
         let is_over = |lost: &mut Lost| now >= lost.sent.at + GIVE_UP_AFTER;
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -358,3 +358,37 @@
         }
     }
 }
+
+/// The load it answers: streams that pause more than once, beside answers that never come.
+#[test]
+fn a_request_counts_as_silent_once_however_often_it_pauses() {
+    struct Case {
+        name: &'static str,
+        silences: usize,
+        outcome: Outcome,
+    }
+    let cases = [
+        Case { name: "once, then lost", silences: 1, outcome: Outcome::Silent },
+        Case { name: "three pauses, then whole", silences: 3, outcome: good(0.05) },
+        Case { name: "none", silences: 0, outcome: good(0.05) },
+    ];
+    for case in cases {
+        let name = case.name;
+        let now = Instant::now();
+        let mut scheduler = scheduler(vec![listed("a", 4)]);
+        let keys: Vec<_> = (0..3)
+            .map(|number| match scheduler.admit(order(number, 0, now), now) {
+                Admission::Started(key) => key,
+                other => panic!("{name}: {other:?}"),
+            })
+            .collect();
+        for silence in 0..case.silences {
+            scheduler.suspect(keys[0], now, silence > 0, now);
+        }
+        let at_work = |scheduler: &Scheduler| scheduler.upstream(keys[0]).unwrap().at_work();
+        assert_eq!(at_work(&scheduler), 3 - case.silences.min(1) as u32, "{name}");
+        let suspected = case.silences > 0;
+        scheduler.finish(&End { suspected, ..end(keys[0], case.outcome, now) }, now);
+        assert_eq!(at_work(&scheduler), 2, "{name}");
+    }
+}
--- a/crates/egretgate-gateway/src/desk.rs
+++ b/crates/egretgate-gateway/src/desk.rs
@@ -59,8 +59,8 @@
 
     /// Notes that the upstream has been silent for long.
     pub(crate) fn suspect(&mut self, since: Instant) {
-        self.suspected = true;
-        self.desk.tell(Message::Suspect(self.key, since));
+        let again = std::mem::replace(&mut self.suspected, true);
+        self.desk.tell(Message::Suspect { key: self.key, since, again });
     }
 }
 
@@ -92,8 +92,13 @@
     Withdraw(RequestNumber),
     /// A started request ended, with its connection for another one.
     Finish(End, Option<Connection>),
-    /// A request at the upstream has been silent since then.
-    Suspect(UpstreamKey, Instant),
+    /// A request at the upstream has been silent since `since`.
+    Suspect {
+        key: UpstreamKey,
+        since: Instant,
+        /// True if it was silent before.
+        again: bool,
+    },
     /// Declarations to put in force.
     Catalog(Arc<Catalog>),
     /// The list of upstreams.
@@ -227,8 +232,8 @@
                 self.finish(&end, idle, now);
                 self.pump(now);
             }
-            Message::Suspect(key, since) => {
-                self.scheduler.suspect(key, since, now);
+            Message::Suspect { key, since, again } => {
+                self.scheduler.suspect(key, since, again, now);
                 self.pump(now);
             }
             Message::Catalog(catalog) => self.scheduler.set_catalog(catalog, now),
