--- a/crates/egretgate/tests/soak.rs
+++ b/crates/egretgate/tests/soak.rs
@@ -16,8 +16,7 @@
 use egretgate_adapter::PATH_VARIABLE;
 use egretgate_fakes::relay::{Block, Relay};
 use egretgate_stand_ins::{
-    Behaviour, Mood, Store, Upstream, free_address, is_signed_for, request, server, settings,
-    status,
+    Behaviour, Mood, Store, Upstream, free_address, is_signed_for, request, settings, status,
 };
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -231,11 +230,8 @@
 fn order_move(rng: &mut ChaCha8Rng, store: &Store, relays: &[Relay]) {
     let target = *["v2", "v3"].choose(rng).unwrap();
     let index = rng.random_range(0..relays.len());
-    let mut entry = server(relays[index].address(), "ready");
-    entry["version"] = serde_json::json!(target);
-    store.put("keyed.servers", &format!("i-{index}"), entry.to_string().as_bytes());
-    let order = serde_json::json!({"backend": "writer", "target": target, "stepS": 1});
-    store.put("keyed.op", "rollout/writer", order.to_string().as_bytes());
+    store.list_version(index, relays[index].address(), target);
+    store.order_move(target, 1);
 }
 
 /// Brings one fault about, or ends one.
