fix(follow): entries tell only what they read themselves

The first entry had lost the store (directory lost at 17.6 s) and still reported, so the second was to take over at an age of 1.05 s. Reports carried the time at which anyone was known to have read; an age in whole milliseconds and the way of a datagram make it younger at each hop, and 26 entries hop 250 times a second. Change: a report carries what its sender read.

--- a/crates/egretgate-core/src/gateway/follow.rs
+++ b/crates/egretgate-core/src/gateway/follow.rs
@@ -75,10 +75,12 @@
         }
     }
 
-    /// Returns what this entry holds, with the time at which it was last known to be the newest.
-    pub fn held(&self) -> Option<Reading> {
-        let held = self.held?;
-        Some(Reading { at: self.confirmed.unwrap_or(held.at), ..held })
+    /// Returns what this entry holds, with the time at which it last read it itself.
+    ///
+    /// What it heard is not told on: each entry would add the time on the way, and among dozens of
+    /// entries a reading would stay young for seconds after the last one read.
+    pub const fn held(&self) -> Option<Reading> {
+        self.held
     }
 
     /// Returns when this entry should read; `rank` is the number of reachable entries before it.
--- a/crates/egretgate-core/tests/gateway_follow.rs
+++ b/crates/egretgate-core/tests/gateway_follow.rs
@@ -57,3 +57,43 @@
     assert_eq!(follower.due(7, now), now);
     assert_eq!(follower.held(), None);
 }
+
+/// The load it answers: the entry that reads for all loses the store and still reports, while dozens of
+/// others tell each other what they hold. Ages travel in whole milliseconds and take one to arrive.
+#[test]
+fn what_goes_round_among_entries_grows_old() {
+    struct Case {
+        name: &'static str,
+        entries: usize,
+    }
+    let cases =
+        [Case { name: "four entries", entries: 4 }, Case { name: "26 entries", entries: 26 }];
+    const MILLISECOND: Duration = Duration::from_millis(1);
+    for case in cases {
+        let start = Instant::now();
+        let mut followers = vec![Follower::new(PACE); case.entries];
+        for follower in &mut followers {
+            follower.read(Reading { mark: 1, end: 10, at: start });
+        }
+        // Each entry reports every 104 ms, one after the other; none reads.
+        let pause = Duration::from_millis(104) / case.entries as u32;
+        let mut now = start;
+        let mut turn = 0;
+        while followers[1].due(1, now) > now {
+            now += pause;
+            let from = turn % case.entries;
+            turn += 1;
+            let held = followers[from].held().expect("it was read");
+            let age = Duration::from_millis((now - held.at).as_millis() as u64);
+            let arrives = now + MILLISECOND;
+            for (to, follower) in followers.iter_mut().enumerate() {
+                if to != from {
+                    follower.hear(Reading { at: arrives.checked_sub(age).unwrap(), ..held });
+                }
+            }
+            assert!(now < start + Duration::from_secs(5), "{}: nobody reads", case.name);
+        }
+        let late = (now - start).saturating_sub(PACE.takeover);
+        assert!(late < Duration::from_millis(50), "{}: {late:?} after the takeover", case.name);
+    }
+}
