feat(gateway): share speeds over the fleet and report by availability zone

Cause: at 103 entries before 180 engines an entry sees each engine once in some ten seconds, so it never learns which are slow; and reports that go all to all each 200 ms are as old as a request takes.

Entries now report what they measured of each upstream's speed. Upstreams of the own zone are compared beside some of other zones, and the starts that reports can't show yet count as load outside the own share. Sums of the reports are kept up to date report by report instead of once per upstream and refresh.

A follower now keeps a gap of 500 ms. The list of entries is read with growing intervals.

--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod follow;
 pub mod peer;
 pub mod refusals;
+pub mod report_schedule;
 pub mod request_queue;
 pub mod retry_limit;
 pub mod scheduler;
--- a/crates/egretgate-core/src/gateway/follow.rs
+++ b/crates/egretgate-core/src/gateway/follow.rs
@@ -34,6 +34,10 @@
     pub rank_step: Duration,
     /// Age at which an entry of any rank reads.
     pub max_age: Duration,
+    /// Shortest time between two readings of an entry that learns of newer ones. While the state
+    /// changes all the time, each reading is newer than those of the other entries and would make
+    /// all of them read again at once.
+    pub min_gap: Duration,
 }
 
 /// One entry's schedule for reading a piece of shared state.
@@ -86,7 +90,10 @@
 
     /// Returns when this entry should read; `rank` is the number of reachable entries before it.
     pub fn due(&self, rank: usize, now: Instant) -> Instant {
-        let Some(confirmed) = self.confirmed.filter(|_| !self.behind) else { return now };
+        let Some((reading, confirmed)) = self.reading.zip(self.confirmed) else { return now };
+        if self.behind {
+            return (reading.read_at + self.intervals.min_gap).max(now);
+        }
         let age = match rank {
             0 => self.intervals.period,
             rank => self.intervals.takeover_age + self.intervals.rank_step * (rank as u32 - 1),
--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -9,7 +9,7 @@
 use super::refusals::RefusalCounts;
 use super::request_queue::Priority;
 use super::traffic_move::{MoveKey, MoveReport};
-use crate::{Digest, Incarnation, InstanceId, Offset, ServiceId, UpstreamId};
+use crate::{Digest, Incarnation, InstanceId, Offset, ServiceId, ZoneId};
 
 /// Silence after which another entry is unreachable and its load no longer counts: several of its
 /// reports are missing then.
@@ -18,19 +18,6 @@
 /// unreachable.
 pub const PEER_EXPIRY: Duration = Duration::from_secs(20);
 
-/// Interval between reports for each peer. With it, reports cost an entry the same processor time
-/// in a fleet of any size, until the longest interval is reached.
-const REPORT_INTERVAL_PER_PEER: Duration = Duration::from_millis(4);
-/// Shortest interval between reports: requests take some hundred milliseconds.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(40);
-/// Longest interval between reports.
-const MAX_REPORT_INTERVAL: Duration = Duration::from_millis(200);
-
-/// Returns the interval between the reports of an entry that has `peers` peers.
-pub fn report_interval(peers: usize) -> Duration {
-    (REPORT_INTERVAL_PER_PEER * peers as u32).clamp(MIN_REPORT_INTERVAL, MAX_REPORT_INTERVAL)
-}
-
 /// Hash that replaces a name in reports.
 pub type NameHash = u64;
 
@@ -44,6 +31,8 @@
 pub struct PeerReport {
     /// Name of the entry.
     pub name: InstanceId,
+    /// Availability zone of the entry.
+    pub zone: ZoneId,
     /// Incarnation of the entry.
     pub incarnation: Incarnation,
     /// Sequence number among the reports of that incarnation.
@@ -52,6 +41,9 @@
     pub demand: HashMap<NameHash, f64>,
     /// Requests in flight, by upstream.
     pub running: HashMap<NameHash, u32>,
+    /// Seconds per unit of work, by upstream: the mean over the requests that the entry completed
+    /// there since its last report.
+    pub unit_seconds: HashMap<NameHash, f64>,
     /// Arrivals and refusals for lack of headroom, by service and priority.
     pub refusals: BTreeMap<(NameHash, Priority), RefusalCounts>,
     /// Tokens admitted in that incarnation, by team.
@@ -105,12 +97,17 @@
 struct Peer {
     report: PeerReport,
     received_at: Instant,
+    /// True while its requests are part of [`Peers::running`].
+    is_counted: bool,
 }
 
 /// The other entries, by their last reports.
 #[derive(Debug, Clone, Default)]
 pub struct Peers {
     peers: BTreeMap<InstanceId, Peer>,
+    /// Requests in flight of the reachable entries, by upstream. Kept up to date report by report:
+    /// the sum over all reports would take time in proportion to entries times upstreams.
+    running: HashMap<NameHash, u32>,
 }
 
 impl Peers {
@@ -137,12 +134,26 @@
             TokenSpend { team: *team, tokens: spent }
         });
         let spends = spends.filter(|spend| spend.tokens > 0).collect();
-        self.peers.insert(report.name.clone(), Peer { report, received_at: now });
+        for (upstream, count) in &report.running {
+            *self.running.entry(*upstream).or_default() += count;
+        }
+        let name = report.name.clone();
+        let old = self.peers.insert(name, Peer { report, received_at: now, is_counted: true });
+        if let Some(old) = old.filter(|old| old.is_counted) {
+            subtract(&mut self.running, &old.report.running);
+        }
         spends
     }
 
-    /// Forgets entries that have not reported for long.
+    /// Removes the requests of the entries that have become unreachable from the load of the
+    /// upstreams, and forgets entries that have not reported for long.
     pub fn expire(&mut self, now: Instant) {
+        for peer in self.peers.values_mut() {
+            let is_reachable = now.duration_since(peer.received_at) < PEER_TIMEOUT;
+            if !is_reachable && std::mem::replace(&mut peer.is_counted, false) {
+                subtract(&mut self.running, &peer.report.running);
+            }
+        }
         self.peers.retain(|_, peer| now.duration_since(peer.received_at) < PEER_EXPIRY);
     }
 
@@ -156,6 +167,11 @@
         self.peers.len()
     }
 
+    /// Returns the number of known entries in a zone, unreachable ones included.
+    pub fn zone_count(&self, zone: &str) -> usize {
+        self.peers.values().filter(|peer| peer.report.zone == zone).count()
+    }
+
     /// Returns each reachable entry with its demand for a service.
     pub fn demand(
         &self,
@@ -186,10 +202,10 @@
         self.reachable(now).filter(|report| report.name.as_str() < name).count()
     }
 
-    /// Returns the requests that other entries have in flight at an upstream.
-    pub fn running(&self, upstream: &UpstreamId, now: Instant) -> u32 {
-        let hash = name_hash(upstream);
-        self.reachable(now).filter_map(|report| report.running.get(&hash)).sum()
+    /// Returns the requests that other entries have in flight at an upstream, as of the last
+    /// [`Peers::expire`].
+    pub fn running(&self, upstream: NameHash) -> u32 {
+        self.running.get(&upstream).copied().unwrap_or(0)
     }
 
     fn reachable(&self, now: Instant) -> impl Iterator<Item = &PeerReport> + '_ {
@@ -197,3 +213,15 @@
         self.peers.values().filter(is_recent).map(|peer| &peer.report)
     }
 }
+
+/// Subtracts the requests of one report from the sums.
+fn subtract(sums: &mut HashMap<NameHash, u32>, running: &HashMap<NameHash, u32>) {
+    for (upstream, count) in running {
+        if let Some(sum) = sums.get_mut(upstream) {
+            *sum = sum.saturating_sub(*count);
+            if *sum == 0 {
+                sums.remove(upstream);
+            }
+        }
+    }
+}
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -11,7 +11,8 @@
 };
 use super::broken_runs::BrokenRuns;
 use super::catalog::Catalog;
-use super::peer::Peers;
+use super::peer::{NameHash, Peers};
+use super::report_schedule::ReportSchedule;
 use super::request_queue::{QueueKey, RequestNumber};
 use super::retry_limit::RetryLimit;
 use super::service_state::ServiceState;
@@ -41,6 +42,7 @@
     retry_limit: RetryLimit,
     upstreams: SlotMap<UpstreamKey, UpstreamState>,
     by_id: HashMap<UpstreamId, UpstreamKey>,
+    by_hash: HashMap<NameHash, UpstreamKey>,
     services: BTreeMap<ServiceId, ServiceState>,
     waiting: HashMap<RequestNumber, (QueueKey, AdmissionRequest)>,
     buckets: HashMap<TeamId, TokenBucket>,
@@ -51,6 +53,8 @@
     directory_up: bool,
     /// Time of the last refresh of the values that are derived from the peers' reports.
     refreshed: Option<Instant>,
+    /// When this entry and its peers send reports.
+    schedule: ReportSchedule,
     time_slice: TimeSlice,
     broken_runs: BrokenRuns,
     moves: Moves,
@@ -68,6 +72,7 @@
             retry_limit: RetryLimit::default(),
             upstreams: SlotMap::with_key(),
             by_id: HashMap::new(),
+            by_hash: HashMap::new(),
             services: BTreeMap::new(),
             waiting: HashMap::new(),
             buckets: HashMap::new(),
@@ -75,6 +80,7 @@
             peer_count: None,
             directory_up: true,
             refreshed: None,
+            schedule: ReportSchedule::new(0, 0),
             time_slice: TimeSlice::default(),
             broken_runs: BrokenRuns::default(),
             moves: Moves::default(),
@@ -146,6 +152,7 @@
             self.upstreams.remove(*key);
         }
         self.by_id = by_id;
+        self.by_hash = self.upstreams.iter().map(|(key, upstream)| (upstream.hash, key)).collect();
         self.rebuild_members();
         gone
     }
@@ -266,7 +273,6 @@
                 self.record_refusal(&request, now);
             }
         }
-        self.peers.expire(now);
         refused
     }
 
--- a/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
@@ -5,6 +5,7 @@
 use super::Scheduler;
 use crate::gateway::peer::name_hash;
 use crate::gateway::refusals::ExcessRefusals;
+use crate::gateway::report_schedule::ReportSchedule;
 use crate::gateway::share::SlotShare;
 
 /// Age at which the values derived from the peers' reports are computed again.
@@ -45,13 +46,21 @@
         }
         self.refreshed = Some(now);
         self.time_slice.advance(now);
+        self.peers.expire(now);
         let unreachable = self.unreachable_peers(now);
         let unreachable_fraction = unreachable as f64 / self.entries() as f64;
         for upstream in self.upstreams.values_mut() {
             let assumed = (f64::from(upstream.listed.slots) * unreachable_fraction).floor() as u32;
-            upstream.peer_running = self.peers.running(&upstream.listed.id, now) + assumed;
+            upstream.peer_running = self.peers.running(upstream.hash) + assumed;
         }
+        // Peers that haven't reported yet may be in any zone.
+        let far = self.peers.known_count() - self.peers.zone_count(&self.zone);
+        self.schedule = ReportSchedule::new(self.entries() - 1 - far, far);
         for (service, service_state) in &mut self.services {
+            let members = service_state.members.iter().filter_map(|key| self.upstreams.get(*key));
+            let in_flight = members.map(|upstream| upstream.own_running + upstream.peer_running);
+            let in_flight = in_flight.sum();
+            service_state.estimate_starts(in_flight);
             let demand = f64::from(service_state.running) + service_state.queue.len() as f64;
             let refusals =
                 service_state.refusals.by_priority(now).chain(self.peers.refusals(service, now));
--- a/crates/egretgate-core/src/gateway/scheduler/placement.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/placement.rs
@@ -28,17 +28,20 @@
 /// Largest number of entries at which each compares every upstream: the reports of so few are
 /// recent enough.
 const FULL_COMPARE_ENTRIES: usize = 4;
-/// Least number of upstreams that are compared for a request: with late reports, the better of two
-/// spreads load best (Mitzenmacher, "How Useful Is Old Information?", 2000).
-const MIN_COMPARED: usize = 2;
-/// Peers for which one slot is kept free, since they may take slots between two reports.
-const ENTRIES_PER_MARGIN_SLOT: u32 = 8;
+/// Least number of upstreams that are compared for a request. With late reports, few choices spread
+/// load best (Mitzenmacher, "How Useful Is Old Information?", 2000); with two, one request in nine
+/// finds only slow upstreams where a third of them are slow. With four and more, entries that have
+/// the same late reports choose the same upstreams.
+const MIN_COMPARED: usize = 3;
 
 /// The rules by which an upstream has headroom for one request.
 struct SlotRules {
     share: SlotShare,
-    /// Slots kept free for peers whose reports are still on their way.
-    margin: u32,
+    /// Slots of an upstream in the entry's own zone that are kept free for peers whose reports are
+    /// still on their way.
+    near_margin: u32,
+    /// The same for upstreams in other zones.
+    far_margin: u32,
     /// True if requests end before the peers' reports of them arrive.
     short_calls: bool,
     /// Fraction of the slots that is reserved for more urgent requests.
@@ -117,17 +120,29 @@
                 && (!needs_fast || in_time(upstream))
                 && !request.avoid.contains(&upstream.listed.id)
         });
-        let cost = |key: &UpstreamKey| self.upstreams[*key].cost(mean, &self.zone);
+        let cost = |key: &UpstreamKey| {
+            let upstream = &self.upstreams[*key];
+            // Peers leave the slots of this entry's share to it, but may have taken others.
+            let slots = rules.share.slots(&upstream.listed.id, upstream.listed.slots);
+            let in_share = upstream.own_running < slots;
+            let unreported =
+                if in_share { 0.0 } else { self.unreported_starts(upstream, service_state) };
+            upstream.cost(mean, &self.zone, unreported)
+        };
         // Entries with the same late reports must not all choose the same upstream, so each
         // compares only a subset of them that differs from request to request.
         let full_squared = FULL_COMPARE_ENTRIES * FULL_COMPARE_ENTRIES;
         let entries = self.entries();
         let compared =
             (service_state.members.len() * full_squared / (entries * entries)).max(MIN_COMPARED);
-        let usable: Vec<UpstreamKey> = usable.collect();
-        let first = spread(request.number, usable.len());
-        let candidates =
-            usable.iter().cycle().skip(first).take(compared.min(usable.len())).copied();
+        let is_near = |key: &UpstreamKey| self.upstreams[*key].listed.zone == self.zone;
+        let (near, far): (Vec<UpstreamKey>, Vec<UpstreamKey>) = usable.partition(is_near);
+        let sample = |usable: &[UpstreamKey]| {
+            let first = spread(request.number, usable.len());
+            let count = compared.min(usable.len());
+            usable.iter().cycle().skip(first).take(count).copied().collect::<Vec<_>>()
+        };
+        let candidates = sample(&near).into_iter().chain(sample(&far));
         candidates.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
@@ -136,9 +151,14 @@
         let share = service_state.share.unwrap_or(SlotShare::WHOLE);
         let peers = self.entries() as u32 - 1;
         let seed = name_hash(&self.name);
+        let margin = |interval| {
+            let unreported = service_state.unreported_starts(interval).round() as u32;
+            if peers > 0 { unreported.max(1) } else { 0 }
+        };
         SlotRules {
             share,
-            margin: peers.div_ceil(ENTRIES_PER_MARGIN_SLOT),
+            near_margin: margin(self.schedule.near_interval()),
+            far_margin: margin(self.schedule.far_interval()),
             short_calls: peers > 0 && service_state.has_short_calls(),
             reserved_fraction: service_state.reserved_fraction(request.priority),
             has_precedence: service_state.has_precedence(request.priority),
@@ -149,12 +169,14 @@
 
     /// Returns true if this entry may send one more request to the upstream.
     fn has_headroom(&self, upstream: &UpstreamState, rules: &SlotRules) -> bool {
+        let is_near = upstream.listed.zone == self.zone;
+        let margin = if is_near { rules.near_margin } else { rules.far_margin };
         let reserved = reserved_slots(rules.reserved_fraction, upstream);
         if reserved > 0 {
             return has_unreserved_slot(upstream, reserved);
         }
         if !rules.short_calls {
-            return rules.granted_slot || has_headroom(upstream, rules.share, rules.margin);
+            return rules.granted_slot || has_headroom(upstream, rules.share, margin);
         }
         let slots = upstream.listed.slots * SHORT_CALLS_PER_SLOT;
         let seed = name_hash(&self.name) ^ name_hash(&upstream.listed.id);
@@ -164,7 +186,7 @@
         let own = if rules.has_precedence { own.max(1) + 1 } else { own };
         // Reports arrive too late for entries to see each other take the same free slot, so each
         // entry takes at most one at a time.
-        let free = upstream.active() == 0 && has_free_slot(upstream, rules.margin);
+        let free = upstream.active() == 0 && has_free_slot(upstream, margin);
         upstream.active() < own || free
     }
 
@@ -179,6 +201,14 @@
         })
     }
 
+    /// Returns the number of requests of peers that an upstream may run besides those reported.
+    fn unreported_starts(&self, upstream: &UpstreamState, service_state: &ServiceState) -> f64 {
+        let is_near = upstream.listed.zone == self.zone;
+        let schedule = &self.schedule;
+        let interval = if is_near { schedule.near_interval() } else { schedule.far_interval() };
+        service_state.unreported_starts(interval)
+    }
+
     fn mean_unit_seconds(&self, service_state: &ServiceState) -> f64 {
         let samples =
             service_state.members.iter().filter_map(|key| self.upstreams[*key].unit_seconds());
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -1,10 +1,11 @@
 //! The reports that entries send each other, and the state of moves that they decide together.
 
+use std::collections::HashMap;
 use std::time::Instant;
 
 use super::Scheduler;
 use crate::gateway::catalog::MoveSpec;
-use crate::gateway::peer::{PeerReport, name_hash};
+use crate::gateway::peer::{NameHash, PeerReport, name_hash};
 use crate::gateway::service_state::ServiceState;
 use crate::gateway::traffic_move::{MoveState, MoveStatus};
 
@@ -23,6 +24,13 @@
         for (key, move_report) in &report.moves {
             self.moves.merge_report(report.incarnation, *key, move_report.clone(), now);
         }
+        for (hash, sample) in &report.unit_seconds {
+            if let Some(upstream) =
+                self.by_hash.get(hash).and_then(|key| self.upstreams.get_mut(*key))
+            {
+                upstream.record_unit_seconds(*sample);
+            }
+        }
         for spend in self.peers.record_report(report, now) {
             let buckets = self.buckets.iter_mut();
             for (_, bucket) in buckets.filter(|(team, _)| name_hash(team) == spend.team) {
@@ -54,17 +62,23 @@
                 .get(&upstream.listed.service)
                 .is_some_and(ServiceState::has_short_calls);
             let running = if short_calls { upstream.active() } else { upstream.own_running };
-            (name_hash(&upstream.listed.id), running)
+            (upstream.hash, running)
+        });
+        let running: HashMap<NameHash, u32> = running.filter(|(_, running)| *running > 0).collect();
+        let unit_seconds = self.upstreams.values_mut().filter_map(|upstream| {
+            upstream.take_unreported().map(|unit_seconds| (upstream.hash, unit_seconds))
         });
-        let running = running.filter(|(_, running)| *running > 0);
+        let unit_seconds = unit_seconds.collect();
         let admitted =
             self.buckets.iter().map(|(team, bucket)| (name_hash(team), bucket.admitted()));
         PeerReport {
             name: self.name.clone(),
+            zone: self.zone.clone(),
             incarnation: self.incarnation,
             sequence: self.sequence,
             demand: demand.collect(),
-            running: running.collect(),
+            running,
+            unit_seconds,
             refusals: refusals.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
             broken_runs: self.broken_runs.recent_changes(now),
--- a/crates/egretgate-core/src/gateway/service_state.rs
+++ b/crates/egretgate-core/src/gateway/service_state.rs
@@ -19,6 +19,8 @@
 const MAX_RESERVED_FRACTION: f64 = 1.0 / 3.0;
 /// Excess refusals of more urgent requests, per second, up to which no slots are reserved for them.
 const MIN_EXCESS_PER_SECOND: f64 = 0.5;
+/// Largest age of a report, in report intervals: it waits for its turn and for the next refresh.
+const REPORT_AGE_INTERVALS: f64 = 2.0;
 /// Unloaded time, in seconds, below which requests end before reports of them arrive.
 const SHORT_CALL_SECONDS: f64 = 0.15;
 
@@ -45,6 +47,8 @@
     pub(super) excess_refusals: ExcessRefusals,
     /// Slots of all upstreams.
     pub(super) slots: u32,
+    /// Requests that all entries start at one upstream per second, on average.
+    starts_per_second: f64,
 }
 
 impl ServiceState {
@@ -96,6 +100,20 @@
             >= 1.0
     }
 
+    /// Computes the starts from the requests of all entries in flight. By Little's law, they start
+    /// at the rate of the running requests divided by the upstream time.
+    pub(super) fn estimate_starts(&mut self, in_flight: u32) {
+        let Some(seconds) = self.upstream_seconds.filter(|seconds| *seconds > 0.0) else { return };
+        let per_upstream = f64::from(in_flight) / self.members.len().max(1) as f64;
+        self.starts_per_second = per_upstream / seconds;
+    }
+
+    /// Returns the number of requests that an upstream may run besides those reported, if reports
+    /// arrive at this interval.
+    pub(super) fn unreported_starts(&self, report_interval: Duration) -> f64 {
+        self.starts_per_second * report_interval.as_secs_f64() * REPORT_AGE_INTERVALS
+    }
+
     /// Returns true if requests end before other entries' reports of them arrive.
     pub(super) fn has_short_calls(&self) -> bool {
         self.unloaded_seconds.is_some_and(|seconds| seconds < SHORT_CALL_SECONDS)
--- a/crates/egretgate-core/src/gateway/upstream.rs
+++ b/crates/egretgate-core/src/gateway/upstream.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use super::peer::{NameHash, name_hash};
 use crate::{ServiceId, UpstreamId, VersionId, ZoneId};
 
 /// Weight of a new sample in the running averages; about the last ten samples count.
@@ -88,17 +89,28 @@
     Abandoned,
 }
 
+/// Samples of a value.
+#[derive(Debug, Clone, Copy, Default)]
+struct Samples {
+    count: u32,
+    sum: f64,
+}
+
 /// An upstream with its observed state.
 #[derive(Debug, Clone)]
 pub struct UpstreamState {
     /// The directory's record of it.
     pub listed: ListedUpstream,
+    /// Hash of its name.
+    pub(super) hash: NameHash,
     /// Requests of this entry in flight.
     pub own_running: u32,
     /// Requests of other entries in flight, as last reported.
     pub peer_running: u32,
-    /// Running average of the seconds per unit of work.
+    /// Running average of the seconds per unit of work, over the requests of all entries.
     unit_seconds: Option<f64>,
+    /// Samples of this entry that its peers don't know yet.
+    unreported: Samples,
     /// Running average of the fraction of requests that fail, in `0.0..=1.0`.
     failure_rate: f64,
     /// Invalid or missing answers since the last success.
@@ -119,12 +131,14 @@
 
 impl UpstreamState {
     /// Returns the state of an upstream about which nothing is known yet.
-    pub const fn new(listed: ListedUpstream) -> Self {
+    pub fn new(listed: ListedUpstream) -> Self {
         Self {
+            hash: name_hash(&listed.id),
             listed,
             own_running: 0,
             peer_running: 0,
             unit_seconds: None,
+            unreported: Samples::default(),
             failure_rate: 0.0,
             lost_answers: 0,
             stalled: 0,
@@ -151,10 +165,12 @@
     }
 
     /// Returns how slow the upstream would be for one more request, so that upstreams can be
-    /// compared; `mean` replaces its own seconds per unit of work while these are unknown.
-    pub fn cost(&self, mean: f64, zone: &str) -> f64 {
+    /// compared; `mean` replaces its own seconds per unit of work while these are unknown, and
+    /// `unreported` is the number of requests of peers that it may run besides those reported.
+    pub fn cost(&self, mean: f64, zone: &str, unreported: f64) -> f64 {
         let unit_seconds = self.unit_seconds.unwrap_or(mean);
-        let load = f64::from(self.own_running + self.peer_running) / f64::from(self.listed.slots);
+        let running = f64::from(self.own_running + self.peer_running) + unreported;
+        let load = running / f64::from(self.listed.slots);
         let zone_factor = if self.listed.zone == zone { 1.0 } else { CROSS_ZONE_FACTOR };
         unit_seconds * (1.0 + load) * (1.0 + FAILURE_WEIGHT * self.failure_rate) * zone_factor
     }
@@ -228,11 +244,24 @@
         self.backoff_until = None;
         self.suspected_until = None;
         if let Some(sample) = unit_seconds {
-            let old = self.unit_seconds.unwrap_or(sample);
-            self.unit_seconds = Some(old + (sample - old) * SMOOTHING);
+            self.record_unit_seconds(sample);
+            self.unreported.count += 1;
+            self.unreported.sum += sample;
         }
     }
 
+    /// Records the seconds per unit of work that this entry or another one measured.
+    pub(super) fn record_unit_seconds(&mut self, sample: f64) {
+        let old = self.unit_seconds.unwrap_or(sample);
+        self.unit_seconds = Some(old + (sample - old) * SMOOTHING);
+    }
+
+    /// Returns the mean of the samples since the last call; `None` if there were none.
+    pub(super) fn take_unreported(&mut self) -> Option<f64> {
+        let Samples { count, sum } = std::mem::take(&mut self.unreported);
+        (count > 0).then(|| sum / f64::from(count))
+    }
+
     fn record_failure(&mut self) {
         self.failure_rate += (1.0 - self.failure_rate) * SMOOTHING;
     }
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -138,6 +138,7 @@
         ));
         let gossip = Gossip {
             socket: peers,
+            zone: zone.clone(),
             entries,
             dispatcher: dispatcher.clone(),
             catalog: catalog_channels,
--- a/crates/egretgate-gateway/src/gossip.rs
+++ b/crates/egretgate-gateway/src/gossip.rs
@@ -1,11 +1,13 @@
 //! Exchange of reports between entries, by datagrams.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Instant;
 
+use egretgate_core::ZoneId;
 use egretgate_core::gateway::follow::Reading;
-use egretgate_core::gateway::peer::{AgedReading, PeerReport, report_interval};
+use egretgate_core::gateway::peer::{AgedReading, PeerReport};
+use egretgate_core::gateway::report_schedule::ReportSchedule;
 use slog::{Logger, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -17,6 +19,9 @@
 /// Largest datagram, in bytes; larger ones would be fragmented.
 const MAX_DATAGRAM_BYTES: usize = 8 << 10;
 
+/// Highest rank of an entry that takes over the readings before all others do so too.
+const MAX_READER_RANK: usize = 5;
+
 /// Channels for the readings of one piece of shared state.
 #[derive(Debug)]
 pub(crate) struct ReadingChannels {
@@ -40,9 +45,35 @@
     }
 }
 
+/// What the reports of other entries tell about their addresses.
+#[derive(Debug, Default)]
+struct PeerAddresses {
+    /// Zone of each entry that sent a report; some of them may not be listed yet.
+    zones: HashMap<SocketAddr, ZoneId>,
+}
+
+impl PeerAddresses {
+    /// Records the sender of a report; returns true for its first one.
+    fn record(&mut self, from: SocketAddr, zone: &str) -> bool {
+        let old = self.zones.get(&from);
+        let is_first = old.is_none();
+        if old.is_none_or(|old| old != zone) {
+            self.zones.insert(from, zone.to_owned());
+        }
+        is_first
+    }
+
+    /// Returns false if the entry is known to be in another zone.
+    fn may_be_near(&self, address: &SocketAddr, zone: &str) -> bool {
+        self.zones.get(address).is_none_or(|known| known == zone)
+    }
+}
+
 /// The task that exchanges reports.
 pub(crate) struct Gossip {
     pub(crate) socket: UdpSocket,
+    /// Zone of this entry.
+    pub(crate) zone: ZoneId,
     pub(crate) entries: watch::Receiver<Vec<SocketAddr>>,
     pub(crate) dispatcher: DispatcherHandle,
     pub(crate) catalog: ReadingChannels,
@@ -57,21 +88,23 @@
     pub(crate) async fn run(self) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let own = self.socket.local_addr().ok();
-        // Entries that sent a report but aren't listed yet.
-        let mut unlisted = BTreeSet::new();
-        loop {
+        let mut peers = PeerAddresses::default();
+        // Readings of this entry in its last report.
+        let mut sent = [None, None];
+        for number in 0_u64.. {
             let targets: BTreeSet<SocketAddr> =
-                self.entries.borrow().iter().copied().chain(unlisted.iter().copied()).collect();
-            let mut timer = std::pin::pin!(sleep(report_interval(targets.len())));
+                self.entries.borrow().iter().copied().chain(peers.zones.keys().copied()).collect();
+            let (near, far): (Vec<SocketAddr>, Vec<SocketAddr>) = targets
+                .into_iter()
+                .filter(|target| Some(*target) != own)
+                .partition(|target| peers.may_be_near(target, &self.zone));
+            let schedule = ReportSchedule::new(near.len(), far.len());
+            let mut timer = std::pin::pin!(sleep(schedule.near_interval()));
             loop {
                 tokio::select! {
                     () = &mut timer => break,
                     received = self.socket.recv_from(&mut buffer) => match received {
-                        Ok((length, from)) => {
-                            if self.receive(&buffer[..length], from) && unlisted.insert(from) {
-                                info!(self.log, "report from an unlisted entry"; "from" => %from);
-                            }
-                        }
+                        Ok((length, from)) => self.receive(&buffer[..length], from, &mut peers),
                         // An earlier datagram found no listener; the next report tries again.
                         Err(error) => slog::debug!(self.log, "receive failed"; "error" => %error),
                     },
@@ -79,8 +112,17 @@
             }
             let Some((report, rank)) = self.dispatcher.report().await else { return };
             self.rank.send_if_modified(|old| std::mem::replace(old, rank) != rank);
+            // The others rely on the readings of the leading entry, or of one that has taken over.
+            // Such an entry sends each new reading to all at once.
+            let readings = [&self.catalog, &self.upstreams].map(|channels| *channels.own.borrow());
+            let is_new = std::mem::replace(&mut sent, readings) != readings;
+            let send_to_all = rank <= MAX_READER_RANK && is_new;
             let datagram = encode(&self.add_readings(report));
-            for target in targets.iter().filter(|target| Some(**target) != own) {
+            let due = far
+                .iter()
+                .enumerate()
+                .filter(|(index, _)| send_to_all || schedule.is_far_due(number, *index));
+            for target in near.iter().chain(due.map(|(_, target)| target)) {
                 if let Err(error) = self.socket.send_to(&datagram, target).await {
                     slog::debug!(self.log, "report not sent"; "to" => %target, "error" => %error);
                 }
@@ -88,12 +130,15 @@
         }
     }
 
-    /// Passes on a received report; returns false if the datagram isn't one.
-    fn receive(&self, datagram: &[u8], from: SocketAddr) -> bool {
+    /// Passes on a received report, unless the datagram isn't one.
+    fn receive(&self, datagram: &[u8], from: SocketAddr, peers: &mut PeerAddresses) {
         let Some(report) = decode(datagram) else {
             warn!(self.log, "unreadable report"; "from" => %from);
-            return false;
+            return;
         };
+        if peers.record(from, &report.zone) {
+            info!(self.log, "first report from an entry"; "from" => %from);
+        }
         let now = Instant::now();
         if let Some(catalog) = report.catalog {
             self.catalog.publish_peer(catalog.reading(now));
@@ -102,7 +147,6 @@
             self.upstreams.publish_peer(upstreams.reading(now));
         }
         self.dispatcher.send(Message::PeerReport(report));
-        true
     }
 
     /// Adds this entry's readings to its report.
--- a/crates/egretgate-gateway/src/sync.rs
+++ b/crates/egretgate-gateway/src/sync.rs
@@ -22,6 +22,7 @@
     takeover_age: Duration::from_millis(850),
     rank_step: Duration::from_millis(80),
     max_age: Duration::from_millis(1_300),
+    min_gap: Duration::from_millis(500),
 };
 /// How often declarations are read: they must be in force within two seconds, even if the
 /// connection that waits for a change has stalled. The leading entry waits for a change before each
@@ -31,6 +32,7 @@
     takeover_age: Duration::from_millis(1_050),
     rank_step: Duration::from_millis(60),
     max_age: Duration::from_millis(1_400),
+    min_gap: Duration::ZERO,
 };
 /// Longest wait for a change by the leading entry.
 const CHANGE_WAIT: Duration = Duration::from_millis(700);
@@ -39,8 +41,13 @@
 /// Longest delay after failed calls; short compared with the time within which changes must be in
 /// force.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
-/// Interval between readings of the list of entries once it is complete.
+/// First interval between readings of the list of entries; each is twice as long as the one before.
+const STARTING_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest interval between readings of the list of entries in a small fleet.
 const ENTRIES_INTERVAL: Duration = Duration::from_secs(5);
+/// The same in a large fleet, for each other entry, so that a fleet of any size reads the list as
+/// often. New entries become known by their reports before.
+const ENTRIES_INTERVAL_PER_PEER: Duration = Duration::from_millis(250);
 
 /// Delays between attempts at a call that fails.
 struct Backoff {
@@ -273,35 +280,36 @@
     log: Logger,
 ) {
     let mut backoff = Backoff::new();
-    let started = Instant::now();
-    loop {
-        match directory.entries().await {
-            Ok(read) => {
-                backoff.succeeded("entries", &log);
-                for record_fault in &read.skipped {
-                    warn!(log, "record skipped"; "fault" => record_fault);
-                }
-                let listed = read.value.contains(&address);
-                let peer_count = read.value.iter().filter(|entry| **entry != address).count();
-                dispatcher.send(Message::PeerCount(peer_count));
-                if *entries.borrow() != read.value {
-                    info!(log, "entries listed"; "count" => read.value.len());
-                }
-                entries.send_replace(read.value);
-                if !listed {
-                    if let Err(error) = directory.announce(&name, address).await {
-                        backoff.failed("announce", &error, &log).await;
-                    }
-                    continue;
-                }
-            }
+    // Listed before the first reading, so that of two entries that start together at least one
+    // reads the address of the other, which learns of it by its reports.
+    while let Err(error) = directory.announce(&name, address).await {
+        backoff.failed("announce", &error, &log).await;
+    }
+    for reading in 0_u32.. {
+        let read = match directory.entries().await {
+            Ok(read) => read,
             Err(error) => {
                 backoff.failed("entries", &error, &log).await;
                 continue;
             }
+        };
+        backoff.succeeded("entries", &log);
+        for record_fault in &read.skipped {
+            warn!(log, "record skipped"; "fault" => record_fault);
+        }
+        let listed = read.value.contains(&address);
+        let peers = read.value.iter().filter(|entry| **entry != address).count();
+        dispatcher.send(Message::PeerCount(peers));
+        if *entries.borrow() != read.value {
+            info!(log, "entries listed"; "count" => read.value.len());
+        }
+        entries.send_replace(read.value);
+        if !listed && let Err(error) = directory.announce(&name, address).await {
+            backoff.failed("announce", &error, &log).await;
+            continue;
         }
+        let interval = ENTRIES_INTERVAL.max(ENTRIES_INTERVAL_PER_PEER * peers as u32);
         // All entries of a new fleet start within a second, so the list grows at first.
-        let is_new = started.elapsed() < ENTRIES_INTERVAL;
-        sleep(if is_new { ENTRIES_INTERVAL / 5 } else { ENTRIES_INTERVAL }).await;
+        sleep((STARTING_INTERVAL * 2_u32.saturating_pow(reading.min(16))).min(interval)).await;
     }
 }
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -36,6 +36,10 @@
     moves: Vec<SentMove>,
     #[prost(message, repeated, tag = "12")]
     broken_runs: Vec<SentBrokenRuns>,
+    #[prost(map = "fixed64, float", tag = "13")]
+    unit_seconds: HashMap<u64, f32>,
+    #[prost(string, tag = "14")]
+    zone: String,
 }
 
 /// Broken runs of one request.
@@ -194,6 +198,7 @@
     let demand = report.demand.iter().map(|(service, demand)| (*service, *demand as f32));
     Datagram {
         name: report.name.clone(),
+        zone: report.zone.clone(),
         incarnation: report.incarnation,
         sequence: report.sequence,
         demand: demand.collect(),
@@ -201,6 +206,11 @@
         admitted: report.admitted.clone(),
         catalog: report.catalog.map(SentReading::from),
         upstreams: report.upstreams.map(SentReading::from),
+        unit_seconds: report
+            .unit_seconds
+            .iter()
+            .map(|(upstream, seconds)| (*upstream, *seconds as f32))
+            .collect(),
         broken_runs: report
             .broken_runs
             .iter()
@@ -223,12 +233,18 @@
     let broken_runs = datagram.broken_runs.into_iter().filter_map(|broken| {
         Digest::from_slice(&broken.digest).map(|digest| (digest, broken.runs))
     });
+    // A value that no entry sends would make an upstream look infinitely fast or slow.
+    let unit_seconds = datagram.unit_seconds.into_iter().filter_map(|(upstream, seconds)| {
+        (seconds.is_finite() && seconds > 0.0).then_some((upstream, f64::from(seconds)))
+    });
     Some(PeerReport {
         name: datagram.name,
+        zone: datagram.zone,
         incarnation: datagram.incarnation,
         sequence: datagram.sequence,
         demand: demand.collect(),
         running: datagram.running,
+        unit_seconds: unit_seconds.collect(),
         broken_runs: broken_runs.collect(),
         moves: datagram.moves.into_iter().map(Into::into).collect(),
         refusals: datagram.refusals.into_iter().map(Into::into).collect(),
--- a/crates/egretgate-gateway/tests/wire.rs
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -25,10 +25,12 @@
     let move_of = |version: &str| (name_hash("writer"), name_hash(version));
     PeerReport {
         name: "entry-1".to_owned(),
+        zone: "olinda".to_owned(),
         incarnation: u64::MAX,
         sequence: 7,
         demand: [(name_hash("writer"), 2.5)].into(),
         running: [(name_hash("writer-1"), 4)].into(),
+        unit_seconds: [(name_hash("writer-1"), 0.25)].into(),
         refusals: [(
             (name_hash("writer"), Priority { tier: 1, route_tier: 2 }),
             RefusalCounts { arrived: 8.0, refused: 0.5 },
@@ -91,11 +93,19 @@
             bytes: [&[0x22, 14, 0x09][..], &[1; 8], &[0x15], &f32::NAN.to_le_bytes()].concat(),
             is_report: true,
         },
+        // Seconds per unit of work of one upstream that are negative.
+        Case {
+            name: "negative speed",
+            bytes: [&[0x6a, 14, 0x09][..], &[1; 8], &[0x15], &(-1.0_f32).to_le_bytes()].concat(),
+            is_report: true,
+        },
     ];
     for case in cases {
         let report = decode(&case.bytes);
         assert_eq!(report.is_some(), case.is_report, "{}", case.name);
         let counts = report.iter().flat_map(|report| report.demand.values());
         assert!(counts.into_iter().all(|demand| demand.is_finite()), "{}", case.name);
+        let speeds = report.iter().flat_map(|report| report.unit_seconds.values());
+        assert!(speeds.into_iter().all(|seconds| *seconds > 0.0), "{}", case.name);
     }
 }
