fix(entry): hold back a suspect while a copy of it is in flight

Cause of the known red case "two callers at once" (3 deaths, 2 allowed): both copies start before the first death; the caller whose engine died first sends again, and the request, a suspect by then, starts on the third engine while the other copy still runs. Shown without luck by a test that crashes one of two engines and keeps the other copy in flight: the third engine ran it.

An entry now refuses a suspect, truly as not run, while a copy of it is in flight there. Both callers of the known red case send again through the entry that holds the other copy. A copy at another entry stays unknown: a second test shows it and is known red. So at most two deaths hold for copies that meet at one entry; through two entries each copy in flight may cost one engine.

--- a/crates/egretgate-core/src/lib.rs
+++ b/crates/egretgate-core/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod record;
 pub mod reply;
 pub mod retry;
+pub mod running_copies;
 pub mod snapshot;
 
 pub use error::{Answer, Error, ErrorKind, Execution, Result};
--- a/crates/egretgate-core/tests/poison.rs
+++ b/crates/egretgate-core/tests/poison.rs
@@ -7,6 +7,7 @@
 use egretgate_core::poison::{
     Death, QuarantineEntry, QuarantineOptions, QuarantineState, QuarantineTable,
 };
+use egretgate_core::running_copies::RunningCopies;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use rand::seq::SliceRandom;
@@ -304,3 +305,39 @@
         }
     }
 }
+
+/// Copies of a request start and end at one entry.
+#[test]
+fn a_suspect_does_not_start_beside_a_copy() {
+    struct Case {
+        name: &'static str,
+        /// Copies in flight when the request arrives.
+        copies: usize,
+        state: QuarantineState,
+        starts: bool,
+    }
+    const CASES: [Case; 4] = [
+        Case { name: "first", copies: 0, state: QuarantineState::Clear, starts: true },
+        Case { name: "copies", copies: 2, state: QuarantineState::Clear, starts: true },
+        Case { name: "suspect", copies: 0, state: QuarantineState::Suspect, starts: true },
+        Case {
+            name: "suspect and copy",
+            copies: 2,
+            state: QuarantineState::Suspect,
+            starts: false,
+        },
+    ];
+    for case in CASES {
+        let (digest, other) = (Digest::of(&[b"venom"]), Digest::of(&[b"innocent"]));
+        let mut running = RunningCopies::default();
+        for _ in 0..case.copies {
+            assert!(running.start(digest, QuarantineState::Clear));
+        }
+        assert!(running.start(other, QuarantineState::Suspect), "{}", case.name);
+        assert_eq!(running.start(digest, case.state), case.starts, "{}", case.name);
+        for _ in 0..case.copies + usize::from(case.starts) {
+            running.end(&digest);
+        }
+        assert!(running.start(digest, QuarantineState::Suspect), "{}: all ended", case.name);
+    }
+}
--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -9,6 +9,7 @@
 use egretgate_core::membership::{Membership, MembershipOptions, heartbeat_interval};
 use egretgate_core::moves::Split;
 use egretgate_core::retry::RetryBudget;
+use egretgate_core::running_copies::RunningCopies;
 use egretgate_core::{ServiceId, TeamId, ZoneId};
 use egretgate_link::message::Heartbeat;
 use rand_chacha::ChaCha8Rng;
@@ -61,6 +62,7 @@
     membership: Membership,
     retry_budget: RetryBudget,
     team_requests: HashMap<TeamId, u32>,
+    copies: RunningCopies,
     samples: SampleCollector,
     traffic: TrafficSplitter,
     /// Number of entries, which share the caps of version moves; at least 1.
@@ -100,6 +102,7 @@
                 now,
             ),
             team_requests: HashMap::new(),
+            copies: RunningCopies::default(),
             samples: SampleCollector::default(),
             traffic: TrafficSplitter::default(),
             entry_count: 1,
@@ -175,6 +178,10 @@
                 let _ = reply.send(self.acquire_team_slot(team, limit));
             }
             FleetMessage::ReleaseTeamSlot(team) => self.release_team_slot(&team),
+            FleetMessage::StartCopy { digest, state, reply } => {
+                let _ = reply.send(self.copies.start(digest, state));
+            }
+            FleetMessage::EndCopy(digest) => self.copies.end(&digest),
             FleetMessage::Status(reply) => {
                 let _ = reply.send(self.status());
             }
--- a/crates/egretgate/src/entry/fleet/message.rs
+++ b/crates/egretgate/src/entry/fleet/message.rs
@@ -6,6 +6,7 @@
 use egretgate_core::choice::{self, UpstreamKey};
 use egretgate_core::gate::Attempt;
 use egretgate_core::moves::RequestOutcome;
+use egretgate_core::poison::QuarantineState;
 use egretgate_core::{
     Digest, Error, Result, RouteId, ServiceId, TeamId, Ticket, Tier, UpstreamId, VersionId, ZoneId,
 };
@@ -59,6 +60,11 @@
     AcquireTeamSlot { team: TeamId, limit: u32, reply: oneshot::Sender<bool> },
     /// Release a slot of a team's concurrency limit.
     ReleaseTeamSlot(TeamId),
+    /// Start a request with this digest; the reply is false if it is a suspect and a copy of it is
+    /// in flight.
+    StartCopy { digest: Digest, state: QuarantineState, reply: oneshot::Sender<bool> },
+    /// End a request that was started.
+    EndCopy(Digest),
     /// Return the state of every side process.
     Status(oneshot::Sender<Vec<SideStatus>>),
 }
--- a/crates/egretgate/src/entry/request.rs
+++ b/crates/egretgate/src/entry/request.rs
@@ -30,6 +30,8 @@
 const MAX_RECORDED_BYTES: usize = 2 << 10;
 /// Retry-after of requests that are refused because their team is at its limit.
 const TEAM_LIMIT_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry-after of a suspect while a copy of it is in flight.
+const COPY_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// Senders to the entry's tasks, and the state that they share.
 #[derive(Debug, Clone)]
@@ -151,14 +153,34 @@
             QuarantineState::Suspect => true,
             QuarantineState::Clear => false,
         };
+        let result = self.run_unless_copied(resolved, digest, exclusive).await;
+        if result.is_ok() {
+            self.clear_suspect(digest).await;
+        }
+        result
+    }
+
+    /// Runs the request, unless it is a suspect and a copy of it is in flight.
+    async fn run_unless_copied(
+        &mut self,
+        resolved: &ResolvedRequest,
+        digest: Digest,
+        exclusive: bool,
+    ) -> Result<()> {
+        let state = if exclusive { QuarantineState::Suspect } else { QuarantineState::Clear };
+        let (reply, started) = oneshot::channel();
+        let _ = self.handles.fleet.send(FleetMessage::StartCopy { digest, state, reply }).await;
+        if !started.await.unwrap_or(false) {
+            let detail = "an equal request is in flight, and an upstream died while it ran another";
+            let error = Error::new(ErrorKind::Overloaded, detail);
+            return Err(error.with_retry_after(COPY_RETRY_AFTER));
+        }
         let result = if resolved.once {
             self.run_keyed_call(resolved, exclusive).await
         } else {
             self.offer_until_answered(resolved, exclusive).await
         };
-        if result.is_ok() {
-            self.clear_suspect(digest).await;
-        }
+        let _ = self.handles.fleet.send(FleetMessage::EndCopy(digest)).await;
         result
     }
 
--- a/crates/egretgate/tests/processes/poison.rs
+++ b/crates/egretgate/tests/processes/poison.rs
@@ -64,6 +64,16 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_suspect_does_not_start_beside_a_copy_in_flight() {
+    check_suspect_waits(|entry_of_copy| entry_of_copy).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_suspect_does_not_start_beside_a_copy_of_another_entry() {
+    check_suspect_waits(|entry_of_copy| entry_of_copy + 1).await;
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn an_operator_lists_and_lifts_a_quarantine() {
     let cluster = Cluster::start().await;
@@ -87,6 +97,47 @@
     }
 }
 
+/// Callers send the poisonous request at the same time, so that two engines run it before the first
+/// one dies. The second one dies much later. Until then the request is a suspect, and a third engine
+/// must not run it: it would be the third to die. `entry` returns the entry that gets it again.
+async fn check_suspect_waits(entry: impl Fn(usize) -> usize) {
+    /// Time for which a copy stays in flight after the first death.
+    const COPY_TIME: Duration = Duration::from_millis(1_500);
+    /// Time within which the copies at the dead engine end.
+    const END_TIME: Duration = Duration::from_millis(300);
+    let cluster = Cluster::start().await;
+    for engine in &cluster.engines {
+        engine.set_step_factor(10_000.0);
+    }
+    let send = |index| {
+        let entry = cluster.callers(index);
+        tokio::spawn(async move { complete(entry, POISON_PROMPT, TOKENS).await })
+    };
+    let busy = || cluster.engines.iter().filter(|engine| engine.batch() > 0).count();
+    // Copies may meet at one engine, so more are sent until two engines run some.
+    let mut copies = Vec::new();
+    while busy() < 2 {
+        assert!(copies.len() < 40, "all copies meet at one engine");
+        copies.push(send(copies.len()));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let (running, idle): (Vec<_>, Vec<_>) =
+        cluster.engines.iter().partition(|engine| engine.batch() > 0);
+    running[0].crash(Duration::from_secs(60));
+    wait_until("the first copy ends", || copies.iter().any(|copy| copy.is_finished())).await;
+    tokio::time::sleep(END_TIME).await;
+    let in_flight = copies.iter().position(|copy| !copy.is_finished()).expect("a copy in flight");
+    let again = send(entry(in_flight));
+    let end = Instant::now() + COPY_TIME;
+    while Instant::now() < end {
+        assert_eq!(idle[0].batch(), 0, "the suspect runs beside its copy");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    running[1].crash(Duration::from_secs(60));
+    let reply = again.await.expect("no panic");
+    assert!(reply.is_not_run(), "{reply:?}");
+}
+
 /// Three engines of one service and two entries.
 struct Cluster {
     _testbed: Testbed,
