feat(gateway): teams beyond their fair part yield, over all entries

Cause: within a tier requests went by arrival, so a team at several times its usual filled the slots and the others were refused beside it. The tokens that all entries admitted are known from the reports, and refusals by urgency reserve slots over all entries as for tiers; for teams within their part no refusal is tolerated. What such a team has waiting no longer enlarges its entries' shares of the slots.

Test: one of four teams sends six times its usual through half of the entries. Refused of the others at twenty entries: 9 of 100 before, none now.

--- a/crates/egretgate-core/src/gateway/decaying_count.rs
+++ b/crates/egretgate-core/src/gateway/decaying_count.rs
@@ -19,7 +19,12 @@
 
     /// Counts an event.
     pub fn increment(&mut self, now: Instant) {
-        self.count = self.count(now) + 1.0;
+        self.add(1.0, now);
+    }
+
+    /// Adds the weight of several events; a negative one takes back events that were counted.
+    pub fn add(&mut self, weight: f64, now: Instant) {
+        self.count = (self.count(now) + weight).max(0.0);
         self.updated_at = now;
     }
 
--- a/crates/egretgate-core/src/gateway/refusals.rs
+++ b/crates/egretgate-core/src/gateway/refusals.rs
@@ -39,6 +39,11 @@
     pub fn excess_per_second(self) -> f64 {
         (self.refused - self.arrived * TOLERATED_REFUSALS).max(0.0) / REFUSAL_DECAY.as_secs_f64()
     }
+
+    /// Returns the refusals per second.
+    pub fn refused_per_second(self) -> f64 {
+        self.refused / REFUSAL_DECAY.as_secs_f64()
+    }
 }
 
 /// Arrivals and refusals at one entry, by priority.
@@ -82,6 +87,9 @@
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct ExcessRefusals {
     rates: BTreeMap<Priority, f64>,
+    /// All refusals of teams within their shares: for those of a team beyond its share, none is
+    /// tolerated.
+    within_share: BTreeMap<Priority, f64>,
 }
 
 impl ExcessRefusals {
@@ -92,14 +100,24 @@
             let sum = sums.entry(priority).or_default();
             *sum = sum.plus(counts);
         }
+        let within_share = sums.iter().filter(|(priority, _)| !priority.over_share);
+        let within_share =
+            within_share.map(|(priority, counts)| (*priority, counts.refused_per_second()));
+        let within_share = within_share.collect();
         let rates =
             sums.into_iter().map(|(priority, counts)| (priority, counts.excess_per_second()));
-        Self { rates: rates.filter(|(_, rate)| *rate > 0.0).collect() }
+        Self { rates: rates.filter(|(_, rate)| *rate > 0.0).collect(), within_share }
     }
 
     /// Returns the excess refusals per second of requests more urgent than `priority`.
     pub fn more_urgent_than(&self, priority: Priority) -> f64 {
-        self.rates.range(..priority).map(|(_, rate)| rate).sum()
+        let within_share = Priority { over_share: false, ..priority };
+        let others: f64 = self.rates.range(..within_share).map(|(_, rate)| rate).sum();
+        if priority.over_share {
+            others + self.within_share.get(&within_share).copied().unwrap_or(0.0)
+        } else {
+            others
+        }
     }
 
     /// Returns the excess refusals per second of requests less urgent than `priority`.
--- a/crates/egretgate-core/src/gateway/request_queue.rs
+++ b/crates/egretgate-core/src/gateway/request_queue.rs
@@ -6,14 +6,16 @@
 use super::decaying_count::DecayingCount;
 use crate::Tier;
 
-/// Urgency of a request: the tier of its team, if it has one, then the tier of its route. Lower is
-/// more urgent.
+/// Urgency of a request: the tier of its team, if it has one, then the tier of its route, then
+/// whether its team is within its fair part. Lower is more urgent.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Priority {
     /// Tier of the team, or of the route if the team has none; 0 is the most urgent.
     pub tier: Tier,
     /// Tier of the route, which decides among requests of the same tier.
     pub route_tier: Tier,
+    /// True if the team uses more than its fair part; decides among requests of the same tiers.
+    pub over_share: bool,
 }
 
 /// Number of a request within one incarnation of an entry.
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -11,6 +11,7 @@
 };
 use super::broken_runs::BrokenRuns;
 use super::catalog::Catalog;
+use super::fair_use::FairUse;
 use super::peer::{NameHash, Peers};
 use super::report_schedule::ReportSchedule;
 use super::request_queue::{QueueKey, RequestNumber};
@@ -46,6 +47,7 @@
     services: BTreeMap<ServiceId, ServiceState>,
     waiting: HashMap<RequestNumber, (QueueKey, AdmissionRequest)>,
     buckets: HashMap<TeamId, TokenBucket>,
+    fair_use: FairUse,
     peers: Peers,
     /// Other entries in the directory, reachable or not; `None` before the directory was read.
     peer_count: Option<usize>,
@@ -76,6 +78,7 @@
             services: BTreeMap::new(),
             waiting: HashMap::new(),
             buckets: HashMap::new(),
+            fair_use: FairUse::default(),
             peers: Peers::default(),
             peer_count: None,
             directory_up: true,
@@ -170,7 +173,7 @@
     /// Decides on a new request, or on a retry after an upstream didn't serve it.
     ///
     /// Call [`Scheduler::dispatch`] first, so that waiting requests start before new ones.
-    pub fn admit(&mut self, request: AdmissionRequest, now: Instant) -> Admission {
+    pub fn admit(&mut self, mut request: AdmissionRequest, now: Instant) -> Admission {
         if request.digest.as_ref().is_some_and(|digest| self.broken_runs.is_poison(digest)) {
             return Admission::Refused(Refusal::Poison);
         }
@@ -178,6 +181,9 @@
             return Admission::Refused(refusal);
         }
         self.refresh(now);
+        let bucket = request.charge.as_ref().and_then(|charge| self.buckets.get(&charge.team));
+        request.priority.over_share =
+            bucket.is_some_and(|bucket| self.fair_use.is_exceeded(bucket, now));
         if request.faster_than.is_some() {
             return self.admit_migration(&request, now);
         }
@@ -248,12 +254,12 @@
     }
 
     /// Removes a waiting request whose caller has left.
-    pub fn withdraw(&mut self, number: RequestNumber) {
+    pub fn withdraw(&mut self, number: RequestNumber, now: Instant) {
         if let Some((queue_key, request)) = self.waiting.remove(&number) {
             if let Some(service_state) = self.services.get_mut(&request.service) {
                 service_state.queue.remove(&queue_key);
             }
-            self.refund(&request);
+            self.refund(&request, now);
         }
     }
 
@@ -344,17 +350,17 @@
     }
 
     fn record_refusal(&mut self, request: &AdmissionRequest, now: Instant) {
-        self.refund(request);
+        self.refund(request, now);
         if let Some(service_state) = self.services.get_mut(&request.service) {
             service_state.refusals.record_refusal(request.priority, now);
         }
     }
 
-    fn refund(&mut self, request: &AdmissionRequest) {
+    fn refund(&mut self, request: &AdmissionRequest, now: Instant) {
         if let Some(charge) = &request.charge
             && let Some(bucket) = self.buckets.get_mut(&charge.team)
         {
-            bucket.refund(charge.tokens);
+            bucket.refund(charge.tokens, now);
         }
     }
 
--- a/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
@@ -47,6 +47,7 @@
         self.refreshed = Some(now);
         self.time_slice.advance(now);
         self.peers.expire(now);
+        self.fair_use.update(self.buckets.values(), now);
         let unreachable = self.unreachable_peers(now);
         let unreachable_fraction = unreachable as f64 / self.entries() as f64;
         for upstream in self.upstreams.values_mut() {
@@ -61,7 +62,7 @@
             let in_flight = members.map(|upstream| upstream.own_running + upstream.peer_running);
             let in_flight = in_flight.sum();
             service_state.estimate_starts(in_flight);
-            let demand = f64::from(service_state.running) + service_state.queue.len() as f64;
+            let demand = service_state.demand();
             let refusals =
                 service_state.refusals.by_priority(now).chain(self.peers.refusals(service, now));
             service_state.excess_refusals = ExcessRefusals::new(refusals);
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -34,7 +34,7 @@
         for spend in self.peers.record_report(report, now) {
             let buckets = self.buckets.iter_mut();
             for (_, bucket) in buckets.filter(|(team, _)| name_hash(team) == spend.team) {
-                bucket.record_peer_spend(spend.tokens);
+                bucket.record_peer_spend(spend.tokens, now);
             }
         }
     }
@@ -42,12 +42,10 @@
     /// Returns this entry's report for its peers.
     pub fn report(&mut self, now: Instant) -> PeerReport {
         self.sequence += 1;
-        let demand = self.services.iter().map(|(service, service_state)| {
-            (
-                name_hash(service),
-                f64::from(service_state.running) + service_state.queue.len() as f64,
-            )
-        });
+        let demand = self
+            .services
+            .iter()
+            .map(|(service, service_state)| (name_hash(service), service_state.demand()));
         let refusals = self.services.iter().flat_map(|(service, service_state)| {
             let hash = name_hash(service);
             service_state
--- a/crates/egretgate-core/src/gateway/service_state.rs
+++ b/crates/egretgate-core/src/gateway/service_state.rs
@@ -100,6 +100,13 @@
             >= 1.0
     }
 
+    /// Returns this entry's demand for slots. Waiting requests of teams beyond their shares don't
+    /// count: they would take slots from entries that serve other teams.
+    pub(super) fn demand(&self) -> f64 {
+        let within = self.queue.iter().filter(|key| !key.priority.over_share).count();
+        f64::from(self.running) + within as f64
+    }
+
     /// Computes the starts from the requests of all entries in flight. By Little's law, they start
     /// at the rate of the running requests divided by the upstream time.
     pub(super) fn estimate_starts(&mut self, in_flight: u32) {
--- a/crates/egretgate-core/src/gateway/token_bucket.rs
+++ b/crates/egretgate-core/src/gateway/token_bucket.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use super::catalog::TokenLimit;
+use super::decaying_count::DecayingCount;
 use crate::Tier;
 
 /// Fraction of the burst that a request leaves to more urgent ones of its team, for each tier by
@@ -23,6 +24,8 @@
 const START_FRACTION: f64 = 0.5;
 /// Largest debt beyond the size of the burst, in seconds of the rate.
 const MAX_DEBT_SECONDS: f64 = 8.0;
+/// Decay time of the recently admitted tokens: long enough for some requests of a small team.
+const RECENT_DECAY: Duration = Duration::from_secs(2);
 /// Longest wait that is returned, in seconds.
 const MAX_WAIT_SECONDS: f64 = 60.0;
 
@@ -35,13 +38,16 @@
     filled: Instant,
     /// Tokens admitted by this entry in this incarnation.
     admitted: u64,
+    /// Tokens that all entries admitted recently.
+    recent: DecayingCount,
 }
 
 impl TokenBucket {
     /// Returns an empty bucket; [`TokenBucket::add_initial`] follows once the number of entries is
     /// known.
     pub const fn new(limit: TokenLimit, now: Instant) -> Self {
-        Self { limit, level: 0.0, filled: now, admitted: 0 }
+        let recent = DecayingCount::new(RECENT_DECAY, now);
+        Self { limit, level: 0.0, filled: now, admitted: 0, recent }
     }
 
     /// Adds this entry's fraction of the tokens that a starting fleet of `entries` assumes to be
@@ -80,6 +86,7 @@
         if self.level >= needed {
             self.level -= cost;
             self.admitted += cost as u64;
+            self.recent.add(cost, now);
             return Ok(());
         }
         let seconds = (needed - self.level) / self.limit.rate.max(1.0);
@@ -87,17 +94,29 @@
     }
 
     /// Puts back the tokens of a request that was not sent to an upstream.
-    pub fn refund(&mut self, cost: u64) {
+    pub fn refund(&mut self, cost: u64, now: Instant) {
+        self.recent.add(-(cost as f64), now);
         self.level = (self.level + cost as f64).min(self.limit.burst);
         self.admitted = self.admitted.saturating_sub(cost);
     }
 
     /// Records tokens that another entry admitted.
-    pub fn record_peer_spend(&mut self, tokens: u64) {
+    pub fn record_peer_spend(&mut self, tokens: u64, now: Instant) {
+        self.recent.add(tokens as f64, now);
         let floor = -(self.limit.burst + self.limit.rate * MAX_DEBT_SECONDS);
         self.level = (self.level - tokens as f64).max(floor);
     }
 
+    /// Returns the rate at which all entries admitted tokens recently, per second.
+    pub fn recent_rate(&self, now: Instant) -> f64 {
+        self.recent.rate(now)
+    }
+
+    /// Returns the limit.
+    pub const fn limit(&self) -> TokenLimit {
+        self.limit
+    }
+
     /// Returns the tokens admitted by this entry in this incarnation.
     pub const fn admitted(&self) -> u64 {
         self.admitted
--- a/crates/egretgate-core/tests/gateway_limits.rs
+++ b/crates/egretgate-core/tests/gateway_limits.rs
@@ -58,7 +58,7 @@
         let now = start + seconds(case.at);
         // Refills the bucket without taking from it.
         assert!(bucket.take(0, 0, 1.0, now).is_ok(), "{}", case.name);
-        bucket.record_peer_spend(case.peer_spend);
+        bucket.record_peer_spend(case.peer_spend, now);
         let taken = bucket.take(case.cost, case.tier, 1.0, now);
         assert_eq!(taken.is_ok(), case.granted, "{}", case.name);
     }
@@ -85,7 +85,7 @@
                 let total = buckets[sender].admitted();
                 let new = total - std::mem::replace(&mut reported[sender], total);
                 let others = (0..ENTRIES).filter(|entry| *entry != sender);
-                others.for_each(|entry| buckets[entry].record_peer_spend(new));
+                others.for_each(|entry| buckets[entry].record_peer_spend(new, now));
             }
         }
     }
--- a/crates/egretgate-core/tests/gateway_overload/fleet.rs
+++ b/crates/egretgate-core/tests/gateway_overload/fleet.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use egretgate_core::gateway::admission::{Admission, AdmissionRequest, Completion, UpstreamKey};
-use egretgate_core::gateway::catalog::Catalog;
+use egretgate_core::gateway::admission::{
+    Admission, AdmissionRequest, Charge, Completion, UpstreamKey,
+};
+use egretgate_core::gateway::catalog::{Catalog, Team, TokenLimit};
 use egretgate_core::gateway::peer::PeerReport;
 use egretgate_core::gateway::report_schedule::ReportSchedule;
 use egretgate_core::gateway::request_queue::Priority;
@@ -20,6 +22,9 @@
 /// Time per unit of work at an upstream with slowness 1.
 const UNIT_SECONDS: f64 = 0.2;
 
+/// Tokens of a request.
+const REQUEST_TOKENS: u64 = 100;
+
 /// Silence after which an entry suspects an upstream.
 const SUSPECT_AFTER: Duration = Duration::from_millis(400);
 /// Silence after which an entry gives up a call.
@@ -31,6 +36,8 @@
     pub(crate) entry: usize,
     /// Tier of the route.
     pub(crate) tier: u8,
+    /// Team that sends them; `None` if they count against no limit.
+    pub(crate) team: Option<usize>,
     /// Requests per second.
     pub(crate) rate: f64,
     /// Time that each request takes at an upstream.
@@ -56,6 +63,7 @@
     key: UpstreamKey,
     at: Instant,
     tier: u8,
+    team: Option<usize>,
     objective: Instant,
     upstream_time: Duration,
     /// Factor on the time per unit of work at its upstream.
@@ -102,9 +110,10 @@
     pub(crate) rng: Option<ChaCha8Rng>,
     /// Reports that have not arrived yet.
     reports: Vec<PeerReport>,
-    /// Tier, objective and upstream time of each request that has not started.
-    waiting: BTreeMap<u64, (u8, Instant, Duration)>,
+    /// Each request that has not started, with its objective.
+    waiting: BTreeMap<u64, (Stream, Instant)>,
     tallies: BTreeMap<u8, Tally>,
+    pub(crate) team_tallies: BTreeMap<usize, Tally>,
     number: u64,
 }
 
@@ -153,10 +162,25 @@
             reports: Vec::new(),
             waiting: BTreeMap::new(),
             tallies: BTreeMap::new(),
+            team_tallies: BTreeMap::new(),
             number: 0,
         }
     }
 
+    /// Declares teams with a limit of `rate` requests per second each.
+    pub(crate) fn set_teams(&mut self, teams: usize, rate: f64) {
+        let tokens = rate * REQUEST_TOKENS as f64;
+        let catalog = (0..teams).fold(Catalog::new(2), |catalog, team| {
+            let limit = Some(TokenLimit { rate: tokens, burst: tokens });
+            let team = Team { name: team_name(team), tier: None, limit, default_cost: 1 };
+            catalog.with_team(team, Vec::new())
+        });
+        let catalog = Arc::new(catalog);
+        for entry in &mut self.entries {
+            entry.set_catalog(Arc::clone(&catalog), Instant::now());
+        }
+    }
+
     /// Simulates the streams for a time, of which the first second is not counted.
     pub(crate) fn simulate(&mut self, streams: &[Stream], time: Duration) -> &BTreeMap<u8, Tally> {
         let start = Instant::now();
@@ -169,6 +193,7 @@
             let now = start + STEP * step;
             if STEP * step == Duration::from_secs(1) {
                 self.tallies.clear();
+                self.team_tallies.clear();
             }
             self.complete_requests(now);
             self.time_out(now);
@@ -212,10 +237,13 @@
             {
                 sent.until = Some(now + sent.upstream_time);
                 upstream.running.push(sent);
-                let tally = self.tallies.entry(sent.tier).or_default();
-                tally.in_time += u32::from(now <= sent.objective);
-                tally.started += 1;
-                tally.busy += sent.upstream_time;
+                let by_team = sent.team.map(|team| self.team_tallies.entry(team).or_default());
+                for tally in by_team.into_iter().chain([self.tallies.entry(sent.tier).or_default()])
+                {
+                    tally.in_time += u32::from(now <= sent.objective);
+                    tally.started += 1;
+                    tally.busy += sent.upstream_time;
+                }
             }
         }
     }
@@ -264,17 +292,20 @@
     }
 
     fn send_request(&mut self, stream: Stream, now: Instant) {
-        let Stream { entry, tier, upstream_time, .. } = stream;
+        let Stream { entry, tier, team, .. } = stream;
         self.number += 1;
         let number = self.number;
         self.tallies.entry(tier).or_default().asked += 1;
-        self.waiting.insert(number, (tier, now + OBJECTIVE, upstream_time));
+        if let Some(team) = team {
+            self.team_tallies.entry(team).or_default().asked += 1;
+        }
+        self.waiting.insert(number, (stream, now + OBJECTIVE));
         let request = AdmissionRequest {
             number,
             service: SERVICE.to_owned(),
             route: String::new(),
-            priority: Priority { tier: 0, route_tier: tier },
-            charge: None,
+            priority: Priority { tier: 0, route_tier: tier, over_share: false },
+            charge: team.map(|team| Charge { team: team_name(team), tokens: REQUEST_TOKENS }),
             objective: now + OBJECTIVE,
             useful_wait: OBJECTIVE.mul_f64(0.75),
             queue_deadline: now + Duration::from_millis(1_500),
@@ -296,7 +327,8 @@
     }
 
     fn start(&mut self, entry: usize, number: u64, key: UpstreamKey, now: Instant) {
-        let (tier, objective, upstream_time) = self.waiting.remove(&number).expect("it waits");
+        let (stream, objective) = self.waiting.remove(&number).expect("it waits");
+        let Stream { tier, team, upstream_time, .. } = stream;
         let id = self.entries[entry].upstream(key).expect("listed").listed.id.clone();
         let position: usize = id.trim_start_matches("engine-").parse().expect("a position");
         let slowness = self.slowness.get(position).copied().unwrap_or(1.0);
@@ -308,6 +340,7 @@
             key,
             at: now,
             tier,
+            team,
             objective,
             upstream_time,
             slowness,
@@ -317,3 +350,7 @@
         self.upstreams.entry(id).or_default().queue.push_back(sent);
     }
 }
+
+fn team_name(team: usize) -> String {
+    format!("team-{team}")
+}
--- a/crates/egretgate-core/tests/gateway_overload/main.rs
+++ b/crates/egretgate-core/tests/gateway_overload/main.rs
@@ -9,6 +9,7 @@
 
 mod fleet;
 mod speeds;
+mod teams;
 
 /// A burst of urgent requests arrives at one half of the entries, while the other half gets long
 /// requests that can wait. These entries must not fill the slots that the urgent requests need.
@@ -62,6 +63,7 @@
         let stream = |entry| Stream {
             entry,
             tier: if entry < half { 0 } else { 2 },
+            team: None,
             rate: if entry < half { case.urgent } else { case.others },
             upstream_time: Duration::from_millis(if entry < half { 400 } else { 800 }),
         };
@@ -142,7 +144,8 @@
         let slots = case.upstreams as f64 * f64::from(case.slots);
         let most = slots / case.upstream_time.as_secs_f64();
         let rate = most * case.load / case.entries as f64;
-        let stream = |entry| Stream { entry, tier: 0, rate, upstream_time: case.upstream_time };
+        let stream =
+            |entry| Stream { entry, tier: 0, team: None, rate, upstream_time: case.upstream_time };
         let streams: Vec<Stream> = (0..case.entries).map(stream).collect();
         let tally = fleet.simulate(&streams, Duration::from_secs(6))[&0];
         let wanted = f64::from(tally.asked).min(most * 5.0);
@@ -187,6 +190,7 @@
         let stream = |entry| Stream {
             entry,
             tier: u8::from(is_cut_off(entry)),
+            team: None,
             rate,
             upstream_time: UPSTREAM_TIME,
         };
@@ -244,7 +248,7 @@
                 // Callers are spread unevenly over entries.
                 let weight = if entry % 2 == 0 { 1.5 } else { 0.5 };
                 let rate = most * case.loads[tier] * weight / ENTRIES as f64;
-                Stream { entry, tier: tier as u8, rate, upstream_time: UPSTREAM_TIME }
+                Stream { entry, tier: tier as u8, team: None, rate, upstream_time: UPSTREAM_TIME }
             });
             let streams: Vec<Stream> = streams.collect();
             let tallies = fleet.simulate(&streams, Duration::from_secs(8));
--- a/crates/egretgate-core/tests/gateway_overload/speeds.rs
+++ b/crates/egretgate-core/tests/gateway_overload/speeds.rs
@@ -36,7 +36,8 @@
             (0..case.upstreams).map(|index| if index % 3 == 2 { SLOW } else { 1.0 }).collect();
         let fast_slots = case.upstreams as f64 * 2.0 / 3.0 * f64::from(SLOTS);
         let rate = fast_slots / UPSTREAM_TIME.as_secs_f64() * case.load / case.entries as f64;
-        let stream = |entry| Stream { entry, tier: 0, rate, upstream_time: UPSTREAM_TIME };
+        let stream =
+            |entry| Stream { entry, tier: 0, team: None, rate, upstream_time: UPSTREAM_TIME };
         let streams: Vec<Stream> = (0..case.entries).map(stream).collect();
         let tally = fleet.simulate(&streams, Duration::from_secs(5))[&0];
         let mean =
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -35,7 +35,7 @@
         number,
         service: "writer".to_owned(),
         route: String::new(),
-        priority: Priority { tier: 0, route_tier: route },
+        priority: Priority { tier: 0, route_tier: route, over_share: false },
         charge: None,
         objective: now + OBJECTIVE,
         useful_wait: OBJECTIVE.mul_f64(0.75),
@@ -242,7 +242,7 @@
         panic!("an idle upstream has headroom");
     };
     assert_matches!(scheduler.admit(request(2, 0, now), now), Admission::Queued);
-    scheduler.withdraw(2);
+    scheduler.withdraw(2, now);
     scheduler.finish(&end(key, succeeded(1.0), now), now);
     assert!(scheduler.dispatch(now).is_empty());
 }
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -230,7 +230,7 @@
             Message::Admit(request, result_sender) => self.admit(*request, result_sender, now),
             Message::Withdraw(number) => {
                 self.waiting.remove(&number);
-                self.scheduler.withdraw(number);
+                self.scheduler.withdraw(number, now);
             }
             Message::Finish(completion, idle) => {
                 self.finish(&completion, idle, now);
--- a/crates/egretgate-gateway/src/plan.rs
+++ b/crates/egretgate-gateway/src/plan.rs
@@ -63,6 +63,8 @@
             priority: Priority {
                 tier: team.and_then(|team| team.tier).unwrap_or(route.tier),
                 route_tier: route.tier,
+                // Known only at admission.
+                over_share: false,
             },
             team: team.map(|team| team.name.clone()),
             route: route.clone(),
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -136,6 +136,8 @@
     arrived: f32,
     #[prost(float, tag = "5")]
     refused: f32,
+    #[prost(bool, tag = "6")]
+    over_share: bool,
 }
 
 impl From<((NameHash, Priority), RefusalCounts)> for PriorityRefusals {
@@ -144,6 +146,7 @@
             service,
             tier: priority.tier.into(),
             route: priority.route_tier.into(),
+            over_share: priority.over_share,
             arrived: counts.arrived as f32,
             refused: counts.refused as f32,
         }
@@ -153,7 +156,11 @@
 impl From<PriorityRefusals> for ((NameHash, Priority), RefusalCounts) {
     fn from(sent: PriorityRefusals) -> Self {
         let tier = |value| Tier::try_from(value).unwrap_or(Tier::MAX);
-        let priority = Priority { tier: tier(sent.tier), route_tier: tier(sent.route) };
+        let priority = Priority {
+            tier: tier(sent.tier),
+            route_tier: tier(sent.route),
+            over_share: sent.over_share,
+        };
         let counts = RefusalCounts {
             arrived: sanitized_count(sent.arrived),
             refused: sanitized_count(sent.refused),
--- a/crates/egretgate-gateway/tests/wire.rs
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -32,7 +32,7 @@
         running: [(name_hash("writer-1"), 4)].into(),
         unit_seconds: [(name_hash("writer-1"), 0.25)].into(),
         refusals: [(
-            (name_hash("writer"), Priority { tier: 1, route_tier: 2 }),
+            (name_hash("writer"), Priority { tier: 1, route_tier: 2, over_share: true }),
             RefusalCounts { arrived: 8.0, refused: 0.5 },
         )]
         .into(),
--- a/crates/egretgate-model/src/entry.rs
+++ b/crates/egretgate-model/src/entry.rs
@@ -130,9 +130,9 @@
     }
 
     /// Removes a queued request.
-    pub(crate) fn withdraw(&mut self, id: RequestId) {
+    pub(crate) fn withdraw(&mut self, id: RequestId, now: Instant) {
         match &mut self.dispatcher {
-            Dispatcher::Core { scheduler, .. } => scheduler.withdraw(id),
+            Dispatcher::Core { scheduler, .. } => scheduler.withdraw(id, now),
             Dispatcher::Baseline(baseline) => baseline.withdraw(id),
         }
     }
--- a/crates/egretgate-model/src/simulation/callers.rs
+++ b/crates/egretgate-model/src/simulation/callers.rs
@@ -78,7 +78,7 @@
         match self.request(id).state {
             RequestState::Ended => return,
             RequestState::BackingOff => {}
-            RequestState::Waiting => self.entries[entry].withdraw(id),
+            RequestState::Waiting => self.entries[entry].withdraw(id, self.now),
             RequestState::Running { upstream, .. } => {
                 self.finish_run(id, Outcome::Abandoned);
                 let mut next = Vec::new();
--- a/crates/egretgate-model/src/simulation/entries.rs
+++ b/crates/egretgate-model/src/simulation/entries.rs
@@ -24,7 +24,7 @@
             number: id,
             service: self.site.requests[request.kind].service.clone(),
             route: String::new(),
-            priority: Priority { tier: route.tier, route_tier: route.tier },
+            priority: Priority { tier: route.tier, route_tier: route.tier, over_share: false },
             charge: None,
             objective: request.received + route.objective,
             useful_wait: wait_limits::useful_wait(route),
--- a/crates/egretgate/tests/processes/poison.rs
+++ b/crates/egretgate/tests/processes/poison.rs
@@ -8,7 +8,7 @@
 
 use egretgate::operator::{Client, proto};
 use egretgate_fakes::engine::{Engine, EngineSpec, expected_completion};
-use tokio::task::JoinSet;
+use tokio::task::{JoinHandle, JoinSet};
 
 use crate::caller::{Reply, complete};
 use crate::testbed::{Kind, Process, Testbed, wait_until};
@@ -123,8 +123,8 @@
     }
     let (running, idle): (Vec<_>, Vec<_>) =
         cluster.engines.iter().partition(|engine| engine.batch() > 0);
-    running[0].crash(Duration::from_secs(60));
-    wait_until("the first copy ends", || copies.iter().any(|copy| copy.is_finished())).await;
+    running[0].crash(Duration::from_mins(1));
+    wait_until("the first copy ends", || copies.iter().any(JoinHandle::is_finished)).await;
     tokio::time::sleep(END_TIME).await;
     let in_flight = copies.iter().position(|copy| !copy.is_finished()).expect("a copy in flight");
     let again = send(entry(in_flight));
@@ -133,7 +133,7 @@
         assert_eq!(idle[0].batch(), 0, "the suspect runs beside its copy");
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    running[1].crash(Duration::from_secs(60));
+    running[1].crash(Duration::from_mins(1));
     let reply = again.await.expect("no panic");
     assert!(reply.is_not_run(), "{reply:?}");
 }
