fix(gateway): report to far peers within 200 ms, for the limits of teams

What each entry admits before its first report isn't known to the others, nor what it admits while reports to other zones are on their way: 400 ms since those reports became rarer, 200 ms before.

a_restarted_fleet_keeps_to_the_limit plays it with 105 entries: 10,290 tokens at 400 ms, 9,800 allowed; it keeps the limit at 200. entries_together_keep_to_the_rate also covers zones; it passes either way, so constant load alone isn't the cause.

--- a/crates/egretgate-core/src/gateway/report_schedule.rs
+++ b/crates/egretgate-core/src/gateway/report_schedule.rs
@@ -18,7 +18,7 @@
 const MAX_INTERVAL: Duration = Duration::from_millis(200);
 /// Interval between reports to far peers. Three of them may get lost before the sender counts as
 /// unreachable.
-const FAR_INTERVAL: Duration = Duration::from_millis(400);
+const FAR_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The schedule of the reports of one entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,7 +38,7 @@
         let far_every = if peers <= MAX_FULL_MESH_PEERS {
             1
         } else {
-            FAR_INTERVAL.div_duration_f64(interval).round() as u64
+            (FAR_INTERVAL.div_duration_f64(interval) as u64).max(1)
         };
         Self { near: interval, far_every }
     }
--- a/crates/egretgate-core/tests/gateway_limits.rs
+++ b/crates/egretgate-core/tests/gateway_limits.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::gateway::catalog::TokenLimit;
+use egretgate_core::gateway::report_schedule::ReportSchedule;
 use egretgate_core::gateway::retry_limit::{RetryLimit, RetryWindow};
 use egretgate_core::gateway::share::SlotShare;
 use egretgate_core::gateway::token_bucket::TokenBucket;
@@ -66,33 +67,113 @@
 
 #[test]
 fn entries_together_keep_to_the_rate_under_any_load() {
-    // Reports take 200 ms between 26 entries, each of which is offered the whole rate all the time.
-    const ENTRIES: usize = 26;
+    struct Case {
+        name: &'static str,
+        zones: usize,
+        entries: usize,
+    }
+    const CASES: [Case; 2] = [
+        Case { name: "one zone", zones: 1, entries: 26 },
+        Case { name: "five zones", zones: 5, entries: 105 },
+    ];
+    // Each entry is offered the whole rate all the time.
     const STEP: Duration = Duration::from_millis(10);
     const STEPS: u32 = 1_000;
-    const REPORT_STEPS: u32 = 20;
-    let start = Instant::now();
-    let mut buckets: Vec<TokenBucket> =
-        (0..ENTRIES).map(|_| TokenBucket::new(LIMIT, start)).collect();
-    let mut reported = vec![0; ENTRIES];
-    for step in 1..=STEPS {
-        let now = start + STEP * step;
-        for bucket in &mut buckets {
-            let _ = bucket.take(10, 0, 1.0, now);
+    for case in CASES {
+        let name = case.name;
+        let start = Instant::now();
+        let mut buckets: Vec<TokenBucket> =
+            (0..case.entries).map(|_| TokenBucket::new(LIMIT, start)).collect();
+        let near = case.entries / case.zones - 1;
+        let schedule = ReportSchedule::new(near, case.entries - 1 - near);
+        // What each entry knows of the others' admitted tokens.
+        let mut known = vec![vec![0; case.entries]; case.entries];
+        for step in 1..=STEPS {
+            let now = start + STEP * step;
+            for bucket in &mut buckets {
+                let _ = bucket.take(10, 0, 1.0, now);
+            }
+            for sender in 0..case.entries {
+                let total = buckets[sender].admitted();
+                for receiver in (0..case.entries).filter(|receiver| *receiver != sender) {
+                    let is_near = sender % case.zones == receiver % case.zones;
+                    let interval =
+                        if is_near { schedule.near_interval() } else { schedule.far_interval() };
+                    let interval_steps = (interval.as_millis() / STEP.as_millis()) as u32;
+                    // The reports of the senders are spread over time.
+                    if (step + sender as u32).is_multiple_of(interval_steps) {
+                        let new = total - std::mem::replace(&mut known[receiver][sender], total);
+                        buckets[receiver].record_peer_spend(new, now);
+                    }
+                }
+            }
         }
-        if step % REPORT_STEPS == 0 {
-            for sender in 0..ENTRIES {
+        let admitted: u64 = buckets.iter().map(TokenBucket::admitted).sum();
+        // Ten seconds of the rate, the burst, and the tenth above them that the platform tolerates.
+        assert!(admitted <= 12_100, "{name}: {admitted} tokens admitted");
+        assert!(admitted >= 9_000, "{name}: {admitted} tokens admitted");
+    }
+}
+
+/// All entries restart while a team sends five times its limit. What each admits before its first
+/// report isn't known to the others.
+#[test]
+fn a_restarted_fleet_keeps_to_the_limit() {
+    struct Case {
+        name: &'static str,
+        zones: usize,
+        entries: usize,
+    }
+    const CASES: [Case; 2] = [
+        Case { name: "one zone", zones: 1, entries: 26 },
+        Case { name: "five zones", zones: 5, entries: 105 },
+    ];
+    const STEP: Duration = Duration::from_millis(10);
+    const WINDOW: Duration = Duration::from_secs(8);
+    const COST: u64 = 7;
+    const LOAD: f64 = 5.0;
+    for case in CASES {
+        let start = Instant::now();
+        let mut buckets: Vec<TokenBucket> =
+            (0..case.entries).map(|_| TokenBucket::new(LIMIT, start)).collect();
+        buckets.iter_mut().for_each(|bucket| bucket.add_initial(case.entries));
+        let near = case.entries / case.zones - 1;
+        let schedule = ReportSchedule::new(near, case.entries - 1 - near);
+        // The zones are unknown before the first reports.
+        let first = ReportSchedule::new(case.entries - 1, 0).near_interval();
+        let mut known = vec![vec![None; case.entries]; case.entries];
+        let mut offered = vec![0.0; case.entries];
+        let mut now = start;
+        while now < start + WINDOW {
+            now += STEP;
+            for (index, bucket) in buckets.iter_mut().enumerate() {
+                offered[index] += LIMIT.rate * LOAD / case.entries as f64 * STEP.as_secs_f64();
+                while offered[index] >= COST as f64 {
+                    offered[index] -= COST as f64;
+                    let _ = bucket.take(COST, 0, 1.0, now);
+                }
+            }
+            let age = now - start;
+            for sender in 0..case.entries {
                 let total = buckets[sender].admitted();
-                let new = total - std::mem::replace(&mut reported[sender], total);
-                let others = (0..ENTRIES).filter(|entry| *entry != sender);
-                others.for_each(|entry| buckets[entry].record_peer_spend(new, now));
+                for receiver in (0..case.entries).filter(|receiver| *receiver != sender) {
+                    let is_near = sender % case.zones == receiver % case.zones;
+                    let interval =
+                        if is_near { schedule.near_interval() } else { schedule.far_interval() };
+                    let reports = age.saturating_sub(first).div_duration_f64(interval) as u64;
+                    let before = age.saturating_sub(first + STEP).div_duration_f64(interval) as u64;
+                    if age >= first && (age < first + STEP || reports > before) {
+                        let old = known[receiver][sender].replace(total).unwrap_or(total);
+                        buckets[receiver].record_peer_spend(total - old, now);
+                    }
+                }
             }
         }
+        let admitted: u64 = buckets.iter().map(TokenBucket::admitted).sum();
+        // The window's rate with the tenth that the platform tolerates, and the burst.
+        let most = LIMIT.burst + LIMIT.rate * 1.1 * WINDOW.as_secs_f64();
+        assert!(admitted as f64 <= most, "{}: {admitted} tokens, {most} allowed", case.name);
     }
-    let admitted: u64 = buckets.iter().map(TokenBucket::admitted).sum();
-    // Ten seconds of the rate, the burst, and the tenth above them that the platform tolerates.
-    assert!(admitted <= 12_100, "{admitted} tokens admitted");
-    assert!(admitted >= 9_000, "{admitted} tokens admitted");
 }
 
 #[test]
