--- a/crates/egretgate-core/src/gateway/report_schedule.rs
+++ b/crates/egretgate-core/src/gateway/report_schedule.rs
@@ -16,8 +16,8 @@
 const MIN_INTERVAL: Duration = Duration::from_millis(40);
 /// Longest interval between reports to near peers.
 const MAX_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval between reports to far peers. Three of them may get lost before the sender counts as
-/// unreachable.
+/// Longest interval between reports to far peers: what an entry admits for a team is unknown to the
+/// others until its next report, and they must not exceed the team's limit together.
 const FAR_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The schedule of the reports of one entry.
--- a/crates/egretgate-core/tests/gateway_limits.rs
+++ b/crates/egretgate-core/tests/gateway_limits.rs
@@ -136,7 +136,9 @@
         let start = Instant::now();
         let mut buckets: Vec<TokenBucket> =
             (0..case.entries).map(|_| TokenBucket::new(LIMIT, start)).collect();
-        buckets.iter_mut().for_each(|bucket| bucket.add_initial(case.entries));
+        for bucket in &mut buckets {
+            bucket.add_initial(case.entries);
+        }
         let near = case.entries / case.zones - 1;
         let schedule = ReportSchedule::new(near, case.entries - 1 - near);
         // The zones are unknown before the first reports.
