feat(gateway): log how declarations arrive and how far a failed call came

Cause: the line of a failed call named its timeout only, so a store that answers late could not be told from an answer that is too long for the link. Now it tells when the head arrived and how many bytes did; declarations in force tells bytes, wait and time of the reading; a series of failures ends with its count and length. Metrics: egretgate_catalog_version, egretgate_directory_failures_total.

--- a/crates/egretgate-gateway/src/directory.rs
+++ b/crates/egretgate-gateway/src/directory.rs
@@ -34,6 +34,33 @@
     pub end: Offset,
     /// One sentence for each skipped record.
     pub skipped: Vec<String>,
+    /// How the value arrived.
+    pub transfer: Transfer,
+}
+
+impl<T> DirectoryRead<T> {
+    /// Returns a value that was read without skipping a record.
+    pub fn new(value: T, end: Offset) -> Self {
+        Self { value, end, skipped: Vec::new(), transfer: Transfer::default() }
+    }
+
+    /// Splits off the value; what else is known of the reading goes on to a list that is still
+    /// empty.
+    pub fn split<U>(self) -> (DirectoryRead<Vec<U>>, T) {
+        let Self { value, end, skipped, transfer } = self;
+        (DirectoryRead { value: Vec::new(), end, skipped, transfer }, value)
+    }
+}
+
+/// How much was transferred for a value, and in what time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Transfer {
+    /// Bytes.
+    pub bytes: usize,
+    /// Time spent waiting for the directory to begin its answers.
+    pub waited: Duration,
+    /// Time until all answers had arrived.
+    pub took: Duration,
 }
 
 /// The directory, which keeps declarations, upstreams and entries.
--- a/crates/egretgate-gateway/src/lib.rs
+++ b/crates/egretgate-gateway/src/lib.rs
@@ -31,7 +31,7 @@
 mod wire;
 
 pub use dialect::{AnswerHead, Dialect, ForwardHead, RequestHead};
-pub use directory::{Directory, DirectoryError, DirectoryRead, Result};
+pub use directory::{Directory, DirectoryError, DirectoryRead, Result, Transfer};
 pub use events::EventSplitter;
 pub use gateway::{Addresses, Gateway, Options, StopTimes};
 pub use pages::{Answer, Page};
--- a/crates/egretgate-gateway/src/sync.rs
+++ b/crates/egretgate-gateway/src/sync.rs
@@ -13,7 +13,7 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until};
 
-use crate::directory::{Directory, DirectoryError};
+use crate::directory::{Directory, DirectoryError, Transfer};
 use crate::dispatcher::{DispatcherHandle, Message};
 
 /// How often upstreams are read: a draining one may get requests for two seconds at most.
@@ -52,25 +52,33 @@
 /// Delays between attempts at a call that fails.
 struct Backoff {
     next_delay: Duration,
-    failing: bool,
+    /// Time of the first failure of the present series, and its number of failures.
+    failing: Option<(Instant, u32)>,
 }
 
 impl Backoff {
     const fn new() -> Self {
-        Self { next_delay: MIN_RETRY_DELAY, failing: false }
+        Self { next_delay: MIN_RETRY_DELAY, failing: None }
     }
 
-    async fn failed(&mut self, call: &str, error: &DirectoryError, log: &Logger) {
-        if !std::mem::replace(&mut self.failing, true) {
+    async fn failed(&mut self, call: &'static str, error: &DirectoryError, log: &Logger) {
+        metrics::counter!("egretgate_directory_failures_total", "call" => call).increment(1);
+        let (_, failures) = self.failing.get_or_insert_with(|| (Instant::now(), 0));
+        *failures += 1;
+        if *failures == 1 {
             warn!(log, "directory lost"; "call" => call, "error" => %error);
+        } else {
+            slog::debug!(log, "directory still lost"; "call" => call, "error" => %error,
+                "failures" => *failures);
         }
         sleep(self.next_delay).await;
         self.next_delay = (self.next_delay * 2).min(MAX_RETRY_DELAY);
     }
 
-    fn succeeded(&mut self, call: &str, log: &Logger) {
-        if std::mem::replace(&mut self.failing, false) {
-            info!(log, "directory regained"; "call" => call);
+    fn succeeded(&mut self, call: &'static str, log: &Logger) {
+        if let Some((since, failures)) = self.failing.take() {
+            info!(log, "directory regained"; "call" => call, "failures" => failures,
+                "lost_ms" => since.elapsed().as_millis() as u64);
         }
         self.next_delay = MIN_RETRY_DELAY;
     }
@@ -155,7 +163,7 @@
                 }
                 let fingerprint = read.value.as_ref().map_or(0, catalog_fingerprint);
                 if let Some(newest) = read.value {
-                    apply(newest, &catalog, &dispatcher, &log);
+                    apply(newest, &read.transfer, &catalog, &dispatcher, &log);
                 }
                 state.record_reading(fingerprint, read.end);
                 if fingerprint == 0 {
@@ -188,6 +196,7 @@
 
 fn apply(
     newest: Catalog,
+    transfer: &Transfer,
     catalog: &watch::Sender<Option<Arc<Catalog>>>,
     dispatcher: &DispatcherHandle,
     log: &Logger,
@@ -200,7 +209,10 @@
         return;
     }
     info!(log, "declarations in force"; "version" => newest.version, "before" => old,
-        "routes" => newest.routes().len(), "teams" => newest.teams().len());
+        "routes" => newest.routes().len(), "teams" => newest.teams().len(),
+        "read_bytes" => transfer.bytes, "waited_ms" => transfer.waited.as_millis() as u64,
+        "read_ms" => transfer.took.as_millis() as u64);
+    metrics::gauge!("egretgate_catalog_version").set(newest.version as f64);
     log_limits(catalog.borrow().as_deref(), &newest, log);
     let newest = Arc::new(newest);
     dispatcher.send(Message::Catalog(Arc::clone(&newest)));
--- a/crates/egretgate-http/src/client.rs
+++ b/crates/egretgate-http/src/client.rs
@@ -1,9 +1,9 @@
 //! Client of one peer.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::Full;
 use hyper_util::client::legacy::Client as Pool;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -63,14 +63,33 @@
 
     /// Sends a call and returns the answer with its whole body, within `timeout`.
     pub async fn fetch(&self, call: Call, timeout: Duration) -> Result<BufferedAnswer> {
-        let whole = async {
-            let answer = self.send(call).await?;
-            let status = answer.status;
-            let retry_after = answer.retry_after();
-            let body = answer.collect(MAX_BODY_BYTES).await?;
-            Ok(BufferedAnswer { status, retry_after, body })
-        };
-        time::timeout(timeout, whole).await.unwrap_or_else(|_| Err(timed_out(timeout)))
+        let mut transfer = Transfer::default();
+        let whole = self.receive(call, &mut transfer);
+        let result = time::timeout(timeout, whole).await;
+        result.unwrap_or_else(|_| Err(timed_out(timeout, transfer)))
+    }
+
+    /// Sends a call and reads the whole answer; `transfer` tells what has arrived so far.
+    async fn receive(&self, call: Call, transfer: &mut Transfer) -> Result<BufferedAnswer> {
+        let started = Instant::now();
+        let mut answer = self.send(call).await?;
+        transfer.head_after = Some(started.elapsed());
+        let mut body = BytesMut::new();
+        while let Some(chunk) = answer.chunk().await {
+            let chunk = chunk?;
+            if body.len() + chunk.len() > MAX_BODY_BYTES {
+                return Err(Error::MaybeSent(format!("answer over {MAX_BODY_BYTES} bytes")));
+            }
+            body.extend_from_slice(&chunk);
+            transfer.bytes = body.len();
+        }
+        transfer.took = started.elapsed();
+        Ok(BufferedAnswer {
+            status: answer.status,
+            retry_after: answer.retry_after(),
+            body: body.freeze(),
+            transfer: *transfer,
+        })
     }
 }
 
@@ -83,6 +102,19 @@
     pub retry_after: Option<Duration>,
     /// Body.
     pub body: Bytes,
+    /// How it arrived.
+    pub transfer: Transfer,
+}
+
+/// How much of an answer has arrived, and when.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Transfer {
+    /// Time from the start of the call until the head arrived; `None` if it hasn't.
+    pub head_after: Option<Duration>,
+    /// Bytes of the body.
+    pub bytes: usize,
+    /// Time from the start of the call until the end of the body.
+    pub took: Duration,
 }
 
 impl BufferedAnswer {
@@ -101,6 +133,14 @@
     }
 }
 
-fn timed_out(timeout: Duration) -> Error {
-    Error::MaybeSent(format!("no whole answer within {} ms", timeout.as_millis()))
+fn timed_out(timeout: Duration, transfer: Transfer) -> Error {
+    let timeout_ms = timeout.as_millis();
+    let Transfer { head_after, bytes, .. } = transfer;
+    Error::MaybeSent(match head_after {
+        Some(head_after) => format!(
+            "no whole answer within {timeout_ms} ms: head after {} ms, then {bytes} bytes",
+            head_after.as_millis()
+        ),
+        None => format!("no head of an answer within {timeout_ms} ms"),
+    })
 }
--- a/crates/egretgate-http/src/lib.rs
+++ b/crates/egretgate-http/src/lib.rs
@@ -23,5 +23,5 @@
 
 pub use answer::Answer;
 pub use call::Call;
-pub use client::{BufferedAnswer, CONNECT_TIMEOUT, Client, MAX_BODY_BYTES};
+pub use client::{BufferedAnswer, CONNECT_TIMEOUT, Client, MAX_BODY_BYTES, Transfer};
 pub use error::{Error, Result};
