--- a/crates/egretgate-http/src/client.rs
+++ b/crates/egretgate-http/src/client.rs
@@ -17,8 +17,10 @@
 
 /// Timeout for establishing a connection.
 pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Largest body that [`Client::fetch`] reads, in bytes.
+/// Largest body that [`Client::fetch`] and [`Client::fetch_growing`] read, in bytes.
 pub const MAX_BODY_BYTES: usize = 16 << 20;
+/// Least rate at which [`Client::fetch_growing`] goes on reading a body.
+pub const MIN_BYTES_PER_SECOND: u32 = 64 << 10;
 /// Time after which an unused connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -63,19 +65,30 @@
 
     /// Sends a call and returns the answer with its whole body, within `timeout`.
     pub async fn fetch(&self, call: Call, timeout: Duration) -> Result<BufferedAnswer> {
-        let mut transfer = Transfer::default();
-        let whole = self.receive(call, &mut transfer);
-        let result = time::timeout(timeout, whole).await;
-        result.unwrap_or_else(|_| Err(timed_out(timeout, transfer)))
+        self.receive(call, Patience::Whole(timeout)).await
+    }
+
+    /// Sends a call and returns the answer with its whole body, however long it takes to arrive.
+    ///
+    /// Use this for answers that grow with the peer's state. Fails if the head or the next part of
+    /// the body takes longer than `silence`, or if the body arrives at a lower rate than
+    /// [`MIN_BYTES_PER_SECOND`].
+    pub async fn fetch_growing(&self, call: Call, silence: Duration) -> Result<BufferedAnswer> {
+        self.receive(call, Patience::WhileItArrives(silence)).await
     }
 
-    /// Sends a call and reads the whole answer; `transfer` tells what has arrived so far.
-    async fn receive(&self, call: Call, transfer: &mut Transfer) -> Result<BufferedAnswer> {
+    async fn receive(&self, call: Call, patience: Patience) -> Result<BufferedAnswer> {
         let started = Instant::now();
-        let mut answer = self.send(call).await?;
+        let mut transfer = Transfer::default();
+        let part = |transfer: &Transfer| patience.part_deadline(started, transfer).into();
+        let timed_out = |transfer: Transfer| timed_out(started.elapsed(), transfer);
+        let head = time::timeout_at(part(&transfer), self.send(call)).await;
+        let mut answer = head.map_err(|_| timed_out(transfer))??;
         transfer.head_after = Some(started.elapsed());
         let mut body = BytesMut::new();
-        while let Some(chunk) = answer.chunk().await {
+        loop {
+            let chunk = time::timeout_at(part(&transfer), answer.chunk()).await;
+            let Some(chunk) = chunk.map_err(|_| timed_out(transfer))? else { break };
             let chunk = chunk?;
             if body.len() + chunk.len() > MAX_BODY_BYTES {
                 return Err(Error::MaybeSent(format!("answer over {MAX_BODY_BYTES} bytes")));
@@ -88,11 +101,34 @@
             status: answer.status,
             retry_after: answer.retry_after(),
             body: body.freeze(),
-            transfer: *transfer,
+            transfer,
         })
     }
 }
 
+/// How long a call waits for the next part of its answer.
+#[derive(Debug, Clone, Copy)]
+enum Patience {
+    /// The whole answer arrives within this time.
+    Whole(Duration),
+    /// Each part arrives within this time after the one before, and the body at the least rate.
+    WhileItArrives(Duration),
+}
+
+impl Patience {
+    /// Returns the time by which the next part must arrive.
+    fn part_deadline(self, started: Instant, transfer: &Transfer) -> Instant {
+        match self {
+            Self::Whole(timeout) => started + timeout,
+            Self::WhileItArrives(silence) => {
+                let seconds = transfer.bytes as f64 / f64::from(MIN_BYTES_PER_SECOND);
+                let at_least_rate = started + silence + Duration::from_secs_f64(seconds);
+                at_least_rate.min(Instant::now() + silence)
+            }
+        }
+    }
+}
+
 /// An answer with its whole body.
 #[derive(Debug, Clone)]
 pub struct BufferedAnswer {
@@ -133,14 +169,14 @@
     }
 }
 
-fn timed_out(timeout: Duration, transfer: Transfer) -> Error {
-    let timeout_ms = timeout.as_millis();
+fn timed_out(waited: Duration, transfer: Transfer) -> Error {
+    let waited_ms = waited.as_millis();
     let Transfer { head_after, bytes, .. } = transfer;
     Error::MaybeSent(match head_after {
         Some(head_after) => format!(
-            "no whole answer within {timeout_ms} ms: head after {} ms, then {bytes} bytes",
+            "no whole answer within {waited_ms} ms: head after {} ms, then {bytes} bytes",
             head_after.as_millis()
         ),
-        None => format!("no head of an answer within {timeout_ms} ms"),
+        None => format!("no head of an answer within {waited_ms} ms"),
     })
 }
--- a/crates/egretgate-http/src/lib.rs
+++ b/crates/egretgate-http/src/lib.rs
@@ -23,5 +23,7 @@
 
 pub use answer::Answer;
 pub use call::Call;
-pub use client::{BufferedAnswer, CONNECT_TIMEOUT, Client, MAX_BODY_BYTES, Transfer};
+pub use client::{
+    BufferedAnswer, CONNECT_TIMEOUT, Client, MAX_BODY_BYTES, MIN_BYTES_PER_SECOND, Transfer,
+};
 pub use error::{Error, Result};
--- a/crates/egretgate-http/tests/client.rs
+++ b/crates/egretgate-http/tests/client.rs
@@ -161,3 +161,60 @@
     let answer = client.send(Call::get("/")).await.unwrap();
     assert_matches!(answer.collect(8).await, Err(Error::MaybeSent(_)));
 }
+
+/// Guards against answers that are given up while they arrive, and against peers that send without
+/// end.
+#[tokio::test]
+async fn a_growing_answer_is_read_while_it_arrives() {
+    struct Case {
+        name: &'static str,
+        /// Bytes of the body, and of the parts in which it is sent, each after a pause.
+        length: usize,
+        part: usize,
+        pause: Duration,
+        whole: bool,
+    }
+    const SILENCE: Duration = Duration::from_millis(300);
+    let millis = Duration::from_millis;
+    let cases = [
+        Case { name: "at once", length: 9, part: 9, pause: millis(0), whole: true },
+        Case { name: "long", length: 200_000, part: 10_000, pause: millis(60), whole: true },
+        Case {
+            name: "silent midway",
+            length: 90_000,
+            part: 45_000,
+            pause: millis(600),
+            whole: false,
+        },
+        Case { name: "trickling", length: 900, part: 1, pause: millis(20), whole: false },
+        Case { name: "endless", length: usize::MAX, part: 1 << 20, pause: millis(1), whole: false },
+    ];
+    for Case { name, length, part, pause, whole } in cases {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let client = Client::new(listener.local_addr().unwrap());
+        let peer = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut buffer = [0; 4096];
+            assert!(stream.read(&mut buffer).await.unwrap() > 0);
+            let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+            stream.write_all(head.as_bytes()).await.unwrap();
+            let mut left = length;
+            while left > 0 {
+                tokio::time::sleep(pause).await;
+                let bytes = vec![b'x'; part.min(left)];
+                if stream.write_all(&bytes).await.is_err() {
+                    return;
+                }
+                left -= bytes.len();
+            }
+        });
+        let result = client.fetch_growing(Call::get("/"), SILENCE).await;
+        match &result {
+            Ok(answer) => assert_eq!(answer.body.len(), length, "{name}"),
+            Err(error) => assert!(error.may_be_sent(), "{name}: {error:?}"),
+        }
+        assert_eq!(result.is_ok(), whole, "{name}");
+        drop(client);
+        tokio::time::timeout(TIMEOUT, peer).await.expect(name).unwrap();
+    }
+}
--- a/crates/egretgate-platform/src/instance.rs
+++ b/crates/egretgate-platform/src/instance.rs
@@ -54,7 +54,7 @@
 
     /// Returns all listed instances. The list lags behind the instances' states.
     pub async fn list(&self) -> Result<Vec<Instance>> {
-        let answer = self.http.fetch(Call::get("/v1/instances"), self.timeout).await?;
+        let answer = self.http.fetch_growing(Call::get("/v1/instances"), self.timeout).await?;
         decode::<List>(&answer).map(|list| list.instances)
     }
 }
--- a/crates/egretgate-platform/src/log.rs
+++ b/crates/egretgate-platform/src/log.rs
@@ -85,7 +85,7 @@
     pub async fn read(&self, from: Offset, limit: usize, wait: Duration) -> Result<Batch> {
         let wait_ms = wait.as_millis();
         let path = format!("/v1/log?from={from}&limit={limit}&wait_ms={wait_ms}");
-        let answer = self.http.fetch(Call::get(path), self.timeout + wait).await?;
+        let answer = self.http.fetch_growing(Call::get(path), self.timeout + wait).await?;
         decode::<BatchBody>(&answer)?.try_into()
     }
 }
