feat(gateway): show the limit that an upstream states in its answers

Cause: no line told whether an upstream had stated Server-Limit, so a missing header could not be told from one that is not heeded. Nothing decides by it yet.

--- a/crates/egretgate-gateway/src/dialect.rs
+++ b/crates/egretgate-gateway/src/dialect.rs
@@ -37,7 +37,7 @@
 }
 
 /// The fields of an answer's head that matter, beside its status.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerHead {
     /// Id of the request that it answers.
     pub id: Option<String>,
@@ -45,6 +45,9 @@
     pub signed: bool,
     /// True if it proves that the upstream did not run the request.
     pub not_run: bool,
+    /// Requests per second that the upstream takes from all entries together; `None` if it states
+    /// no limit. Finite and at least 0.
+    pub rate_limit: Option<f64>,
 }
 
 /// Names and formats of the headers that a platform puts on requests and answers.
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -66,6 +66,8 @@
     avoid: Vec<UpstreamId>,
     /// Upstream of the last attempt.
     upstream: UpstreamId,
+    /// Limit that the upstream stated in its last answer, in requests per second.
+    rate_limit: Option<f64>,
     /// Event after which the stream resumes.
     resume_after: Option<u64>,
     /// Time spent waiting for upstreams.
@@ -96,6 +98,7 @@
             attempts: 0,
             avoid: Vec::new(),
             upstream: UpstreamId::new(),
+            rate_limit: None,
             resume_after,
             waited: Duration::ZERO,
             retry_after: None,
@@ -196,6 +199,7 @@
             "events" => self.events,
             "waited_ms" => self.waited.as_millis() as u64,
             "retry_after_ms" => self.retry_after.map(|wait| wait.as_millis() as u64),
+            "upstream_limit" => self.rate_limit,
             "outcome" => outcome);
     }
 
@@ -450,6 +454,7 @@
     ) -> Attempt {
         let (parts, body) = response.into_parts();
         let head = self.context.dialect.read_answer(parts.status.as_u16(), &parts.headers);
+        self.rate_limit = head.rate_limit;
         let answer = UpstreamAnswer { permit, connection, headers: parts.headers, body };
         let is_foreign = head.id.as_ref().is_some_and(|id| *id != self.request.head.id);
         if head.not_run && !is_foreign {
