fix(gateway): keep to the limit that an upstream states, over all entries

What callers saw: nothing at once; upstreams that asked for relief went on getting 7 to 10 requests a second where they took two. Cause: nothing read the header Server-Limit, so the choice of upstreams knew no rate. Class: what an upstream says of itself is not decoded. Change: the adapter's rate_limit reaches the scheduler by the answer's head. Reports are too late to count single requests against two a second, so the limit is divided beforehand: an upstream's limit belongs in equal parts to a few entries, by the order of a hash of entry and upstream, and each starts requests by its own bucket. Entries without a part learn of a new limit, or of its end, by reports. The one place where requests start counts them, so retries, resumed streams and migrations do too. A limit of 0 is probed, as only answers tell that it ended. A long answer doesn't wait for a fast upstream whose limit is used up. Weighed: a bucket of the whole fleet with debts, as for teams, exceeds the limit by the number of entries in each report interval, since all see the same free token.

--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -6,6 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::follow::{Fingerprint, Reading};
+use super::rate_limit::{LimitNotice, order_key};
 use super::refusals::RefusalCounts;
 use super::request_queue::Priority;
 use super::traffic_move::{MoveKey, MoveReport};
@@ -44,6 +45,8 @@
     /// Seconds per unit of work, by upstream: the mean over the requests that the entry completed
     /// there since its last report.
     pub unit_seconds: HashMap<NameHash, f64>,
+    /// What upstreams stated to the entry about their limits, by upstream.
+    pub limits: HashMap<NameHash, AgedLimit>,
     /// Arrivals and refusals for lack of headroom, by service and priority.
     pub refusals: BTreeMap<(NameHash, Priority), RefusalCounts>,
     /// Tokens admitted in that incarnation, by team.
@@ -84,6 +87,28 @@
     }
 }
 
+/// What an upstream stated about its limit, with its age instead of its time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AgedLimit {
+    /// Requests per second from all entries together; `None` if the limit has ended.
+    pub limit: Option<f64>,
+    /// Time since the answer that stated it.
+    pub age: Duration,
+}
+
+impl AgedLimit {
+    /// Returns the notice with its age at `now`.
+    pub fn new(notice: LimitNotice, now: Instant) -> Self {
+        let age = now.saturating_duration_since(notice.stated_at);
+        Self { limit: notice.limit, age }
+    }
+
+    /// Returns the notice that was received at `now`.
+    pub fn notice(self, now: Instant) -> LimitNotice {
+        LimitNotice { limit: self.limit, stated_at: now.checked_sub(self.age).unwrap_or(now) }
+    }
+}
+
 /// Tokens that another entry has admitted for a team since its last report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TokenSpend {
@@ -202,6 +227,14 @@
         self.reachable(now).filter(|report| report.name.as_str() < name).count()
     }
 
+    /// Returns the number of reachable entries that come before `own` in the upstream's order of
+    /// entries.
+    pub(super) fn position(&self, own: NameHash, upstream: NameHash, now: Instant) -> usize {
+        let own = order_key(own, upstream);
+        let before = |report: &&PeerReport| order_key(name_hash(&report.name), upstream) < own;
+        self.reachable(now).filter(before).count()
+    }
+
     /// Returns the requests that other entries have in flight at an upstream, as of the last
     /// [`Peers::expire`].
     pub fn running(&self, upstream: NameHash) -> u32 {
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -31,6 +31,17 @@
 /// because the requests ahead may need a faster upstream than the one with a free slot.
 const MAX_UNPLACED: usize = 24;
 
+/// A change of the limit that an upstream states.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitChange {
+    /// Upstream.
+    pub id: UpstreamId,
+    /// Requests per second before; `None` if it stated no limit.
+    pub before: Option<f64>,
+    /// Requests per second now; `None` if it states no limit any more.
+    pub limit: Option<f64>,
+}
+
 /// The scheduler of one entry.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -206,7 +217,7 @@
         let wait = service_state.expected_wait(&queue_key, now);
         // The queue was dispatched just before, so no waiting request can use the free slots.
         if let Some(key) = self.choose_upstream(&request, now) {
-            self.record_start(&request.service, key);
+            self.record_start(&request.service, key, now);
             return Admission::Started(key);
         }
         let reason = if self.must_yield(&request) {
@@ -240,7 +251,7 @@
         if !service_state.retries.take_retry(now, &self.retry_limit, entries) {
             return Admission::Refused(Refusal::RetryBudgetSpent);
         }
-        self.record_start(&request.service, key);
+        self.record_start(&request.service, key, now);
         Admission::Started(key)
     }
 
@@ -320,6 +331,24 @@
         }
     }
 
+    /// Records the limit that an upstream stated in an answer, in requests per second over all
+    /// entries; returns the limit before if that is a change.
+    pub fn record_limit(
+        &mut self,
+        key: UpstreamKey,
+        limit: Option<f64>,
+        now: Instant,
+    ) -> Option<LimitChange> {
+        let upstream = self.upstreams.get_mut(key)?;
+        let before = upstream.limit();
+        let is_new = upstream.rate_limit.record_own(limit, now);
+        if is_new {
+            // The limit is divided before the next request is decided on.
+            self.refreshed = None;
+        }
+        is_new.then(|| LimitChange { id: upstream.listed.id.clone(), before, limit })
+    }
+
     /// Returns this entry's rank: the number of reachable entries whose names sort before its own.
     pub fn peer_rank(&self, now: Instant) -> usize {
         self.peers.rank(&self.name, now)
@@ -382,15 +411,16 @@
             if let Some(service_state) = self.services.get_mut(service) {
                 service_state.queue.remove(&queue_key);
             }
-            self.record_start(service, key);
+            self.record_start(service, key, now);
             starts.push(Start { number: queue_key.number, upstream: key });
         }
         starts
     }
 
-    fn record_start(&mut self, service: &ServiceId, key: UpstreamKey) {
+    fn record_start(&mut self, service: &ServiceId, key: UpstreamKey, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.own_running += 1;
+            upstream.rate_limit.record_start(now);
         }
         if let Some(service_state) = self.services.get_mut(service) {
             service_state.running += 1;
--- a/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
@@ -54,6 +54,15 @@
             let assumed = (f64::from(upstream.listed.slots) * unreachable_fraction).floor() as u32;
             upstream.peer_running = self.peers.running(upstream.hash) + assumed;
         }
+        let reachable = self.peers.reachable_count(now) + 1;
+        let reachable_fraction = (reachable as f64 / self.entries() as f64).min(1.0);
+        let own = name_hash(&self.name);
+        let limited = self.upstreams.values_mut().filter(|upstream| upstream.limit().is_some());
+        for upstream in limited {
+            let position = self.peers.position(own, upstream.hash, now);
+            upstream.rate_limit.refill(now);
+            upstream.rate_limit.divide(position, reachable, reachable_fraction);
+        }
         // Peers that haven't reported yet may be in any zone.
         let far = self.peers.known_count() - self.peers.zone_count(&self.zone);
         self.schedule = ReportSchedule::new(self.entries() - 1 - far, far);
--- a/crates/egretgate-core/src/gateway/scheduler/placement.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/placement.rs
@@ -104,7 +104,10 @@
         };
         // A long answer waits for an upstream that is fast enough, if there is one.
         let needs_fast = request.events > 0.0
-            && service_state.members.iter().any(|key| in_time(&self.upstreams[*key]));
+            && service_state.members.iter().any(|key| {
+                let upstream = &self.upstreams[*key];
+                upstream.rate_limit.allows(now) && in_time(upstream)
+            });
         // A suspected upstream gets a request only if every usable one is suspected.
         let is_unsuspected =
             |upstream: &UpstreamState| upstream.is_usable(now) && !upstream.is_suspected(now);
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -5,7 +5,7 @@
 
 use super::Scheduler;
 use crate::gateway::catalog::MoveSpec;
-use crate::gateway::peer::{NameHash, PeerReport, name_hash};
+use crate::gateway::peer::{AgedLimit, NameHash, PeerReport, name_hash};
 use crate::gateway::service_state::ServiceState;
 use crate::gateway::traffic_move::{MoveState, MoveStatus};
 
@@ -31,6 +31,13 @@
                 upstream.record_unit_seconds(*sample);
             }
         }
+        for (hash, limit) in &report.limits {
+            if let Some(upstream) =
+                self.by_hash.get(hash).and_then(|key| self.upstreams.get_mut(*key))
+            {
+                upstream.rate_limit.record_peer(limit.notice(now));
+            }
+        }
         for spend in self.peers.record_report(report, now) {
             let buckets = self.buckets.iter_mut();
             for (_, bucket) in buckets.filter(|(team, _)| name_hash(team) == spend.team) {
@@ -67,6 +74,11 @@
             upstream.take_unreported().map(|unit_seconds| (upstream.hash, unit_seconds))
         });
         let unit_seconds = unit_seconds.collect();
+        let limits = self.upstreams.values().filter_map(|upstream| {
+            let notice = upstream.rate_limit.report(now)?;
+            Some((upstream.hash, AgedLimit::new(notice, now)))
+        });
+        let limits = limits.collect();
         let admitted =
             self.buckets.iter().map(|(team, bucket)| (name_hash(team), bucket.admitted()));
         PeerReport {
@@ -77,6 +89,7 @@
             demand: demand.collect(),
             running,
             unit_seconds,
+            limits,
             refusals: refusals.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
             broken_runs: self.broken_runs.recent_changes(now),
--- a/crates/egretgate-core/src/gateway/upstream.rs
+++ b/crates/egretgate-core/src/gateway/upstream.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::peer::{NameHash, name_hash};
+use super::rate_limit::RateLimit;
 use crate::{ServiceId, UpstreamId, VersionId, ZoneId};
 
 /// Weight of a new sample in the running averages; about the last ten samples count.
@@ -127,6 +128,8 @@
     suspected_until: Option<Instant>,
     /// True once the address was found to belong to another upstream.
     misdirected: bool,
+    /// The rate of requests that it takes.
+    pub(super) rate_limit: RateLimit,
 }
 
 impl UpstreamState {
@@ -147,6 +150,7 @@
             backoff_until: None,
             suspected_until: None,
             misdirected: false,
+            rate_limit: RateLimit::default(),
         }
     }
 
@@ -155,7 +159,17 @@
         let backing_off = self.backoff_until.is_some_and(|until| now < until);
         // After a backoff, one request at a time probes whether the upstream works again.
         let probing = self.backoffs > 0 && self.active() > 0;
-        self.listed.stage == Stage::Ready && !self.misdirected && !backing_off && !probing
+        self.listed.stage == Stage::Ready
+            && !self.misdirected
+            && !backing_off
+            && !probing
+            && self.rate_limit.allows(now)
+    }
+
+    /// Returns the requests per second that it takes from all entries together, if it states a
+    /// limit.
+    pub fn limit(&self) -> Option<f64> {
+        self.rate_limit.limit()
     }
 
     /// Returns true if other upstreams should be preferred: an answer is overdue, which may be the
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -15,6 +15,7 @@
 use egretgate_core::gateway::traffic_move::MoveStatus;
 use egretgate_core::gateway::upstream::{ListedUpstream, Outcome};
 use egretgate_core::{Digest, RouteId, ServiceId, UpstreamId};
+use slog::{Logger, info};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -42,6 +43,8 @@
     started: Instant,
     /// True once [`SlotPermit::suspect`] was called.
     suspected: bool,
+    /// True if the upstream had a limit when the permit was granted.
+    limited: bool,
     route: RouteId,
     first_byte: Option<Duration>,
     dispatcher: DispatcherHandle,
@@ -60,6 +63,13 @@
         self.first_byte = Some(self.started.elapsed());
     }
 
+    /// Records the limit that the answer states.
+    pub(crate) fn record_limit(&self, limit: Option<f64>) {
+        if limit.is_some() || self.limited {
+            self.dispatcher.send(Message::Limit { key: self.key, limit });
+        }
+    }
+
     /// Records that the upstream has sent nothing since `since`.
     pub(crate) fn suspect(&mut self, since: Instant) {
         let again = std::mem::replace(&mut self.suspected, true);
@@ -102,6 +112,8 @@
         /// True if this was already reported for the same request.
         again: bool,
     },
+    /// Reports the limit that an upstream states, in requests per second.
+    Limit { key: UpstreamKey, limit: Option<f64> },
     /// Applies declarations.
     Catalog(Arc<Catalog>),
     /// Replaces the list of upstreams.
@@ -128,7 +140,7 @@
 
 impl DispatcherHandle {
     /// Starts a dispatcher.
-    pub(crate) fn start(scheduler: Scheduler) -> Self {
+    pub(crate) fn start(scheduler: Scheduler, log: Logger) -> Self {
         let (messages, receiver) = mpsc::unbounded_channel();
         let handle = Self { messages };
         let dispatcher = Dispatcher {
@@ -136,6 +148,7 @@
             waiting: HashMap::new(),
             idle: HashMap::new(),
             handle: handle.clone(),
+            log,
         };
         tokio::spawn(dispatcher.run(receiver));
         handle
@@ -199,6 +212,7 @@
     idle: HashMap<UpstreamKey, Vec<Connection>>,
     /// Handle to this dispatcher, for permits.
     handle: DispatcherHandle,
+    log: Logger,
 }
 
 struct Waiter {
@@ -240,6 +254,12 @@
                 self.scheduler.suspect(key, since, again, now);
                 self.dispatch(now);
             }
+            Message::Limit { key, limit } => {
+                if let Some(change) = self.scheduler.record_limit(key, limit, now) {
+                    info!(self.log, "limit of an upstream"; "upstream" => change.id,
+                        "per_second" => change.limit, "before" => change.before);
+                }
+            }
             Message::Catalog(catalog) => self.scheduler.set_catalog(catalog, now),
             Message::Upstreams(upstreams) => {
                 for key in self.scheduler.set_upstreams(upstreams) {
@@ -292,6 +312,8 @@
     fn set_gauges(&self) {
         metrics::gauge!("egretgate_waiting").set(self.waiting.len() as f64);
         metrics::gauge!("egretgate_upstreams").set(self.scheduler.upstreams().count() as f64);
+        let limited = self.scheduler.upstreams().filter(|upstream| upstream.limit().is_some());
+        metrics::gauge!("egretgate_upstreams_limited").set(limited.count() as f64);
     }
 
     fn tick(&mut self) {
@@ -331,6 +353,7 @@
             digest: waiter.digest,
             started: now,
             suspected: false,
+            limited: upstream.limit().is_some(),
             route: waiter.route,
             first_byte: None,
             dispatcher: self.handle.clone(),
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -457,6 +457,9 @@
         self.rate_limit = head.rate_limit;
         let answer = UpstreamAnswer { permit, connection, headers: parts.headers, body };
         let is_foreign = head.id.as_ref().is_some_and(|id| *id != self.request.head.id);
+        if !is_foreign && parts.status != StatusCode::MISDIRECTED_REQUEST {
+            answer.permit.record_limit(head.rate_limit);
+        }
         if head.not_run && !is_foreign {
             return refused_attempt(answer, parts.status).await;
         }
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -93,7 +93,7 @@
         let peers = UdpSocket::bind(addresses.peers).await?;
         let incarnation = rand::rng().random();
         let scheduler = Scheduler::new(&name, &zone, incarnation).with_retry_limit(retry_limit);
-        let dispatcher = DispatcherHandle::start(scheduler);
+        let dispatcher = DispatcherHandle::start(scheduler, log.clone());
         let directory = Arc::new(directory);
         let (catalog_sender, catalog) = watch::channel(None);
         let (upstreams_sender, upstreams) = watch::channel(false);
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use egretgate_core::gateway::peer::{AgedReading, NameHash, PeerReport};
+use egretgate_core::gateway::peer::{AgedLimit, AgedReading, NameHash, PeerReport};
 use egretgate_core::gateway::refusals::RefusalCounts;
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::traffic_move::{MoveKey, MoveReport, MoveState};
@@ -40,6 +40,34 @@
     unit_seconds: HashMap<u64, f32>,
     #[prost(string, tag = "14")]
     zone: String,
+    #[prost(message, repeated, tag = "15")]
+    limits: Vec<SentLimit>,
+}
+
+/// What an upstream stated about its limit.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct SentLimit {
+    #[prost(fixed64, tag = "1")]
+    upstream: u64,
+    /// Requests per second; absent if the limit has ended.
+    #[prost(double, optional, tag = "2")]
+    limit: Option<f64>,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+}
+
+impl From<(NameHash, AgedLimit)> for SentLimit {
+    fn from((upstream, AgedLimit { limit, age }): (NameHash, AgedLimit)) -> Self {
+        Self { upstream, limit, age_ms: age.as_millis() as u64 }
+    }
+}
+
+impl From<SentLimit> for (NameHash, AgedLimit) {
+    fn from(sent: SentLimit) -> Self {
+        // A value that no entry sends must not end a limit.
+        let limit = sent.limit.map(|limit| if limit.is_finite() { limit.max(0.0) } else { 0.0 });
+        (sent.upstream, AgedLimit { limit, age: Duration::from_millis(sent.age_ms) })
+    }
 }
 
 /// Broken runs of one request.
@@ -218,6 +246,7 @@
             .iter()
             .map(|(upstream, seconds)| (*upstream, *seconds as f32))
             .collect(),
+        limits: report.limits.iter().map(|(key, limit)| (*key, *limit).into()).collect(),
         broken_runs: report
             .broken_runs
             .iter()
@@ -252,6 +281,7 @@
         demand: demand.collect(),
         running: datagram.running,
         unit_seconds: unit_seconds.collect(),
+        limits: datagram.limits.into_iter().map(Into::into).collect(),
         broken_runs: broken_runs.collect(),
         moves: datagram.moves.into_iter().map(Into::into).collect(),
         refusals: datagram.refusals.into_iter().map(Into::into).collect(),
--- a/crates/egretgate-gateway/tests/wire.rs
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use egretgate_core::Digest;
-use egretgate_core::gateway::peer::{AgedReading, PeerReport, name_hash};
+use egretgate_core::gateway::peer::{AgedLimit, AgedReading, PeerReport, name_hash};
 use egretgate_core::gateway::refusals::RefusalCounts;
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::traffic_move::{MoveReport, MoveState};
@@ -31,6 +31,11 @@
         demand: [(name_hash("writer"), 2.5)].into(),
         running: [(name_hash("writer-1"), 4)].into(),
         unit_seconds: [(name_hash("writer-1"), 0.25)].into(),
+        limits: [
+            (name_hash("writer-1"), AgedLimit { limit: Some(2.6), age: Duration::from_millis(40) }),
+            (name_hash("writer-2"), AgedLimit { limit: None, age: Duration::from_secs(9) }),
+        ]
+        .into(),
         refusals: [(
             (name_hash("writer"), Priority { tier: 1, route_tier: 2, over_share: true }),
             RefusalCounts { arrived: 8.0, refused: 0.5 },
