fix(gateway): end a refusal whose body doesn't end

What callers saw: no answer, not even after their deadline, and an upstream that went on sending. Cause: a refusal with proof was read to its end so that its connection could be used again, without a limit of bytes or time. Change: a refusal is read for 16 KiB and 50 ms at most and within the deadline, then its connection is closed; the proof stands, so another upstream is asked.

--- a/crates/egretgate-gateway/src/attempt.rs
+++ b/crates/egretgate-gateway/src/attempt.rs
@@ -1,7 +1,7 @@
 //! The result of an attempt at an upstream: whether its answer may be passed on and, if not,
 //! whether the request may have run.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use egretgate_core::gateway::upstream::Outcome;
@@ -17,7 +17,11 @@
 use crate::relay::UpstreamAnswer;
 
 /// Largest answer, in bytes, that is read completely before it is passed on.
-const MAX_BUFFERED_BYTES: usize = 1 << 20;
+pub(crate) const MAX_BUFFERED_BYTES: usize = 1 << 20;
+/// Largest refusal, in bytes, that is read to its end.
+const MAX_REFUSAL_BYTES: usize = 16 << 10;
+/// Longest time for which a refusal is read.
+const MAX_REFUSAL_READ: Duration = Duration::from_millis(50);
 
 /// The result of an attempt.
 pub(crate) enum Attempt {
@@ -50,20 +54,22 @@
 }
 
 /// Returns the result of an attempt that was refused with a proof.
-pub(crate) async fn refused_attempt(mut answer: UpstreamAnswer, status: StatusCode) -> Attempt {
+pub(crate) async fn refused_attempt(
+    answer: UpstreamAnswer,
+    status: StatusCode,
+    deadline: Instant,
+) -> Attempt {
     let outcome = if status == StatusCode::MISDIRECTED_REQUEST {
         Outcome::Misdirected
     } else {
         Outcome::Rejected
     };
-    // A refusal is short; reading it to its end keeps the connection usable.
-    while let Some(frame) = answer.body.frame().await {
-        if frame.is_err() {
-            answer.permit.finish(outcome, None);
-            return Attempt::NotRun;
-        }
+    // Reading a refusal to its end keeps the connection usable. The next attempt waits for it.
+    let deadline = deadline.min(Instant::now() + MAX_REFUSAL_READ);
+    match read_body(answer, MAX_REFUSAL_BYTES, deadline).await {
+        BodyRead::Complete(answer, _) => answer.complete(outcome).await,
+        BodyRead::Incomplete(permit) => permit.finish(outcome, None),
     }
-    answer.complete(outcome).await;
     Attempt::NotRun
 }
 
@@ -75,7 +81,7 @@
 ) -> Attempt {
     let mut headers = answer.headers.clone();
     strip_connection(&mut headers);
-    match read_body(answer, deadline).await {
+    match read_body(answer, MAX_BUFFERED_BYTES, deadline).await {
         BodyRead::Complete(answer, bytes) => {
             answer.complete(Outcome::Failed).await;
             Attempt::Failure(respond(status, headers, full(bytes)))
@@ -87,8 +93,12 @@
     }
 }
 
-/// Reads the complete body of an answer.
-pub(crate) async fn read_body(mut answer: UpstreamAnswer, deadline: Instant) -> BodyRead {
+/// Reads the complete body of an answer, of at most `limit` bytes.
+pub(crate) async fn read_body(
+    mut answer: UpstreamAnswer,
+    limit: usize,
+    deadline: Instant,
+) -> BodyRead {
     let mut bytes = BytesMut::new();
     loop {
         let frame = match timeout_at(deadline.into(), answer.body.frame()).await {
@@ -99,7 +109,7 @@
         if let Ok(data) = frame.into_data() {
             bytes.extend_from_slice(&data);
         }
-        if bytes.len() > MAX_BUFFERED_BYTES {
+        if bytes.len() > limit {
             return BodyRead::Incomplete(answer.permit);
         }
     }
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -19,7 +19,8 @@
 
 use crate::answer::{Body, Fault, full, streamed};
 use crate::attempt::{
-    Attempt, BodyRead, failed_attempt, is_invalid, read_body, refused_attempt, respond,
+    Attempt, BodyRead, MAX_BUFFERED_BYTES, failed_attempt, is_invalid, read_body, refused_attempt,
+    respond,
 };
 use crate::connect::{Connection, SendError};
 use crate::dialect::{Dialect, ForwardHead};
@@ -461,7 +462,7 @@
             answer.permit.record_limit(head.rate_limit);
         }
         if head.not_run && !is_foreign {
-            return refused_attempt(answer, parts.status).await;
+            return refused_attempt(answer, parts.status, self.deadline()).await;
         }
         if is_foreign || is_invalid(&head, parts.status, &answer.headers) {
             answer.permit.finish(Outcome::InvalidAnswer, None);
@@ -484,7 +485,7 @@
             let body = streamed(Relay::body(self, answer));
             return respond(status, headers, body);
         }
-        match read_body(answer, self.deadline()).await {
+        match read_body(answer, MAX_BUFFERED_BYTES, self.deadline()).await {
             BodyRead::Complete(answer, bytes) => {
                 let outcome = self.outcome(status);
                 self.log_end(if status.is_success() { "served" } else { "failed_upstream" });
