fix(gateway): cut off interim answers without end

Cause: the HTTP library limits the length of a head but skips interim answers, however many come, so bytes without end before a head were read until the request's deadline. Test: the case (unsafe, Interim) of an_answer_without_end_is_cut_off failed before (504 at the deadline instead of 502 at once); garbage, long headers and many headers were cut off by the library.

--- a/crates/egretgate-gateway/src/connect.rs
+++ b/crates/egretgate-gateway/src/connect.rs
@@ -12,6 +12,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::head_limit::{HeadBudget, HeadLimited};
+
 /// Timeout for opening a connection; round trips take a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Fraction of an upstream's idle timeout for which a connection is kept.
@@ -37,6 +39,8 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    /// Bytes that may arrive before the head of the next answer.
+    head_budget: HeadBudget,
     /// Time until which the connection may be reused while it is idle.
     reusable_until: Instant,
 }
@@ -47,13 +51,14 @@
         let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
         let stream = connecting.await.map_err(std::io::Error::from)??;
         stream.set_nodelay(true)?;
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(std::io::Error::other)?;
+        let head_budget = HeadBudget::default();
+        let stream = TokioIo::new(HeadLimited::new(stream, head_budget.clone()));
+        let (sender, connection) = http1::handshake(stream).await.map_err(std::io::Error::other)?;
         // Its errors reach the request in flight; an idle connection just closes.
         tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(Self { sender, reusable_until: Instant::now() + DEFAULT_IDLE })
+        Ok(Self { sender, head_budget, reusable_until: Instant::now() + DEFAULT_IDLE })
     }
 
     /// Returns true if another request may be sent.
@@ -66,8 +71,12 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>> {
+        self.head_budget.begin();
         let mut failed = match self.sender.try_send_request(request).await {
-            Ok(response) => return Ok(response),
+            Ok(response) => {
+                self.head_budget.end();
+                return Ok(response);
+            }
             Err(failed) => failed,
         };
         match failed.take_message() {
--- a/crates/egretgate-gateway/src/lib.rs
+++ b/crates/egretgate-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod exchange;
 mod gateway;
 mod gossip;
+mod head_limit;
 mod headers;
 mod moves;
 mod pages;
