fix(gateway): cut off an event of a stream that doesn't end

Cause: of a stream that may be resumed only whole events are passed on, and the bytes of an unfinished one were kept without a limit, until the deadline seconds later: at 25 MB a second more than an entry's memory. Also, data that is always there kept a stream beyond its deadline, as the timeout was only asked while it was not. Change: an event over 256 KiB breaks the answer, so the stream is resumed elsewhere or cut; the deadline is checked before each step. Test: the case (resume, Event) failed before (cut at the deadline, not resumed).

--- a/crates/egretgate-gateway/src/events.rs
+++ b/crates/egretgate-gateway/src/events.rs
@@ -58,6 +58,11 @@
         self.count
     }
 
+    /// Returns the number of bytes after the last complete event.
+    pub fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub fn rest(&mut self) -> Bytes {
         self.buffer.split().freeze()
--- a/crates/egretgate-gateway/src/relay.rs
+++ b/crates/egretgate-gateway/src/relay.rs
@@ -21,6 +21,8 @@
 const SUSPECT_AFTER: Duration = Duration::from_millis(500);
 /// Silence within a stream after which it is resumed at another upstream; callers leave after 2 s.
 const RESUME_AFTER: Duration = Duration::from_secs(1);
+/// Longest event, in bytes, of an upstream that works.
+const MAX_EVENT_BYTES: usize = 256 << 10;
 /// Interval between checks for a faster upstream.
 const MIGRATION_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Smallest number of events from which an answer's event interval is measured.
@@ -110,10 +112,21 @@
             if self.answer.is_none() {
                 return Some(Err(AnswerCut));
             }
+            // Data that is always there would keep the timeout below from ending the stream.
+            if Instant::now() >= self.exchange.deadline() {
+                self.end_timed_out();
+                return Some(Err(AnswerCut));
+            }
             match self.next_step().await {
                 StreamStep::Data(bytes) => {
                     self.first_data.get_or_insert_with(Instant::now);
                     let events = self.take_complete_events(bytes);
+                    if self.splitter.partial_bytes() > MAX_EVENT_BYTES {
+                        self.resume(Outcome::InvalidAnswer).await;
+                        if self.answer.is_none() {
+                            return Some(Err(AnswerCut));
+                        }
+                    }
                     if !events.is_empty() {
                         return Some(Ok(events));
                     }
@@ -127,8 +140,7 @@
                 StreamStep::Cut => self.resume(Outcome::InvalidAnswer).await,
                 StreamStep::Stalled => self.resume(Outcome::Stalled).await,
                 StreamStep::TimedOut => {
-                    self.exchange.log_end("timed_out");
-                    self.answer = None;
+                    self.end_timed_out();
                     return Some(Err(AnswerCut));
                 }
             }
@@ -206,6 +218,12 @@
         self.continue_stream(Some(permit)).await;
     }
 
+    /// Ends the stream as cut, since the caller or the route has timed out.
+    fn end_timed_out(&mut self) {
+        self.exchange.log_end("timed_out");
+        self.answer = None;
+    }
+
     /// Ends the stream after the complete answer.
     async fn finish(&mut self) {
         if let Some(answer) = self.answer.take() {
