fix(moves): find a slow version where engines differ in speed

Cause: an answer counted as slow above 2.5 times the mean of the old version, which the slow third of the engines (4.4 times slower) raises: answers of 58 to 75 ms an event, where the old version's fast engines take 19 to 21, stayed below it. Then each of three routes had to show it alone. Ruled out: a decision that is not carried out (the move is taken back at its end, as unproven). Change: the lower quartile of the newest 64 samples of the route at the old version replaces the mean, and the sum over all routes is compared too. Tried: the median, which misses an old version half of whose answers are slow. Test: a_slow_version_is_found_by_its_bad_answers failed before (its second case).

--- a/crates/egretgate-core/src/gateway/traffic_move.rs
+++ b/crates/egretgate-core/src/gateway/traffic_move.rs
@@ -9,7 +9,7 @@
 //! A move lasts some seconds. A version that fails or is slow from the start, later or on one route
 //! must get a small share, and a good one must get all traffic in time.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use super::catalog::MoveSpec;
@@ -43,11 +43,11 @@
 const END_FRACTION: f64 = 0.9;
 /// Silence of the promoting leader after which the share falls back to the canary's.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Factor on the baseline above which an answer counts as slow: users call versions bad that are
-/// several times slower.
+/// Factor on the old version's lower quartile above which an answer counts as slow: users call
+/// versions bad that are several times slower.
 const SLOW_FACTOR: f64 = 2.5;
-/// Weight of a new sample in a baseline.
-const SMOOTHING: f64 = 0.05;
+/// Samples of the old version from which a quartile is taken.
+const QUARTILE_SAMPLES: usize = 64;
 /// Smallest fraction of the old version's requests with which a route counts in the verdict.
 const MIN_ROUTE_FRACTION: f64 = 0.05;
 
@@ -93,13 +93,41 @@
     pub event_interval: Option<f64>,
 }
 
-/// Running averages for a route at the old version.
-#[derive(Debug, Clone, Copy, Default)]
+/// The newest samples of a value at the old version. Their lower quartile doesn't follow the upstreams
+/// that are several times slower than the others.
+#[derive(Debug, Clone, Default)]
+struct NewestSamples {
+    samples: VecDeque<f64>,
+    lower_quartile: Option<f64>,
+}
+
+impl NewestSamples {
+    fn push(&mut self, sample: Option<f64>) {
+        let Some(sample) = sample else { return };
+        if self.samples.len() >= QUARTILE_SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back(sample);
+        let mut sorted: Vec<f64> = self.samples.iter().copied().collect();
+        let quarter = sorted.len() / 4;
+        self.lower_quartile = Some(*sorted.select_nth_unstable_by(quarter, f64::total_cmp).1);
+    }
+
+    /// Returns true if a sample is several times larger than the lower quartile.
+    fn is_exceeded(&self, sample: Option<f64>) -> bool {
+        sample
+            .zip(self.lower_quartile)
+            .is_some_and(|(sample, quartile)| sample > quartile * SLOW_FACTOR)
+    }
+}
+
+/// What is usual for a route at the old version.
+#[derive(Debug, Clone, Default)]
 struct Baseline {
     /// Seconds to the first byte of an answer.
-    first_byte: Option<f64>,
+    first_byte: NewestSamples,
     /// Seconds between events.
-    event_interval: Option<f64>,
+    event_interval: NewestSamples,
 }
 
 /// An entry's report of one move.
@@ -201,12 +229,12 @@
         let baseline = tracker.baselines.entry(route.clone()).or_default();
         let first_byte = sample.first_byte.map(|first_byte| first_byte.as_secs_f64());
         let (slow_first_token, slow_inter_token) = (
-            is_slow(first_byte, baseline.first_byte),
-            is_slow(sample.event_interval, baseline.event_interval),
+            baseline.first_byte.is_exceeded(first_byte),
+            baseline.event_interval.is_exceeded(sample.event_interval),
         );
         if !is_new {
-            baseline.first_byte = average(baseline.first_byte, first_byte);
-            baseline.event_interval = average(baseline.event_interval, sample.event_interval);
+            baseline.first_byte.push(first_byte);
+            baseline.event_interval.push(sample.event_interval);
         }
         let evidence_key = EvidenceKey::new(route.clone(), if is_new { NEW } else { OLD }, 0);
         tracker.own_counts.entry(evidence_key).or_default().record(
@@ -406,17 +434,6 @@
     }
 }
 
-fn is_slow(sample: Option<f64>, baseline: Option<f64>) -> bool {
-    sample.zip(baseline).is_some_and(|(sample, baseline)| sample > baseline * SLOW_FACTOR)
-}
-
-fn average(old: Option<f64>, sample: Option<f64>) -> Option<f64> {
-    match (old, sample) {
-        (Some(old), Some(sample)) => Some(old + (sample - old) * SMOOTHING),
-        (old, sample) => old.or(sample),
-    }
-}
-
 fn key(spec: &MoveSpec) -> MoveKey {
     (name_hash(&spec.service), name_hash(&spec.target))
 }
--- a/crates/egretgate-core/src/moves/controller.rs
+++ b/crates/egretgate-core/src/moves/controller.rs
@@ -18,6 +18,8 @@
 /// Fraction of [`FALSE_PROOF_PROBABILITY`] spent on the bound of the old version. It is small
 /// because the old version has many more requests.
 const OLD_BOUND_FRACTION: f64 = 0.1;
+/// Name of the sum over all routes in findings.
+const ALL_ROUTES: &str = "*";
 /// Number of load levels over which the probability of a false alarm is divided.
 const LOAD_LEVELS: usize = 4;
 /// A step up to [`MovePlan::MAX_UNPROVEN_PPM`] needs the samples of a proof divided by this.
@@ -127,6 +129,8 @@
         let window = fill_window(&since_start, collect_counts(plan, &evidence.window()));
         let mut worse = find_regressions(plan, &since_start);
         worse.extend(find_regressions(plan, &window));
+        worse.extend(find_regressions(plan, &sum_routes(&since_start)));
+        worse.extend(find_regressions(plan, &sum_routes(&window)));
         if !worse.is_empty() {
             return Decision::TakeBack(TakeBackReason::Worse, worse);
         }
@@ -185,7 +189,8 @@
 /// Returns the comparisons that show the new version to be worse than the budget allows.
 fn find_regressions(plan: &MovePlan, levels: &LevelCounts) -> Vec<Finding> {
     let windows = plan.steps.len() + 1;
-    let tests = Metric::ALL.len() * plan.routes.len().max(1) * LOAD_LEVELS * windows;
+    // Each route and the sum over all routes are compared.
+    let tests = Metric::ALL.len() * (plan.routes.len() + 1) * LOAD_LEVELS * windows;
     let alpha = FALSE_ALARM_PROBABILITY / (2 * tests) as f64;
     let mut findings = Vec::new();
     for ((route, level), versions) in levels {
@@ -264,6 +269,18 @@
     total >= plan.budget.min_samples / UNPROVEN_SAMPLES_DIVISOR
 }
 
+/// Sums the counters over all routes: few requests of each may show together what no route shows
+/// by itself. Both versions get the same mixture of routes.
+fn sum_routes(levels: &LevelCounts) -> LevelCounts {
+    let mut sums = LevelCounts::new();
+    for ((_, level), versions) in levels {
+        let sum = sums.entry((ALL_ROUTES.to_owned(), *level)).or_default();
+        sum.old.add(versions.old);
+        sum.new.add(versions.new);
+    }
+    sums
+}
+
 fn sum_by_route(levels: &LevelCounts) -> BTreeMap<RouteId, VersionCounts> {
     let mut sums: BTreeMap<RouteId, VersionCounts> = BTreeMap::new();
     for ((route, _), versions) in levels {
--- a/crates/egretgate-core/tests/gateway_moving.rs
+++ b/crates/egretgate-core/tests/gateway_moving.rs
@@ -8,7 +8,7 @@
 use egretgate_core::gateway::catalog::{Catalog, MoveSpec};
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::scheduler::Scheduler;
-use egretgate_core::gateway::traffic_move::MoveState;
+use egretgate_core::gateway::traffic_move::{MoveState, Moves, VersionPreference, VersionSample};
 use egretgate_core::gateway::upstream::{ListedUpstream, Outcome, Stage};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -20,8 +20,6 @@
 const REPORT_STEPS: u32 = 4;
 const JUDGE_STEPS: u32 = 20;
 const WITHIN: Duration = Duration::from_secs(12);
-/// Requests per second over all entries.
-const RATE: f64 = 200.0;
 /// Requests that users allow a bad version: a fraction of all requests and a constant number.
 const ALLOWED_FRACTION: f64 = 0.1;
 const ALLOWED_REQUESTS: f64 = 50.0;
@@ -47,6 +45,10 @@
 struct Case {
     name: &'static str,
     faults: Faults,
+    /// Positions of the upstreams that are four times slower than the others.
+    slow_engines: &'static [usize],
+    /// Requests per second over all entries.
+    rate: f64,
     /// Second at which the leading entry dies and loses its state.
     leader_death: Option<f64>,
     /// Second at which an entry is cut off from the others.
@@ -151,7 +153,7 @@
                 }
             }
         }
-        due += RATE * STEP.as_secs_f64();
+        due += case.rate * STEP.as_secs_f64();
         let mut starts: VecDeque<(usize, usize, UpstreamKey)> = VecDeque::new();
         for (index, entry) in entries.iter_mut().enumerate() {
             for (number, _) in entry.expire(now) {
@@ -195,7 +197,8 @@
             let upstream = entries[index].upstream(key).expect("listed");
             let is_new = upstream.listed.version == "v2";
             // Engines differ in speed, and answers in length.
-            let speed = if upstream.listed.id.ends_with('0') { 3.0 } else { 0.7 };
+            let position: usize = upstream.listed.id["writer-".len()..].parse().expect("a number");
+            let speed = if case.slow_engines.contains(&(position)) { 3.0 } else { 0.7 };
             let since = now.duration_since(start).as_secs_f64();
             let faults = case.faults;
             let faulty =
@@ -234,6 +237,8 @@
         Case {
             name: "good",
             faults: NONE,
+            slow_engines: &[0, 10],
+            rate: 200.0,
             leader_death: None,
             cut: None,
             store_down: None,
@@ -242,6 +247,8 @@
         Case {
             name: "good, the leader dies",
             faults: NONE,
+            slow_engines: &[0, 10],
+            rate: 200.0,
             leader_death: Some(5.0),
             cut: None,
             store_down: None,
@@ -250,6 +257,8 @@
         Case {
             name: "fails at once",
             faults: Faults { errors: 0.5, ..NONE },
+            slow_engines: &[0, 10],
+            rate: 200.0,
             leader_death: None,
             cut: None,
             store_down: None,
@@ -258,6 +267,8 @@
         Case {
             name: "fails at once, the leader dies",
             faults: Faults { errors: 0.5, ..NONE },
+            slow_engines: &[0, 10],
+            rate: 200.0,
             leader_death: Some(2.0),
             cut: None,
             store_down: None,
@@ -266,6 +277,8 @@
         Case {
             name: "fails at once, an entry is cut off",
             faults: Faults { errors: 0.5, ..NONE },
+            slow_engines: &[0, 10],
+            rate: 200.0,
             leader_death: None,
             cut: Some(1.0),
             store_down: None,
@@ -274,6 +287,8 @@
         Case {
             name: "fails at once, nothing can be recorded",
             faults: Faults { errors: 0.5, ..NONE },
+            slow_engines: &[0, 10],
+            rate: 200.0,
             leader_death: None,
             cut: None,
             store_down: Some(1.0),
@@ -282,6 +297,8 @@
         Case {
             name: "fails later",
             faults: Faults { after: 5.0, errors: 0.6, ..NONE },
+            slow_engines: &[0, 10],
+            rate: 200.0,
             leader_death: None,
             cut: None,
             store_down: None,
@@ -290,6 +307,18 @@
         Case {
             name: "slow",
             faults: Faults { slow: 5.0, ..NONE },
+            slow_engines: &[0, 10],
+            rate: 200.0,
+            leader_death: None,
+            cut: None,
+            store_down: None,
+            end: MoveState::TakenBack,
+        },
+        Case {
+            name: "slow, a third of the engines slow",
+            faults: Faults { slow: 3.0, ..NONE },
+            slow_engines: &[1, 4, 7, 10],
+            rate: 100.0,
             leader_death: None,
             cut: None,
             store_down: None,
@@ -298,6 +327,8 @@
         Case {
             name: "fails on one route",
             faults: Faults { errors: 0.8, route: Some(1), ..NONE },
+            slow_engines: &[0, 10],
+            rate: 200.0,
             leader_death: None,
             cut: None,
             store_down: None,
@@ -331,3 +362,61 @@
         }
     }
 }
+
+/// Guards against a slow version that hides behind the slowest upstreams of the old one.
+#[test]
+fn a_slow_version_is_found_by_its_bad_answers() {
+    struct Case {
+        name: &'static str,
+        /// Seconds between events at the old version, by the parts of its requests.
+        old: &'static [f64],
+        /// The same at the new version, each several times as slow.
+        new: &'static [f64],
+    }
+    let cases = [
+        Case { name: "equal engines", old: &[0.02], new: &[0.06] },
+        Case {
+            name: "some engines are four times slower",
+            old: &[0.02, 0.02, 0.02, 0.02, 0.02, 0.04, 0.04, 0.04, 0.09, 0.09],
+            new: &[0.06, 0.06, 0.06, 0.065, 0.07, 0.07, 0.075, 0.11, 0.28, 0.28],
+        },
+    ];
+    const ROUTES: usize = 3;
+    for Case { name, old, new } in cases {
+        for seed in 0..6 {
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let now = Instant::now();
+            let target = "v2".to_owned();
+            let spec = MoveSpec { service: SERVICE.to_owned(), target, within: WITHIN };
+            let mut moves = Moves::default();
+            moves.set_moves(std::slice::from_ref(&spec), now);
+            moves.set_state(&spec, MoveState::Running);
+            let mut record = |version: &str, intervals: &[f64], route: usize| {
+                let interval = intervals[rng.random_range(0..intervals.len())];
+                let noise = rng.random_range(0.9..1.1);
+                let sample = VersionSample {
+                    error: false,
+                    first_byte: Some(Duration::from_millis(40)),
+                    event_interval: Some(interval * noise),
+                };
+                let route = format!("route-{route}");
+                moves.record_sample(SERVICE, &version.to_owned(), &route, sample);
+            };
+            // The new version gets a tenth of the requests.
+            for number in 0..BAD_ANSWERS * 10 {
+                record("v1", old, number % ROUTES);
+                if number % 10 == 0 {
+                    record("v2", new, number / 10 % ROUTES);
+                }
+            }
+            moves.judge(1, true, |_| 0, now);
+            let preference = moves.version_preference(SERVICE, 1, true, now);
+            assert_eq!(preference, VersionPreference::Exclude(&spec.target), "{name}, seed {seed}");
+            let rejected = (0..400).all(|number| {
+                let preference = moves.version_preference(SERVICE, number, true, now);
+                preference == VersionPreference::Exclude(&spec.target)
+            });
+            assert!(rejected, "{name}, seed {seed}: it still gets requests");
+        }
+    }
+}
