--- a/crates/egretgate/tests/soak.rs
+++ b/crates/egretgate/tests/soak.rs
@@ -5,7 +5,7 @@
 //! - Relays between the processes, the store and the upstreams delay, cut and refuse connections,
 //!   or block them in one or both directions.
 //! - The store fails and recovers, declarations change, and traffic moves to other versions.
-//! - Upstreams cut, lose and refuse answers.
+//! - Upstreams cut, lose and refuse answers, or send bytes without end.
 //!
 //! Callers check each answer; the requests that reached the upstreams are compared with the
 //! callers' results. `EGRETGATE_SOAK_SEEDS` selects the seeds of a manual run, such as `100..150`;
@@ -20,7 +20,8 @@
 use egretgate_adapter::PATH_VARIABLE;
 use egretgate_fakes::relay::{Block, Relay};
 use egretgate_stand_ins::{
-    Behaviour, Store, StoreMode, Upstream, free_address, is_signed_for, request, settings, status,
+    Behaviour, EndlessPart, Store, StoreMode, Upstream, free_address, is_signed_for, request,
+    settings, status,
 };
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -46,7 +47,7 @@
 const MAX_RECOVERY_TIME: Duration = Duration::from_secs(12);
 
 /// Behaviours to which an upstream is switched at random.
-const BEHAVIOURS: [Behaviour; 9] = [
+const BEHAVIOURS: [Behaviour; 12] = [
     Behaviour::ByRoute,
     Behaviour::Cut,
     Behaviour::Hangup,
@@ -56,6 +57,9 @@
     Behaviour::Garbage,
     Behaviour::Failure,
     Behaviour::Silent,
+    Behaviour::Endless(EndlessPart::Interim),
+    Behaviour::Endless(EndlessPart::Body),
+    Behaviour::Endless(EndlessPart::Refusal),
 ];
 
 /// A gateway process.
