--- a/crates/egretgate-core/src/gateway/rate_limit.rs
+++ b/crates/egretgate-core/src/gateway/rate_limit.rs
@@ -16,8 +16,8 @@
 const ENTRIES_PER_RATE: f64 = 1.0;
 /// Entries that divide a limit among them, besides those for its rate.
 const MIN_ENTRIES: usize = 3;
-/// Time for which an entry keeps unused requests beyond the first, in seconds of its part.
-const KEPT_SECONDS: f64 = 0.25;
+/// Requests beyond the first that an entry without demand saves up, in seconds of its part.
+const SAVED_SECONDS: f64 = 0.25;
 /// Least rate at which a limited upstream gets requests, per second: only its answers tell when the
 /// limit ends.
 const PROBE_RATE: f64 = 0.25;
@@ -42,7 +42,8 @@
     is_own: bool,
     /// This entry's part, in requests per second; 0 if it belongs to other entries.
     rate: f64,
-    /// Requests that this entry may start now; at most 1 and those of a short time more.
+    /// Requests that this entry may start now; at most 1 and those of [`SAVED_SECONDS`]. Below 0 if
+    /// it started more than it knew of.
     level: f64,
     /// Time up to which `level` was filled; `None` without a part.
     filled: Option<Instant>,
@@ -126,7 +127,7 @@
     fn level_at(&self, now: Instant) -> f64 {
         let Some(filled) = self.filled else { return 0.0 };
         let gained = self.rate * now.saturating_duration_since(filled).as_secs_f64();
-        (self.level + gained).min(1.0 + self.rate * KEPT_SECONDS)
+        (self.level + gained).min(1.0 + self.rate * SAVED_SECONDS)
     }
 }
 
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -332,7 +332,7 @@
     }
 
     /// Records the limit that an upstream stated in an answer, in requests per second over all
-    /// entries; returns the limit before if that is a change.
+    /// entries; returns the change, if it is one.
     pub fn record_limit(
         &mut self,
         key: UpstreamKey,
