feat(gateway): log how the end of an answer was marked and what was left after its last event

A request's line gets `framing` (length, chunked, or close: the end of the connection) and `partial_bytes`; egretgate_stream_ends_total counts the ends of streams by framing and place. So the log tells a stream that was closed inside an event from one closed between events and from a whole one.

--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -25,6 +25,7 @@
 use crate::connect::{Connection, SendError};
 use crate::dialect::{Dialect, ForwardHead};
 use crate::dispatcher::{DispatcherHandle, SlotPermit};
+use crate::framing::Framing;
 use crate::headers::{prepare_request, strip_connection};
 use crate::plan::{CallerRequest, Plan};
 use crate::relay::{Relay, UpstreamAnswer};
@@ -69,6 +70,8 @@
     upstream: UpstreamId,
     /// Limit that the upstream stated in its last answer, in requests per second.
     rate_limit: Option<f64>,
+    /// How the end of the last answer is marked; `None` before the first answer.
+    framing: Option<Framing>,
     /// Event after which the stream resumes.
     resume_after: Option<u64>,
     /// Time spent waiting for upstreams.
@@ -77,6 +80,8 @@
     retry_after: Option<Duration>,
     /// Events passed on to the caller.
     pub(crate) events: u64,
+    /// Bytes that the last upstream sent after its last complete event.
+    pub(crate) partial_bytes: usize,
     /// True once its end was logged.
     end_logged: bool,
 }
@@ -100,10 +105,12 @@
             avoid: Vec::new(),
             upstream: UpstreamId::new(),
             rate_limit: None,
+            framing: None,
             resume_after,
             waited: Duration::ZERO,
             retry_after: None,
             events: 0,
+            partial_bytes: 0,
             end_logged: false,
         })
     }
@@ -201,9 +208,23 @@
             "waited_ms" => self.waited.as_millis() as u64,
             "retry_after_ms" => self.retry_after.map(|wait| wait.as_millis() as u64),
             "upstream_limit" => self.rate_limit,
+            "framing" => self.framing.map(Framing::as_str),
+            "partial_bytes" => self.partial_bytes,
             "outcome" => outcome);
     }
 
+    /// Counts a stream that its upstream ended, by what marked the end and where it came.
+    pub(crate) fn count_stream_end(&self) {
+        let end = match (self.partial_bytes, self.events) {
+            (0, 0) => "no_event",
+            (0, _) => "after_event",
+            _ => "inside_event",
+        };
+        let framing = self.framing.map_or("", Framing::as_str);
+        metrics::counter!("egretgate_stream_ends_total", "framing" => framing, "end" => end)
+            .increment(1);
+    }
+
     fn caller_timeout(&self) -> Duration {
         self.request.head.timeout.unwrap_or(self.plan.route.timeout)
     }
@@ -456,6 +477,7 @@
         let (parts, body) = response.into_parts();
         let head = self.context.dialect.read_answer(parts.status.as_u16(), &parts.headers);
         self.rate_limit = head.rate_limit;
+        self.framing = Some(Framing::of(&parts.headers));
         let answer = UpstreamAnswer { permit, connection, headers: parts.headers, body };
         let is_foreign = head.id.as_ref().is_some_and(|id| *id != self.request.head.id);
         if !is_foreign && parts.status != StatusCode::MISDIRECTED_REQUEST {
--- a/crates/egretgate-gateway/src/lib.rs
+++ b/crates/egretgate-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod dispatcher;
 mod events;
 mod exchange;
+mod framing;
 mod gateway;
 mod gossip;
 mod head_limit;
--- a/crates/egretgate-gateway/src/relay.rs
+++ b/crates/egretgate-gateway/src/relay.rs
@@ -220,6 +220,7 @@
 
     /// Ends the stream as cut, since the caller or the route has timed out.
     fn end_timed_out(&mut self) {
+        self.exchange.partial_bytes = self.splitter.partial_bytes();
         self.exchange.log_end("timed_out");
         self.answer = None;
     }
@@ -227,6 +228,8 @@
     /// Ends the stream after the complete answer.
     async fn finish(&mut self) {
         if let Some(answer) = self.answer.take() {
+            self.exchange.partial_bytes = self.splitter.partial_bytes();
+            self.exchange.count_stream_end();
             self.exchange.log_end("served");
             answer.complete(Outcome::Succeeded { unit_seconds: self.event_interval() }).await;
         }
@@ -242,6 +245,7 @@
     /// Resumes the stream at another upstream, if that is allowed; otherwise ends it as cut.
     async fn resume(&mut self, outcome: Outcome) {
         let Some(answer) = self.answer.take() else { return };
+        self.exchange.partial_bytes = self.splitter.partial_bytes();
         // Closing the connection first tells the upstream to stop.
         drop(answer.body);
         drop(answer.connection);
