fix(gateway): a stream that its upstream broke off doesn't end as complete

What callers saw: status 200 with a signature and a short body, framed as complete. They neither resumed the stream nor asked again. Cause: an answer without length and chunks ends with its connection, and the HTTP library reports its end whether the upstream ended it or crashed. The relay took each such end for the answer's, sent the last chunk, and counted the run as a success, for the upstream's speed, for moves and for the record of requests that crash upstreams. Class: the end of a transport taken for the end of a message. Ruled out: a cut that is noticed and lost on the way to the caller (each framing's cuts and resets reach it). Change: at the end of a stream its events decide. Inside an event, whatever marks the end, or before the first event of an answer that ends with its connection, the stream is broken off: it is resumed elsewhere or cut, and a line `stream broken off` says so. Streams go to callers without a length, as a caller that has all bytes of a length can't be told.

--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -213,7 +213,19 @@
             "outcome" => outcome);
     }
 
-    /// Counts a stream that its upstream ended, by what marked the end and where it came.
+    /// Logs that the upstream's stream ended too early or fell silent.
+    pub(crate) fn log_break(&self, outcome: Outcome) {
+        info!(self.context.log, "stream broken off";
+            "id" => &self.request.head.id,
+            "upstream" => &self.upstream,
+            "cause" => if outcome == Outcome::Stalled { "stalled" } else { "ended" },
+            "framing" => self.framing.map(Framing::as_str),
+            "events" => self.events,
+            "partial_bytes" => self.partial_bytes,
+            "may_resume" => self.may_resume());
+    }
+
+    /// Counts a stream that has ended at its upstream, by what marks the end and where it came.
     pub(crate) fn count_stream_end(&self) {
         let end = match (self.partial_bytes, self.events) {
             (0, 0) => "no_event",
@@ -501,9 +513,8 @@
         let mut headers = answer.headers.clone();
         strip_connection(&mut headers);
         if status.is_success() && self.plan.route.kind.is_stream() {
-            if self.is_resumable() {
-                headers.remove(CONTENT_LENGTH);
-            }
+            // A caller that has all bytes of a stated length takes the answer for a whole one.
+            headers.remove(CONTENT_LENGTH);
             let body = streamed(Relay::body(self, answer));
             return respond(status, headers, body);
         }
--- a/crates/egretgate-gateway/src/relay.rs
+++ b/crates/egretgate-gateway/src/relay.rs
@@ -8,6 +8,7 @@
 use futures::StreamExt;
 use futures::stream::{self, BoxStream};
 use http::HeaderMap;
+use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
 use tokio::time::timeout_at;
@@ -16,6 +17,7 @@
 use crate::dispatcher::SlotPermit;
 use crate::events::EventSplitter;
 use crate::exchange::Exchange;
+use crate::framing::Framing;
 
 /// Silence within a stream after which its upstream is suspected.
 const SUSPECT_AFTER: Duration = Duration::from_millis(500);
@@ -131,6 +133,9 @@
                         return Some(Ok(events));
                     }
                 }
+                StreamStep::End if self.is_broken_off() => {
+                    self.resume(Outcome::InvalidAnswer).await;
+                }
                 StreamStep::End => {
                     self.finish().await;
                     let remainder = self.splitter.rest();
@@ -150,6 +155,22 @@
         }
     }
 
+    /// Returns true if the upstream broke off the stream that has just ended.
+    ///
+    /// An answer that ends with its connection ends in the same way when its upstream crashes, so
+    /// the events decide. A stream that was closed between two events can't be told from a whole
+    /// one.
+    fn is_broken_off(&self) -> bool {
+        let Some(answer) = &self.answer else { return false };
+        if !is_event_stream(&answer.headers) {
+            return false;
+        }
+        // A resumed stream may have nothing left to send.
+        let is_empty = self.splitter.count() == 0 && self.splitter.last().is_none();
+        self.splitter.partial_bytes() > 0
+            || (is_empty && Framing::of(&answer.headers) == Framing::Close)
+    }
+
     /// Returns the bytes that may be passed on: only complete events if the stream may be resumed.
     fn take_complete_events(&mut self, bytes: Bytes) -> Bytes {
         let before = self.splitter.count();
@@ -218,9 +239,15 @@
         self.continue_stream(Some(permit)).await;
     }
 
+    /// Records where the upstream's answer has ended.
+    fn record_end(&mut self) {
+        self.exchange.partial_bytes = self.splitter.partial_bytes();
+        self.exchange.count_stream_end();
+    }
+
     /// Ends the stream as cut, since the caller or the route has timed out.
     fn end_timed_out(&mut self) {
-        self.exchange.partial_bytes = self.splitter.partial_bytes();
+        self.record_end();
         self.exchange.log_end("timed_out");
         self.answer = None;
     }
@@ -228,8 +255,7 @@
     /// Ends the stream after the complete answer.
     async fn finish(&mut self) {
         if let Some(answer) = self.answer.take() {
-            self.exchange.partial_bytes = self.splitter.partial_bytes();
-            self.exchange.count_stream_end();
+            self.record_end();
             self.exchange.log_end("served");
             answer.complete(Outcome::Succeeded { unit_seconds: self.event_interval() }).await;
         }
@@ -245,7 +271,8 @@
     /// Resumes the stream at another upstream, if that is allowed; otherwise ends it as cut.
     async fn resume(&mut self, outcome: Outcome) {
         let Some(answer) = self.answer.take() else { return };
-        self.exchange.partial_bytes = self.splitter.partial_bytes();
+        self.record_end();
+        self.exchange.log_break(outcome);
         // Closing the connection first tells the upstream to stop.
         drop(answer.body);
         drop(answer.connection);
@@ -272,3 +299,10 @@
         }
     }
 }
+
+/// Returns true unless the answer states another type than a stream of events.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let Some(value) = headers.get(CONTENT_TYPE) else { return true };
+    let media_type = value.as_bytes().split(|byte| *byte == b';').next().unwrap_or_default();
+    media_type.trim_ascii().eq_ignore_ascii_case(b"text/event-stream")
+}
