--- a/crates/egretgate/tests/processes.rs
+++ b/crates/egretgate/tests/processes.rs
@@ -3,6 +3,8 @@
 
 #[path = "processes/bad_input.rs"]
 mod bad_input;
+#[path = "processes/broken_off.rs"]
+mod broken_off;
 #[path = "processes/caller.rs"]
 mod caller;
 #[path = "processes/config.rs"]
