fix(side): a stream that its engine broke off is reported as cut

Change: a stream that ends inside an event is cut, and one that ends with its connection is cut unless an engine's end mark, or an event of a plain service, came before.

--- a/crates/egretgate-engine/src/meter.rs
+++ b/crates/egretgate-engine/src/meter.rs
@@ -29,6 +29,8 @@
 pub struct TokenMeter {
     /// Start of the current line, at most [`LINE_PREFIX_BYTES`].
     line: Vec<u8>,
+    /// True if bytes have arrived since the last event ended.
+    inside_event: bool,
     /// True if the current event has a data line.
     has_data: bool,
     /// True if the last data line of the current event is the end mark.
@@ -55,6 +57,7 @@
                 segment.strip_suffix(b"\n").map_or((segment, false), |text| (text, true));
             let remaining = LINE_PREFIX_BYTES - self.line.len();
             self.line.extend_from_slice(&text[..text.len().min(remaining)]);
+            self.inside_event |= !text.is_empty();
             if ended {
                 tokens += u32::from(self.end_line());
             }
@@ -93,6 +96,11 @@
         self.done
     }
 
+    /// Returns true if an event has begun and not ended.
+    pub const fn is_inside_event(&self) -> bool {
+        self.inside_event
+    }
+
     /// Processes the end of the current line. Returns true if the line ended an event that is a
     /// token.
     fn end_line(&mut self) -> bool {
@@ -116,6 +124,7 @@
     fn end_event(&mut self) -> bool {
         let is_token = self.has_data && !self.has_end;
         self.done |= self.has_data && self.has_end;
+        self.inside_event = false;
         self.has_data = false;
         self.has_end = false;
         is_token
--- a/crates/egretgate-engine/tests/meter.rs
+++ b/crates/egretgate-engine/tests/meter.rs
@@ -61,6 +61,8 @@
         for meter in [whole, bytes] {
             assert_eq!(meter.tokens(), tokens, "{name}");
             assert_eq!(meter.is_done(), done, "{name}");
+            let is_whole = stream.is_empty() || stream.replace('\r', "").ends_with("\n\n");
+            assert_eq!(meter.is_inside_event(), !is_whole, "{name}");
             assert_eq!(meter.first_token().is_some(), tokens > 0, "{name}");
         }
     }
--- a/crates/egretgate-http/src/answer.rs
+++ b/crates/egretgate-http/src/answer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::header::{CONTENT_TYPE, HeaderName, RETRY_AFTER};
+use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, RETRY_AFTER, TRANSFER_ENCODING};
 use http::{HeaderMap, Response};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -40,6 +40,19 @@
         self.header(&RETRY_AFTER).and_then(|value| value.parse().ok()).map(Duration::from_secs)
     }
 
+    /// Returns true if its content type is a stream of events.
+    pub fn is_event_stream(&self) -> bool {
+        let media_type = self.content_type.split(';').next().unwrap_or_default();
+        media_type.trim().eq_ignore_ascii_case("text/event-stream")
+    }
+
+    /// Returns true if the body has neither a length nor chunks and ends with its connection.
+    ///
+    /// Such a body ends in the same way when the peer crashes.
+    pub fn ends_with_connection(&self) -> bool {
+        !self.headers.contains_key(CONTENT_LENGTH) && !self.headers.contains_key(TRANSFER_ENCODING)
+    }
+
     /// Returns the next part of the body, or `None` after its end.
     ///
     /// An error means that the answer was cut. This method is cancel safe.
--- a/crates/egretgate/tests/processes/broken_off.rs
+++ b/crates/egretgate/tests/processes/broken_off.rs
@@ -36,6 +36,17 @@
     let _ = stream.write_all(answer.as_bytes()).await;
 }
 
+/// Returns what a caller gets from an engine whose stream has this framing and body.
+async fn receive(framing: &str, body: &str) -> Reply {
+    let answer =
+        format!("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{framing}\r\n{body}");
+    let testbed = Testbed::start().await;
+    let _side = testbed.side("writer-1", Kind::Engine, engine(answer).await);
+    let entry = testbed.entry("entry-1");
+    testbed.declare(&entry).await;
+    complete(entry.address("callers"), "inspection report", 4).await
+}
+
 /// Guards against an engine's stream that was broken off and that its caller takes for a whole one.
 #[tokio::test(flavor = "multi_thread")]
 async fn an_engines_stream_that_was_broken_off_is_reported_as_cut() {
@@ -66,7 +77,7 @@
         Case {
             name: "inside an event, with the last chunk",
             framing: CHUNKED,
-            body: "8\r\ndata: {\"\r\n0\r\n\r\n",
+            body: "6\r\nid: 2\n\r\n0\r\n\r\n",
             whole: false,
         },
         Case {
@@ -78,13 +89,7 @@
     ];
     let mut failed = Vec::new();
     for Case { name, framing, body, whole } in cases {
-        let answer =
-            format!("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n{framing}\r\n{body}");
-        let testbed = Testbed::start().await;
-        let _side = testbed.side("writer-1", Kind::Engine, engine(answer).await);
-        let entry = testbed.entry("entry-1");
-        testbed.declare(&entry).await;
-        let reply = complete(entry.address("callers"), "inspection report", 4).await;
+        let reply = receive(framing, body).await;
         if matches!(reply, Reply::Whole(_)) != whole {
             failed.push(format!("{name}: {reply:?}"));
         }
--- a/crates/egretside/src/run.rs
+++ b/crates/egretside/src/run.rs
@@ -183,12 +183,22 @@
                     self.sender.send_data(data).await;
                 }
                 Step::Data(Some(Err(error))) => return Failure::from(error).into(),
+                Step::Data(None) if self.is_broken_off(&answer, meter) => return Finish::Cut,
                 Step::Data(None) if self.sender.status() >= 500 => return Finish::Failed,
                 Step::Data(None) => return Finish::Whole,
             }
         }
     }
 
+    /// Returns true if the target broke off the stream that has just ended.
+    fn is_broken_off(&self, answer: &Answer, meter: &TokenMeter) -> bool {
+        if !answer.is_event_stream() {
+            return false;
+        }
+        let has_end = meter.is_done() || (!self.client.marks_end() && meter.tokens() > 0);
+        meter.is_inside_event() || (answer.ends_with_connection() && !has_end)
+    }
+
     async fn step(&mut self, answer: &mut Answer) -> Step {
         let has_credit = self.sender.has_credit();
         let expiry = self.sender.expiry();
--- a/crates/egretside/src/target_client.rs
+++ b/crates/egretside/src/target_client.rs
@@ -52,6 +52,11 @@
         &self.version
     }
 
+    /// Returns true if its streams end with an event that says so.
+    pub(crate) const fn marks_end(&self) -> bool {
+        matches!(self.client, Client::Engine(_))
+    }
+
     /// Sends a request, at most once, and returns once the head of the answer has arrived.
     pub(crate) async fn call(
         self,
