fix(caller): an error event is no part of the event that was broken off

What callers saw: an answer that was cut inside an event went on with an error event in the middle of that event, and ended with the last chunk; a parser of events finds one broken event and no error. Cause: the error event is sent wherever the stream stopped. Change: only between events; inside one the connection is closed without the last chunk.

--- a/crates/egretgate-caller/src/server.rs
+++ b/crates/egretgate-caller/src/server.rs
@@ -259,16 +259,22 @@
     }
 }
 
-/// Streams the rest of an answer. A cut event stream ends with an error event; any other cut body
-/// ends with a closed connection, so that it doesn't look complete.
+/// Streams the rest of an answer. An event stream that is cut between two events ends with an error
+/// event; any other cut body ends with a closed connection, so that it doesn't look complete.
 fn body_stream(replies: mpsc::Receiver<Reply>, content_type: String) -> ResBody {
     let events = content_type.starts_with(EVENT_STREAM);
-    let parts = stream::unfold(Some(replies), move |replies| async move {
-        let mut replies = replies?;
+    let start = Some((replies, StreamTail::default()));
+    let parts = stream::unfold(start, move |state| async move {
+        let (mut replies, mut tail) = state?;
         match replies.recv().await {
-            Some(Reply::Data(data)) => Some((Ok(data), Some(replies))),
+            Some(Reply::Data(data)) => {
+                tail.push(&data);
+                Some((Ok(data), Some((replies, tail))))
+            }
             Some(Reply::End) => None,
-            Some(Reply::Failed(error)) if events => Some((Ok(error_event(&error)), None)),
+            Some(Reply::Failed(error)) if events && tail.is_between_events() => {
+                Some((Ok(error_event(&error)), None))
+            }
             Some(Reply::Failed(error)) => Some((Err(io::Error::other(error)), None)),
             Some(Reply::Head(_)) | None => {
                 Some((Err(io::Error::other("the answer was cut")), None))
@@ -278,6 +284,24 @@
     ResBody::stream(parts)
 }
 
+/// The last bytes of an event stream, enough to tell whether its last event is complete.
+#[derive(Debug, Default)]
+struct StreamTail(Vec<u8>);
+
+impl StreamTail {
+    /// Length of the longest end of an event that matters, a line end and a blank line.
+    const BYTES: usize = b"\n\r\n".len();
+
+    fn push(&mut self, data: &[u8]) {
+        self.0.extend_from_slice(&data[data.len().saturating_sub(Self::BYTES)..]);
+        self.0.drain(..self.0.len().saturating_sub(Self::BYTES));
+    }
+
+    fn is_between_events(&self) -> bool {
+        self.0.is_empty() || self.0.ends_with(b"\n\n") || self.0.ends_with(b"\n\r\n")
+    }
+}
+
 fn stopping_error() -> Error {
     Error::new(ErrorKind::Stopping, "the entry is shutting down")
 }
--- a/crates/egretgate/tests/processes/broken_off.rs
+++ b/crates/egretgate/tests/processes/broken_off.rs
@@ -96,3 +96,28 @@
     }
     assert!(failed.is_empty(), "{failed:#?}");
 }
+
+/// Guards against an error event that becomes a part of the event that was broken off.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_error_event_is_no_part_of_another_event() {
+    struct Case {
+        body: &'static str,
+        is_error: bool,
+    }
+    let cases = [
+        Case { body: "data: {\"te", is_error: false },
+        Case { body: "data: {}\n", is_error: false },
+        Case { body: "data: {}\n\n", is_error: true },
+        Case { body: "data: {}\r\n\r\n", is_error: true },
+        Case { body: "", is_error: true },
+    ];
+    let mut failed = Vec::new();
+    for Case { body, is_error } in cases {
+        let reply = receive("", body).await;
+        let expected = if is_error { reply.code() == "answer_cut" } else { reply == Reply::Broken };
+        if !expected {
+            failed.push(format!("{body:?}: {reply:?}"));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:#?}");
+}
