--- a/crates/egretgate/tests/soak.rs
+++ b/crates/egretgate/tests/soak.rs
@@ -5,7 +5,8 @@
 //! - Relays between the processes, the store and the upstreams delay, cut and refuse connections,
 //!   or block them in one or both directions.
 //! - The store fails and recovers, declarations change, and traffic moves to other versions.
-//! - Upstreams cut, lose and refuse answers, or send bytes without end.
+//! - Upstreams cut, lose and refuse answers, break off streams whose end looks like any other, or
+//!   send bytes without end.
 //!
 //! Callers check each answer; the requests that reached the upstreams are compared with the
 //! callers' results. `EGRETGATE_SOAK_SEEDS` selects the seeds of a manual run, such as `100..150`;
@@ -20,8 +21,8 @@
 use egretgate_adapter::PATH_VARIABLE;
 use egretgate_fakes::relay::{Block, Relay};
 use egretgate_stand_ins::{
-    Behaviour, EndlessPart, Store, StoreMode, Upstream, free_address, is_signed_for, request,
-    settings, status,
+    Behaviour, Ending, EndlessPart, Framing, Store, StoreMode, Upstream, free_address,
+    is_signed_for, request, settings, status,
 };
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -47,7 +48,7 @@
 const MAX_RECOVERY_TIME: Duration = Duration::from_secs(12);
 
 /// Behaviours to which an upstream is switched at random.
-const BEHAVIOURS: [Behaviour; 12] = [
+const BEHAVIOURS: [Behaviour; 15] = [
     Behaviour::ByRoute,
     Behaviour::Cut,
     Behaviour::Hangup,
@@ -60,6 +61,9 @@
     Behaviour::Endless(EndlessPart::Interim),
     Behaviour::Endless(EndlessPart::Body),
     Behaviour::Endless(EndlessPart::Refusal),
+    Behaviour::Ended { framing: Framing::Close, ending: Ending::InsideEvent },
+    Behaviour::Ended { framing: Framing::Close, ending: Ending::Reset },
+    Behaviour::Ended { framing: Framing::Chunked, ending: Ending::MarkedInsideEvent },
 ];
 
 /// A gateway process.
