fix(gateway): a cut stream doesn't look complete to a caller without chunks

The same cause seen from our own callers: an HTTP/1.0 caller gets a stream that ends with its connection, and a cut closed the connection just as the end does. Such a connection is reset on a cut now. Test: an_http_1_0_caller_sees_that_a_stream_was_cut; both cut cases failed before (the read ended without an error).

--- a/crates/egretgate-gateway/src/caller_listener.rs
+++ b/crates/egretgate-gateway/src/caller_listener.rs
@@ -2,13 +2,13 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use egretgate_core::gateway::catalog::{CallerLimits, Catalog};
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderValue, Request, Response};
+use http::{HeaderValue, Request, Response, Version};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -90,8 +90,11 @@
         let limits = self.limits();
         let mut phase = self.phase.clone();
         let listener = Arc::clone(&self);
-        let service = service_fn(move |request| {
+        let lacks_chunks = Arc::new(AtomicBool::new(false));
+        let caller_lacks_chunks = Arc::clone(&lacks_chunks);
+        let service = service_fn(move |request: Request<Incoming>| {
             let listener = Arc::clone(&listener);
+            lacks_chunks.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
             async move {
                 let mut response = Arc::clone(&listener).answer(request).await;
                 if *listener.phase.borrow() > Phase::Serving {
@@ -100,22 +103,27 @@
                 Ok::<_, Infallible>(response)
             }
         });
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(limits.idle_timeout)
             .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
         let result = tokio::select! {
             result = &mut connection => result,
             () = closing(&mut phase) => {
-                connection.as_mut().graceful_shutdown();
-                connection.await
+                Pin::new(&mut connection).graceful_shutdown();
+                (&mut connection).await
             }
         };
         // This happens when a caller leaves or an answer is cut on purpose.
-        if let Err(error) = result {
-            slog::debug!(self.context.log, "connection ended"; "error" => %error);
+        let Err(error) = result else { return };
+        slog::debug!(self.context.log, "connection ended"; "error" => %error);
+        if caller_lacks_chunks.load(Ordering::Relaxed) {
+            // Without chunks, a stream ends with its connection: only a reset shows the cut.
+            let stream = connection.into_parts().io.into_inner();
+            if let Err(error) = stream.set_zero_linger() {
+                info!(self.context.log, "connection not reset"; "error" => %error);
+            }
         }
     }
 
