feat(gateway): decode the shared parts of a prompt and log them

The adapter reads the parts of Egretgate-Prompt-Prefix but the last, which belongs to the request itself; requests carry them to the scheduler and back with how long the answer was written. No decision uses them yet. The lines `request`, `attempt` and `stream broken off` name them, so that the log tells crashes under one part from others.

--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod fair_use;
 pub mod follow;
 pub mod peer;
+pub mod prompt_part;
 pub mod rate_limit;
 pub mod refusals;
 pub mod report_schedule;
--- a/crates/egretgate-core/src/gateway/admission.rs
+++ b/crates/egretgate-core/src/gateway/admission.rs
@@ -1,9 +1,11 @@
 //! Requests to the scheduler for an upstream, and its decisions.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use slotmap::new_key_type;
 
+use super::prompt_part::PartHash;
 use super::request_queue::{Priority, RequestNumber};
 use super::upstream::Outcome;
 use crate::{Digest, RouteId, ServiceId, TeamId, UpstreamId};
@@ -47,6 +49,8 @@
     pub avoid: Vec<UpstreamId>,
     /// Digest of its target, key and body.
     pub digest: Option<Digest>,
+    /// Parts of its prompt that other requests may share.
+    pub parts: Arc<[PartHash]>,
 }
 
 /// Tokens that count against the limit of a team.
@@ -143,6 +147,10 @@
     pub outcome: Outcome,
     /// Digest of the request.
     pub digest: Option<Digest>,
+    /// Parts of its prompt that other requests may share.
+    pub parts: Arc<[PartHash]>,
+    /// Time from the first to the last data of its answer.
+    pub wrote_for: Duration,
     /// Time at which it started.
     pub started: Instant,
     /// True if [`Scheduler::suspect`](super::scheduler::Scheduler::suspect) was called for it.
@@ -152,12 +160,7 @@
 impl Completion {
     /// Returns the completion of a request without route, digest and time to first byte, which was
     /// never suspected.
-    pub const fn new(
-        service: ServiceId,
-        key: UpstreamKey,
-        outcome: Outcome,
-        started: Instant,
-    ) -> Self {
+    pub fn new(service: ServiceId, key: UpstreamKey, outcome: Outcome, started: Instant) -> Self {
         Self {
             service,
             route: RouteId::new(),
@@ -165,6 +168,8 @@
             first_byte: None,
             outcome,
             digest: None,
+            parts: Arc::default(),
+            wrote_for: Duration::ZERO,
             started,
             suspected: false,
         }
--- a/crates/egretgate-core/tests/gateway_moving.rs
+++ b/crates/egretgate-core/tests/gateway_moving.rs
@@ -196,6 +196,7 @@
                 is_retry: false,
                 avoid: Vec::new(),
                 digest: None,
+                parts: Arc::default(),
             };
             match entries[index].admit(request, now) {
                 Admission::Started(key) => starts.push_back((index, route, key)),
--- a/crates/egretgate-core/tests/gateway_overload/fleet.rs
+++ b/crates/egretgate-core/tests/gateway_overload/fleet.rs
@@ -315,6 +315,7 @@
             is_retry: false,
             avoid: Vec::new(),
             digest: None,
+            parts: Arc::default(),
         };
         self.dispatch(entry, now);
         match self.entries[entry].admit(request, now) {
--- a/crates/egretgate-core/tests/gateway_rate_limit.rs
+++ b/crates/egretgate-core/tests/gateway_rate_limit.rs
@@ -1,6 +1,7 @@
 //! Entries share the limit that an upstream states in its answers.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use egretgate_core::gateway::admission::{Admission, AdmissionRequest, Completion, UpstreamKey};
@@ -150,6 +151,7 @@
             is_retry: false,
             avoid: Vec::new(),
             digest: None,
+            parts: Arc::default(),
         };
         let scheduler = &mut self.entries[entry];
         // Requests that would wait don't matter here.
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -46,6 +46,7 @@
         is_retry: false,
         avoid: Vec::new(),
         digest: None,
+        parts: Arc::default(),
     }
 }
 
--- a/crates/egretgate-gateway/src/dialect.rs
+++ b/crates/egretgate-gateway/src/dialect.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use egretgate_core::gateway::prompt_part::PartHash;
 use http::HeaderMap;
 
 /// The fields of a request's head that matter, beside its method and path.
@@ -21,6 +22,8 @@
     pub most_output: Option<u64>,
     /// Last event of the stream that the caller has received.
     pub last_event: Option<u64>,
+    /// Parts of the prompt that other requests may share, in order.
+    pub shared_parts: Vec<PartHash>,
 }
 
 /// The fields that the entry adds to a request for an upstream.
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -10,6 +10,7 @@
 };
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::peer::PeerReport;
+use egretgate_core::gateway::prompt_part::PartHash;
 use egretgate_core::gateway::request_queue::RequestNumber;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::gateway::traffic_move::MoveStatus;
@@ -40,6 +41,9 @@
     key: UpstreamKey,
     service: ServiceId,
     digest: Option<Digest>,
+    parts: Arc<[PartHash]>,
+    /// Time from the first to the last data of the answer.
+    wrote_for: Duration,
     started: Instant,
     /// True once [`SlotPermit::suspect`] was called.
     suspected: bool,
@@ -63,6 +67,11 @@
         self.first_byte = Some(self.started.elapsed());
     }
 
+    /// Records the time from the first to the last data of the answer.
+    pub(crate) const fn record_writing(&mut self, time: Duration) {
+        self.wrote_for = time;
+    }
+
     /// Records the limit that the answer states.
     pub(crate) fn record_limit(&self, limit: Option<f64>) {
         if limit.is_some() || self.limited {
@@ -84,6 +93,8 @@
             key: self.key,
             outcome: self.outcome,
             digest: self.digest,
+            parts: Arc::clone(&self.parts),
+            wrote_for: self.wrote_for,
             started: self.started,
             suspected: self.suspected,
             route: std::mem::take(&mut self.route),
@@ -219,6 +230,7 @@
     service: ServiceId,
     route: RouteId,
     digest: Option<Digest>,
+    parts: Arc<[PartHash]>,
     result_sender: oneshot::Sender<AdmitResult>,
 }
 
@@ -295,7 +307,8 @@
         self.dispatch(now);
         let number = request.number;
         let (service, route) = (request.service.clone(), request.route.clone());
-        let waiter = Waiter { service, route, digest: request.digest, result_sender };
+        let (digest, parts) = (request.digest, Arc::clone(&request.parts));
+        let waiter = Waiter { service, route, digest, parts, result_sender };
         match self.scheduler.admit(request, now) {
             Admission::Started(key) => self.grant(waiter, key, now),
             Admission::Queued => {
@@ -351,6 +364,8 @@
             key,
             service: waiter.service,
             digest: waiter.digest,
+            parts: waiter.parts,
+            wrote_for: Duration::ZERO,
             started: now,
             suspected: false,
             limited: upstream.limit().is_some(),
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -210,6 +210,7 @@
             "upstream_limit" => self.rate_limit,
             "framing" => self.framing.map(Framing::as_str),
             "partial_bytes" => self.partial_bytes,
+            "parts" => self.part_names(),
             "outcome" => outcome);
     }
 
@@ -222,6 +223,7 @@
             "framing" => self.framing.map(Framing::as_str),
             "events" => self.events,
             "partial_bytes" => self.partial_bytes,
+            "parts" => self.part_names(),
             "may_resume" => self.may_resume());
     }
 
@@ -313,9 +315,17 @@
             "sent" => self.attempts,
             "took_ms" => self.request.received.elapsed().as_millis() as u64,
             "left_ms" => self.time_left().as_millis() as u64,
+            "parts" => self.part_names(),
             "outcome" => outcome);
     }
 
+    /// Returns the parts of the prompt that other requests may share, for logs.
+    fn part_names(&self) -> String {
+        let names: Vec<String> =
+            self.plan.parts.iter().map(|part| format!("{part:016x}")).collect();
+        names.join(",")
+    }
+
     /// Logs why no upstream has headroom for the request.
     fn log_overload(&self, overload: Overload) {
         info!(self.context.log, "crowded";
@@ -367,6 +377,7 @@
             is_retry: self.attempts > 0,
             avoid: self.avoid.clone(),
             digest: Some(self.plan.digest),
+            parts: Arc::clone(&self.plan.parts),
         };
         let result = self.context.dispatcher.admit(request).await;
         self.waited += now.elapsed();
--- a/crates/egretgate-gateway/src/plan.rs
+++ b/crates/egretgate-gateway/src/plan.rs
@@ -1,10 +1,12 @@
 //! How the declarations apply to one request.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use bytes::Bytes;
 use egretgate_core::gateway::admission::Charge;
 use egretgate_core::gateway::catalog::{Catalog, Route};
+use egretgate_core::gateway::prompt_part::PartHash;
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::{Digest, ServiceId, TeamId};
 use http::{HeaderMap, Method, Uri};
@@ -41,6 +43,8 @@
     pub(crate) max_events: Option<f64>,
     pub(crate) version: u64,
     pub(crate) digest: Digest,
+    /// Parts of the prompt that other requests may share.
+    pub(crate) parts: Arc<[PartHash]>,
 }
 
 impl Plan {
@@ -75,6 +79,7 @@
             charge,
             version: catalog.version,
             digest,
+            parts: request.head.shared_parts.as_slice().into(),
         })
     }
 }
--- a/crates/egretgate-gateway/src/relay.rs
+++ b/crates/egretgate-gateway/src/relay.rs
@@ -241,8 +241,12 @@
 
     /// Records where the upstream's answer has ended.
     fn record_end(&mut self) {
+        let Some(answer) = &mut self.answer else { return };
         self.exchange.partial_bytes = self.splitter.partial_bytes();
         self.exchange.count_stream_end();
+        if let Some(first_data) = self.first_data {
+            answer.permit.record_writing(self.last_data.saturating_duration_since(first_data));
+        }
     }
 
     /// Ends the stream as cut, since the caller or the route has timed out.
@@ -254,8 +258,8 @@
 
     /// Ends the stream after the complete answer.
     async fn finish(&mut self) {
+        self.record_end();
         if let Some(answer) = self.answer.take() {
-            self.record_end();
             self.exchange.log_end("served");
             answer.complete(Outcome::Succeeded { unit_seconds: self.event_interval() }).await;
         }
@@ -270,8 +274,8 @@
 
     /// Resumes the stream at another upstream, if that is allowed; otherwise ends it as cut.
     async fn resume(&mut self, outcome: Outcome) {
-        let Some(answer) = self.answer.take() else { return };
         self.record_end();
+        let Some(answer) = self.answer.take() else { return };
         self.exchange.log_break(outcome);
         // Closing the connection first tells the upstream to stop.
         drop(answer.body);
--- a/crates/egretgate-model/src/simulation/entries.rs
+++ b/crates/egretgate-model/src/simulation/entries.rs
@@ -1,6 +1,7 @@
 //! Entries: admission, dispatch and reports to peers.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use egretgate_core::gateway::admission::AdmissionRequest;
 use egretgate_core::gateway::peer::PeerReport;
@@ -35,6 +36,7 @@
             is_retry: request.attempts > 0,
             avoid: request.avoid.clone(),
             digest: None,
+            parts: Arc::default(),
         }
     }
 
