fix(gateway): requests with a part of their prompt that crashes upstreams are refused

Cause: a request that crashes upstreams is known by the digest of target, key and body. Here only a part of the prompt is the same, so each digest broke one run and nothing was refused. Class: the memory of a fault is keyed by the whole input, while the fault goes with a part of it. Change: entries remember crashes of upstreams by the shared parts of the prompts that ran there, tell each other what they saw themselves, and quarantine a part whose runs all break, at three distinct times or more, if that can't be chance by what happens to others meanwhile. A sound run anywhere clears a part; crashes that a quarantined part explains don't count against others. Rulings have numbers, so the newest holds. After a second one request is tried, by one entry; if it is sound the part is released. A refusal is 503 with Retry-After if the request has not run at all.

--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod decaying_count;
 pub mod fair_use;
 pub mod follow;
+pub mod part_quarantine;
 pub mod peer;
 pub mod prompt_part;
 pub mod rate_limit;
--- a/crates/egretgate-core/src/gateway/admission.rs
+++ b/crates/egretgate-core/src/gateway/admission.rs
@@ -73,6 +73,8 @@
     RetryBudgetSpent,
     /// It has crashed several upstreams.
     Poison,
+    /// Requests with a part of its prompt have crashed several upstreams.
+    QuarantinedPart,
 }
 
 /// Why no upstream has headroom for a request.
@@ -149,8 +151,9 @@
     pub digest: Option<Digest>,
     /// Parts of its prompt that other requests may share.
     pub parts: Arc<[PartHash]>,
-    /// Time from the first to the last data of its answer.
-    pub wrote_for: Duration,
+    /// Time from the first to the last data of a successful answer, whole or not; `None` if there was
+    /// no data.
+    pub wrote: Option<Duration>,
     /// Time at which it started.
     pub started: Instant,
     /// True if [`Scheduler::suspect`](super::scheduler::Scheduler::suspect) was called for it.
@@ -169,7 +172,7 @@
             outcome,
             digest: None,
             parts: Arc::default(),
-            wrote_for: Duration::ZERO,
+            wrote: None,
             started,
             suspected: false,
         }
--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -6,6 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::follow::{Fingerprint, Reading};
+use super::part_quarantine::PartReport;
 use super::rate_limit::{LimitNotice, order_key};
 use super::refusals::RefusalCounts;
 use super::request_queue::Priority;
@@ -54,6 +55,8 @@
     /// Requests whose runs broke recently, with the number of broken runs; 0 after a successful
     /// run.
     pub broken_runs: Vec<(Digest, u32)>,
+    /// What the entry knows of prompt parts under which upstreams have crashed.
+    pub parts: Vec<PartReport>,
     /// Counts and decisions for the declared moves whose state in the store is known.
     pub moves: BTreeMap<MoveKey, MoveReport>,
     /// Its reading of the declarations.
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -1,6 +1,6 @@
 //! Decides which requests start at which upstream, which wait and which are refused.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,7 @@
 use super::broken_runs::BrokenRuns;
 use super::catalog::Catalog;
 use super::fair_use::FairUse;
+use super::part_quarantine::{PartChange, PartQuarantine, Turn};
 use super::peer::{NameHash, Peers};
 use super::report_schedule::ReportSchedule;
 use super::request_queue::{QueueKey, RequestNumber};
@@ -70,6 +71,9 @@
     schedule: ReportSchedule,
     time_slice: TimeSlice,
     broken_runs: BrokenRuns,
+    parts: PartQuarantine,
+    /// Waiting requests that are trials of a quarantined part.
+    trials: HashSet<RequestNumber>,
     moves: Moves,
 }
 
@@ -97,6 +101,8 @@
             schedule: ReportSchedule::new(0, 0),
             time_slice: TimeSlice::default(),
             broken_runs: BrokenRuns::default(),
+            parts: PartQuarantine::default(),
+            trials: HashSet::new(),
             moves: Moves::default(),
         }
     }
@@ -188,6 +194,10 @@
         if request.digest.as_ref().is_some_and(|digest| self.broken_runs.is_poison(digest)) {
             return Admission::Refused(Refusal::Poison);
         }
+        let is_trial = self.parts.is_quarantined(&request.parts);
+        if is_trial && self.parts.is_refused(&request.parts, self.turn(now), now) {
+            return Admission::Refused(Refusal::QuarantinedPart);
+        }
         if let Some(refusal) = self.charge_team(&request, now) {
             return Admission::Refused(refusal);
         }
@@ -234,6 +244,9 @@
         if let Some(service_state) = self.services.get_mut(&request.service) {
             service_state.queue.push(queue_key, request.queue_deadline);
         }
+        if is_trial {
+            self.trials.insert(request.number);
+        }
         self.waiting.insert(request.number, (queue_key, request));
         Admission::Queued
     }
@@ -266,6 +279,7 @@
 
     /// Removes a waiting request whose caller has left.
     pub fn withdraw(&mut self, number: RequestNumber, now: Instant) {
+        self.trials.remove(&number);
         if let Some((queue_key, request)) = self.waiting.remove(&number) {
             if let Some(service_state) = self.services.get_mut(&request.service) {
                 service_state.queue.remove(&queue_key);
@@ -274,8 +288,9 @@
         }
     }
 
-    /// Removes and returns the requests whose queue deadline has passed.
-    pub fn expire(&mut self, now: Instant) -> Vec<(RequestNumber, Overload)> {
+    /// Removes and returns the requests whose queue deadline has passed, and those with a part that
+    /// was quarantined while they waited.
+    pub fn expire(&mut self, now: Instant) -> Vec<(RequestNumber, Refusal)> {
         let mut expired = Vec::new();
         for (service, service_state) in &mut self.services {
             let queue_keys = service_state.queue.expire(now);
@@ -285,11 +300,23 @@
         }
         let mut refused = Vec::with_capacity(expired.len());
         for (number, service) in expired {
-            refused.push((number, self.overload(&service, Reason::Expired, Duration::ZERO)));
+            let overload = self.overload(&service, Reason::Expired, Duration::ZERO);
+            refused.push((number, Refusal::Overloaded(overload)));
+            self.trials.remove(&number);
             if let Some((_, request)) = self.waiting.remove(&number) {
                 self.record_refusal(&request, now);
             }
         }
+        if self.parts.quarantined_count() > 0 {
+            let held = self.waiting.iter().filter(|(number, (_, request))| {
+                self.parts.is_quarantined(&request.parts) && !self.trials.contains(*number)
+            });
+            let held: Vec<RequestNumber> = held.map(|(number, _)| *number).collect();
+            for number in held {
+                self.withdraw(number, now);
+                refused.push((number, Refusal::QuarantinedPart));
+            }
+        }
         refused
     }
 
@@ -321,6 +348,36 @@
             }
             _ => {}
         }
+        self.record_parts(completion, now);
+    }
+
+    /// Returns the changes of the quarantine of prompt parts since the last call.
+    pub fn take_part_changes(&mut self) -> Vec<PartChange> {
+        self.parts.take_changes()
+    }
+
+    /// Returns the number of quarantined prompt parts.
+    pub fn quarantined_parts(&self) -> usize {
+        self.parts.quarantined_count()
+    }
+
+    /// Records what the end of a run says about the parts of its prompt.
+    fn record_parts(&mut self, completion: &Completion, now: Instant) {
+        let Completion { parts, wrote, outcome, key, .. } = completion;
+        match outcome {
+            Outcome::Succeeded { .. } if wrote.is_some() => self.parts.record_sound(parts, now),
+            Outcome::InvalidAnswer => {
+                if let Some(upstream) = self.upstreams.get(*key) {
+                    self.parts.record_broken(parts, upstream.hash, *wrote, now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns this entry's turn among those that it reaches.
+    fn turn(&self, now: Instant) -> Turn {
+        Turn { rank: self.peer_rank(now), entries: self.peers.reachable_count(now) + 1 }
     }
 
     /// Records that the upstream has sent nothing for a request since `since`; `again` is true if
@@ -400,6 +457,11 @@
         let mut unplaced = 0;
         for queue_key in queued {
             let Some((_, request)) = self.waiting.get(&queue_key.number) else { continue };
+            let is_held = self.parts.is_quarantined(&request.parts);
+            if is_held && !self.trials.contains(&queue_key.number) {
+                // Refused at the next [`Scheduler::expire`].
+                continue;
+            }
             let Some(key) = self.choose_upstream(request, now) else {
                 unplaced += 1;
                 if unplaced >= MAX_UNPLACED {
@@ -408,6 +470,7 @@
                 continue;
             };
             self.waiting.remove(&queue_key.number);
+            self.trials.remove(&queue_key.number);
             if let Some(service_state) = self.services.get_mut(service) {
                 service_state.queue.remove(&queue_key);
             }
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -21,6 +21,7 @@
         for (digest, broken_runs) in &report.broken_runs {
             self.broken_runs.merge(report.incarnation, *digest, *broken_runs, now);
         }
+        self.parts.merge(&report.parts, now);
         for (key, move_report) in &report.moves {
             self.moves.merge_report(report.incarnation, *key, move_report.clone(), now);
         }
@@ -93,6 +94,7 @@
             refusals: refusals.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
             broken_runs: self.broken_runs.recent_changes(now),
+            parts: self.parts.report(now),
             moves: self.moves.report(self.is_leader(now), now),
             catalog: None,
             upstreams: None,
--- a/crates/egretgate-core/tests/gateway_parts/fleet.rs
+++ b/crates/egretgate-core/tests/gateway_parts/fleet.rs
@@ -24,8 +24,6 @@
 const OBJECTIVE: Duration = Duration::from_millis(600);
 /// Time that an upstream takes to write a sound answer.
 const WRITE_TIME: Duration = Duration::from_millis(350);
-/// Time from the beginning of a run that crashes its upstream to the crash.
-const CRASH_AFTER: Duration = Duration::from_millis(40);
 /// Time until a crashed upstream is back, as a new incarnation.
 const DOWN_TIME: Duration = Duration::from_secs(2);
 /// Time until the entries read a change of the list of upstreams.
@@ -47,6 +45,10 @@
     pub(crate) rate: f64,
     /// Requests per second with a part that crashes upstreams, over all entries.
     pub(crate) bad_rate: f64,
+    /// Time from the beginning of such a run to the crash.
+    pub(crate) crash_after: Duration,
+    /// True if such a run writes until the crash.
+    pub(crate) bad_writes: bool,
     /// Number of them that arrive at once at the beginning.
     pub(crate) bad_burst: usize,
     /// Entries at the end of the list that hear no other during the given time.
@@ -68,6 +70,8 @@
             upstreams: 12,
             rate: 90.0,
             bad_rate: 0.0,
+            crash_after: Duration::from_millis(40),
+            bad_writes: false,
             bad_burst: 0,
             cut_off: (0, 0.0..0.0),
             restarts: Vec::new(),
@@ -226,7 +230,9 @@
                 while indexes.len() > count {
                     indexes.remove(self.rng.random_range(0..indexes.len()));
                 }
-                indexes.into_iter().for_each(|index| self.crash(index, now));
+                for index in indexes {
+                    self.crash(index, now);
+                }
             }
             for entry in 0..self.entries.len() {
                 self.dispatch(entry, now);
@@ -311,8 +317,9 @@
             for run in upstream.runs.iter_mut().take(SLOTS as usize) {
                 run.began.get_or_insert(now);
             }
-            let crashes =
-                |run: &Run| run.is_bad && run.began.is_some_and(|began| now >= began + CRASH_AFTER);
+            let crashes = |run: &Run| {
+                run.is_bad && run.began.is_some_and(|began| now >= began + self.plan.crash_after)
+            };
             if upstream.runs.iter().any(crashes) {
                 self.report.crashes.push((now - self.start).as_secs_f64());
                 self.crash(index, now);
@@ -337,20 +344,19 @@
         if entry.incarnation != run.incarnation {
             return;
         }
-        // A run that crashes its upstream writes nothing before.
-        let wrote_for =
-            run.began.filter(|_| !run.is_bad).map_or(Duration::ZERO, |began| now - began);
+        let writes = !run.is_bad || self.plan.bad_writes;
+        let wrote = run.began.filter(|_| writes).map(|began| now - began);
         let completion = Completion {
             parts: Arc::clone(&run.parts),
-            wrote_for,
+            wrote,
             ..Completion::new(SERVICE.to_owned(), run.key, outcome, run.sent_at)
         };
         entry.scheduler.finish(&completion, now);
     }
 
     fn dispatch(&mut self, entry: usize, now: Instant) {
-        for (number, overload) in self.entries[entry].scheduler.expire(now) {
-            self.refuse(entry, number, Refusal::Overloaded(overload));
+        for (number, refusal) in self.entries[entry].scheduler.expire(now) {
+            self.refuse(entry, number, refusal);
         }
         for start in self.entries[entry].scheduler.dispatch(now) {
             self.start(entry, start.number, start.upstream, now);
@@ -404,7 +410,8 @@
 
     fn refuse(&mut self, entry: usize, number: u64, refusal: Refusal) {
         let waiting = self.waiting.remove(&(entry, number)).expect("it waits");
-        self.report.refused_parts += usize::from(!waiting.is_bad && refusal == Refusal::Poison);
+        self.report.refused_parts +=
+            usize::from(!waiting.is_bad && refusal == Refusal::QuarantinedPart);
     }
 
     fn start(&mut self, entry: usize, number: u64, key: UpstreamKey, now: Instant) {
--- a/crates/egretgate-core/tests/gateway_parts/main.rs
+++ b/crates/egretgate-core/tests/gateway_parts/main.rs
@@ -1,6 +1,9 @@
 //! Parts of prompts that crash the upstreams which run them.
 
 mod fleet;
+mod rulings;
+
+use std::time::Duration;
 
 use fleet::{Fleet, Plan, Report};
 
@@ -48,6 +51,14 @@
         Case { name: "often", plan: Plan { bad_rate: 12.0, ..plan() } },
         Case { name: "seldom", plan: Plan { bad_rate: 0.4, ..plan() } },
         Case { name: "at once, then seldom", plan: Plan { bad_burst: 8, bad_rate: 0.5, ..plan() } },
+        Case {
+            name: "after some events",
+            plan: Plan { bad_writes: true, crash_after: Duration::from_millis(60), ..plan() },
+        },
+        Case {
+            name: "after many events",
+            plan: Plan { bad_writes: true, crash_after: Duration::from_millis(200), ..plan() },
+        },
         Case { name: "few upstreams", plan: Plan { rate: 30.0, ..fleet(5, 4) } },
         Case { name: "some cut off", plan: Plan { cut_off: (2, 3.0..9.0), ..plan() } },
         Case {
--- a/crates/egretgate-gateway/src/answer.rs
+++ b/crates/egretgate-gateway/src/answer.rs
@@ -36,6 +36,8 @@
     NoUpstream,
     /// It has crashed several upstreams.
     Poison,
+    /// Requests with a part of its prompt have crashed several upstreams; it has not run.
+    Quarantined,
     /// An upstream may have run it and its answer is lost.
     AnswerLost,
     /// An upstream may still run it and its deadline has passed.
@@ -53,9 +55,11 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::OverLimit => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotReady | Self::Overloaded | Self::NoUpstream | Self::TimedOutWaiting => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::Overloaded
+            | Self::NoUpstream
+            | Self::Quarantined
+            | Self::TimedOutWaiting => StatusCode::SERVICE_UNAVAILABLE,
             Self::Poison | Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -73,6 +77,7 @@
             Self::Overloaded => "overloaded",
             Self::NoUpstream => "no_upstream",
             Self::Poison => "poison",
+            Self::Quarantined => "quarantined",
             Self::AnswerLost => "answer_lost",
             Self::TimedOut => "timed_out",
             Self::TimedOutWaiting => "timed_out_waiting",
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -42,8 +42,8 @@
     service: ServiceId,
     digest: Option<Digest>,
     parts: Arc<[PartHash]>,
-    /// Time from the first to the last data of the answer.
-    wrote_for: Duration,
+    /// Time from the first to the last data of a successful answer; `None` if there was no data.
+    wrote: Option<Duration>,
     started: Instant,
     /// True once [`SlotPermit::suspect`] was called.
     suspected: bool,
@@ -67,9 +67,9 @@
         self.first_byte = Some(self.started.elapsed());
     }
 
-    /// Records the time from the first to the last data of the answer.
+    /// Records the time from the first to the last data of a successful answer.
     pub(crate) const fn record_writing(&mut self, time: Duration) {
-        self.wrote_for = time;
+        self.wrote = Some(time);
     }
 
     /// Records the limit that the answer states.
@@ -94,7 +94,7 @@
             outcome: self.outcome,
             digest: self.digest,
             parts: Arc::clone(&self.parts),
-            wrote_for: self.wrote_for,
+            wrote: self.wrote,
             started: self.started,
             suspected: self.suspected,
             route: std::mem::take(&mut self.route),
@@ -281,7 +281,10 @@
             }
             Message::DirectoryUp(is_up) => self.scheduler.set_directory_up(is_up),
             Message::PeerCount(count) => self.scheduler.set_peer_count(count),
-            Message::PeerReport(report) => self.scheduler.receive_report(report, now),
+            Message::PeerReport(report) => {
+                self.scheduler.receive_report(report, now);
+                self.log_part_changes();
+            }
             Message::JudgeMoves(result_sender) => {
                 let unknown = self.scheduler.unknown_moves();
                 let changes = self.scheduler.judge_moves(now);
@@ -309,7 +312,9 @@
         let (service, route) = (request.service.clone(), request.route.clone());
         let (digest, parts) = (request.digest, Arc::clone(&request.parts));
         let waiter = Waiter { service, route, digest, parts, result_sender };
-        match self.scheduler.admit(request, now) {
+        let admission = self.scheduler.admit(request, now);
+        self.log_part_changes();
+        match admission {
             Admission::Started(key) => self.grant(waiter, key, now),
             Admission::Queued => {
                 self.waiting.insert(number, waiter);
@@ -325,16 +330,18 @@
     fn set_gauges(&self) {
         metrics::gauge!("egretgate_waiting").set(self.waiting.len() as f64);
         metrics::gauge!("egretgate_upstreams").set(self.scheduler.upstreams().count() as f64);
+        metrics::gauge!("egretgate_quarantined_parts")
+            .set(self.scheduler.quarantined_parts() as f64);
         let limited = self.scheduler.upstreams().filter(|upstream| upstream.limit().is_some());
         metrics::gauge!("egretgate_upstreams_limited").set(limited.count() as f64);
     }
 
     fn tick(&mut self) {
         let now = Instant::now();
-        for (number, overload) in self.scheduler.expire(now) {
+        for (number, refusal) in self.scheduler.expire(now) {
             if let Some(waiter) = self.waiting.remove(&number) {
                 // A caller that has left needs no answer.
-                let _ = waiter.result_sender.send(Err(Refusal::Overloaded(overload)));
+                let _ = waiter.result_sender.send(Err(refusal));
             }
         }
         self.dispatch(now);
@@ -365,7 +372,7 @@
             service: waiter.service,
             digest: waiter.digest,
             parts: waiter.parts,
-            wrote_for: Duration::ZERO,
+            wrote: None,
             started: now,
             suspected: false,
             limited: upstream.limit().is_some(),
@@ -378,9 +385,22 @@
         let _ = waiter.result_sender.send(Ok(permit));
     }
 
+    /// Logs what has changed in the quarantine of prompt parts.
+    fn log_part_changes(&mut self) {
+        for change in self.scheduler.take_part_changes() {
+            info!(self.log, "prompt part";
+                "part" => format!("{:016x}", change.part),
+                "event" => change.event.as_str(),
+                "crashes" => change.crashes,
+                "others_sound" => change.others.sound,
+                "others_broken" => change.others.broken);
+        }
+    }
+
     fn finish(&mut self, completion: &Completion, idle: Option<Connection>, now: Instant) {
         let key = completion.key;
         self.scheduler.finish(completion, now);
+        self.log_part_changes();
         if self.scheduler.upstream(key).is_none() {
             return;
         }
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -402,7 +402,10 @@
             Refusal::RetryBudgetSpent => {
                 NoAnswer::EntryFault(Fault::NoUpstream, Some(SHORT_RETRY_AFTER))
             }
-            Refusal::Poison => NoAnswer::EntryFault(Fault::Poison, None),
+            Refusal::QuarantinedPart if self.attempts == 0 => {
+                NoAnswer::EntryFault(Fault::Quarantined, Some(retry_after))
+            }
+            Refusal::Poison | Refusal::QuarantinedPart => NoAnswer::EntryFault(Fault::Poison, None),
         }
     }
 
@@ -530,8 +533,11 @@
             return respond(status, headers, body);
         }
         match read_body(answer, MAX_BUFFERED_BYTES, self.deadline()).await {
-            BodyRead::Complete(answer, bytes) => {
+            BodyRead::Complete(mut answer, bytes) => {
                 let outcome = self.outcome(status);
+                if status.is_success() {
+                    answer.permit.record_writing(Duration::ZERO);
+                }
                 self.log_end(if status.is_success() { "served" } else { "failed_upstream" });
                 answer.complete(outcome).await;
                 respond(status, headers, full(bytes))
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use egretgate_core::gateway::part_quarantine::{AgedCrash, PartReport, Ruling};
 use egretgate_core::gateway::peer::{AgedLimit, AgedReading, NameHash, PeerReport};
 use egretgate_core::gateway::refusals::RefusalCounts;
 use egretgate_core::gateway::request_queue::Priority;
@@ -42,6 +43,74 @@
     zone: String,
     #[prost(message, repeated, tag = "15")]
     limits: Vec<SentLimit>,
+    #[prost(message, repeated, tag = "16")]
+    parts: Vec<SentPart>,
+}
+
+/// What the sender knows of a prompt part under which upstreams have crashed.
+#[derive(Clone, PartialEq, Message)]
+struct SentPart {
+    #[prost(fixed64, tag = "1")]
+    part: u64,
+    #[prost(uint32, tag = "2")]
+    ruling: u32,
+    #[prost(uint32, tag = "3")]
+    trials: u32,
+    #[prost(uint64, tag = "4")]
+    ruling_age_ms: u64,
+    #[prost(message, repeated, tag = "5")]
+    crashes: Vec<SentCrash>,
+    /// Age of the last sound run.
+    #[prost(uint64, optional, tag = "6")]
+    sound_age_ms: Option<u64>,
+}
+
+/// A crash of an upstream.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct SentCrash {
+    #[prost(fixed64, tag = "1")]
+    upstream: u64,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+    /// True if a run with the part had hardly begun to write.
+    #[prost(bool, tag = "3")]
+    early: bool,
+}
+
+impl From<PartReport> for SentPart {
+    fn from(PartReport { part, ruling, crashes, sound_age }: PartReport) -> Self {
+        let (ruling, ruling_age) = ruling;
+        let crashes = crashes.into_iter().map(|crash| SentCrash {
+            upstream: crash.upstream,
+            age_ms: crash.age.as_millis() as u64,
+            early: crash.is_early,
+        });
+        Self {
+            part,
+            ruling: ruling.number,
+            trials: ruling.trials,
+            ruling_age_ms: ruling_age.as_millis() as u64,
+            crashes: crashes.collect(),
+            sound_age_ms: sound_age.map(|age| age.as_millis() as u64),
+        }
+    }
+}
+
+impl From<SentPart> for PartReport {
+    fn from(sent: SentPart) -> Self {
+        let crashes = sent.crashes.into_iter().map(|crash| AgedCrash {
+            upstream: crash.upstream,
+            age: Duration::from_millis(crash.age_ms),
+            is_early: crash.early,
+        });
+        let ruling = Ruling { number: sent.ruling, trials: sent.trials };
+        Self {
+            part: sent.part,
+            ruling: (ruling, Duration::from_millis(sent.ruling_age_ms)),
+            crashes: crashes.collect(),
+            sound_age: sent.sound_age_ms.map(Duration::from_millis),
+        }
+    }
 }
 
 /// What an upstream stated about its limit.
@@ -255,6 +324,7 @@
                 runs: *runs,
             })
             .collect(),
+        parts: report.parts.iter().cloned().map(SentPart::from).collect(),
         moves: report.moves.iter().map(|(key, sent)| (*key, sent.clone()).into()).collect(),
         refusals: report.refusals.iter().map(|(key, counts)| (*key, *counts).into()).collect(),
     }
@@ -283,6 +353,7 @@
         unit_seconds: unit_seconds.collect(),
         limits: datagram.limits.into_iter().map(Into::into).collect(),
         broken_runs: broken_runs.collect(),
+        parts: datagram.parts.into_iter().map(PartReport::from).collect(),
         moves: datagram.moves.into_iter().map(Into::into).collect(),
         refusals: datagram.refusals.into_iter().map(Into::into).collect(),
         admitted: datagram.admitted,
--- a/crates/egretgate-gateway/tests/wire.rs
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use egretgate_core::Digest;
+use egretgate_core::gateway::part_quarantine::{AgedCrash, PartReport, Ruling};
 use egretgate_core::gateway::peer::{AgedLimit, AgedReading, PeerReport, name_hash};
 use egretgate_core::gateway::refusals::RefusalCounts;
 use egretgate_core::gateway::request_queue::Priority;
@@ -43,6 +44,31 @@
         .into(),
         admitted: [(name_hash("atelier"), 1 << 40)].into(),
         broken_runs: vec![(Digest::of(&[b"poison"]), 2), (Digest::of(&[b"innocent"]), 0)],
+        parts: vec![
+            PartReport {
+                part: name_hash("season"),
+                ruling: (Ruling { number: 3, trials: 1 }, Duration::from_millis(1_200)),
+                crashes: vec![
+                    AgedCrash {
+                        upstream: name_hash("writer-1"),
+                        age: Duration::from_millis(80),
+                        is_early: true,
+                    },
+                    AgedCrash {
+                        upstream: name_hash("writer-2"),
+                        age: Duration::from_secs(2),
+                        is_early: false,
+                    },
+                ],
+                sound_age: None,
+            },
+            PartReport {
+                part: name_hash("common"),
+                ruling: (Ruling::default(), Duration::ZERO),
+                crashes: Vec::new(),
+                sound_age: Some(Duration::from_millis(5)),
+            },
+        ],
         moves: [
             (move_of("v2"), move_report(None)),
             (move_of("v3"), move_report(Some(MoveState::Done))),
