test(soak): a prompt part on which upstreams end, beside the other faults

Every tenth request has the part; upstreams that are switched to that behaviour end after the head of their answer. After all faults each entry must serve a request with the part that all share.

--- a/crates/egretgate/tests/soak.rs
+++ b/crates/egretgate/tests/soak.rs
@@ -6,7 +6,7 @@
 //!   or block them in one or both directions.
 //! - The store fails and recovers, declarations change, and traffic moves to other versions.
 //! - Upstreams cut, lose and refuse answers, break off streams whose end looks like any other, or
-//!   send bytes without end.
+//!   send bytes without end. Some end whenever a request has a certain part in its prompt.
 //!
 //! Callers check each answer; the requests that reached the upstreams are compared with the
 //! callers' results. `EGRETGATE_SOAK_SEEDS` selects the seeds of a manual run, such as `100..150`;
@@ -22,7 +22,7 @@
 use egretgate_fakes::relay::{Block, Relay};
 use egretgate_stand_ins::{
     Behaviour, Ending, EndlessPart, Framing, Store, StoreMode, Upstream, free_address,
-    is_signed_for, request, settings, status,
+    is_signed_for, request_with_parts, settings, status,
 };
 use rand::seq::IndexedRandom;
 use rand::{RngExt, SeedableRng};
@@ -43,6 +43,10 @@
 const UPSTREAMS: usize = 4;
 /// Number of callers, each with one request in flight.
 const CALLERS: usize = 8;
+/// Part of the prompt of every request.
+const COMMON_PART: &str = "common";
+/// Fraction of the requests with the part on which [`Behaviour::CrashOnPart`] ends.
+const BAD_PART_RATE: f64 = 0.1;
 /// Time during which callers send requests and faults are injected.
 const RUN_TIME: Duration = Duration::from_secs(6);
 /// Maximum time from the end of all faults until every entry serves again; the platform allows
@@ -50,8 +54,9 @@
 const MAX_RECOVERY_TIME: Duration = Duration::from_secs(12);
 
 /// Behaviours to which an upstream is switched at random.
-const BEHAVIOURS: [Behaviour; 15] = [
+const BEHAVIOURS: [Behaviour; 16] = [
     Behaviour::ByRoute,
+    Behaviour::CrashOnPart,
     Behaviour::Cut,
     Behaviour::Hangup,
     Behaviour::WrongRequest,
@@ -143,7 +148,10 @@
         let id = format!("{route}-{number}-{sequence}");
         let caller_address = *caller_addresses.choose(&mut rng).unwrap();
         let body = "x".repeat(rng.random_range(0..200));
-        let answer = ask(caller_address, &request(&format!("/{route}/x"), &id, &body)).await;
+        let part = if rng.random_bool(BAD_PART_RATE) { "bad" } else { "subject" };
+        let parts = format!("{COMMON_PART}:60,{part}:400,{id}:9");
+        let request = request_with_parts(&format!("/{route}/x"), &id, &body, &parts);
+        let answer = ask(caller_address, &request).await;
         record_answer(&results, &answer, id, route, body.len());
         sleep(Duration::from_millis(rng.random_range(1..20))).await;
     }
@@ -373,11 +381,13 @@
 async fn await_recovery(entries: &mut [Entry]) -> Vec<String> {
     let deadline = Instant::now() + MAX_RECOVERY_TIME;
     let mut violations = Vec::new();
+    // No crash was due to the part that all requests share.
+    let parts = format!("{COMMON_PART}:60,unsafe-last:9");
+    let last_request = request_with_parts("/unsafe/x", "unsafe-last", "hi", &parts);
     for entry in entries {
         loop {
             entry.restart_if_exited();
-            let answer =
-                ask(entry.caller_address, &request("/unsafe/x", "unsafe-last", "hi")).await;
+            let answer = ask(entry.caller_address, &last_request).await;
             if status(&answer) == 200 {
                 break;
             }
