test(gateway): all entries restart while a prompt part crashes upstreams

Two more cases, one with 0.6 such requests a second: what the entries knew is lost and learned again within the bound.

--- a/crates/egretgate-core/tests/gateway_parts/fleet.rs
+++ b/crates/egretgate-core/tests/gateway_parts/fleet.rs
@@ -55,6 +55,8 @@
     pub(crate) cut_off: (usize, std::ops::Range<f64>),
     /// Times at which an entry is replaced by a new incarnation that knows nothing.
     pub(crate) restarts: Vec<f64>,
+    /// Time at which all entries are replaced in this way.
+    pub(crate) restart_all: Option<f64>,
     /// Entries that join at second 12.
     pub(crate) joining: usize,
     /// Crashes for other reasons: the time, and the fraction of the upstreams.
@@ -75,6 +77,7 @@
             bad_burst: 0,
             cut_off: (0, 0.0..0.0),
             restarts: Vec::new(),
+            restart_all: None,
             joining: 0,
             crashes: Vec::new(),
             seconds: 24.0,
@@ -86,7 +89,7 @@
 /// Second at which requests with the part that crashes upstreams begin to arrive.
 const BAD_FROM: f64 = 4.0;
 /// Second at which they end.
-const BAD_UNTIL: f64 = 22.0;
+const BAD_UNTIL: f64 = 38.0;
 
 /// What happened.
 #[derive(Debug, Default)]
@@ -215,6 +218,12 @@
                 let index = self.rng.random_range(0..self.entries.len());
                 self.entries[index] = self.new_entry(index, Some(now));
             }
+            if plan.restart_all.is_some_and(|at| at <= second) {
+                plan.restart_all = None;
+                for index in 0..self.entries.len() {
+                    self.entries[index] = self.new_entry(index, Some(now));
+                }
+            }
             if plan.joining > 0 && second >= 12.0 {
                 for index in
                     self.entries.len()..self.entries.len() + std::mem::take(&mut plan.joining)
--- a/crates/egretgate-core/tests/gateway_parts/main.rs
+++ b/crates/egretgate-core/tests/gateway_parts/main.rs
@@ -65,6 +65,11 @@
             name: "restarts",
             plan: Plan { restarts: vec![5.0, 7.5, 9.0, 11.0, 13.5, 16.0], ..plan() },
         },
+        Case { name: "all restart", plan: Plan { restart_all: Some(10.0), ..plan() } },
+        Case {
+            name: "all restart, seldom",
+            plan: Plan { bad_rate: 0.6, restart_all: Some(14.0), seconds: 40.0, ..plan() },
+        },
         Case { name: "joining", plan: Plan { joining: 3, ..plan() } },
         Case {
             name: "other crashes",
