fix(gateway): a trial that breaks late doesn't decide at once

A trial's run may be hit by a crash that another run caused; a sound part would then stay refused for five minutes. Such a trial is repeated once; a run that breaks before it has written for 100 ms still decides. Fields of three words are shortened.

--- a/crates/egretgate-core/src/gateway/part_quarantine.rs
+++ b/crates/egretgate-core/src/gateway/part_quarantine.rs
@@ -39,6 +39,8 @@
 const TRIAL_TURN: Duration = Duration::from_secs(1);
 /// Time after which a trial without a result may be repeated.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
+/// Trials that may break late before one of them decides.
+const MAX_LATE_TRIALS: u32 = 2;
 /// Time after the last crash at which a part is forgotten.
 const RECORD_TTL: Duration = Duration::from_mins(5);
 /// Time for which a change is reported: dozens of reports, some of which get lost.
@@ -187,7 +189,7 @@
     /// Time of the last sound run known.
     sound_at: Option<Instant>,
     /// Time of the last sound run that this entry saw.
-    own_sound_at: Option<Instant>,
+    own_sound: Option<Instant>,
     ruling: Ruling,
     ruled_at: Instant,
     /// Time of the last trial known.
@@ -202,7 +204,7 @@
             crashes: Vec::new(),
             others: OtherRuns { sound: 0, broken: 0 },
             sound_at: None,
-            own_sound_at: None,
+            own_sound: None,
             ruling: Ruling { number: 0, trials: 0 },
             ruled_at: now,
             trial_at: None,
@@ -275,10 +277,13 @@
             && self.others.break_rate().powi(self.crashes.len() as i32) <= MAX_CHANCE
     }
 
-    /// Returns true if the trial's run has crashed its upstream, or may still do so.
+    /// Returns true if the trial has decided, or may still do so. A run that breaks late may have
+    /// been hit by a crash that another run caused, which decides only after the last trial.
     fn trial_counts(&self, now: Instant) -> bool {
+        let is_last = self.ruling.trials >= MAX_LATE_TRIALS;
         self.trial_at.is_some_and(|trial_at| {
-            now < trial_at + TRIAL_TIMEOUT || self.crashes.iter().any(|crash| crash.at > trial_at)
+            let decides = |crash: &Crash| crash.at > trial_at && (crash.is_early || is_last);
+            now < trial_at + TRIAL_TIMEOUT || self.crashes.iter().any(decides)
         })
     }
 
@@ -345,7 +350,7 @@
                 continue;
             }
             record.add_sound(now);
-            record.own_sound_at = Some(now);
+            record.own_sound = Some(now);
             record.changed = now;
             if record.ruling.is_quarantined() {
                 record.ruling = Ruling { number: record.ruling.number + 1, trials: 0 };
@@ -407,7 +412,7 @@
         let reports = records.into_iter().take(MAX_REPORTED).map(|(part, record)| {
             let own = record.crashes.iter().rev().filter(|crash| crash.is_own);
             let own = own.take(MAX_REPORTED_CRASHES);
-            let sound_age = record.own_sound_at.map(age).filter(|age| *age < REPORT_TIME);
+            let sound_age = record.own_sound.map(age).filter(|age| *age < REPORT_TIME);
             PartReport {
                 part: *part,
                 ruling: (record.ruling, age(record.ruled_at)),
@@ -476,7 +481,7 @@
         }
         // A ruling that overlooks a later sound run is lifted.
         let last_crash = record.crashes.last().map(|crash| crash.at);
-        let is_refuted = record.own_sound_at.is_some_and(|sound_at| {
+        let is_refuted = record.own_sound.is_some_and(|sound_at| {
             Some(sound_at) > last_crash && sound_at + MAX_REPORT_AGE > record.ruled_at
         });
         let event = if !ruling.is_quarantined() {
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -56,13 +56,14 @@
     ruling: u32,
     #[prost(uint32, tag = "3")]
     trials: u32,
+    /// Age of the ruling.
     #[prost(uint64, tag = "4")]
-    ruling_age_ms: u64,
+    ruled_ms: u64,
     #[prost(message, repeated, tag = "5")]
     crashes: Vec<SentCrash>,
     /// Age of the last sound run.
     #[prost(uint64, optional, tag = "6")]
-    sound_age_ms: Option<u64>,
+    sound_ms: Option<u64>,
 }
 
 /// A crash of an upstream.
@@ -89,9 +90,9 @@
             part,
             ruling: ruling.number,
             trials: ruling.trials,
-            ruling_age_ms: ruling_age.as_millis() as u64,
+            ruled_ms: ruling_age.as_millis() as u64,
             crashes: crashes.collect(),
-            sound_age_ms: sound_age.map(|age| age.as_millis() as u64),
+            sound_ms: sound_age.map(|age| age.as_millis() as u64),
         }
     }
 }
@@ -106,9 +107,9 @@
         let ruling = Ruling { number: sent.ruling, trials: sent.trials };
         Self {
             part: sent.part,
-            ruling: (ruling, Duration::from_millis(sent.ruling_age_ms)),
+            ruling: (ruling, Duration::from_millis(sent.ruled_ms)),
             crashes: crashes.collect(),
-            sound_age: sent.sound_age_ms.map(Duration::from_millis),
+            sound_age: sent.sound_ms.map(Duration::from_millis),
         }
     }
 }
