fix(gateway): an entry that missed a release of a prompt part learns of it

A release is reported for five seconds; an entry that was cut off for longer kept the older ruling and refused a sound part for up to five minutes. An entry that hears an older ruling reports its own again. Test: an_entry_that_was_cut_off_learns_of_a_release failed before (refused 20 s after the release). Found by reading.

--- a/crates/egretgate-core/src/gateway/part_quarantine.rs
+++ b/crates/egretgate-core/src/gateway/part_quarantine.rs
@@ -465,6 +465,10 @@
         }
         let Some(record) = self.record(report.part, now) else { return };
         if ruling <= record.ruling {
+            if ruling.number < record.ruling.number {
+                // The other entry missed the newer one, which is reported again.
+                record.changed = now;
+            }
             return;
         }
         let was_quarantined = record.ruling.is_quarantined();
--- a/crates/egretgate-core/tests/gateway_parts/rulings.rs
+++ b/crates/egretgate-core/tests/gateway_parts/rulings.rs
@@ -203,3 +203,31 @@
         assert_eq!(refused, is_refused, "{numbers:?}");
     }
 }
+
+/// Guards against an entry that missed a release and refuses a sound part until it forgets it.
+#[test]
+fn an_entry_that_was_cut_off_learns_of_a_release() {
+    let start = Instant::now();
+    let part = part_hash("subject");
+    let (mut released, mut cut_off) = (entry(0, 2, 9), entry(1, 2, 9));
+    for entry in [&mut released, &mut cut_off] {
+        entry.receive_report(ruling_report(part, 1), start);
+    }
+    let mut release = ruling_report(part, 2);
+    release.parts[0].ruling.0.number = 2;
+    released.receive_report(release, start);
+    // Longer than a change is reported.
+    let healed = start + Duration::from_secs(20);
+    for step in 0..10 {
+        let now = healed + REPORT_INTERVAL * step;
+        let report = cut_off.report(now);
+        released.receive_report(report, now);
+        let report = released.report(now);
+        cut_off.receive_report(report, now);
+    }
+    let now = healed + Duration::from_secs(1);
+    for entry in [&mut released, &mut cut_off] {
+        let admission = entry.admit(request(1, &[part], now), now);
+        assert!(matches!(admission, Admission::Started(_)), "{admission:?}");
+    }
+}
