fix(gateway): a request that may have run is not answered as not run

Cause: the answer of an exchange was that of its last attempt to get an upstream. A retry that got none (overload, retry budget, a quarantined part, upstreams that refuse or can't be reached) ended in 503, though the attempt before it may have run. Requests that may not be repeated were never affected: they aren't retried after such an attempt.

An exchange now remembers that an attempt may have run and answers 502, or 504 at its deadline; a log line says what refused the retry, and its Retry-After stays. An upstream's own error is passed on, too, where the retry after it can't reach another upstream, as it was where the retry was refused. The product's own entry has no such case: it offers a request again only after proof.

--- a/crates/egretgate-gateway/src/answer.rs
+++ b/crates/egretgate-gateway/src/answer.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Returns true if the status promises that the request has not run and won't.
+    pub(crate) const fn means_not_run(self) -> bool {
+        matches!(self.status(), StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE)
+    }
+
     /// Returns the name, for callers and logs.
     pub(crate) const fn code(self) -> &'static str {
         match self {
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -64,6 +64,8 @@
     number: RequestNumber,
     /// Attempts that may have reached an upstream.
     attempts: u32,
+    /// True once an attempt may have run.
+    may_have_run: bool,
     /// Upstreams that must not get the request again.
     avoid: Vec<UpstreamId>,
     /// Upstream of the last attempt.
@@ -102,6 +104,7 @@
             plan,
             number,
             attempts: 0,
+            may_have_run: false,
             avoid: Vec::new(),
             upstream: UpstreamId::new(),
             rate_limit: None,
@@ -123,7 +126,8 @@
                 self.log_end("failed_upstream");
                 response
             }
-            Err(NoAnswer::EntryFault(fault, retry_after)) => {
+            Err(NoAnswer::EntryFault(cause, retry_after)) => {
+                let fault = self.final_fault(cause);
                 self.retry_after = retry_after;
                 self.log_end(fault.code());
                 fault.answer(retry_after)
@@ -283,20 +287,36 @@
                     if unreachable_attempts >= MAX_UNREACHABLE_ATTEMPTS
                         || self.time_left() <= MIN_TIME_LEFT
                     {
-                        return Err(NoAnswer::EntryFault(
-                            Fault::NoUpstream,
-                            Some(SHORT_RETRY_AFTER),
-                        ));
+                        break;
                     }
                 }
                 Attempt::NotRun if self.attempts < self.plan.route.attempts => {}
-                Attempt::NotRun => {
-                    return Err(NoAnswer::EntryFault(Fault::NoUpstream, Some(SHORT_RETRY_AFTER)));
+                Attempt::NotRun => break,
+                Attempt::Unknown => {
+                    self.may_have_run = true;
+                    if !self.may_retry() {
+                        return Err(NoAnswer::EntryFault(self.lost_fault(), None));
+                    }
                 }
-                Attempt::Unknown if self.may_retry() => {}
-                Attempt::Unknown => return Err(self.lost_answer()),
             }
         }
+        let error = NoAnswer::EntryFault(Fault::NoUpstream, Some(SHORT_RETRY_AFTER));
+        Err(failure.map_or(error, NoAnswer::UpstreamFailure))
+    }
+
+    /// Returns the fault to answer with in place of `cause`, whose status may promise that the
+    /// request has not run.
+    fn final_fault(&self, cause: Fault) -> Fault {
+        if !self.may_have_run || !cause.means_not_run() {
+            return cause;
+        }
+        let fault = self.lost_fault();
+        info!(self.context.log, "retry refused";
+            "id" => &self.request.head.id,
+            "cause" => cause.code(),
+            "sent" => self.attempts,
+            "answered" => fault.code());
+        fault
     }
 
     /// Logs an attempt that gave no answer to pass on.
@@ -349,9 +369,8 @@
     }
 
     /// Returns the fault for a request that may have run and whose answer is lost.
-    fn lost_answer(&self) -> NoAnswer {
-        let fault = if self.time_left().is_zero() { Fault::TimedOut } else { Fault::AnswerLost };
-        NoAnswer::EntryFault(fault, None)
+    fn lost_fault(&self) -> Fault {
+        if self.time_left().is_zero() { Fault::TimedOut } else { Fault::AnswerLost }
     }
 
     async fn request_slot(&mut self) -> Result<SlotPermit, NoAnswer> {
@@ -402,10 +421,8 @@
             Refusal::RetryBudgetSpent => {
                 NoAnswer::EntryFault(Fault::NoUpstream, Some(SHORT_RETRY_AFTER))
             }
-            Refusal::QuarantinedPart if self.attempts == 0 => {
-                NoAnswer::EntryFault(Fault::Quarantined, Some(retry_after))
-            }
-            Refusal::Poison | Refusal::QuarantinedPart => NoAnswer::EntryFault(Fault::Poison, None),
+            Refusal::QuarantinedPart => NoAnswer::EntryFault(Fault::Quarantined, Some(retry_after)),
+            Refusal::Poison => NoAnswer::EntryFault(Fault::Poison, None),
         }
     }
 
@@ -544,14 +561,13 @@
             }
             BodyRead::Incomplete(permit) => {
                 permit.finish(Outcome::InvalidAnswer, None);
+                self.may_have_run = true;
                 if self.may_retry() {
                     return Box::pin(self.serve()).await;
                 }
-                let NoAnswer::EntryFault(fault, retry_after) = self.lost_answer() else {
-                    unreachable!("a lost answer ends in a fault");
-                };
+                let fault = self.lost_fault();
                 self.log_end(fault.code());
-                fault.answer(retry_after)
+                fault.answer(None)
             }
         }
     }
