fix(serve): a suspect does not start beside a copy of another entry

Cause: an entry knew only the copies of a request that it had sent itself. After the first death a suspect that came again through another entry started on a further engine while the first entry's copy was in flight, so that a third engine could die before the second death was known.

The side processes know the copies of all entries. An entry now asks each of those of the service before a suspect starts, and refuses it as not run if one runs a copy or doesn't answer in 0.5 s (copy_check, in the core). Suspects are rare and the question costs one round trip.

Ruled out: that the exclusive run itself was at fault (every entry sends a suspect to the same upstream). Weighed and left out: announcing copies when a death is reported, which loses the race with callers.

--- a/crates/egretgate-core/src/lib.rs
+++ b/crates/egretgate-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod burn;
 pub mod check;
 pub mod choice;
+pub mod copy_check;
 pub mod declaration;
 pub mod diff;
 pub mod directory;
--- a/crates/egretgate-core/src/running_copies.rs
+++ b/crates/egretgate-core/src/running_copies.rs
@@ -17,6 +17,11 @@
 }
 
 impl RunningCopies {
+    /// Returns true if a request with this digest is in flight.
+    pub fn contains(&self, digest: &Digest) -> bool {
+        self.counts.contains_key(digest)
+    }
+
     /// Starts a request; returns false if it must not start, since it is a suspect and a copy of it
     /// is in flight.
     #[must_use]
--- a/crates/egretgate-core/tests/poison.rs
+++ b/crates/egretgate-core/tests/poison.rs
@@ -2,8 +2,10 @@
 //! innocent requests quarantined by mistake.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::{Duration, Instant};
 
 use egretgate_core::Digest;
+use egretgate_core::copy_check::CopyChecks;
 use egretgate_core::poison::{
     Death, QuarantineEntry, QuarantineOptions, QuarantineState, QuarantineTable,
 };
@@ -341,3 +343,99 @@
         assert!(running.start(digest, QuarantineState::Suspect), "{}: all ended", case.name);
     }
 }
+
+/// Upstreams answer one after the other, in different orders, or not at all.
+#[test]
+fn a_check_for_copies_is_clear_only_if_no_upstream_may_run_one() {
+    #[derive(Clone, Copy)]
+    enum Step {
+        /// The upstream answers whether it runs a copy.
+        Answer(u8, bool),
+        /// The upstream answers for another digest.
+        Other(u8),
+        /// The connection to the upstream is lost.
+        Lost(u8),
+        /// Time passes.
+        Wait(u64),
+    }
+    use Step::*;
+    struct Case {
+        name: &'static str,
+        asked: &'static [u8],
+        steps: &'static [Step],
+        /// Whether it is clear after the last step; `None` if it has not ended.
+        result: Option<bool>,
+    }
+    const CASES: [Case; 9] = [
+        Case { name: "nobody to ask", asked: &[], steps: &[], result: Some(true) },
+        Case {
+            name: "none runs one",
+            asked: &[1, 2],
+            steps: &[Answer(2, false), Answer(1, false)],
+            result: Some(true),
+        },
+        Case {
+            name: "the first runs one",
+            asked: &[1, 2],
+            steps: &[Answer(1, true)],
+            result: Some(false),
+        },
+        Case {
+            name: "the last runs one",
+            asked: &[1, 2],
+            steps: &[Answer(2, false), Answer(1, true)],
+            result: Some(false),
+        },
+        Case {
+            name: "one answers twice",
+            asked: &[1, 2],
+            steps: &[Answer(1, false), Answer(1, false)],
+            result: None,
+        },
+        Case {
+            name: "one answers for another digest",
+            asked: &[1, 2],
+            steps: &[Answer(1, false), Other(2)],
+            result: None,
+        },
+        Case {
+            name: "one is lost, then the other answers",
+            asked: &[1, 2],
+            steps: &[Lost(2), Answer(1, false)],
+            result: Some(true),
+        },
+        Case {
+            name: "one is silent",
+            asked: &[1, 2],
+            steps: &[Answer(1, false), Wait(400)],
+            result: None,
+        },
+        Case {
+            name: "one is silent for long",
+            asked: &[1, 2],
+            steps: &[Answer(1, false), Wait(400), Wait(200)],
+            result: Some(false),
+        },
+    ];
+    let (digest, other) = (Digest::of(&[b"venom"]), Digest::of(&[b"innocent"]));
+    for case in CASES {
+        let mut now = Instant::now();
+        let mut checks = CopyChecks::default();
+        let mut ended: Vec<_> =
+            checks.begin(digest, case.asked.iter().copied(), "caller", now).into_iter().collect();
+        for step in case.steps {
+            assert_eq!(ended, [], "{}: ended early", case.name);
+            ended.extend(match *step {
+                Answer(upstream, is_running) => checks.record_answer(upstream, digest, is_running),
+                Other(upstream) => checks.record_answer(upstream, other, false),
+                Lost(upstream) => checks.remove_upstream(upstream),
+                Wait(time) => {
+                    now += Duration::from_millis(time);
+                    checks.expire(now)
+                }
+            });
+        }
+        let result = ended.first().map(|result| result.is_clear);
+        assert_eq!((ended.len() <= 1, result), (true, case.result), "{}", case.name);
+    }
+}
--- a/crates/egretgate-link/src/message.rs
+++ b/crates/egretgate-link/src/message.rs
@@ -19,14 +19,15 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ToSide {
     /// Contents; absent in frames of a newer schema.
-    #[prost(oneof = "to_side::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "to_side::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<to_side::Body>,
 }
 
 /// Contents of [`ToSide`].
 pub mod to_side {
     use super::{
-        Credit, Heartbeat, Hello, Offer, Oneof, Records, SnapshotRequest, TicketQuery, Withdraw,
+        CopyQuery, Credit, Heartbeat, Hello, Offer, Oneof, Records, SnapshotRequest, TicketQuery,
+        Withdraw,
     };
 
     /// Contents of a frame to a side process.
@@ -56,6 +57,9 @@
         /// Requests the side process's configuration state, when the entry can't read the log.
         #[prost(message, tag = "8")]
         SnapshotRequest(SnapshotRequest),
+        /// Asks whether a request with a digest runs.
+        #[prost(message, tag = "9")]
+        CopyQuery(CopyQuery),
     }
 }
 
@@ -63,15 +67,15 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ToEntry {
     /// Contents; absent in frames of a newer schema.
-    #[prost(oneof = "to_entry::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "to_entry::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<to_entry::Body>,
 }
 
 /// Contents of [`ToEntry`].
 pub mod to_entry {
     use super::{
-        Chunk, DeathReport, End, Goodbye, Load, Oneof, Queued, RecordsRequest, Refused, Snapshot,
-        Started, TicketState, Welcome,
+        Chunk, CopyState, DeathReport, End, Goodbye, Load, Oneof, Queued, RecordsRequest, Refused,
+        Snapshot, Started, TicketState, Welcome,
     };
 
     /// Contents of a frame to an entry.
@@ -113,6 +117,9 @@
         /// Answer to [`super::SnapshotRequest`].
         #[prost(message, tag = "12")]
         Snapshot(Snapshot),
+        /// Answer to [`super::CopyQuery`].
+        #[prost(message, tag = "13")]
+        CopyState(CopyState),
     }
 }
 
@@ -304,6 +311,25 @@
     pub state: Bytes,
 }
 
+/// Asks whether a request with this digest runs, sent before a suspect starts.
+#[derive(Clone, PartialEq, Message)]
+pub struct CopyQuery {
+    /// Digest of the request: 16 bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub digest: Bytes,
+}
+
+/// Answer to [`CopyQuery`].
+#[derive(Clone, PartialEq, Message)]
+pub struct CopyState {
+    /// Digest of the request: 16 bytes.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub digest: Bytes,
+    /// True if an engine runs a request with the digest, of any entry.
+    #[prost(bool, tag = "2")]
+    pub running: bool,
+}
+
 /// The request is queued at the side process.
 #[derive(Clone, PartialEq, Message)]
 pub struct Queued {
--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::choice::{self, Policy, UpstreamKey};
+use egretgate_core::copy_check::CopyChecks;
 use egretgate_core::gate::Gate;
 use egretgate_core::membership::{Membership, MembershipOptions, heartbeat_interval};
 use egretgate_core::moves::Split;
@@ -15,7 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 use slog::{Logger, warn};
 use slotmap::SlotMap;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
 use crate::entry::evidence::SampleCollector;
@@ -24,6 +25,7 @@
 pub(crate) use crate::entry::traffic::RouteSplit;
 use crate::entry::traffic::TrafficSplitter;
 
+mod copies;
 mod message;
 mod selection;
 mod sides;
@@ -63,6 +65,7 @@
     retry_budget: RetryBudget,
     team_requests: HashMap<TeamId, u32>,
     copies: RunningCopies,
+    copy_checks: CopyChecks<LinkKey, oneshot::Sender<bool>>,
     samples: SampleCollector,
     traffic: TrafficSplitter,
     /// Number of entries, which share the caps of version moves; at least 1.
@@ -103,6 +106,7 @@
             ),
             team_requests: HashMap::new(),
             copies: RunningCopies::default(),
+            copy_checks: CopyChecks::default(),
             samples: SampleCollector::default(),
             traffic: TrafficSplitter::default(),
             entry_count: 1,
@@ -178,8 +182,12 @@
                 let _ = reply.send(self.acquire_team_slot(team, limit));
             }
             FleetMessage::ReleaseTeamSlot(team) => self.release_team_slot(&team),
-            FleetMessage::StartCopy { digest, state, reply } => {
-                let _ = reply.send(self.copies.start(digest, state));
+            FleetMessage::StartCopy { digest, state, service, reply } => {
+                self.start_copy(digest, state, &service, reply);
+            }
+            FleetMessage::CopyState { key, digest, running } => {
+                let ended = self.copy_checks.record_answer(key, digest, running);
+                self.end_copy_checks(ended);
             }
             FleetMessage::EndCopy(digest) => self.copies.end(&digest),
             FleetMessage::Status(reply) => {
--- a/crates/egretgate/src/entry/fleet/message.rs
+++ b/crates/egretgate/src/entry/fleet/message.rs
@@ -60,9 +60,16 @@
     AcquireTeamSlot { team: TeamId, limit: u32, reply: oneshot::Sender<bool> },
     /// Release a slot of a team's concurrency limit.
     ReleaseTeamSlot(TeamId),
-    /// Start a request with this digest; the reply is false if it is a suspect and a copy of it is
-    /// in flight.
-    StartCopy { digest: Digest, state: QuarantineState, reply: oneshot::Sender<bool> },
+    /// Start a request with this digest; the reply is false if it is a suspect and a copy of it may
+    /// be in flight, of this entry or another one.
+    StartCopy {
+        digest: Digest,
+        state: QuarantineState,
+        service: ServiceId,
+        reply: oneshot::Sender<bool>,
+    },
+    /// A side process has answered whether it runs a request with this digest.
+    CopyState { key: LinkKey, digest: Digest, running: bool },
     /// End a request that was started.
     EndCopy(Digest),
     /// Return the state of every side process.
--- a/crates/egretgate/src/entry/fleet/sides.rs
+++ b/crates/egretgate/src/entry/fleet/sides.rs
@@ -72,6 +72,9 @@
     pub(super) fn handle_down(&mut self, key: LinkKey) {
         let Some(side) = self.sides.get_mut(key) else { return };
         side.connected = false;
+        let ended = self.copy_checks.remove_upstream(key);
+        self.end_copy_checks(ended);
+        let Some(side) = self.sides.get(key) else { return };
         let Some(identity) = side.identity.clone() else { return };
         let name = side.name.clone();
         let changes = self.membership.record_disconnect(&name, identity.incarnation);
@@ -220,6 +223,8 @@
         let changes = self.membership.tick(Instant::now());
         self.log_changes(&changes);
         self.update_weights();
+        let ended = self.copy_checks.expire(Instant::now());
+        self.end_copy_checks(ended);
         self.report_evidence();
     }
 
--- a/crates/egretgate/src/entry/link.rs
+++ b/crates/egretgate/src/entry/link.rs
@@ -5,10 +5,10 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use egretgate_core::{ErrorKind, Incarnation, Ticket};
+use egretgate_core::{Digest, ErrorKind, Incarnation, Ticket};
 use egretgate_link::Codec;
 use egretgate_link::message::{
-    Chunk, Credit, DeathReport, End, Heartbeat, Hello, Load, Offer, Records, Refused,
+    Chunk, CopyQuery, Credit, DeathReport, End, Heartbeat, Hello, Load, Offer, Records, Refused,
     SnapshotRequest, TicketId, TicketQuery, TicketStatus, ToEntry, ToSide, Welcome, Withdraw,
     to_entry, to_side,
 };
@@ -58,6 +58,8 @@
     Records(Records),
     /// Request the side process's configuration state.
     SnapshotRequest,
+    /// Ask whether a request with this digest runs.
+    CopyQuery(Digest),
     /// Close the connection and end the task.
     Stop,
 }
@@ -313,6 +315,10 @@
             LinkMessage::Heartbeat(heartbeat) => to_side::Body::Heartbeat(heartbeat),
             LinkMessage::Records(records) => to_side::Body::Records(records),
             LinkMessage::SnapshotRequest => to_side::Body::SnapshotRequest(SnapshotRequest {}),
+            LinkMessage::CopyQuery(digest) => {
+                let digest = Bytes::copy_from_slice(digest.as_bytes());
+                to_side::Body::CopyQuery(CopyQuery { digest })
+            }
             LinkMessage::Stop => return None,
         };
         connection.send(body.into()).await.ok()
@@ -348,6 +354,12 @@
                 })
                 .await;
             }
+            to_entry::Body::CopyState(state) => {
+                if let Some(digest) = Digest::from_slice(&state.digest) {
+                    let (key, running) = (self.key, state.running);
+                    self.send_to_fleet(FleetMessage::CopyState { key, digest, running }).await;
+                }
+            }
             to_entry::Body::Snapshot(snapshot) => self.handle_snapshot(snapshot.state).await,
         }
     }
--- a/crates/egretgate/src/entry/request.rs
+++ b/crates/egretgate/src/entry/request.rs
@@ -169,7 +169,9 @@
     ) -> Result<()> {
         let state = if exclusive { QuarantineState::Suspect } else { QuarantineState::Clear };
         let (reply, started) = oneshot::channel();
-        let _ = self.handles.fleet.send(FleetMessage::StartCopy { digest, state, reply }).await;
+        let service = resolved.service.clone();
+        let start = FleetMessage::StartCopy { digest, state, service, reply };
+        let _ = self.handles.fleet.send(start).await;
         if !started.await.unwrap_or(false) {
             let detail = "an equal request is in flight, and an upstream died while it ran another";
             let error = Error::new(ErrorKind::Overloaded, detail);
--- a/crates/egretside/src/dispatcher.rs
+++ b/crates/egretside/src/dispatcher.rs
@@ -9,8 +9,8 @@
     Digest, Error, ErrorKind, Incarnation, ServiceId, Ticket, Tier, UpstreamId, ZoneId,
 };
 use egretgate_link::message::{
-    DeathReport, Goodbye, Load, Offer, Refused, Snapshot, TicketId, TicketQuery, TicketState,
-    TicketStatus, Welcome, to_entry, to_side,
+    CopyQuery, CopyState, DeathReport, Goodbye, Load, Offer, Refused, Snapshot, TicketId,
+    TicketQuery, TicketState, TicketStatus, Welcome, to_entry, to_side,
 };
 use rand_chacha::ChaCha8Rng;
 use slog::Logger;
@@ -107,6 +107,7 @@
 #[derive(Debug)]
 struct Running {
     engine: EngineKey,
+    digest: Digest,
     control: mpsc::Sender<Control>,
     route: String,
     team: String,
@@ -293,6 +294,12 @@
                     self.broadcast_load();
                 }
             }
+            to_side::Body::CopyQuery(CopyQuery { digest }) => {
+                let asked = Digest::from_slice(&digest);
+                let running = self.running.values().any(|run| Some(run.digest) == asked);
+                let state = CopyState { digest, running };
+                self.entries.send(entry, to_entry::Body::CopyState(state));
+            }
             to_side::Body::SnapshotRequest(_) => {
                 let snapshot = Snapshot { state: self.config.encode() };
                 self.entries.send(entry, to_entry::Body::Snapshot(snapshot));
--- a/crates/egretside/src/dispatcher/lifecycle.rs
+++ b/crates/egretside/src/dispatcher/lifecycle.rs
@@ -91,6 +91,7 @@
         let (run, control) = Run::new(work.ticket, offer, client, frames);
         let running = Running {
             engine,
+            digest: work.digest,
             control,
             route,
             team: work.team,
