feat(gateway): an upstream that says that it leaves gets no more requests

Only the store's list was heeded.

The adapter decodes Server-Leaving from any answer (also errors, refusals, a stream's head); the core takes the upstream out of every choice: new requests, retries, resumed streams, migrations, a move's new version. The entry that was told reports it to the others, with the start of the incarnation: another one of the name, or a late answer of the old one, doesn't count. What runs there ends there. Answers to other requests and 421 say nothing of this upstream and are passed over, as for its limit.

--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -48,6 +48,8 @@
     pub unit_seconds: HashMap<NameHash, f64>,
     /// What upstreams stated to the entry about their limits, by upstream.
     pub limits: HashMap<NameHash, AgedLimit>,
+    /// Upstreams that said to the entry that they leave.
+    pub leaving: Vec<LeavingUpstream>,
     /// Arrivals and refusals for lack of headroom, by service and priority.
     pub refusals: BTreeMap<(NameHash, Priority), RefusalCounts>,
     /// Tokens admitted in that incarnation, by team.
@@ -65,6 +67,15 @@
     pub upstreams: Option<AgedReading>,
 }
 
+/// An upstream that leaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeavingUpstream {
+    /// Hash of its name.
+    pub upstream: NameHash,
+    /// Start of the incarnation that leaves, in Unix milliseconds, if it is known.
+    pub started_ms: Option<u64>,
+}
+
 /// A reading of shared state, with its age instead of its time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct AgedReading {
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -13,7 +13,7 @@
 use super::catalog::Catalog;
 use super::fair_use::FairUse;
 use super::part_quarantine::{PartChange, PartQuarantine, Turn};
-use super::peer::{NameHash, Peers};
+use super::peer::{LeavingUpstream, NameHash, Peers};
 use super::report_schedule::ReportSchedule;
 use super::request_queue::{QueueKey, RequestNumber};
 use super::retry_limit::RetryLimit;
@@ -43,6 +43,15 @@
     pub limit: Option<f64>,
 }
 
+/// An upstream that is known to leave from now on, by its own word.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Departure {
+    /// Upstream.
+    pub id: UpstreamId,
+    /// Entry whose report says so; `None` if an answer to this entry did.
+    pub told_by: Option<InstanceId>,
+}
+
 /// The scheduler of one entry.
 #[derive(Debug)]
 pub struct Scheduler {
@@ -75,6 +84,8 @@
     /// Waiting requests that are trials of a quarantined part.
     trials: HashSet<RequestNumber>,
     moves: Moves,
+    /// Upstreams that were found to leave since the last [`Scheduler::take_departures`].
+    departures: Vec<Departure>,
 }
 
 impl Scheduler {
@@ -104,6 +115,7 @@
             parts: PartQuarantine::default(),
             trials: HashSet::new(),
             moves: Moves::default(),
+            departures: Vec::new(),
         }
     }
 
@@ -407,6 +419,32 @@
         is_new.then(|| LimitChange { id: upstream.listed.id.clone(), before, limit })
     }
 
+    /// Records that an upstream said in an answer that it leaves.
+    pub fn record_leaving(&mut self, key: UpstreamKey) {
+        if let Some(upstream) = self.upstreams.get_mut(key)
+            && upstream.record_leaving()
+        {
+            let id = upstream.listed.id.clone();
+            self.departures.push(Departure { id, told_by: None });
+        }
+    }
+
+    /// Records that another entry was told that an upstream leaves.
+    fn record_peer_leaving(&mut self, leaving: LeavingUpstream, peer: &InstanceId) {
+        let key = self.by_hash.get(&leaving.upstream);
+        let Some(upstream) = key.and_then(|key| self.upstreams.get_mut(*key)) else { return };
+        // Another incarnation of that name may be listed here.
+        if upstream.listed.started_ms == leaving.started_ms && upstream.record_peer_leaving() {
+            let id = upstream.listed.id.clone();
+            self.departures.push(Departure { id, told_by: Some(peer.clone()) });
+        }
+    }
+
+    /// Returns the upstreams that were found to leave since the last call.
+    pub fn take_departures(&mut self) -> Vec<Departure> {
+        std::mem::take(&mut self.departures)
+    }
+
     /// Returns this entry's rank: the number of reachable entries whose names sort before its own.
     pub fn peer_rank(&self, now: Instant) -> usize {
         self.peers.rank(&self.name, now)
--- a/crates/egretgate-core/src/gateway/scheduler/placement.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/placement.rs
@@ -13,7 +13,7 @@
 use crate::gateway::service_state::ServiceState;
 use crate::gateway::share::SlotShare;
 use crate::gateway::traffic_move::{Canaries, VersionPreference};
-use crate::gateway::upstream::{Stage, UpstreamState};
+use crate::gateway::upstream::UpstreamState;
 
 /// Requests per slot that all entries together may have at an upstream with short calls, which end
 /// before reports of them arrive. With two, as many calls wait there as run, which only doubles a
@@ -85,10 +85,9 @@
                 pick(&|version| version == target).or_else(|| pick(&|version| version != target))
             }
             VersionPreference::Prefer(target) => {
-                let listed = |key: &UpstreamKey| &self.upstreams[*key].listed;
                 let is_ready = |key: &UpstreamKey| {
-                    let listed = listed(key);
-                    listed.version == *target && listed.stage == Stage::Ready
+                    let upstream = &self.upstreams[*key];
+                    upstream.listed.version == *target && !upstream.is_leaving()
                 };
                 let has_target = service_state.members.iter().any(is_ready);
                 pick(&|version| version == target || !has_target)
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -5,7 +5,7 @@
 
 use super::Scheduler;
 use crate::gateway::catalog::MoveSpec;
-use crate::gateway::peer::{AgedLimit, NameHash, PeerReport, name_hash};
+use crate::gateway::peer::{AgedLimit, LeavingUpstream, NameHash, PeerReport, name_hash};
 use crate::gateway::service_state::ServiceState;
 use crate::gateway::traffic_move::{MoveState, MoveStatus};
 
@@ -32,6 +32,9 @@
                 upstream.record_unit_seconds(*sample, now);
             }
         }
+        for leaving in &report.leaving {
+            self.record_peer_leaving(*leaving, &report.name);
+        }
         for (hash, limit) in &report.limits {
             if let Some(upstream) =
                 self.by_hash.get(hash).and_then(|key| self.upstreams.get_mut(*key))
@@ -80,6 +83,11 @@
             Some((upstream.hash, AgedLimit::new(notice, now)))
         });
         let limits = limits.collect();
+        let leaving = self.upstreams.values().filter(|upstream| upstream.told_leaving);
+        let leaving = leaving.map(|upstream| LeavingUpstream {
+            upstream: upstream.hash,
+            started_ms: upstream.listed.started_ms,
+        });
         let admitted =
             self.buckets.iter().map(|(team, bucket)| (name_hash(team), bucket.admitted()));
         PeerReport {
@@ -91,6 +99,7 @@
             running,
             unit_seconds,
             limits,
+            leaving: leaving.collect(),
             refusals: refusals.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
             broken_runs: self.broken_runs.recent_changes(now),
--- a/crates/egretgate-core/src/gateway/upstream.rs
+++ b/crates/egretgate-core/src/gateway/upstream.rs
@@ -128,6 +128,10 @@
     backoff_until: Option<Instant>,
     /// End of the time for which other upstreams are preferred, after a single missing answer.
     suspected_until: Option<Instant>,
+    /// True once one of its answers said that it leaves; it stays so.
+    said_leaving: bool,
+    /// True if `said_leaving` was said to this entry.
+    pub(super) told_leaving: bool,
     /// True once the address was found to belong to another upstream.
     misdirected: bool,
     /// The rate of requests that it takes.
@@ -152,6 +156,8 @@
             backoffs: 0,
             backoff_until: None,
             suspected_until: None,
+            said_leaving: false,
+            told_leaving: false,
             misdirected: false,
             rate_limit: RateLimit::default(),
         }
@@ -162,13 +168,30 @@
         let backing_off = self.backoff_until.is_some_and(|until| now < until);
         // After a backoff, one request at a time probes whether the upstream works again.
         let probing = self.backoffs > 0 && self.active() > 0;
-        self.listed.stage == Stage::Ready
+        !self.is_leaving()
             && !self.misdirected
             && !backing_off
             && !probing
             && self.rate_limit.allows(now)
     }
 
+    /// Returns true if it takes no new requests any more, as the directory or the upstream itself
+    /// says.
+    pub fn is_leaving(&self) -> bool {
+        self.said_leaving || self.listed.stage == Stage::Draining
+    }
+
+    /// Records that it said to this entry that it leaves; returns true if that is new.
+    pub(super) fn record_leaving(&mut self) -> bool {
+        self.told_leaving = true;
+        !std::mem::replace(&mut self.said_leaving, true)
+    }
+
+    /// Records that it said to another entry that it leaves; returns true if that is new.
+    pub(super) fn record_peer_leaving(&mut self) -> bool {
+        !std::mem::replace(&mut self.said_leaving, true)
+    }
+
     /// Returns the requests per second that it takes from all entries together, if it states a
     /// limit.
     pub fn limit(&self) -> Option<f64> {
--- a/crates/egretgate-gateway/src/dialect.rs
+++ b/crates/egretgate-gateway/src/dialect.rs
@@ -51,6 +51,8 @@
     /// Requests per second that the upstream takes from all entries together; `None` if it states
     /// no limit. Finite and at least 0.
     pub rate_limit: Option<f64>,
+    /// True if it states that the upstream leaves.
+    pub leaving: bool,
 }
 
 /// Names and formats of the headers that a platform puts on requests and answers.
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Records that the answer states that the upstream leaves.
+    pub(crate) fn record_leaving(&self) {
+        self.dispatcher.send(Message::Leaving(self.key));
+    }
+
     /// Records that the upstream has sent nothing since `since`.
     pub(crate) fn suspect(&mut self, since: Instant) {
         let again = std::mem::replace(&mut self.suspected, true);
@@ -125,6 +130,8 @@
     },
     /// Reports the limit that an upstream states, in requests per second.
     Limit { key: UpstreamKey, limit: Option<f64> },
+    /// Reports that an upstream states that it leaves.
+    Leaving(UpstreamKey),
     /// Applies declarations.
     Catalog(Arc<Catalog>),
     /// Replaces the list of upstreams.
@@ -272,6 +279,10 @@
                         "per_second" => change.limit, "before" => change.before);
                 }
             }
+            Message::Leaving(key) => {
+                self.scheduler.record_leaving(key);
+                self.log_departures();
+            }
             Message::Catalog(catalog) => self.scheduler.set_catalog(catalog, now),
             Message::Upstreams(upstreams) => {
                 for key in self.scheduler.set_upstreams(upstreams) {
@@ -284,6 +295,7 @@
             Message::PeerReport(report) => {
                 self.scheduler.receive_report(report, now);
                 self.log_part_changes();
+                self.log_departures();
             }
             Message::JudgeMoves(result_sender) => {
                 let unknown = self.scheduler.unknown_moves();
@@ -332,6 +344,8 @@
         metrics::gauge!("egretgate_upstreams").set(self.scheduler.upstreams().count() as f64);
         metrics::gauge!("egretgate_quarantined_parts")
             .set(self.scheduler.quarantined_parts() as f64);
+        let leaving = self.scheduler.upstreams().filter(|upstream| upstream.is_leaving());
+        metrics::gauge!("egretgate_upstreams_leaving").set(leaving.count() as f64);
         let limited = self.scheduler.upstreams().filter(|upstream| upstream.limit().is_some());
         metrics::gauge!("egretgate_upstreams_limited").set(limited.count() as f64);
     }
@@ -385,6 +399,15 @@
         let _ = waiter.result_sender.send(Ok(permit));
     }
 
+    /// Logs which upstreams are newly known to leave.
+    fn log_departures(&mut self) {
+        for departure in self.scheduler.take_departures() {
+            info!(self.log, "upstream leaves";
+                "upstream" => departure.id,
+                "told_by" => departure.told_by.as_deref().unwrap_or("itself"));
+        }
+    }
+
     /// Logs what has changed in the quarantine of prompt parts.
     fn log_part_changes(&mut self) {
         for change in self.scheduler.take_part_changes() {
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -525,6 +525,9 @@
         let is_foreign = head.id.as_ref().is_some_and(|id| *id != self.request.head.id);
         if !is_foreign && parts.status != StatusCode::MISDIRECTED_REQUEST {
             answer.permit.record_limit(head.rate_limit);
+            if head.leaving {
+                answer.permit.record_leaving();
+            }
         }
         if head.not_run && !is_foreign {
             return refused_attempt(answer, parts.status, self.deadline()).await;
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use egretgate_core::gateway::part_quarantine::{AgedCrash, PartReport, Ruling};
-use egretgate_core::gateway::peer::{AgedLimit, AgedReading, NameHash, PeerReport};
+use egretgate_core::gateway::peer::{
+    AgedLimit, AgedReading, LeavingUpstream, NameHash, PeerReport,
+};
 use egretgate_core::gateway::refusals::RefusalCounts;
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::traffic_move::{MoveKey, MoveReport, MoveState};
@@ -45,6 +47,8 @@
     limits: Vec<SentLimit>,
     #[prost(message, repeated, tag = "16")]
     parts: Vec<SentPart>,
+    #[prost(message, repeated, tag = "17")]
+    leaving: Vec<SentLeaving>,
 }
 
 /// What the sender knows of a prompt part under which upstreams have crashed.
@@ -114,6 +118,28 @@
     }
 }
 
+/// An upstream that leaves.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct SentLeaving {
+    #[prost(fixed64, tag = "1")]
+    upstream: u64,
+    /// Start of its incarnation, in Unix milliseconds.
+    #[prost(uint64, optional, tag = "2")]
+    started_ms: Option<u64>,
+}
+
+impl From<LeavingUpstream> for SentLeaving {
+    fn from(LeavingUpstream { upstream, started_ms }: LeavingUpstream) -> Self {
+        Self { upstream, started_ms }
+    }
+}
+
+impl From<SentLeaving> for LeavingUpstream {
+    fn from(SentLeaving { upstream, started_ms }: SentLeaving) -> Self {
+        Self { upstream, started_ms }
+    }
+}
+
 /// What an upstream stated about its limit.
 #[derive(Clone, Copy, PartialEq, Message)]
 struct SentLimit {
@@ -317,6 +343,7 @@
             .map(|(upstream, seconds)| (*upstream, *seconds as f32))
             .collect(),
         limits: report.limits.iter().map(|(key, limit)| (*key, *limit).into()).collect(),
+        leaving: report.leaving.iter().copied().map(SentLeaving::from).collect(),
         broken_runs: report
             .broken_runs
             .iter()
@@ -353,6 +380,7 @@
         running: datagram.running,
         unit_seconds: unit_seconds.collect(),
         limits: datagram.limits.into_iter().map(Into::into).collect(),
+        leaving: datagram.leaving.into_iter().map(LeavingUpstream::from).collect(),
         broken_runs: broken_runs.collect(),
         parts: datagram.parts.into_iter().map(PartReport::from).collect(),
         moves: datagram.moves.into_iter().map(Into::into).collect(),
--- a/crates/egretgate-gateway/tests/wire.rs
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -4,7 +4,9 @@
 
 use egretgate_core::Digest;
 use egretgate_core::gateway::part_quarantine::{AgedCrash, PartReport, Ruling};
-use egretgate_core::gateway::peer::{AgedLimit, AgedReading, PeerReport, name_hash};
+use egretgate_core::gateway::peer::{
+    AgedLimit, AgedReading, LeavingUpstream, PeerReport, name_hash,
+};
 use egretgate_core::gateway::refusals::RefusalCounts;
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::traffic_move::{MoveReport, MoveState};
@@ -37,6 +39,10 @@
             (name_hash("writer-2"), AgedLimit { limit: None, age: Duration::from_secs(9) }),
         ]
         .into(),
+        leaving: vec![
+            LeavingUpstream { upstream: name_hash("writer-1"), started_ms: Some(1 << 41) },
+            LeavingUpstream { upstream: name_hash("writer-2"), started_ms: None },
+        ],
         refusals: [(
             (name_hash("writer"), Priority { tier: 1, route_tier: 2, over_share: true }),
             RefusalCounts { arrived: 8.0, refused: 0.5 },
