feat(gateway): an upstream that wants nothing for a while gets nothing

The entry tried again after its own 60 ms.

The adapter decodes the seconds; the core pauses the upstream at this entry until then, counted from the arrival of the head by the monotonic clock. A paused upstream keeps its learned speed, isn't broken and isn't probed. Where all upstreams of a service pause, a request waits for a pause that is short beside its objective and is refused at once for a longer one, as not run; its caller is told to return after the first upstream, spread over some time, and likewise one whose wait expires.

Ruled out: sharing the pause with the other entries (it is asked of one machine).

--- a/crates/egretgate-core/src/gateway/admission.rs
+++ b/crates/egretgate-core/src/gateway/admission.rs
@@ -86,6 +86,8 @@
     TooLong,
     /// Its queue deadline has passed.
     Expired,
+    /// All upstreams pause for longer than is useful.
+    Paused,
     /// No upstream is clearly faster than the one where it runs.
     NoneFaster,
     /// The entry is stopping.
@@ -99,6 +101,8 @@
     pub reason: Reason,
     /// Expected wait of the request.
     pub expected_wait: Duration,
+    /// Time until the first upstream takes requests again, if all of them pause; else zero.
+    pub pause: Duration,
     /// Requests of the service in the queue of this entry.
     pub waiting: usize,
     /// Requests of the service that this entry has in flight.
@@ -108,7 +112,13 @@
 impl Overload {
     /// Returns an overload that states a reason but no state of a service.
     pub const fn without_state(reason: Reason) -> Self {
-        Self { reason, expected_wait: Duration::ZERO, waiting: 0, running: 0 }
+        Self {
+            reason,
+            expected_wait: Duration::ZERO,
+            pause: Duration::ZERO,
+            waiting: 0,
+            running: 0,
+        }
     }
 }
 
@@ -119,6 +129,7 @@
             Self::ReservedForUrgent => "gives_way",
             Self::TooLong => "too_long",
             Self::Expired => "expired",
+            Self::Paused => "paused",
             Self::NoneFaster => "none_faster",
             Self::Stopping => "stopping",
         }
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -242,15 +242,18 @@
             self.record_start(&request.service, &request.route, key, now);
             return Admission::Started(key);
         }
-        let reason = if self.must_yield(&request) {
+        let pause = self.pause_left(&request.service, now);
+        let is_too_long = |wait| wait > request.useful_wait || now + wait > request.queue_deadline;
+        let reason = if is_too_long(pause) {
+            Some(Reason::Paused)
+        } else if self.must_yield(&request) {
             Some(Reason::ReservedForUrgent)
         } else {
-            (wait > request.useful_wait || now + wait > request.queue_deadline)
-                .then_some(Reason::TooLong)
+            is_too_long(wait).then_some(Reason::TooLong)
         };
         if let Some(reason) = reason {
             self.record_refusal(&request, now);
-            let overload = self.overload(&request.service, reason, wait);
+            let overload = self.overload(&request.service, reason, wait, now);
             return Admission::Refused(Refusal::Overloaded(overload));
         }
         if let Some(service_state) = self.services.get_mut(&request.service) {
@@ -312,7 +315,7 @@
         }
         let mut refused = Vec::with_capacity(expired.len());
         for (number, service) in expired {
-            let overload = self.overload(&service, Reason::Expired, Duration::ZERO);
+            let overload = self.overload(&service, Reason::Expired, Duration::ZERO, now);
             refused.push((number, Refusal::Overloaded(overload)));
             self.trials.remove(&number);
             if let Some((_, request)) = self.waiting.remove(&number) {
@@ -419,6 +422,13 @@
         is_new.then(|| LimitChange { id: upstream.listed.id.clone(), before, limit })
     }
 
+    /// Records that an upstream wants no requests from this entry until a time; returns its name.
+    pub fn pause(&mut self, key: UpstreamKey, until: Instant) -> Option<&UpstreamId> {
+        let upstream = self.upstreams.get_mut(key)?;
+        upstream.pause(until);
+        Some(&upstream.listed.id)
+    }
+
     /// Records that an upstream said in an answer that it leaves.
     pub fn record_leaving(&mut self, key: UpstreamKey) {
         if let Some(upstream) = self.upstreams.get_mut(key)
@@ -467,11 +477,18 @@
             .map(Refusal::OverLimit)
     }
 
-    fn overload(&self, service: &ServiceId, reason: Reason, expected_wait: Duration) -> Overload {
+    fn overload(
+        &self,
+        service: &ServiceId,
+        reason: Reason,
+        expected_wait: Duration,
+        now: Instant,
+    ) -> Overload {
         let service_state = self.services.get(service);
         let waiting = service_state.map_or(0, |service_state| service_state.queue.len());
         let running = service_state.map_or(0, |service_state| service_state.running);
-        Overload { reason, expected_wait, waiting, running }
+        let pause = self.pause_left(service, now);
+        Overload { reason, expected_wait, pause, waiting, running }
     }
 
     fn record_refusal(&mut self, request: &AdmissionRequest, now: Instant) {
--- a/crates/egretgate-core/src/gateway/scheduler/placement.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/placement.rs
@@ -1,11 +1,10 @@
 //! Chooses the upstream with headroom that is likely to serve a request soonest.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Scheduler;
-use crate::VersionId;
 use crate::gateway::admission::{AdmissionRequest, UpstreamKey};
 use crate::gateway::headroom::{has_free_slot, has_headroom, has_unreserved_slot};
 use crate::gateway::peer::name_hash;
@@ -14,6 +13,7 @@
 use crate::gateway::share::SlotShare;
 use crate::gateway::traffic_move::{Canaries, VersionPreference};
 use crate::gateway::upstream::UpstreamState;
+use crate::{ServiceId, VersionId};
 
 /// Requests per slot that all entries together may have at an upstream with short calls, which end
 /// before reports of them arrive. With two, as many calls wait there as run, which only doubles a
@@ -113,7 +113,8 @@
         let needs_fast = request.events > 0.0
             && service_state.members.iter().any(|key| {
                 let upstream = &self.upstreams[*key];
-                upstream.rate_limit.allows(now) && in_time(upstream)
+                let takes_requests = upstream.is_available() && upstream.pause_left(now).is_zero();
+                takes_requests && upstream.rate_limit.allows(now) && in_time(upstream)
             });
         // A suspected upstream gets a request only if every usable one is suspected.
         let is_unsuspected =
@@ -156,6 +157,15 @@
         candidates.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
+    /// Returns the time until the first upstream of a service takes requests again, if all of them
+    /// pause.
+    pub(super) fn pause_left(&self, service: &ServiceId, now: Instant) -> Duration {
+        let members = self.services.get(service).map_or(&[][..], |state| &state.members);
+        let upstreams = members.iter().map(|key| &self.upstreams[*key]);
+        let available = upstreams.filter(|upstream| upstream.is_available());
+        available.map(|upstream| upstream.pause_left(now)).min().unwrap_or_default()
+    }
+
     /// Returns the rules by which an upstream has headroom for the request.
     fn slot_rules(&self, request: &AdmissionRequest, service_state: &ServiceState) -> SlotRules {
         let share = service_state.share.unwrap_or(SlotShare::WHOLE);
--- a/crates/egretgate-core/src/gateway/upstream.rs
+++ b/crates/egretgate-core/src/gateway/upstream.rs
@@ -128,6 +128,8 @@
     backoff_until: Option<Instant>,
     /// End of the time for which other upstreams are preferred, after a single missing answer.
     suspected_until: Option<Instant>,
+    /// End of the time for which it wants no requests from this entry.
+    paused_until: Option<Instant>,
     /// True once one of its answers said that it leaves; it stays so.
     said_leaving: bool,
     /// True if `said_leaving` was said to this entry.
@@ -156,6 +158,7 @@
             backoffs: 0,
             backoff_until: None,
             suspected_until: None,
+            paused_until: None,
             said_leaving: false,
             told_leaving: false,
             misdirected: false,
@@ -168,13 +171,29 @@
         let backing_off = self.backoff_until.is_some_and(|until| now < until);
         // After a backoff, one request at a time probes whether the upstream works again.
         let probing = self.backoffs > 0 && self.active() > 0;
-        !self.is_leaving()
-            && !self.misdirected
+        self.is_available()
+            && self.pause_left(now).is_zero()
             && !backing_off
             && !probing
             && self.rate_limit.allows(now)
     }
 
+    /// Returns true if it takes requests, now or after a pause or a backoff.
+    pub(super) fn is_available(&self) -> bool {
+        !self.is_leaving() && !self.misdirected
+    }
+
+    /// Returns the time that is left of its pause.
+    pub fn pause_left(&self, now: Instant) -> Duration {
+        self.paused_until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Records that it wants no requests from this entry until a time. An earlier time doesn't
+    /// shorten a pause.
+    pub(super) fn pause(&mut self, until: Instant) {
+        self.paused_until = self.paused_until.max(Some(until));
+    }
+
     /// Returns true if it takes no new requests any more, as the directory or the upstream itself
     /// says.
     pub fn is_leaving(&self) -> bool {
--- a/crates/egretgate-core/src/gateway/wait_limits.rs
+++ b/crates/egretgate-core/src/gateway/wait_limits.rs
@@ -39,6 +39,13 @@
     route.objective.mul_f64(USEFUL_WAIT_FRACTION)
 }
 
+/// Returns the time after which a refused caller that has `time_left` should try again where all
+/// upstreams pause for `pause`: not before its end, and with jitter.
+pub fn retry_delay_after(pause: Duration, time_left: Duration, rng: &mut impl Rng) -> Duration {
+    let spread = time_left.mul_f64(RETRY_FRACTION * rng.random_range(0.0..RETRY_JITTER.start));
+    (pause + spread).max(retry_delay(time_left, rng))
+}
+
 /// Returns the time after which a refused caller that has `time_left` should try again.
 ///
 /// Callers try again within a third of their remaining time. The delay lies in the later part of
--- a/crates/egretgate-core/tests/gateway_notices.rs
+++ b/crates/egretgate-core/tests/gateway_notices.rs
@@ -3,10 +3,15 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use egretgate_core::gateway::admission::{Admission, AdmissionRequest, UpstreamKey};
+use egretgate_core::gateway::admission::{
+    Admission, AdmissionRequest, Completion, Reason, Refusal, UpstreamKey,
+};
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::scheduler::{Departure, Scheduler};
-use egretgate_core::gateway::upstream::{ListedUpstream, Stage};
+use egretgate_core::gateway::upstream::{ListedUpstream, Outcome, Stage};
+use egretgate_core::gateway::wait_limits::retry_delay_after;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 
 const SERVICE: &str = "writer";
 
@@ -29,9 +34,8 @@
     entry
 }
 
-/// Returns the upstream at which a request starts.
-fn start(entry: &mut Scheduler, now: Instant) -> Option<UpstreamKey> {
-    let request = AdmissionRequest {
+fn request(now: Instant) -> AdmissionRequest {
+    AdmissionRequest {
         number: 1,
         service: SERVICE.to_owned(),
         route: String::new(),
@@ -47,8 +51,12 @@
         avoid: Vec::new(),
         digest: None,
         parts: Arc::default(),
-    };
-    match entry.admit(request, now) {
+    }
+}
+
+/// Returns the upstream at which a request starts.
+fn start(entry: &mut Scheduler, now: Instant) -> Option<UpstreamKey> {
+    match entry.admit(request(now), now) {
         Admission::Started(key) => Some(key),
         Admission::Queued | Admission::Refused(_) => None,
     }
@@ -93,3 +101,115 @@
         assert_eq!(told.report(now).leaving, [], "{name}");
     }
 }
+
+/// Guards against requests to an upstream that pauses, and against refusals that send callers back
+/// before its return.
+#[test]
+fn requests_wait_for_a_short_pause_and_are_refused_for_a_long_one() {
+    struct Case {
+        name: &'static str,
+        /// Pauses of each upstream, in milliseconds, in the order of its answers.
+        pauses: &'static [&'static [u64]],
+        /// Time at which the request arrives, in milliseconds.
+        at: u64,
+        expected: Expected,
+    }
+    #[derive(Debug, PartialEq)]
+    enum Expected {
+        Started,
+        Queued,
+        /// Refused, with the time until the first return, in milliseconds.
+        Refused(u64),
+    }
+    use Expected::*;
+    const CASES: [Case; 8] = [
+        Case { name: "none", pauses: &[&[], &[]], at: 0, expected: Started },
+        Case { name: "another is free", pauses: &[&[9_000], &[]], at: 0, expected: Started },
+        Case { name: "both", pauses: &[&[9_000], &[5_000]], at: 1_000, expected: Refused(4_000) },
+        Case { name: "nearly over", pauses: &[&[9_000], &[1_200]], at: 1_000, expected: Queued },
+        Case { name: "over", pauses: &[&[9_000], &[1_000]], at: 1_000, expected: Started },
+        Case {
+            name: "a shorter one later",
+            pauses: &[&[3_000, 500]],
+            at: 600,
+            expected: Refused(2_400),
+        },
+        Case {
+            name: "a longer one later",
+            pauses: &[&[500, 3_000]],
+            at: 600,
+            expected: Refused(2_400),
+        },
+        Case {
+            name: "for a day",
+            pauses: &[&[86_400_000]],
+            at: 80_000_000,
+            expected: Refused(6_400_000),
+        },
+    ];
+    for Case { name, pauses, at, expected } in CASES {
+        let start = Instant::now();
+        let ids: Vec<String> = (0..pauses.len()).map(|index| format!("engine-{index}")).collect();
+        let mut entry = entry(1, ids.iter().map(|id| listed(id, 1)).collect());
+        let mut keys = Vec::new();
+        for id in &ids {
+            // The others are avoided, so that this one gets the request.
+            let avoid = ids.iter().filter(|other| *other != id).cloned().collect();
+            match entry.admit(AdmissionRequest { avoid, ..request(start) }, start) {
+                Admission::Started(key) => keys.push(key),
+                other => panic!("{name}: {other:?}"),
+            }
+        }
+        for (key, pauses) in keys.iter().zip(pauses) {
+            for pause in *pauses {
+                let until = start + Duration::from_millis(*pause);
+                assert!(entry.pause(*key, until).is_some(), "{name}");
+            }
+        }
+        let now = start + Duration::from_millis(at);
+        let result = match entry.admit(request(now), now) {
+            Admission::Started(_) => Started,
+            Admission::Queued => Queued,
+            Admission::Refused(Refusal::Overloaded(overload)) => {
+                assert_eq!(overload.reason, Reason::Paused, "{name}");
+                Refused(overload.pause.as_millis() as u64)
+            }
+            Admission::Refused(other) => panic!("{name}: {other:?}"),
+        };
+        assert_eq!(result, expected, "{name}");
+        if expected == Queued {
+            assert_eq!(entry.dispatch(now + Duration::from_millis(199)).len(), 0, "{name}");
+            assert_eq!(entry.dispatch(now + Duration::from_millis(200)).len(), 1, "{name}");
+        }
+    }
+}
+
+/// A pause says nothing about an upstream's speed, nor that it is broken.
+#[test]
+fn a_pause_leaves_what_is_known_of_the_upstream() {
+    let now = Instant::now();
+    let mut entry = entry(1, vec![listed("engine", 1)]);
+    let key = start(&mut entry, now).expect("a free upstream");
+    let outcome = Outcome::Succeeded { unit_seconds: Some(0.02) };
+    entry.finish(&Completion::new(SERVICE.to_owned(), key, outcome, now), now);
+    entry.pause(key, now + Duration::from_secs(1));
+    assert_eq!(start(&mut entry, now), None);
+    let returned = now + Duration::from_secs(1);
+    // More than one at once: it is not being probed.
+    assert_eq!([start(&mut entry, returned), start(&mut entry, returned)], [Some(key); 2]);
+    assert_eq!(entry.upstream(key).expect("listed").unit_seconds(), Some(0.02));
+}
+
+/// Refused callers return after the pause, spread over some time.
+#[test]
+fn callers_return_after_the_pause_and_not_at_once() {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let (pause, time_left) = (Duration::from_secs(2), Duration::from_secs(3));
+    let delays: Vec<Duration> =
+        (0..200).map(|_| retry_delay_after(pause, time_left, &mut rng)).collect();
+    let (first, last) = (delays.iter().min().unwrap(), delays.iter().max().unwrap());
+    assert!(*first >= pause, "{first:?}");
+    assert!(*last > *first + Duration::from_millis(400), "{first:?} to {last:?}");
+    let short = retry_delay_after(Duration::from_millis(1), time_left, &mut rng);
+    assert!(short >= time_left.mul_f64(0.18), "{short:?}");
+}
--- a/crates/egretgate-gateway/src/dialect.rs
+++ b/crates/egretgate-gateway/src/dialect.rs
@@ -51,6 +51,9 @@
     /// Requests per second that the upstream takes from all entries together; `None` if it states
     /// no limit. Finite and at least 0.
     pub rate_limit: Option<f64>,
+    /// Time for which the upstream, which turned the request away, wants no other from this entry;
+    /// above zero.
+    pub pause: Option<Duration>,
     /// True if it states that the upstream leaves.
     pub leaving: bool,
 }
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -14,7 +14,7 @@
 use egretgate_core::gateway::request_queue::RequestNumber;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::gateway::traffic_move::MoveStatus;
-use egretgate_core::gateway::upstream::{ListedUpstream, Outcome};
+use egretgate_core::gateway::upstream::{ListedUpstream, Outcome, UpstreamState};
 use egretgate_core::{Digest, RouteId, ServiceId, UpstreamId};
 use slog::{Logger, info};
 use tokio::sync::{mpsc, oneshot};
@@ -79,6 +79,15 @@
         }
     }
 
+    /// Records that the upstream wants no requests for a while.
+    pub(crate) fn record_pause(&self, pause: Duration) {
+        self.dispatcher.send(Message::Pause {
+            key: self.key,
+            pause,
+            until: Instant::now() + pause,
+        });
+    }
+
     /// Records that the answer states that the upstream leaves.
     pub(crate) fn record_leaving(&self) {
         self.dispatcher.send(Message::Leaving(self.key));
@@ -130,6 +139,8 @@
     },
     /// Reports the limit that an upstream states, in requests per second.
     Limit { key: UpstreamKey, limit: Option<f64> },
+    /// Reports that an upstream wants no requests from this entry for a while.
+    Pause { key: UpstreamKey, pause: Duration, until: Instant },
     /// Reports that an upstream states that it leaves.
     Leaving(UpstreamKey),
     /// Applies declarations.
@@ -279,6 +290,12 @@
                         "per_second" => change.limit, "before" => change.before);
                 }
             }
+            Message::Pause { key, pause, until } => {
+                if let Some(id) = self.scheduler.pause(key, until) {
+                    info!(self.log, "upstream pauses"; "upstream" => id,
+                        "for_ms" => pause.as_millis() as u64);
+                }
+            }
             Message::Leaving(key) => {
                 self.scheduler.record_leaving(key);
                 self.log_departures();
@@ -346,6 +363,10 @@
             .set(self.scheduler.quarantined_parts() as f64);
         let leaving = self.scheduler.upstreams().filter(|upstream| upstream.is_leaving());
         metrics::gauge!("egretgate_upstreams_leaving").set(leaving.count() as f64);
+        let now = Instant::now();
+        let is_paused = |upstream: &&UpstreamState| !upstream.pause_left(now).is_zero();
+        let paused = self.scheduler.upstreams().filter(is_paused);
+        metrics::gauge!("egretgate_upstreams_paused").set(paused.count() as f64);
         let limited = self.scheduler.upstreams().filter(|upstream| upstream.limit().is_some());
         metrics::gauge!("egretgate_upstreams_limited").set(limited.count() as f64);
     }
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -353,6 +353,7 @@
             "service" => &self.plan.service,
             "reason" => overload.reason.as_str(),
             "expected_wait_ms" => overload.expected_wait.as_millis() as u64,
+            "pause_ms" => overload.pause.as_millis() as u64,
             "waiting" => overload.waiting,
             "running" => overload.running);
     }
@@ -412,10 +413,16 @@
             }
             Refusal::Overloaded(overload) if self.time_left().is_zero() => {
                 self.log_overload(overload);
-                NoAnswer::EntryFault(Fault::TimedOutWaiting, Some(SHORT_RETRY_AFTER))
+                let retry_after = SHORT_RETRY_AFTER.max(overload.pause);
+                NoAnswer::EntryFault(Fault::TimedOutWaiting, Some(retry_after))
             }
             Refusal::Overloaded(overload) => {
                 self.log_overload(overload);
+                let retry_after = if overload.pause.is_zero() {
+                    retry_after
+                } else {
+                    wait_limits::retry_delay_after(overload.pause, time_left, &mut rand::rng())
+                };
                 NoAnswer::EntryFault(Fault::Overloaded, Some(retry_after))
             }
             Refusal::RetryBudgetSpent => {
@@ -525,6 +532,9 @@
         let is_foreign = head.id.as_ref().is_some_and(|id| *id != self.request.head.id);
         if !is_foreign && parts.status != StatusCode::MISDIRECTED_REQUEST {
             answer.permit.record_limit(head.rate_limit);
+            if let Some(pause) = head.pause {
+                answer.permit.record_pause(pause);
+            }
             if head.leaving {
                 answer.permit.record_leaving();
             }
