fix(core): a team's limit holds while entries are cut off

Cause: an entry counted a peer as one that it hears until 1.5 s after its last report. After a cut, both sides refilled the team's bucket at the whole rate for that long, heard of no spending by the other, and saved up what they didn't spend; both then spent it beside their parts. After the cut the same class showed the other way: all that a peer had spent meanwhile became a debt, its own part too, which nobody else had used.

Now a peer counts for the rate only while its reports arrive: three intervals, 250 ms at least. What it spent in a longer silence counts as far as it exceeds its part. Slots and upstreams' limits keep the longer time, which is about load and not about what is granted.

Other limits' tests pass.

--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -130,6 +130,8 @@
     pub team: NameHash,
     /// Tokens.
     pub tokens: u64,
+    /// Time since the report before, in which they were admitted.
+    pub silence: Duration,
 }
 
 #[derive(Debug, Clone)]
@@ -160,6 +162,10 @@
     /// Records a report and returns the tokens admitted since the last one; none for an outdated
     /// report.
     pub fn record_report(&mut self, report: PeerReport, now: Instant) -> Vec<TokenSpend> {
+        let silence = self
+            .peers
+            .get(&report.name)
+            .map_or(Duration::ZERO, |peer| now.saturating_duration_since(peer.received_at));
         let old = self.peers.get(&report.name).map(|peer| &peer.report);
         let known = old.is_some();
         let same_incarnation = old.filter(|old| old.incarnation == report.incarnation);
@@ -170,7 +176,7 @@
             let before = same_incarnation.and_then(|old| old.admitted.get(team)).copied();
             // What a new peer admitted before its first report may have been long ago.
             let spent = if known { total.saturating_sub(before.unwrap_or(0)) } else { 0 };
-            TokenSpend { team: *team, tokens: spent }
+            TokenSpend { team: *team, tokens: spent, silence }
         });
         let spends = spends.filter(|spend| spend.tokens > 0).collect();
         for (upstream, count) in &report.running {
@@ -201,6 +207,12 @@
         self.reachable(now).count()
     }
 
+    /// Returns the number of entries whose last report is no older than `age`.
+    pub fn heard_count(&self, age: Duration, now: Instant) -> usize {
+        let is_recent = |peer: &&Peer| now.saturating_duration_since(peer.received_at) <= age;
+        self.peers.values().filter(is_recent).count()
+    }
+
     /// Returns the number of entries, unreachable ones included.
     pub fn known_count(&self) -> usize {
         self.peers.len()
--- a/crates/egretgate-core/src/gateway/report_schedule.rs
+++ b/crates/egretgate-core/src/gateway/report_schedule.rs
@@ -20,6 +20,11 @@
 /// others until its next report, and they must not exceed the team's limit together.
 const FAR_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Intervals between reports after which the next one is overdue: one may be lost.
+const OVERDUE_INTERVALS: u32 = 3;
+/// Least age at which a report is overdue: processes and networks pause for so long.
+const MIN_OVERDUE_AGE: Duration = Duration::from_millis(250);
+
 /// The schedule of the reports of one entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReportSchedule {
@@ -53,6 +58,11 @@
         self.near * self.far_every as u32
     }
 
+    /// Returns the age at which a peer's last report is overdue.
+    pub fn overdue_age(&self) -> Duration {
+        (self.far_interval() * OVERDUE_INTERVALS).max(MIN_OVERDUE_AGE)
+    }
+
     /// Returns true if the far peer at position `index` gets the report with this number. The far
     /// peers take turns, so that the reports to them are spread over time.
     pub const fn is_far_due(&self, number: u64, index: usize) -> bool {
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -468,11 +468,12 @@
     fn charge_team(&mut self, request: &AdmissionRequest, now: Instant) -> Option<Refusal> {
         let charge = request.charge.as_ref()?;
         let entries = self.entries() as f64;
-        let reachable = (self.peers.reachable_count(now) + 1) as f64;
-        let reachable_fraction = (reachable / entries).min(1.0);
+        // An entry that is overdue may be cut off and spend its part unseen.
+        let heard = (self.peers.heard_count(self.schedule.overdue_age(), now) + 1) as f64;
+        let heard_fraction = (heard / entries).min(1.0);
         let bucket = self.buckets.get_mut(&charge.team)?;
         bucket
-            .take(charge.tokens, request.priority.route_tier, reachable_fraction, now)
+            .take(charge.tokens, request.priority.route_tier, heard_fraction, now)
             .err()
             .map(Refusal::OverLimit)
     }
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -42,10 +42,15 @@
                 upstream.rate_limit.record_peer(limit.notice(now));
             }
         }
+        let entries = self.entries();
+        let overdue_age = self.schedule.overdue_age();
         for spend in self.peers.record_report(report, now) {
             let buckets = self.buckets.iter_mut();
             for (_, bucket) in buckets.filter(|(team, _)| name_hash(team) == spend.team) {
-                bucket.record_peer_spend(spend.tokens, now);
+                // While the peer was overdue, this entry left the peer's part of the rate to it.
+                let overdue = spend.silence.saturating_sub(overdue_age);
+                let part = bucket.limit().rate * overdue.as_secs_f64() / entries as f64;
+                bucket.record_peer_spend(spend.tokens.saturating_sub(part as u64), now);
             }
         }
     }
--- a/crates/egretgate-core/src/gateway/token_bucket.rs
+++ b/crates/egretgate-core/src/gateway/token_bucket.rs
@@ -66,16 +66,16 @@
     /// Takes a request's tokens, or returns the time after which they will be available.
     ///
     /// `tier` is the tier of the request's route: while the team is at its limit, its less urgent
-    /// requests leave tokens to the more urgent ones. `reachable_fraction` is the fraction of
+    /// requests leave tokens to the more urgent ones. `heard_fraction` is the fraction of
     /// entries whose reports arrive: the others may spend their fraction of the tokens unseen.
     pub fn take(
         &mut self,
         cost: u64,
         tier: Tier,
-        reachable_fraction: f64,
+        heard_fraction: f64,
         now: Instant,
     ) -> Result<(), Duration> {
-        self.refill(reachable_fraction, now);
+        self.refill(heard_fraction, now);
         let cost = cost as f64;
         let burst = self.limit.burst;
         let steps = f64::from(tier.min(MAX_RESERVE_STEPS));
@@ -122,10 +122,10 @@
         self.admitted
     }
 
-    fn refill(&mut self, reachable_fraction: f64, now: Instant) {
+    fn refill(&mut self, heard_fraction: f64, now: Instant) {
         let elapsed = now.saturating_duration_since(self.filled).as_secs_f64();
         self.level =
-            (self.level + elapsed * self.limit.rate * reachable_fraction).min(self.limit.burst);
+            (self.level + elapsed * self.limit.rate * heard_fraction).min(self.limit.burst);
         self.filled = self.filled.max(now);
     }
 }
