fix(serve): the end of a request waits until all entries know of the death

On a busy machine the caller's answer was cut and the request sent again through the other entry before that one knew that it is a suspect.

An entry acknowledges a death once its quarantine holds it, and the side process holds back the ends of the requests that were in flight until every connected entry has, 0.5 s at most (death_news, in the core). An entry that disconnects isn't waited for.

Test: a side process with two entries played by the test; the end may not come while the second is silent, and comes once it acknowledges, disconnects or stays silent for too long.

--- a/crates/egretgate-core/src/lib.rs
+++ b/crates/egretgate-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod check;
 pub mod choice;
 pub mod copy_check;
+pub mod death_news;
 pub mod declaration;
 pub mod diff;
 pub mod directory;
--- a/crates/egretgate-core/tests/poison.rs
+++ b/crates/egretgate-core/tests/poison.rs
@@ -6,6 +6,7 @@
 
 use egretgate_core::Digest;
 use egretgate_core::copy_check::CopyChecks;
+use egretgate_core::death_news::DeathNews;
 use egretgate_core::poison::{
     Death, QuarantineEntry, QuarantineOptions, QuarantineState, QuarantineTable,
 };
@@ -439,3 +440,61 @@
         assert_eq!((ended.len() <= 1, result), (true, case.result), "{}", case.name);
     }
 }
+
+/// What is held back for a death goes on once every entry knows of it, is gone or is overdue.
+#[test]
+fn ends_are_held_back_until_a_death_is_known() {
+    #[derive(Clone, Copy)]
+    enum Step {
+        Ack(u64, u64),
+        Gone(u64),
+        Wait(u64),
+    }
+    use Step::*;
+    struct Case {
+        name: &'static str,
+        entries: &'static [u64],
+        steps: &'static [Step],
+        /// True if the last step releases what is held, and none before it.
+        released: bool,
+    }
+    const CASES: [Case; 8] = [
+        Case { name: "no entry", entries: &[], steps: &[], released: true },
+        Case { name: "one of two", entries: &[1, 2], steps: &[Ack(1, 7)], released: false },
+        Case { name: "both", entries: &[1, 2], steps: &[Ack(1, 7), Ack(2, 7)], released: true },
+        Case {
+            name: "one twice",
+            entries: &[1, 2],
+            steps: &[Ack(1, 7), Ack(1, 7)],
+            released: false,
+        },
+        Case { name: "another death", entries: &[1], steps: &[Ack(1, 6)], released: false },
+        Case {
+            name: "one is gone",
+            entries: &[1, 2],
+            steps: &[Ack(1, 7), Gone(2)],
+            released: true,
+        },
+        Case { name: "soon", entries: &[1], steps: &[Wait(400)], released: false },
+        Case { name: "overdue", entries: &[1], steps: &[Wait(400), Wait(200)], released: true },
+    ];
+    for Case { name, entries, steps, released } in CASES {
+        let mut now = Instant::now();
+        let mut news = DeathNews::default();
+        news.announce("engine", 7, entries.iter().copied(), now);
+        assert_eq!(news.hold(&"other", "end"), Some("end"), "{name}: another engine");
+        let mut ends: Vec<&str> = news.hold(&"engine", "end").into_iter().collect();
+        for step in steps {
+            assert_eq!(ends, [""; 0], "{name}: released early");
+            ends = match *step {
+                Ack(entry, sequence) => news.record_ack(entry, sequence),
+                Gone(entry) => news.remove_entry(entry),
+                Wait(time) => {
+                    now += Duration::from_millis(time);
+                    news.expire(now)
+                }
+            };
+        }
+        assert_eq!((ends.len() == 1, news.is_pending(&"engine")), (released, !released), "{name}");
+    }
+}
--- a/crates/egretgate-link/src/message.rs
+++ b/crates/egretgate-link/src/message.rs
@@ -19,15 +19,15 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct ToSide {
     /// Contents; absent in frames of a newer schema.
-    #[prost(oneof = "to_side::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "to_side::Body", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<to_side::Body>,
 }
 
 /// Contents of [`ToSide`].
 pub mod to_side {
     use super::{
-        CopyQuery, Credit, Heartbeat, Hello, Offer, Oneof, Records, SnapshotRequest, TicketQuery,
-        Withdraw,
+        CopyQuery, Credit, DeathAck, Heartbeat, Hello, Offer, Oneof, Records, SnapshotRequest,
+        TicketQuery, Withdraw,
     };
 
     /// Contents of a frame to a side process.
@@ -60,6 +60,9 @@
         /// Asks whether a request with a digest runs.
         #[prost(message, tag = "9")]
         CopyQuery(CopyQuery),
+        /// The entry knows of a death.
+        #[prost(message, tag = "10")]
+        DeathAck(DeathAck),
     }
 }
 
@@ -311,6 +314,14 @@
     pub state: Bytes,
 }
 
+/// The entry refuses or isolates the requests of a death from here on.
+#[derive(Clone, PartialEq, Message)]
+pub struct DeathAck {
+    /// Number of the death, as in its report.
+    #[prost(uint64, tag = "1")]
+    pub sequence: u64,
+}
+
 /// Asks whether a request with this digest runs, sent before a suspect starts.
 #[derive(Clone, PartialEq, Message)]
 pub struct CopyQuery {
--- a/crates/egretgate/src/entry/fleet.rs
+++ b/crates/egretgate/src/entry/fleet.rs
@@ -147,6 +147,9 @@
                 self.send_to_side(key, LinkMessage::Records(records));
             }
             FleetMessage::Death { key, report } => self.handle_death(key, report),
+            FleetMessage::DeathKnown { key, sequence } => {
+                self.send_to_side(key, LinkMessage::DeathAck(sequence));
+            }
             FleetMessage::Snapshot(state) => {
                 self.send_to_journal(JournalMessage::SideState(state));
             }
--- a/crates/egretgate/src/entry/fleet/message.rs
+++ b/crates/egretgate/src/entry/fleet/message.rs
@@ -34,6 +34,8 @@
     Records { key: LinkKey, records: Records },
     /// A side process reports the death of an engine.
     Death { key: LinkKey, report: DeathReport },
+    /// The quarantine holds the death with this number, reported by a side process.
+    DeathKnown { key: LinkKey, sequence: u64 },
     /// A side process sent its configuration state.
     Snapshot(Bytes),
     /// The instance list was read: the upstreams, and the number of entries.
--- a/crates/egretgate/src/entry/fleet/sides.rs
+++ b/crates/egretgate/src/entry/fleet/sides.rs
@@ -120,7 +120,7 @@
 
     pub(super) fn handle_death(&mut self, key: LinkKey, report: DeathReport) {
         let Some(id) = self.sides.get(key).and_then(|side| side.identity.as_ref()) else { return };
-        let message = JournalMessage::Death { incarnation: id.incarnation, report };
+        let message = JournalMessage::Death { key, incarnation: id.incarnation, report };
         self.send_to_journal(message);
     }
 
--- a/crates/egretgate/src/entry/journal.rs
+++ b/crates/egretgate/src/entry/journal.rs
@@ -72,7 +72,7 @@
     /// A side process sent its configuration state.
     SideState(Bytes),
     /// A side process reports the death of an engine.
-    Death { incarnation: Incarnation, report: DeathReport },
+    Death { key: LinkKey, incarnation: Incarnation, report: DeathReport },
     /// A suspect was answered in whole.
     Cleared(Digest),
     /// The number of entries, which share the log's append rate.
@@ -222,7 +222,11 @@
             }
             JournalMessage::RecordsRequest { key, from } => self.send_records(key, from).await,
             JournalMessage::SideState(state) => self.adopt_side_state(&state).await,
-            JournalMessage::Death { incarnation, report } => self.add_death(incarnation, &report),
+            JournalMessage::Death { key, incarnation, report } => {
+                self.add_death(incarnation, &report);
+                let sequence = report.sequence;
+                let _ = self.fleet.send(FleetMessage::DeathKnown { key, sequence }).await;
+            }
             JournalMessage::Cleared(digest) => self.append_clear(digest),
             JournalMessage::EntryCount(entry_count) => {
                 self.calls.set_interval(intent::group_interval(entry_count));
--- a/crates/egretgate/src/entry/link.rs
+++ b/crates/egretgate/src/entry/link.rs
@@ -8,9 +8,9 @@
 use egretgate_core::{Digest, ErrorKind, Incarnation, Ticket};
 use egretgate_link::Codec;
 use egretgate_link::message::{
-    Chunk, CopyQuery, Credit, DeathReport, End, Heartbeat, Hello, Load, Offer, Records, Refused,
-    SnapshotRequest, TicketId, TicketQuery, TicketStatus, ToEntry, ToSide, Welcome, Withdraw,
-    to_entry, to_side,
+    Chunk, CopyQuery, Credit, DeathAck, DeathReport, End, Heartbeat, Hello, Load, Offer, Records,
+    Refused, SnapshotRequest, TicketId, TicketQuery, TicketStatus, ToEntry, ToSide, Welcome,
+    Withdraw, to_entry, to_side,
 };
 use futures::{SinkExt, StreamExt};
 use tokio::net::TcpStream;
@@ -58,6 +58,8 @@
     Records(Records),
     /// Request the side process's configuration state.
     SnapshotRequest,
+    /// Tell that this entry knows of the death with this number.
+    DeathAck(u64),
     /// Ask whether a request with this digest runs.
     CopyQuery(Digest),
     /// Close the connection and end the task.
@@ -315,6 +317,7 @@
             LinkMessage::Heartbeat(heartbeat) => to_side::Body::Heartbeat(heartbeat),
             LinkMessage::Records(records) => to_side::Body::Records(records),
             LinkMessage::SnapshotRequest => to_side::Body::SnapshotRequest(SnapshotRequest {}),
+            LinkMessage::DeathAck(sequence) => to_side::Body::DeathAck(DeathAck { sequence }),
             LinkMessage::CopyQuery(digest) => {
                 let digest = Bytes::copy_from_slice(digest.as_bytes());
                 to_side::Body::CopyQuery(CopyQuery { digest })
--- a/crates/egretgate/tests/processes.rs
+++ b/crates/egretgate/tests/processes.rs
@@ -11,6 +11,8 @@
 mod config;
 #[path = "processes/cuts.rs"]
 mod cuts;
+#[path = "processes/death_news.rs"]
+mod death_news;
 #[path = "processes/horizon.rs"]
 mod horizon;
 #[path = "processes/leaving.rs"]
--- a/crates/egretside/src/dispatcher.rs
+++ b/crates/egretside/src/dispatcher.rs
@@ -3,13 +3,14 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use egretgate_core::death_news::DeathNews;
 use egretgate_core::limit::{LengthPredictor, Reservation};
 use egretgate_core::queue::{DiscardedWork, OfferOutcome, Queue, QueueOptions, Work};
 use egretgate_core::{
     Digest, Error, ErrorKind, Incarnation, ServiceId, Ticket, Tier, UpstreamId, ZoneId,
 };
 use egretgate_link::message::{
-    CopyQuery, CopyState, DeathReport, Goodbye, Load, Offer, Refused, Snapshot, TicketId,
+    CopyQuery, CopyState, DeathAck, DeathReport, Goodbye, Load, Offer, Refused, Snapshot, TicketId,
     TicketQuery, TicketState, TicketStatus, Welcome, to_entry, to_side,
 };
 use rand_chacha::ChaCha8Rng;
@@ -150,6 +151,8 @@
     delivering: HashMap<Ticket, mpsc::Sender<Control>>,
     /// Replies that wait for a probe, by engine: an answer was cut, and the engine may have died.
     probe_waiters: Vec<(EngineKey, oneshot::Sender<Load>)>,
+    /// Replies that wait until every entry knows of a death.
+    death_news: DeathNews<EngineKey, oneshot::Sender<Load>>,
     /// Number of offers in their [`SUSPECT_DELAY`].
     delayed_offers: usize,
     /// True once shutdown has begun.
@@ -195,6 +198,7 @@
             unconfirmed: Vec::new(),
             delivering: HashMap::new(),
             probe_waiters: Vec::new(),
+            death_news: DeathNews::default(),
             delayed_offers: 0,
             stopping: false,
             stop_reply: None,
@@ -212,6 +216,7 @@
         while !self.closed {
             let now = Instant::now();
             let wake = self.queue.next_wakeup(now).unwrap_or(now + TICK_INTERVAL);
+            let wake = self.death_news.next_deadline().map_or(wake, |due| wake.min(due));
             tokio::select! {
                 message = messages.recv() => match message {
                     Some(message) => self.handle(message),
@@ -228,14 +233,22 @@
         self.detect_freeze(Instant::now());
         match message {
             DispatcherMessage::Attach { entry, handle, reply } => self.attach(entry, handle, reply),
-            DispatcherMessage::Lost { entry, id } => self.entries.detach(entry, id, Instant::now()),
+            DispatcherMessage::Lost { entry, id } => {
+                self.entries.detach(entry, id, Instant::now());
+                let released = self.death_news.remove_entry(entry);
+                self.reply_load(released);
+            }
             DispatcherMessage::Frame { entry, body } => self.handle_frame(entry, body),
             DispatcherMessage::Latency { ticket, latency } => self.record_latency(ticket, latency),
             DispatcherMessage::Ended { summary, reply } => {
                 match self.handle_ended(&summary) {
-                    // Answered after the probe, so that entries know of a death before the caller
-                    // can retry.
-                    Some(engine) => self.probe_waiters.push((engine, reply)),
+                    // Answered after the probe, and after all entries know of a death, before the
+                    // caller can retry.
+                    Some(engine) => {
+                        if let Some(reply) = self.death_news.hold(&engine, reply) {
+                            self.probe_waiters.push((engine, reply));
+                        }
+                    }
                     None => drop(reply.send(self.load())),
                 }
             }
@@ -294,6 +307,10 @@
                     self.broadcast_load();
                 }
             }
+            to_side::Body::DeathAck(DeathAck { sequence }) => {
+                let released = self.death_news.record_ack(entry, sequence);
+                self.reply_load(released);
+            }
             to_side::Body::CopyQuery(CopyQuery { digest }) => {
                 let asked = Digest::from_slice(&digest);
                 let running = self.running.values().any(|run| Some(run.digest) == asked);
@@ -307,6 +324,13 @@
         }
     }
 
+    /// Answers runs that have waited with the current load.
+    fn reply_load(&self, waiting: Vec<oneshot::Sender<Load>>) {
+        for reply in waiting {
+            let _ = reply.send(self.load());
+        }
+    }
+
     fn is_suspect(&self, offer: &Offer) -> bool {
         offer.exclusive || self.config.is_suspect(digest_of(offer))
     }
--- a/crates/egretside/src/dispatcher/lifecycle.rs
+++ b/crates/egretside/src/dispatcher/lifecycle.rs
@@ -24,6 +24,8 @@
     /// Refuses queued requests that can't finish in time, starts those that fit, and completes a
     /// shutdown once nothing runs.
     pub(crate) fn advance(&mut self) {
+        let released = self.death_news.expire(Instant::now());
+        self.reply_load(released);
         let estimate = self.engines.estimate();
         for discarded in self.queue.expire(Instant::now(), &estimate, &mut self.rng) {
             self.refuse_discarded(discarded);
@@ -155,7 +157,9 @@
         if needs_probe || unreachable {
             self.probe(running.engine, Duration::ZERO);
         }
-        let may_have_died = cut && self.engines.is_probing(running.engine);
+        let may_have_died = cut
+            && (self.engines.is_probing(running.engine)
+                || self.death_news.is_pending(&running.engine));
         may_have_died.then_some(running.engine)
     }
 
@@ -191,20 +195,21 @@
             ProbeOutcome::Recovered => info!(self.log, "engine is back"),
             ProbeOutcome::StillDown => self.probe(key, PROBE_INTERVAL),
             ProbeOutcome::Died { digests, recovered } => {
-                self.report_death(digests);
+                self.report_death(key, digests);
                 if !recovered {
                     self.probe(key, PROBE_INTERVAL);
                 }
                 self.broadcast_load();
             }
         }
-        let load = self.load();
-        for (_, reply) in self.probe_waiters.extract_if(.., |(engine, _)| *engine == key) {
-            let _ = reply.send(load.clone());
-        }
+        let waiting: Vec<_> =
+            self.probe_waiters.extract_if(.., |(engine, _)| *engine == key).collect();
+        let unheld = waiting.into_iter().filter_map(|(_, reply)| self.death_news.hold(&key, reply));
+        let unheld = unheld.collect();
+        self.reply_load(unheld);
     }
 
-    fn report_death(&mut self, digests: Vec<egretgate_core::Digest>) {
+    fn report_death(&mut self, engine: EngineKey, digests: Vec<egretgate_core::Digest>) {
         warn!(self.log, "engine died"; "in_flight" => digests.len());
         metrics::counter!("egretside_deaths_total").increment(1);
         if digests.is_empty() {
@@ -229,6 +234,7 @@
             let report = DeathReport { append: Some(entry) == writer, ..report.clone() };
             self.entries.send(entry, to_entry::Body::DeathReport(report));
         }
+        self.death_news.announce(engine, report.sequence, self.entries.connected(), Instant::now());
         if self.unconfirmed.len() >= MAX_UNCONFIRMED_DEATHS {
             self.unconfirmed.remove(0);
         }
