--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -22,7 +22,7 @@
 use super::token_bucket::TokenBucket;
 use super::traffic_move::{Moves, VersionSample};
 use super::upstream::{ListedUpstream, Outcome, UpstreamState};
-use crate::{Incarnation, InstanceId, RouteId, ServiceId, TeamId, UpstreamId, ZoneId};
+use crate::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId, ZoneId};
 
 mod peer_view;
 mod placement;
@@ -239,7 +239,7 @@
         let wait = service_state.expected_wait(&queue_key, now);
         // The queue was dispatched just before, so no waiting request can use the free slots.
         if let Some(key) = self.choose_upstream(&request, now) {
-            self.record_start(&request.service, &request.route, key, now);
+            self.record_start(&request.service, key, now);
             return Admission::Started(key);
         }
         let pause = self.pause_left(&request.service, now);
@@ -279,7 +279,7 @@
         if !service_state.retries.take_retry(now, &self.retry_limit, entries) {
             return Admission::Refused(Refusal::RetryBudgetSpent);
         }
-        self.record_start(&request.service, &request.route, key, now);
+        self.record_start(&request.service, key, now);
         Admission::Started(key)
     }
 
@@ -346,9 +346,8 @@
             }
         }
         if let Some(upstream) = self.upstreams.get_mut(key) {
-            let was_measured = upstream.was_measured(completion.started);
             upstream.record_outcome(outcome, completion.suspected, now);
-            if let Some(sample) = version_sample(completion, was_measured) {
+            if let Some(sample) = version_sample(completion) {
                 self.moves.record_sample(
                     &completion.service,
                     &upstream.listed.version,
@@ -526,29 +525,21 @@
                 }
                 continue;
             };
-            let route = request.route.clone();
             self.waiting.remove(&queue_key.number);
             self.trials.remove(&queue_key.number);
             if let Some(service_state) = self.services.get_mut(service) {
                 service_state.queue.remove(&queue_key);
             }
-            self.record_start(service, &route, key, now);
+            self.record_start(service, key, now);
             starts.push(Start { number: queue_key.number, upstream: key });
         }
         starts
     }
 
-    fn record_start(
-        &mut self,
-        service: &ServiceId,
-        route: &RouteId,
-        key: UpstreamKey,
-        now: Instant,
-    ) {
+    fn record_start(&mut self, service: &ServiceId, key: UpstreamKey, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.own_running += 1;
             upstream.rate_limit.record_start(now);
-            self.moves.record_start(service, &upstream.listed.version, route);
         }
         if let Some(service_state) = self.services.get_mut(service) {
             service_state.running += 1;
@@ -571,12 +562,8 @@
 
 /// Returns the sample of the upstream's version that a completed request provides; `None` if its
 /// outcome says nothing about the version.
-///
-/// A request that was sent before the upstream's speed was known says nothing about the speed of
-/// the version: the old version's slow upstreams are known and avoided.
-fn version_sample(completion: &Completion, was_measured: bool) -> Option<VersionSample> {
+fn version_sample(completion: &Completion) -> Option<VersionSample> {
     let (error, unit_seconds) = match completion.outcome {
-        Outcome::Succeeded { unit_seconds: Some(_) } if !was_measured => return None,
         Outcome::Succeeded { unit_seconds } => (false, unit_seconds),
         Outcome::Failed | Outcome::InvalidAnswer | Outcome::Stalled => (true, None),
         Outcome::Rejected | Outcome::Misdirected | Outcome::Unreachable | Outcome::Abandoned => {
--- a/crates/egretgate-core/src/gateway/scheduler/placement.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/placement.rs
@@ -11,7 +11,7 @@
 use crate::gateway::request_queue::RequestNumber;
 use crate::gateway::service_state::ServiceState;
 use crate::gateway::share::SlotShare;
-use crate::gateway::traffic_move::{Canaries, VersionPreference};
+use crate::gateway::traffic_move::VersionPreference;
 use crate::gateway::upstream::UpstreamState;
 use crate::{ServiceId, VersionId};
 
@@ -68,17 +68,9 @@
         };
         // An entry that reaches less than half of its peers doesn't learn how their requests to a
         // canary end.
-        let entries = self.entries();
-        let is_in_touch = self.peers.reachable_count(now) * 2 >= entries - 1;
-        let canaries = if request.is_retry || !is_in_touch {
-            Canaries::None
-        } else {
-            Canaries::Shared(entries)
-        };
-        let (service, route) = (&request.service, &request.route);
-        let preference =
-            self.moves.version_preference(service, route, request.number, canaries, now);
-        match preference {
+        let allow_canary =
+            !request.is_retry && self.peers.reachable_count(now) * 2 >= self.entries() - 1;
+        match self.moves.version_preference(&request.service, request.number, allow_canary, now) {
             VersionPreference::Any => pick(&|_| true),
             VersionPreference::Exclude(target) => pick(&|version| version != target),
             VersionPreference::Canary(target) => {
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -29,7 +29,7 @@
             if let Some(upstream) =
                 self.by_hash.get(hash).and_then(|key| self.upstreams.get_mut(*key))
             {
-                upstream.record_unit_seconds(*sample, now);
+                upstream.record_unit_seconds(*sample);
             }
         }
         for leaving in &report.leaving {
--- a/crates/egretgate-core/src/gateway/traffic_move.rs
+++ b/crates/egretgate-core/src/gateway/traffic_move.rs
@@ -33,15 +33,6 @@
 };
 /// Share of a version before it is proven, in parts per million: below the tenth that users allow.
 const CANARY_SHARE: Ppm = 80_000;
-/// Requests besides the share that a version gets at first, from all entries together: fewer than
-/// the fifty that users allow a bad version. At a service with few requests the proof would
-/// otherwise take longer than the move.
-const FIRST_REQUESTS: f64 = 40.0;
-/// Share of the requests of a route of which the version has got no more than of the others. Each
-/// route is proven by itself, so those with few requests must not fall behind.
-const BEHIND_SHARE: Ppm = 500_000;
-/// Most unused requests that an entry saves up from the share.
-const MAX_CANARY_CREDIT: f64 = 1.0;
 /// Bound on unproven requests in flight: none beyond the share.
 const CANARY_CAP: Cap = Cap::InFlight(u32::MAX);
 /// Fraction of the move's time at which the controller's plan begins; half of the plan's time
@@ -167,11 +158,6 @@
     /// Counts of this entry.
     own_counts: BTreeMap<EvidenceKey, Counts>,
     baselines: HashMap<RouteId, Baseline>,
-    /// Requests that this entry has started at the new version, by route.
-    started: BTreeMap<RouteId, u32>,
-    /// Requests that this entry may start at the unproven version besides its part of the
-    /// [`FIRST_REQUESTS`]; at most [`MAX_CANARY_CREDIT`], below 0 while it uses that part.
-    canary_credit: f64,
     /// True once this entry has found the new version worse.
     rejected: bool,
     /// Last time that another entry reported the new version as promoted.
@@ -208,40 +194,28 @@
 
     /// Returns the version that a request should go to, and whether it must.
     ///
-    /// `canaries` says whether the request may go to an unproven version.
+    /// `allow_canary` is false if the request must not go to an unproven version.
     pub fn version_preference(
         &self,
         service: &str,
-        route: &RouteId,
         number: RequestNumber,
-        canaries: Canaries,
+        allow_canary: bool,
         now: Instant,
     ) -> VersionPreference<'_> {
         let Some(tracker) = self.moves.get(service) else { return VersionPreference::Any };
         let target = &tracker.spec.target;
-        let share = tracker.share(route, canaries, now);
+        let share = tracker.share(now);
         let point =
             xxh3_64_with_seed(&number.to_le_bytes(), name_hash(target)) % u64::from(FULL_SHARE_PPM);
         if share == FULL_SHARE_PPM {
             VersionPreference::Prefer(target)
-        } else if point < u64::from(share) {
+        } else if allow_canary && point < u64::from(share) {
             VersionPreference::Canary(target)
         } else {
             VersionPreference::Exclude(target)
         }
     }
 
-    /// Counts a started request.
-    pub fn record_start(&mut self, service: &str, version: &VersionId, route: &RouteId) {
-        let Some(tracker) = self.moves.get_mut(service) else { return };
-        let gained = f64::from(CANARY_SHARE) / f64::from(FULL_SHARE_PPM);
-        tracker.canary_credit = (tracker.canary_credit + gained).min(MAX_CANARY_CREDIT);
-        if tracker.spec.target == *version && !tracker.has_ended() {
-            tracker.canary_credit -= 1.0;
-            *tracker.started.entry(route.clone()).or_default() += 1;
-        }
-    }
-
     /// Counts how a request ended.
     pub fn record_sample(
         &mut self,
@@ -323,15 +297,6 @@
     }
 }
 
-/// Whether an entry sends requests to an unproven version.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Canaries {
-    /// It sends none.
-    None,
-    /// It sends some, as do all of this number of entries, with itself.
-    Shared(usize),
-}
-
 /// The version that a request should go to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum VersionPreference<'a> {
@@ -360,8 +325,6 @@
             evidence: Evidence::default(),
             own_counts: BTreeMap::new(),
             baselines: HashMap::new(),
-            started: BTreeMap::new(),
-            canary_credit: 0.0,
             rejected: false,
             promoted_at: None,
         }
@@ -371,8 +334,8 @@
         self.state.is_end()
     }
 
-    /// Returns the new version's share of the requests of a route.
-    fn share(&self, route: &RouteId, canaries: Canaries, now: Instant) -> Ppm {
+    /// Returns the new version's share of the requests.
+    fn share(&self, now: Instant) -> Ppm {
         match self.state {
             MoveState::Done => FULL_SHARE_PPM,
             // Until the store has been read, the move may already have been taken back.
@@ -381,29 +344,12 @@
             MoveState::Ordered | MoveState::Running => {
                 let recent =
                     |promoted_at| now.saturating_duration_since(promoted_at) < LEADER_TIMEOUT;
-                if self.promoted_at.is_some_and(recent) || self.progress.step > 0 {
-                    return FULL_SHARE_PPM;
-                }
-                match canaries {
-                    Canaries::None => 0,
-                    Canaries::Shared(entries) => self.canary_share(route, entries),
-                }
+                let promoted = self.promoted_at.is_some_and(recent) || self.progress.step > 0;
+                if promoted { FULL_SHARE_PPM } else { CANARY_SHARE }
             }
         }
     }
 
-    /// Returns the share of an unproven version.
-    fn canary_share(&self, route: &RouteId, entries: usize) -> Ppm {
-        let first_requests = FIRST_REQUESTS / entries.max(1) as f64;
-        if self.canary_credit + first_requests < 1.0 {
-            return 0;
-        }
-        let routes = self.baselines.len().max(1) as u32;
-        let of_route = self.started.get(route).copied().unwrap_or(0);
-        let is_behind = of_route * routes <= self.started.values().sum();
-        if is_behind { BEHIND_SHARE } else { CANARY_SHARE }
-    }
-
     fn report(&self, is_leader: bool, now: Instant) -> MoveReport {
         let counts = self.own_counts.iter().map(|(evidence_key, counts)| {
             (name_hash(&evidence_key.route), evidence_key.version == NEW, *counts)
--- a/crates/egretgate-core/src/gateway/upstream.rs
+++ b/crates/egretgate-core/src/gateway/upstream.rs
@@ -110,8 +110,6 @@
     pub peer_running: u32,
     /// Running average of the seconds per unit of work, over the requests of all entries.
     unit_seconds: Option<f64>,
-    /// Time from which `unit_seconds` has been known.
-    measured_since: Option<Instant>,
     /// Samples of this entry that its peers don't know yet.
     unreported: Samples,
     /// Running average of the fraction of requests that fail, in `0.0..=1.0`.
@@ -149,7 +147,6 @@
             own_running: 0,
             peer_running: 0,
             unit_seconds: None,
-            measured_since: None,
             unreported: Samples::default(),
             failure_rate: 0.0,
             lost_answers: 0,
@@ -239,11 +236,6 @@
         self.unit_seconds
     }
 
-    /// Returns true if its seconds per unit of work were known at a time.
-    pub(super) fn was_measured(&self, at: Instant) -> bool {
-        self.measured_since.is_some_and(|since| since <= at)
-    }
-
     /// Returns the number of this entry's requests that the upstream is likely to be working on: an
     /// answer that is long overdue was probably lost.
     pub const fn active(&self) -> u32 {
@@ -259,7 +251,7 @@
             self.last_answer = Some(now);
         }
         match outcome {
-            Outcome::Succeeded { unit_seconds } => self.record_success(unit_seconds, now),
+            Outcome::Succeeded { unit_seconds } => self.record_success(unit_seconds),
             Outcome::Failed => self.record_failure(),
             Outcome::Rejected => self.backoff_until = Some(now + REJECTED_BACKOFF),
             Outcome::Misdirected => self.misdirected = true,
@@ -301,22 +293,21 @@
         }
     }
 
-    fn record_success(&mut self, unit_seconds: Option<f64>, now: Instant) {
+    fn record_success(&mut self, unit_seconds: Option<f64>) {
         self.failure_rate -= self.failure_rate * SMOOTHING;
         self.lost_answers = 0;
         self.backoffs = 0;
         self.backoff_until = None;
         self.suspected_until = None;
         if let Some(sample) = unit_seconds {
-            self.record_unit_seconds(sample, now);
+            self.record_unit_seconds(sample);
             self.unreported.count += 1;
             self.unreported.sum += sample;
         }
     }
 
     /// Records the seconds per unit of work that this entry or another one measured.
-    pub(super) fn record_unit_seconds(&mut self, sample: f64, now: Instant) {
-        self.measured_since.get_or_insert(now);
+    pub(super) fn record_unit_seconds(&mut self, sample: f64) {
         let old = self.unit_seconds.unwrap_or(sample);
         self.unit_seconds = Some(old + (sample - old) * SMOOTHING);
     }
--- a/crates/egretgate-core/tests/gateway_moving.rs
+++ b/crates/egretgate-core/tests/gateway_moving.rs
@@ -8,9 +8,7 @@
 use egretgate_core::gateway::catalog::{Catalog, MoveSpec};
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::scheduler::Scheduler;
-use egretgate_core::gateway::traffic_move::{
-    Canaries, MoveState, Moves, VersionPreference, VersionSample,
-};
+use egretgate_core::gateway::traffic_move::{MoveState, Moves, VersionPreference, VersionSample};
 use egretgate_core::gateway::upstream::{ListedUpstream, Outcome, Stage};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -384,13 +382,7 @@
             }
             moves.judge(1, true, |_| 0, now);
             let rejected = (0..400).all(|number| {
-                let preference = moves.version_preference(
-                    SERVICE,
-                    &String::new(),
-                    number,
-                    Canaries::Shared(ENTRIES),
-                    now,
-                );
+                let preference = moves.version_preference(SERVICE, number, true, now);
                 preference == VersionPreference::Exclude(&spec.target)
             });
             assert!(rejected, "{name}, seed {seed}: it still gets requests");
