feat(gateway): log spent retry budgets and connections closed by the idle limit

Why a request got no second upstream, and whether an idle limit that is no longer declared closed a connection, could not be told from the logs. Neither changes a decision.

--- a/crates/egretgate-gateway/src/caller_listener.rs
+++ b/crates/egretgate-gateway/src/caller_listener.rs
@@ -117,6 +117,12 @@
         };
         // This happens when a caller leaves or an answer is cut on purpose.
         let Err(error) = result else { return };
+        if error.is_timeout() {
+            metrics::counter!("egretgate_caller_timeouts_total").increment(1);
+            info!(self.context.log, "idle connection closed";
+                "limit_ms" => limits.idle_timeout.as_millis() as u64,
+                "declared_ms" => self.limits().idle_timeout.as_millis() as u64);
+        }
         slog::debug!(self.context.log, "connection ended"; "error" => %error);
         if caller_lacks_chunks.load(Ordering::Relaxed) {
             // Without chunks, a stream ends with its connection: only a reset shows the cut.
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -358,6 +358,15 @@
             "running" => overload.running);
     }
 
+    /// Logs that the retry budget allows no further attempt.
+    fn log_budget_spent(&self) {
+        info!(self.context.log, "retry budget spent";
+            "id" => &self.request.head.id,
+            "service" => &self.plan.service,
+            "sent" => self.attempts,
+            "upstream" => &self.upstream);
+    }
+
     /// Logs that the stream migrates to a faster upstream.
     fn log_migration(&self, permit: &SlotPermit, event_interval: f64) {
         info!(self.context.log, "stream migrates to a faster upstream";
@@ -426,6 +435,7 @@
                 NoAnswer::EntryFault(Fault::Overloaded, Some(retry_after))
             }
             Refusal::RetryBudgetSpent => {
+                self.log_budget_spent();
                 NoAnswer::EntryFault(Fault::NoUpstream, Some(SHORT_RETRY_AFTER))
             }
             Refusal::QuarantinedPart => NoAnswer::EntryFault(Fault::Quarantined, Some(retry_after)),
