fix(gateway): an upstream is left only once another one has taken the request

Cause: the entry closed the connection after a silence and only then asked for another upstream. The retry budget, a lack of slots or the other upstream's refusal then ended the answer, though the first upstream would have gone on. A migration to a faster upstream had the same order.

Now the connection stays open while the request waits for a slot, and until the other upstream has taken it; whichever sends something first goes on. A retry that waits and is withdrawn goes back to the budget, since asking no longer means sending.

Ruled out: a change of the declarations alone; the running request keeps its own.

--- a/crates/egretgate-core/src/gateway/retry_limit.rs
+++ b/crates/egretgate-core/src/gateway/retry_limit.rs
@@ -54,6 +54,11 @@
         true
     }
 
+    /// Gives back a retry that was not sent.
+    pub fn give_back(&mut self) {
+        self.retries.pop_back();
+    }
+
     fn expire(&mut self, now: Instant, limit: &RetryLimit) {
         for times in [&mut self.requests, &mut self.retries] {
             while times.front().is_some_and(|time| now.duration_since(*time) > limit.window) {
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -498,7 +498,13 @@
         }
     }
 
+    /// Gives back what was taken for a request that isn't sent.
     fn refund(&mut self, request: &AdmissionRequest, now: Instant) {
+        if request.is_retry
+            && let Some(service_state) = self.services.get_mut(&request.service)
+        {
+            service_state.retries.give_back();
+        }
         if let Some(charge) = &request.charge
             && let Some(bucket) = self.buckets.get_mut(&charge.team)
         {
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -11,6 +11,7 @@
 };
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::request_queue::Priority;
+use egretgate_core::gateway::retry_limit::RetryLimit;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::gateway::upstream::{ListedUpstream, Outcome, Stage};
 
@@ -427,3 +428,17 @@
         assert_eq!(active(&scheduler), 2, "{name}");
     }
 }
+
+/// Guards against retries that wait in vain and are counted as sent.
+#[test]
+fn a_retry_that_is_not_sent_stays_in_the_budget() {
+    let now = Instant::now();
+    let limit = RetryLimit { ratio: 0.0, slack: 3.0, window: Duration::from_secs(10) };
+    let mut scheduler = scheduler(vec![listed("a", 1)]).with_retry_limit(limit);
+    let retry = |number| AdmissionRequest { is_retry: true, ..request(number, 0, now) };
+    assert_matches!(scheduler.admit(request(0, 0, now), now), Admission::Started(_));
+    for number in 1..20 {
+        assert_matches!(scheduler.admit(retry(number), now), Admission::Queued, "{number}");
+        scheduler.withdraw(number, now);
+    }
+}
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -30,11 +30,15 @@
 use crate::plan::{CallerRequest, Plan};
 use crate::relay::{Relay, UpstreamAnswer};
 
+mod handover;
+
+pub(crate) use handover::{AfterSilence, Handover, NextSent, PresentUpstream};
+
 /// Silence after which an upstream is suspected; first events take some 50 ms.
 const SUSPECT_AFTER: Duration = Duration::from_millis(500);
-/// Silence after which an idempotent call is retried, in objectives of its route.
+/// Silence after which another upstream is asked for an idempotent call, in objectives of its route.
 const CALL_SILENCE_OBJECTIVES: u32 = 2;
-/// Silence after which a resumable stream is retried; callers leave after 2 s.
+/// Silence after which another upstream is asked for a resumable stream; callers leave after 2 s.
 const STREAM_SILENCE: Duration = Duration::from_millis(1_100);
 /// Attempts that fail to reach an upstream before a request is refused.
 const MAX_UNREACHABLE_ATTEMPTS: u32 = 4;
@@ -120,7 +124,7 @@
 
     /// Serves the request.
     pub(crate) async fn serve(mut self) -> Response<Body> {
-        match self.try_upstreams(None).await {
+        match self.try_upstreams().await {
             Ok((answer, status)) => self.pass_on(answer, status).await,
             Err(NoAnswer::UpstreamFailure(response)) => {
                 self.log_end("failed_upstream");
@@ -145,6 +149,12 @@
         self.resume_after
     }
 
+    /// Sets the event after which another upstream would resume the stream; without one, the caller's
+    /// request decides.
+    pub(crate) fn set_last_event(&mut self, last: Option<u64>) {
+        self.resume_after = last.or(self.resume_after);
+    }
+
     /// Returns true if the stream may be resumed at another upstream.
     pub(crate) fn is_resumable(&self) -> bool {
         self.plan.route.kind.is_stream() && self.plan.route.kind.is_idempotent()
@@ -173,15 +183,11 @@
         Some(permit)
     }
 
-    /// Resumes a stream at another upstream, with `permit` if one is given.
-    pub(crate) async fn resume(
-        &mut self,
-        last: Option<u64>,
-        permit: Option<SlotPermit>,
-    ) -> Result<UpstreamAnswer, Fault> {
-        self.resume_after = last.or(self.resume_after);
+    /// Resumes a stream at another upstream.
+    pub(crate) async fn resume(&mut self, last: Option<u64>) -> Result<UpstreamAnswer, Fault> {
+        self.set_last_event(last);
         self.avoid.push(self.upstream.clone());
-        match self.try_upstreams(permit).await {
+        match self.try_upstreams().await {
             Ok((answer, status)) if status.is_success() => Ok(answer),
             Ok(_) | Err(NoAnswer::UpstreamFailure(_)) => Err(Fault::AnswerLost),
             Err(NoAnswer::EntryFault(fault, _)) => Err(fault),
@@ -258,19 +264,13 @@
     }
 
     /// Sends the request to upstreams until one gives an answer to pass on.
-    async fn try_upstreams(
-        &mut self,
-        mut permit: Option<SlotPermit>,
-    ) -> Result<(UpstreamAnswer, StatusCode), NoAnswer> {
+    async fn try_upstreams(&mut self) -> Result<(UpstreamAnswer, StatusCode), NoAnswer> {
         let mut unreachable_attempts = 0;
         let mut failure = None;
         loop {
-            let permit = match permit.take() {
-                Some(permit) => permit,
-                None => match self.request_slot().await {
-                    Ok(permit) => permit,
-                    Err(error) => return Err(failure.map_or(error, NoAnswer::UpstreamFailure)),
-                },
+            let permit = match self.request_slot().await {
+                Ok(permit) => permit,
+                Err(error) => return Err(failure.map_or(error, NoAnswer::UpstreamFailure)),
             };
             self.upstream.clone_from(&permit.id);
             let attempt = self.attempt(permit).await;
@@ -320,7 +320,7 @@
     }
 
     /// Logs an attempt that gave no answer to pass on.
-    fn log_attempt(&self, attempt: &Attempt) {
+    pub(crate) fn log_attempt(&self, attempt: &Attempt) {
         let outcome = match attempt {
             Attempt::Answer(..) => return,
             Attempt::Failure(_) => "failed",
@@ -447,28 +447,32 @@
     async fn attempt(&mut self, mut permit: SlotPermit) -> Attempt {
         let mut request = self.upstream_request(&permit);
         let mut connection = permit.idle.take();
+        let mut is_counted = false;
         loop {
-            let mut open = if let Some(open) = connection.take() {
+            let open = if let Some(open) = connection.take() {
                 open
             } else if let Ok(open) = Connection::open(permit.address).await {
                 open
             } else {
+                self.attempts -= u32::from(is_counted);
                 permit.finish(Outcome::Unreachable, None);
                 return Attempt::NotSent;
             };
-            match self.send(&mut permit, &mut open, request).await {
-                Ok(response) => {
-                    self.attempts += 1;
+            self.attempts += u32::from(!std::mem::replace(&mut is_counted, true));
+            match self.send(&mut permit, open, request).await {
+                HeadResult::Head(open, response) => {
                     return self.classify(permit, open, response).await;
                 }
                 // The idle connection was closed; the same request is sent on a new one.
-                Err(SendFailure::Closed(failed)) => request = *failed,
-                Err(SendFailure::Lost(outcome)) => {
-                    self.attempts += 1;
-                    drop(open);
+                HeadResult::Closed(failed) => request = *failed,
+                HeadResult::Lost(outcome) => {
                     permit.finish(outcome, None);
                     return Attempt::Unknown;
                 }
+                HeadResult::Left(attempt) => {
+                    permit.finish(Outcome::Stalled, None);
+                    return attempt;
+                }
             }
         }
     }
@@ -492,38 +496,46 @@
 
     /// Sends the request and waits for the head of the answer.
     async fn send(
-        &self,
+        &mut self,
         permit: &mut SlotPermit,
-        connection: &mut Connection,
+        mut connection: Connection,
         request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, SendFailure> {
+    ) -> HeadResult {
         let started = Instant::now();
         let deadline = self.deadline();
         // If no retry may follow this attempt, its answer may take until the deadline.
-        let silence_deadline = if !self.plan.route.kind.is_idempotent()
-            || self.attempts + 1 >= self.plan.route.attempts
-        {
+        let silence_deadline = if !self.may_retry() {
             deadline
         } else if self.plan.route.kind.is_stream() {
             deadline.min(started + STREAM_SILENCE)
         } else {
             deadline.min(started + self.plan.route.objective * CALL_SILENCE_OBJECTIVES)
         };
-        let mut sending = std::pin::pin!(connection.send(request));
-        let mut answer =
-            timeout_at((started + SUSPECT_AFTER).min(silence_deadline).into(), &mut sending).await;
-        if answer.is_err() {
+        let mut next: NextSent<_> = Box::pin(async move {
+            let result = timeout_at(deadline.into(), connection.send(request)).await;
+            (connection, result)
+        });
+        let mut sent =
+            timeout_at((started + SUSPECT_AFTER).min(silence_deadline).into(), &mut next).await;
+        if sent.is_err() {
             permit.suspect(started);
-            answer = timeout_at(silence_deadline.into(), sending).await;
+            sent = timeout_at(silence_deadline.into(), &mut next).await;
         }
-        match answer {
+        let (connection, result) = match sent {
+            Ok(sent) => sent,
+            Err(_) => match self.await_silent(started, next).await {
+                AfterSilence::WentOn(sent) => sent,
+                AfterSilence::Left(attempt) => return HeadResult::Left(attempt),
+            },
+        };
+        match result {
             Ok(Ok(response)) => {
                 permit.record_head();
-                Ok(response)
+                HeadResult::Head(connection, response)
             }
-            Ok(Err(SendError::NotSent(request))) => Err(SendFailure::Closed(request)),
-            Ok(Err(SendError::MaybeSent)) => Err(SendFailure::Lost(Outcome::InvalidAnswer)),
-            Err(_) => Err(SendFailure::Lost(Outcome::Stalled)),
+            Ok(Err(SendError::NotSent(request))) => HeadResult::Closed(request),
+            Ok(Err(SendError::MaybeSent)) => HeadResult::Lost(Outcome::InvalidAnswer),
+            Err(_) => HeadResult::Lost(Outcome::Stalled),
         }
     }
 
@@ -617,10 +629,14 @@
     EntryFault(Fault, Option<Duration>),
 }
 
-/// Why the head of an answer didn't arrive.
-enum SendFailure {
+/// What came of waiting for the head of an answer.
+enum HeadResult {
+    /// It arrived on this connection.
+    Head(Connection, Response<Incoming>),
     /// The connection was closed before a byte was written.
     Closed(Box<Request<Full<Bytes>>>),
     /// The request may have run.
     Lost(Outcome),
+    /// The upstream was silent, and another one was asked, with this result.
+    Left(Attempt),
 }
--- a/crates/egretgate-gateway/src/relay.rs
+++ b/crates/egretgate-gateway/src/relay.rs
@@ -11,18 +11,20 @@
 use http::header::CONTENT_TYPE;
 use http_body_util::BodyExt;
 use hyper::body::{Frame, Incoming};
+use tokio::time::error::Elapsed;
 use tokio::time::timeout_at;
 
+use crate::attempt::Attempt;
 use crate::connect::Connection;
 use crate::dispatcher::SlotPermit;
 use crate::events::EventSplitter;
-use crate::exchange::Exchange;
+use crate::exchange::{AfterSilence, Exchange, Handover, NextSent, PresentUpstream};
 use crate::framing::Framing;
 
 /// Silence within a stream after which its upstream is suspected.
 const SUSPECT_AFTER: Duration = Duration::from_millis(500);
-/// Silence within a stream after which it is resumed at another upstream; callers leave after 2 s.
-const RESUME_AFTER: Duration = Duration::from_secs(1);
+/// Silence within a stream after which another upstream is asked; callers leave after 2 s.
+const ASK_AFTER: Duration = Duration::from_secs(1);
 /// Longest event, in bytes, of an upstream that works.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 /// Interval between checks for a faster upstream.
@@ -70,6 +72,27 @@
     Cut,
     Stalled,
     TimedOut,
+    /// Another upstream goes on with the stream, or it has ended as cut.
+    Left,
+}
+
+/// The result of waiting for a frame until the deadline.
+type FrameResult = Result<Option<hyper::Result<Frame<Bytes>>>, Elapsed>;
+
+/// A frame of an answer, with what is needed to read on.
+struct FrameSent {
+    frame: FrameResult,
+    body: Incoming,
+    connection: Connection,
+}
+
+/// The next frame of an answer; dropping it closes the connection.
+type NextFrame = NextSent<FrameSent>;
+
+/// An answer whose next frame is waited for apart from it.
+struct Present {
+    permit: SlotPermit,
+    headers: HeaderMap,
 }
 
 /// The body of an answer that is being passed on.
@@ -110,16 +133,21 @@
     async fn next_chunk(&mut self) -> Option<Result<Bytes, AnswerCut>> {
         loop {
             self.answer.as_ref()?;
-            self.migrate_if_late().await;
-            if self.answer.is_none() {
-                return Some(Err(AnswerCut));
-            }
             // Data that is always there would keep the timeout below from ending the stream.
             if Instant::now() >= self.exchange.deadline() {
                 self.end_timed_out();
                 return Some(Err(AnswerCut));
             }
-            match self.next_step().await {
+            let step = match self.migrate_if_late().await {
+                Some(step) => step,
+                None => self.next_step().await,
+            };
+            let step = if matches!(step, StreamStep::Stalled) {
+                self.outlast_silence().await
+            } else {
+                step
+            };
+            match step {
                 StreamStep::Data(bytes) => {
                     self.first_data.get_or_insert_with(Instant::now);
                     let events = self.take_complete_events(bytes);
@@ -143,7 +171,7 @@
                     return has_remainder.then_some(Ok(remainder));
                 }
                 StreamStep::Cut => self.resume(Outcome::InvalidAnswer).await,
-                StreamStep::Stalled => self.resume(Outcome::Stalled).await,
+                StreamStep::Stalled | StreamStep::Left => {}
                 StreamStep::TimedOut => {
                     self.end_timed_out();
                     return Some(Err(AnswerCut));
@@ -194,72 +222,137 @@
             let until =
                 if resumable || !suspected { deadline.min(silence_deadline) } else { deadline };
             match timeout_at(until.into(), answer.body.frame()).await {
-                Ok(Some(Ok(frame))) => {
-                    self.last_data = Instant::now();
-                    match frame.into_data() {
-                        Ok(data) if !data.is_empty() => return StreamStep::Data(data),
-                        _ => {}
-                    }
-                }
-                Ok(Some(Err(_))) => return StreamStep::Cut,
-                Ok(None) => return StreamStep::End,
                 Err(_) if Instant::now() >= deadline => return StreamStep::TimedOut,
                 Err(_) if suspected => return StreamStep::Stalled,
                 Err(_) => {
                     answer.permit.suspect(self.last_data);
                     suspected = true;
-                    silence_deadline = self.last_data + RESUME_AFTER;
+                    silence_deadline = self.last_data + ASK_AFTER;
                 }
+                frame => {
+                    self.last_data = Instant::now();
+                    if let Some(step) = step_of(frame) {
+                        return step;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Waits for what a silent upstream sends next, and looks for another upstream meanwhile.
+    async fn outlast_silence(&mut self) -> StreamStep {
+        let since = self.last_data;
+        let Some((present, next)) = self.take_present() else { return StreamStep::End };
+        let after = self.exchange.await_silent(since, next).await;
+        self.after_silence(present, after).await
+    }
+
+    async fn after_silence(
+        &mut self,
+        present: Present,
+        after: AfterSilence<FrameSent>,
+    ) -> StreamStep {
+        match after {
+            AfterSilence::WentOn(sent) => self.go_on(present, sent),
+            AfterSilence::Left(attempt) => {
+                self.leave(present, attempt, Outcome::Stalled).await;
+                StreamStep::Left
             }
         }
     }
 
-    /// Migrates the stream to a faster upstream if it may otherwise not end in time.
+    /// Migrates the stream to a faster upstream if it may otherwise not end in time; returns the step
+    /// that this took, if any.
     ///
     /// This happens when an engine is several times slower than others, or when an answer is longer
     /// than estimated.
-    async fn migrate_if_late(&mut self) {
+    async fn migrate_if_late(&mut self) -> Option<StreamStep> {
         let now = Instant::now();
         if now < self.migration_check || !self.exchange.may_resume() {
-            return;
+            return None;
         }
-        let Some(event_interval) = self
+        let event_interval = self
             .event_interval()
-            .filter(|event_interval| self.exchange.may_end_late(*event_interval))
-        else {
-            return;
-        };
+            .filter(|event_interval| self.exchange.may_end_late(*event_interval))?;
         self.migration_check = now + MIGRATION_CHECK_INTERVAL;
-        let Some(permit) = self.exchange.request_faster(event_interval).await else { return };
-        let Some(answer) = self.answer.take() else { return };
-        // The slower upstream must have stopped before the faster one starts.
-        drop(answer.body);
-        drop(answer.connection);
-        answer.permit.finish(Outcome::Succeeded { unit_seconds: Some(event_interval) }, None);
-        self.continue_stream(Some(permit)).await;
+        let permit = self.exchange.request_faster(event_interval).await?;
+        let (present, next) = self.take_present()?;
+        let step = match self.exchange.hand_over(permit, next, PresentUpstream::Slower).await {
+            Handover::Done(attempt) => {
+                let outcome = Outcome::Succeeded { unit_seconds: Some(event_interval) };
+                self.leave(present, attempt, outcome).await;
+                StreamStep::Left
+            }
+            Handover::Overtaken(sent) => self.go_on(present, sent),
+            Handover::Refused(mut next) => {
+                let since = self.last_data;
+                let after = match timeout_at((since + ASK_AFTER).into(), &mut next).await {
+                    Ok(sent) => AfterSilence::WentOn(sent),
+                    Err(_) => self.exchange.await_silent(since, next).await,
+                };
+                self.after_silence(present, after).await
+            }
+        };
+        Some(step)
+    }
+
+    /// Takes the answer apart, so that its next frame can be waited for or given up.
+    fn take_present(&mut self) -> Option<(Present, NextFrame)> {
+        self.exchange.set_last_event(self.splitter.last());
+        let UpstreamAnswer { permit, connection, headers, mut body } = self.answer.take()?;
+        let deadline = self.exchange.deadline();
+        let next = Box::pin(async move {
+            let frame = timeout_at(deadline.into(), body.frame()).await;
+            FrameSent { frame, body, connection }
+        });
+        Some((Present { permit, headers }, next))
+    }
+
+    /// Puts the answer together again and returns its next step.
+    fn go_on(&mut self, present: Present, sent: FrameSent) -> StreamStep {
+        let Present { permit, headers } = present;
+        let FrameSent { frame, body, connection } = sent;
+        self.answer = Some(UpstreamAnswer { permit, connection, headers, body });
+        self.last_data = Instant::now();
+        step_of(frame).unwrap_or(StreamStep::Data(Bytes::new()))
+    }
+
+    /// Leaves an upstream whose connection is closed, after another one was asked.
+    async fn leave(&mut self, mut present: Present, attempt: Attempt, outcome: Outcome) {
+        self.record_end(&mut present.permit);
+        self.exchange.log_break(outcome);
+        present.permit.finish(outcome, None);
+        match attempt {
+            Attempt::Answer(answer, status) if status.is_success() => self.take_over(answer),
+            attempt => {
+                self.exchange.log_attempt(&attempt);
+                drop(attempt);
+                self.resume_elsewhere().await;
+            }
+        }
     }
 
     /// Records where the upstream's answer has ended.
-    fn record_end(&mut self) {
-        let Some(answer) = &mut self.answer else { return };
+    fn record_end(&mut self, permit: &mut SlotPermit) {
         self.exchange.partial_bytes = self.splitter.partial_bytes();
         self.exchange.count_stream_end();
         if let Some(first_data) = self.first_data {
-            answer.permit.record_writing(self.last_data.saturating_duration_since(first_data));
+            permit.record_writing(self.last_data.saturating_duration_since(first_data));
         }
     }
 
     /// Ends the stream as cut, since the caller or the route has timed out.
     fn end_timed_out(&mut self) {
-        self.record_end();
+        if let Some(mut answer) = self.answer.take() {
+            self.record_end(&mut answer.permit);
+        }
         self.exchange.log_end("timed_out");
-        self.answer = None;
     }
 
     /// Ends the stream after the complete answer.
     async fn finish(&mut self) {
-        self.record_end();
-        if let Some(answer) = self.answer.take() {
+        if let Some(mut answer) = self.answer.take() {
+            self.record_end(&mut answer.permit);
             self.exchange.log_end("served");
             answer.complete(Outcome::Succeeded { unit_seconds: self.event_interval() }).await;
         }
@@ -272,35 +365,50 @@
         Some((self.last_data - first_data).as_secs_f64() / (events - 1) as f64)
     }
 
-    /// Resumes the stream at another upstream, if that is allowed; otherwise ends it as cut.
+    /// Resumes the stream, which its upstream has ended, at another upstream if that is allowed;
+    /// otherwise ends it as cut.
     async fn resume(&mut self, outcome: Outcome) {
-        self.record_end();
-        let Some(answer) = self.answer.take() else { return };
+        let Some(mut answer) = self.answer.take() else { return };
+        self.record_end(&mut answer.permit);
         self.exchange.log_break(outcome);
         // Closing the connection first tells the upstream to stop.
         drop(answer.body);
         drop(answer.connection);
         answer.permit.finish(outcome, None);
+        self.resume_elsewhere().await;
+    }
+
+    /// Continues the stream after its last complete event, if that is allowed.
+    async fn resume_elsewhere(&mut self) {
         if !self.exchange.may_resume() {
             self.exchange.log_end("cut");
             return;
         }
-        self.continue_stream(None).await;
+        match self.exchange.resume(self.splitter.last()).await {
+            Ok(answer) => self.take_over(answer),
+            Err(fault) => self.exchange.log_end(fault.code()),
+        }
     }
 
-    /// Continues the stream after its last complete event.
-    async fn continue_stream(&mut self, permit: Option<SlotPermit>) {
-        self.splitter.rest();
-        let last_event = self.splitter.last();
-        match self.exchange.resume(last_event, permit).await {
-            Ok(answer) => {
-                self.answer = Some(answer);
-                self.last_data = Instant::now();
-                self.first_data = None;
-                self.splitter = EventSplitter::after(last_event);
-            }
-            Err(fault) => self.exchange.log_end(fault.code()),
+    /// Goes on with an answer that begins after the last complete event.
+    fn take_over(&mut self, answer: UpstreamAnswer) {
+        self.answer = Some(answer);
+        self.last_data = Instant::now();
+        self.first_data = None;
+        self.splitter = EventSplitter::after(self.splitter.last());
+    }
+}
+
+/// Returns the step that a frame stands for; `None` if it holds no data.
+fn step_of(frame: FrameResult) -> Option<StreamStep> {
+    match frame {
+        Ok(Some(Ok(frame))) => {
+            let data = frame.into_data().ok().filter(|data| !data.is_empty())?;
+            Some(StreamStep::Data(data))
         }
+        Ok(Some(Err(_))) => Some(StreamStep::Cut),
+        Ok(None) => Some(StreamStep::End),
+        Err(_) => Some(StreamStep::TimedOut),
     }
 }
 
