fix(gateway): kept connections of callers follow changes of the declared limits

After a change to a longer limit of a head, the old one answered 431.

Cause: both limits were read once, when the connection was opened. Now the idle wait ends by the limit that is declared when it would end, and by the one declared when it begins if that is longer. The read buffer holds heads of 64 KiB, and the declared limit is checked for each request.

--- a/crates/egretgate-gateway/src/answer.rs
+++ b/crates/egretgate-gateway/src/answer.rs
@@ -24,6 +24,8 @@
     Unauthorized,
     /// No route matches it.
     NoRoute,
+    /// Its headers are too large.
+    HeadTooLarge,
     /// Its body is too large.
     TooLarge,
     /// Its team is over its limit.
@@ -53,6 +55,7 @@
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::HeadTooLarge => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::OverLimit => StatusCode::TOO_MANY_REQUESTS,
             Self::NotReady
@@ -76,6 +79,7 @@
             Self::BadRequest => "bad_request",
             Self::Unauthorized => "unauthorized",
             Self::NoRoute => "no_route",
+            Self::HeadTooLarge => "head_too_large",
             Self::TooLarge => "too_large",
             Self::OverLimit => "over_limit",
             Self::NotReady => "not_ready",
@@ -96,7 +100,7 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if self == Self::TooLarge {
+        if matches!(self, Self::HeadTooLarge | Self::TooLarge) {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         let seconds = retry_after.map(|wait| format!("{:.3}", wait.as_secs_f64()));
--- a/crates/egretgate-gateway/src/caller_listener.rs
+++ b/crates/egretgate-gateway/src/caller_listener.rs
@@ -8,12 +8,12 @@
 use bytes::Bytes;
 use egretgate_core::gateway::catalog::{CallerLimits, Catalog};
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
-use http::{HeaderValue, Request, Response, Version};
+use http::{HeaderMap, HeaderValue, Request, Response, Version};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -21,6 +21,7 @@
 
 use crate::answer::{Body, Fault};
 use crate::exchange::{Exchange, ExchangeContext};
+use crate::idle_timer::IdleTimer;
 use crate::plan::CallerRequest;
 
 /// Retry-after while the entry starts.
@@ -30,8 +31,9 @@
 const START_WAIT: Duration = Duration::from_millis(700);
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Smallest read buffer that the HTTP library allows, in bytes.
-const MIN_READ_BUFFER_BYTES: usize = 8 << 10;
+/// Least size that a connection's read buffer may grow to, in bytes. The buffer holds the head of a
+/// request, whose declared limit may grow while the connection is kept.
+const READ_BUFFER_BYTES: usize = 64 << 10;
 
 /// Phase of the entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -104,9 +106,9 @@
             }
         });
         let mut connection = http1::Builder::new()
-            .timer(TokioTimer::new())
+            .timer(IdleTimer::new(self.catalog.clone(), limits.idle_timeout))
             .header_read_timeout(limits.idle_timeout)
-            .max_buf_size(limits.header_bytes.max(MIN_READ_BUFFER_BYTES))
+            .max_buf_size(limits.header_bytes.max(READ_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         let result = tokio::select! {
             result = &mut connection => result,
@@ -120,8 +122,8 @@
         if error.is_timeout() {
             metrics::counter!("egretgate_caller_timeouts_total").increment(1);
             info!(self.context.log, "idle connection closed";
-                "limit_ms" => limits.idle_timeout.as_millis() as u64,
-                "declared_ms" => self.limits().idle_timeout.as_millis() as u64);
+                "limit_ms" => self.limits().idle_timeout.as_millis() as u64,
+                "opened_with_ms" => limits.idle_timeout.as_millis() as u64);
         }
         slog::debug!(self.context.log, "connection ended"; "error" => %error);
         if caller_lacks_chunks.load(Ordering::Relaxed) {
@@ -143,6 +145,9 @@
         let Some(catalog) = catalog else {
             return self.refuse(&request, Fault::NotReady, Some(START_RETRY_AFTER));
         };
+        if header_bytes(request.headers()) > catalog.limits.header_bytes {
+            return self.refuse(&request, Fault::HeadTooLarge, None);
+        }
         let (head, body) = request.into_parts();
         let request_head = self.context.dialect.read_request(&head.headers);
         let limit = catalog.limits.body_bytes;
@@ -187,6 +192,11 @@
     }
 }
 
+/// Returns the size of the headers as they were sent, in bytes.
+fn header_bytes(headers: &HeaderMap) -> usize {
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + ": \r\n".len()).sum()
+}
+
 /// Returns once idle connections should be closed.
 async fn closing(phase: &mut watch::Receiver<Phase>) {
     // The sender lives as long as the process.
--- a/crates/egretgate-gateway/src/lib.rs
+++ b/crates/egretgate-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod gossip;
 mod head_limit;
 mod headers;
+mod idle_timer;
 mod moves;
 mod pages;
 mod plan;
