--- a/crates/egretgate/tests/soak.rs
+++ b/crates/egretgate/tests/soak.rs
@@ -6,7 +6,7 @@
 //!   or block them in one or both directions.
 //! - The store fails and recovers, declarations change, and traffic moves to other versions.
 //! - Upstreams cut, lose and refuse answers, break off streams whose end looks like any other, or
-//!   send bytes without end. Some end whenever a request has a certain part in its prompt.
+//!   send bytes without end, and fall silent for a while. Some end whenever a request has a certain part in its prompt.
 //!
 //! Callers check each answer; the requests that reached the upstreams are compared with the
 //! callers' results. `EGRETGATE_SOAK_SEEDS` selects the seeds of a manual run, such as `100..150`;
@@ -21,7 +21,7 @@
 use egretgate_adapter::PATH_VARIABLE;
 use egretgate_fakes::relay::{Block, Relay};
 use egretgate_stand_ins::{
-    Behaviour, Ending, EndlessPart, Framing, Store, StoreMode, Upstream, free_address,
+    Behaviour, Ending, EndlessPart, Framing, Pause, Store, StoreMode, Upstream, free_address,
     is_signed_for, request_with_parts, settings, status,
 };
 use rand::seq::IndexedRandom;
@@ -54,7 +54,7 @@
 const MAX_RECOVERY_TIME: Duration = Duration::from_secs(12);
 
 /// Behaviours to which an upstream is switched at random.
-const BEHAVIOURS: [Behaviour; 16] = [
+const BEHAVIOURS: [Behaviour; 18] = [
     Behaviour::ByRoute,
     Behaviour::CrashOnPart,
     Behaviour::Cut,
@@ -71,6 +71,8 @@
     Behaviour::Ended { framing: Framing::Close, ending: Ending::InsideEvent },
     Behaviour::Ended { framing: Framing::Close, ending: Ending::Reset },
     Behaviour::Ended { framing: Framing::Chunked, ending: Ending::MarkedInsideEvent },
+    Behaviour::Pausing { at: Pause::BeforeHead, silence_ms: 1_200 },
+    Behaviour::Pausing { at: Pause::InsideEvent, silence_ms: 1_200 },
 ];
 
 /// A gateway process.
