fix(core): a retry that isn't sent goes back to the budget at its own time

The newest time in the window was removed in its place, so a retry that had waited let more than the budget be sent within a window.

--- a/crates/egretgate-core/src/gateway/retry_limit.rs
+++ b/crates/egretgate-core/src/gateway/retry_limit.rs
@@ -54,9 +54,11 @@
         true
     }
 
-    /// Gives back a retry that was not sent.
-    pub fn give_back(&mut self) {
-        self.retries.pop_back();
+    /// Gives back a retry that was taken at `taken` and not sent.
+    pub fn give_back(&mut self, taken: Instant) {
+        if let Ok(index) = self.retries.binary_search(&taken) {
+            self.retries.remove(index);
+        }
     }
 
     fn expire(&mut self, now: Instant, limit: &RetryLimit) {
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -67,6 +67,8 @@
     by_hash: HashMap<NameHash, UpstreamKey>,
     services: BTreeMap<ServiceId, ServiceState>,
     waiting: HashMap<RequestNumber, (QueueKey, AdmissionRequest)>,
+    /// When the retries that aren't sent yet were taken from the budget.
+    retry_times: HashMap<RequestNumber, Instant>,
     buckets: HashMap<TeamId, TokenBucket>,
     fair_use: FairUse,
     peers: Peers,
@@ -103,6 +105,7 @@
             by_hash: HashMap::new(),
             services: BTreeMap::new(),
             waiting: HashMap::new(),
+            retry_times: HashMap::new(),
             buckets: HashMap::new(),
             fair_use: FairUse::default(),
             peers: Peers::default(),
@@ -231,6 +234,7 @@
             if !service_state.retries.take_retry(now, &self.retry_limit, entries) {
                 return Admission::Refused(Refusal::RetryBudgetSpent);
             }
+            self.retry_times.insert(request.number, now);
         } else {
             service_state.retries.record_request(now, &self.retry_limit);
         }
@@ -239,6 +243,7 @@
         let wait = service_state.expected_wait(&queue_key, now);
         // The queue was dispatched just before, so no waiting request can use the free slots.
         if let Some(key) = self.choose_upstream(&request, now) {
+            self.retry_times.remove(&request.number);
             self.record_start(&request.service, key, now);
             return Admission::Started(key);
         }
@@ -500,10 +505,10 @@
 
     /// Gives back what was taken for a request that isn't sent.
     fn refund(&mut self, request: &AdmissionRequest, now: Instant) {
-        if request.is_retry
+        if let Some(taken) = self.retry_times.remove(&request.number)
             && let Some(service_state) = self.services.get_mut(&request.service)
         {
-            service_state.retries.give_back();
+            service_state.retries.give_back(taken);
         }
         if let Some(charge) = &request.charge
             && let Some(bucket) = self.buckets.get_mut(&charge.team)
@@ -533,6 +538,7 @@
             };
             self.waiting.remove(&queue_key.number);
             self.trials.remove(&queue_key.number);
+            self.retry_times.remove(&queue_key.number);
             if let Some(service_state) = self.services.get_mut(service) {
                 service_state.queue.remove(&queue_key);
             }
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -442,3 +442,31 @@
         scheduler.withdraw(number, now);
     }
 }
+
+/// Guards against a retry that is given back in place of another one, which was sent later.
+#[test]
+fn a_retry_that_is_given_back_leaves_the_others_in_the_window() {
+    let limit = RetryLimit { ratio: 0.0, slack: 3.0, window: Duration::from_secs(10) };
+    let start = Instant::now();
+    let at = |seconds| start + Duration::from_secs_f64(seconds);
+    let mut scheduler = scheduler(vec![listed("a", 1), listed("b", 8)]).with_retry_limit(limit);
+    let retry = |number, avoid: &str, now| AdmissionRequest {
+        is_retry: true,
+        avoid: vec![avoid.to_owned()],
+        queue_deadline: now + Duration::from_secs(9),
+        ..request(number, 0, now)
+    };
+    let occupying = AdmissionRequest { avoid: vec!["b".to_owned()], ..request(0, 0, start) };
+    assert_matches!(scheduler.admit(occupying, start), Admission::Started(_));
+    assert_matches!(scheduler.admit(retry(1, "b", start), start), Admission::Queued);
+    let sent = scheduler.admit(retry(2, "a", at(5.0)), at(5.0));
+    assert_matches!(sent, Admission::Started(_));
+    scheduler.withdraw(1, at(5.5));
+    let mut started = 1;
+    for number in 3..9 {
+        let admission = scheduler.admit(retry(number, "a", at(10.5)), at(10.5));
+        started += usize::from(matches!(admission, Admission::Started(_)));
+    }
+    // Seven tenths of the slack may be spent within the window.
+    assert_eq!(started, 2);
+}
