fix(gateway): a shorter idle limit doesn't close connections that are open

Callers may still go by the longer limit while a change comes into force, and a request that crosses the close gets no answer. Since the shorter limit held from the next wait on.

--- a/crates/egretgate-gateway/src/idle_timer.rs
+++ b/crates/egretgate-gateway/src/idle_timer.rs
@@ -11,9 +11,13 @@
 use tokio::time::sleep_until;
 
 /// Ends a wait for the next request by the declared limit, also if that grows during the wait.
+///
+/// A limit that shrinks doesn't shorten the waits of open connections: their callers may not know of
+/// it yet.
 pub(crate) struct IdleTimer {
     catalog: watch::Receiver<Option<Arc<Catalog>>>,
-    /// Limit by which the HTTP library works out the end of a wait.
+    /// Limit that was declared when the connection was opened, by which the HTTP library works out
+    /// the end of a wait.
     limit: Duration,
 }
 
@@ -35,7 +39,7 @@
     fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
         let since = deadline.checked_sub(self.limit).unwrap_or_else(Instant::now);
         let catalog = self.catalog.clone();
-        let limit = declared_limit(&catalog).unwrap_or(self.limit);
+        let limit = declared_limit(&catalog).unwrap_or_default().max(self.limit);
         let sleep = Box::pin(sleep_until((since + limit).into()));
         Box::pin(IdleWait { catalog, since, limit, sleep })
     }
