--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -15,6 +15,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use slog::{Logger, info};
+use tokio::time::error::Elapsed;
 use tokio::time::timeout_at;
 
 use crate::answer::{Body, Fault, full, streamed};
@@ -22,7 +23,7 @@
     Attempt, BodyRead, MAX_BUFFERED_BYTES, failed_attempt, is_invalid, read_body, refused_attempt,
     respond,
 };
-use crate::connect::{Connection, SendError};
+use crate::connect::{self, Connection, SendError};
 use crate::dialect::{Dialect, ForwardHead};
 use crate::dispatcher::{DispatcherHandle, SlotPermit};
 use crate::framing::Framing;
@@ -84,6 +85,8 @@
     waited: Duration,
     /// Retry-after that the caller was given.
     retry_after: Option<Duration>,
+    /// True once the caller was sent the head of a stream, which no other answer can replace.
+    head_sent: bool,
     /// Events passed on to the caller.
     pub(crate) events: u64,
     /// Bytes that the last upstream sent after its last complete event.
@@ -116,6 +119,7 @@
             resume_after,
             waited: Duration::ZERO,
             retry_after: None,
+            head_sent: false,
             events: 0,
             partial_bytes: 0,
             end_logged: false,
@@ -225,10 +229,10 @@
     }
 
     /// Logs that the upstream's stream ended too early or fell silent.
-    pub(crate) fn log_break(&self, outcome: Outcome) {
+    pub(crate) fn log_break(&self, upstream: &UpstreamId, outcome: Outcome) {
         info!(self.context.log, "stream broken off";
             "id" => &self.request.head.id,
-            "upstream" => &self.upstream,
+            "upstream" => upstream,
             "cause" => if outcome == Outcome::Stalled { "stalled" } else { "ended" },
             "framing" => self.framing.map(Framing::as_str),
             "events" => self.events,
@@ -469,8 +473,8 @@
                     permit.finish(outcome, None);
                     return Attempt::Unknown;
                 }
-                HeadResult::Left(attempt) => {
-                    permit.finish(Outcome::Stalled, None);
+                HeadResult::Left(attempt, outcome) => {
+                    permit.finish(outcome, None);
                     return attempt;
                 }
             }
@@ -511,7 +515,7 @@
         } else {
             deadline.min(started + self.plan.route.objective * CALL_SILENCE_OBJECTIVES)
         };
-        let mut next: NextSent<_> = Box::pin(async move {
+        let mut next: NextSent<HeadSent> = Box::pin(async move {
             let result = timeout_at(deadline.into(), connection.send(request)).await;
             (connection, result)
         });
@@ -523,9 +527,9 @@
         }
         let (connection, result) = match sent {
             Ok(sent) => sent,
-            Err(_) => match self.await_silent(started, next).await {
+            Err(_) => match self.await_silent(started, next, has_head).await {
                 AfterSilence::WentOn(sent) => sent,
-                AfterSilence::Left(attempt) => return HeadResult::Left(attempt),
+                AfterSilence::Left(attempt, outcome) => return HeadResult::Left(attempt, outcome),
             },
         };
         match result {
@@ -581,6 +585,7 @@
         if status.is_success() && self.plan.route.kind.is_stream() {
             // A caller that has all bytes of a stated length takes the answer for a whole one.
             headers.remove(CONTENT_LENGTH);
+            self.head_sent = true;
             let body = streamed(Relay::body(self, answer));
             return respond(status, headers, body);
         }
@@ -637,6 +642,14 @@
     Closed(Box<Request<Full<Bytes>>>),
     /// The request may have run.
     Lost(Outcome),
-    /// The upstream was silent, and another one was asked, with this result.
-    Left(Attempt),
+    /// The upstream was silent, and another one was asked, with this result; the outcome is that of
+    /// the silent one.
+    Left(Attempt, Outcome),
+}
+
+/// The result of waiting for the head of an answer until the deadline, with its connection.
+type HeadSent = (Connection, Result<connect::Result<Response<Incoming>>, Elapsed>);
+
+fn has_head((_, result): &HeadSent) -> bool {
+    matches!(result, Ok(Ok(_)))
 }
--- a/crates/egretgate-gateway/src/relay.rs
+++ b/crates/egretgate-gateway/src/relay.rs
@@ -243,7 +243,7 @@
     async fn outlast_silence(&mut self) -> StreamStep {
         let since = self.last_data;
         let Some((present, next)) = self.take_present() else { return StreamStep::End };
-        let after = self.exchange.await_silent(since, next).await;
+        let after = self.exchange.await_silent(since, next, goes_on).await;
         self.after_silence(present, after).await
     }
 
@@ -254,8 +254,12 @@
     ) -> StreamStep {
         match after {
             AfterSilence::WentOn(sent) => self.go_on(present, sent),
-            AfterSilence::Left(attempt) => {
-                self.leave(present, attempt, Outcome::Stalled).await;
+            AfterSilence::Left(attempt, outcome) => {
+                let Present { mut permit, .. } = present;
+                self.record_end(&mut permit);
+                self.exchange.log_break(&permit.id, outcome);
+                permit.finish(outcome, None);
+                self.go_on_elsewhere(attempt).await;
                 StreamStep::Left
             }
         }
@@ -278,9 +282,10 @@
         let permit = self.exchange.request_faster(event_interval).await?;
         let (present, next) = self.take_present()?;
         let step = match self.exchange.hand_over(permit, next, PresentUpstream::Slower).await {
-            Handover::Done(attempt) => {
+            Handover::Done(attempt, _) => {
                 let outcome = Outcome::Succeeded { unit_seconds: Some(event_interval) };
-                self.leave(present, attempt, outcome).await;
+                present.permit.finish(outcome, None);
+                self.go_on_elsewhere(attempt).await;
                 StreamStep::Left
             }
             Handover::Overtaken(sent) => self.go_on(present, sent),
@@ -288,7 +293,7 @@
                 let since = self.last_data;
                 let after = match timeout_at((since + ASK_AFTER).into(), &mut next).await {
                     Ok(sent) => AfterSilence::WentOn(sent),
-                    Err(_) => self.exchange.await_silent(since, next).await,
+                    Err(_) => self.exchange.await_silent(since, next, goes_on).await,
                 };
                 self.after_silence(present, after).await
             }
@@ -317,11 +322,8 @@
         step_of(frame).unwrap_or(StreamStep::Data(Bytes::new()))
     }
 
-    /// Leaves an upstream whose connection is closed, after another one was asked.
-    async fn leave(&mut self, mut present: Present, attempt: Attempt, outcome: Outcome) {
-        self.record_end(&mut present.permit);
-        self.exchange.log_break(outcome);
-        present.permit.finish(outcome, None);
+    /// Goes on with another upstream's answer; without one, looks for a further upstream.
+    async fn go_on_elsewhere(&mut self, attempt: Attempt) {
         match attempt {
             Attempt::Answer(answer, status) if status.is_success() => self.take_over(answer),
             attempt => {
@@ -370,7 +372,7 @@
     async fn resume(&mut self, outcome: Outcome) {
         let Some(mut answer) = self.answer.take() else { return };
         self.record_end(&mut answer.permit);
-        self.exchange.log_break(outcome);
+        self.exchange.log_break(&answer.permit.id, outcome);
         // Closing the connection first tells the upstream to stop.
         drop(answer.body);
         drop(answer.connection);
@@ -399,6 +401,11 @@
     }
 }
 
+/// Returns true unless the upstream broke off.
+fn goes_on(sent: &FrameSent) -> bool {
+    matches!(sent.frame, Ok(None | Some(Ok(_))))
+}
+
 /// Returns the step that a frame stands for; `None` if it holds no data.
 fn step_of(frame: FrameResult) -> Option<StreamStep> {
     match frame {
