fix(gateway): readings of different eras aren't compared by offset

Callers saw, in a drill in which the store comes back from an older copy, a key or route refused that the newest declarations allow, and requests sent to upstreams of the older copy, until something else changed in the store.

Cause: nothing read Store-Era. The leading entry waited for records after an offset that stood for other records by then, found none and took its reading for fresh; the others took a reading with a higher offset for newer, whatever copy it came from, and one with their own content for proof that they were up to date. Ruled out: declarations that go back. A lower version was never applied in a running entry, and isn't now.

The store's client passes on what each answer states of its era. The core decides (`era.rs`): a higher era begins at once, also when another entry has read it less than 5 s ago; an answer of a lower one is not used, as if the store were away, until the higher one has been silent for 5 s; none or no number means the era in force. A reading carries its era, between entries too, and one of another era is neither newer nor fresh. Positions are forgotten when an era begins. A list whose pages state two eras is dropped, and so is an append whose answer is of another era than the reading that it relies on. Reports have the era in a new optional field: earlier builds skip it, and a reading without one may make an entry read again but never passes for fresh.

Changed tests: readings in gateway_follow.rs and wire.rs have the new field, nothing else.

Logged: `era of the directory`, `directory states no era`, `position gone`; metric `egretgate_directory_era`.

--- a/crates/egretgate-core/src/gateway/follow.rs
+++ b/crates/egretgate-core/src/gateway/follow.rs
@@ -7,6 +7,7 @@
 
 use std::time::{Duration, Instant};
 
+use super::era::{ERA_TIMEOUT, Era};
 use crate::Offset;
 
 /// Number that identifies the content of a reading: a version or a hash.
@@ -17,12 +18,29 @@
 pub struct Reading {
     /// Identifies the content.
     pub fingerprint: Fingerprint,
-    /// Position after the newest record; orders the readings of different entries.
+    /// Era of the directory; `None` if it states none or the entry's build doesn't know eras.
+    pub era: Option<Era>,
+    /// Position after the newest record; orders the readings of different entries within an era.
     pub end: Offset,
     /// Time of the reading.
     pub read_at: Instant,
 }
 
+impl Reading {
+    /// Returns true if this reading replaces `old` as the newest one of other entries.
+    ///
+    /// One of an older era does so only once the newer era has been silent for [`ERA_TIMEOUT`].
+    pub fn replaces(&self, old: &Self) -> bool {
+        match self.era.zip(old.era) {
+            Some((era, old_era)) if era > old_era => true,
+            Some((era, old_era)) if era < old_era => {
+                self.read_at.saturating_duration_since(old.read_at) >= ERA_TIMEOUT
+            }
+            _ => self.end > old.end || self.read_at > old.read_at,
+        }
+    }
+}
+
 /// How often shared state is read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PollIntervals {
@@ -48,7 +66,7 @@
     reading: Option<Reading>,
     /// Latest time at which any entry read the same state.
     confirmed: Option<Instant>,
-    /// True if another entry has read something newer.
+    /// True if another entry has read something newer, or another era has begun.
     behind: bool,
 }
 
@@ -68,17 +86,39 @@
     /// Records a reading of another entry.
     pub fn record_peer_reading(&mut self, reading: Reading) {
         let Some(own) = &mut self.reading else { return };
+        match (reading.era, own.era) {
+            (Some(era), Some(own_era)) if era < own_era => return,
+            (Some(era), own_era) if Some(era) != own_era => {
+                self.behind = true;
+                return;
+            }
+            _ => {}
+        }
         if reading.end < own.end {
             return;
         }
-        if reading.fingerprint == own.fingerprint {
+        // Without an era the reading may be one of an older copy, which proves nothing.
+        let is_comparable = reading.era == own.era;
+        if reading.fingerprint == own.fingerprint && is_comparable {
             own.end = reading.end;
             self.confirmed = self.confirmed.max(Some(reading.read_at));
-        } else if reading.end > own.end {
+        } else if reading.fingerprint != own.fingerprint && reading.end > own.end {
             self.behind = true;
         }
     }
 
+    /// Records the era in force. A reading of another era no longer counts.
+    pub fn record_era(&mut self, era: Era) {
+        if self.reading.is_some_and(|own| own.era != Some(era)) {
+            self.behind = true;
+        }
+    }
+
+    /// Returns true if the next reading must not rely on the position of the last one.
+    pub const fn is_behind(&self) -> bool {
+        self.behind
+    }
+
     /// Returns the last reading that this entry made itself.
     ///
     /// Readings of other entries are not passed on: at each hop a reading would seem younger by the
--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -5,6 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::era::Era;
 use super::follow::{Fingerprint, Reading};
 use super::part_quarantine::PartReport;
 use super::rate_limit::{LimitNotice, order_key};
@@ -81,6 +82,8 @@
 pub struct AgedReading {
     /// Identifies the content.
     pub fingerprint: Fingerprint,
+    /// Era of the directory, if it is known.
+    pub era: Option<Era>,
     /// Position after the newest record when it was read.
     pub end: Offset,
     /// Time since the reading.
@@ -91,13 +94,14 @@
     /// Returns the reading with its age at `now`.
     pub fn new(reading: Reading, now: Instant) -> Self {
         let age = now.saturating_duration_since(reading.read_at);
-        Self { fingerprint: reading.fingerprint, end: reading.end, age }
+        let Reading { fingerprint, era, end, .. } = reading;
+        Self { fingerprint, era, end, age }
     }
 
     /// Returns the reading that was received at `now`.
     pub fn reading(self, now: Instant) -> Reading {
         let at = now.checked_sub(self.age).unwrap_or(now);
-        Reading { fingerprint: self.fingerprint, end: self.end, read_at: at }
+        Reading { fingerprint: self.fingerprint, era: self.era, end: self.end, read_at: at }
     }
 }
 
--- a/crates/egretgate-core/tests/gateway_follow.rs
+++ b/crates/egretgate-core/tests/gateway_follow.rs
@@ -37,10 +37,11 @@
         let start = Instant::now();
         let received_at = start + Duration::from_millis(400);
         let mut follower = Follower::new(INTERVALS);
-        follower.record_reading(Reading { fingerprint: 1, end: 10, read_at: start });
+        follower.record_reading(Reading { fingerprint: 1, era: None, end: 10, read_at: start });
         if let Some((fingerprint, end, age)) = case.peer_reading {
             follower.record_peer_reading(Reading {
                 fingerprint,
+                era: None,
                 end,
                 read_at: received_at.checked_sub(Duration::from_millis(age)).unwrap(),
             });
@@ -55,7 +56,7 @@
     let now = Instant::now();
     let mut follower = Follower::new(INTERVALS);
     assert_eq!(follower.due(7, now), now);
-    follower.record_peer_reading(Reading { fingerprint: 1, end: 1, read_at: now });
+    follower.record_peer_reading(Reading { fingerprint: 1, era: None, end: 1, read_at: now });
     assert_eq!(follower.due(7, now), now);
     assert_eq!(follower.reading(), None);
 }
@@ -76,7 +77,7 @@
         let start = Instant::now();
         let mut followers = vec![Follower::new(INTERVALS); case.entries];
         for follower in &mut followers {
-            follower.record_reading(Reading { fingerprint: 1, end: 10, read_at: start });
+            follower.record_reading(Reading { fingerprint: 1, era: None, end: 10, read_at: start });
         }
         // Each entry reports every 104 ms, one after the other; none reads.
         let interval = Duration::from_millis(104) / case.entries as u32;
@@ -130,7 +131,7 @@
                 // The list changes between any two readings.
                 readings += 1;
                 let end = readings;
-                let reading = Reading { fingerprint: end, end, read_at: now };
+                let reading = Reading { fingerprint: end, era: None, end, read_at: now };
                 for (other, follower) in followers.iter_mut().enumerate() {
                     if other == index {
                         follower.record_reading(reading);
--- a/crates/egretgate-gateway/src/directory.rs
+++ b/crates/egretgate-gateway/src/directory.rs
@@ -7,6 +7,7 @@
 
 use egretgate_core::Offset;
 use egretgate_core::gateway::catalog::Catalog;
+use egretgate_core::gateway::era::StatedEra;
 use egretgate_core::gateway::traffic_move::MoveStatus;
 use egretgate_core::gateway::upstream::ListedUpstream;
 
@@ -32,6 +33,8 @@
     pub value: T,
     /// Position after the newest record that was read.
     pub end: Offset,
+    /// What the answers state of their era; the same in all of them.
+    pub era: StatedEra,
     /// One sentence for each skipped record.
     pub skipped: Vec<String>,
     /// How the value arrived.
@@ -41,14 +44,20 @@
 impl<T> DirectoryRead<T> {
     /// Returns a value that was read without skipping a record.
     pub fn new(value: T, end: Offset) -> Self {
-        Self { value, end, skipped: Vec::new(), transfer: Transfer::default() }
+        Self {
+            value,
+            end,
+            era: StatedEra::Missing,
+            skipped: Vec::new(),
+            transfer: Transfer::default(),
+        }
     }
 
     /// Splits off the value; what else is known of the reading goes on to a list that is still
     /// empty.
     pub fn split<U>(self) -> (DirectoryRead<Vec<U>>, T) {
-        let Self { value, end, skipped, transfer } = self;
-        (DirectoryRead { value: Vec::new(), end, skipped, transfer }, value)
+        let Self { value, end, era, skipped, transfer } = self;
+        (DirectoryRead { value: Vec::new(), end, era, skipped, transfer }, value)
     }
 }
 
@@ -63,17 +72,46 @@
     pub took: Duration,
 }
 
+/// What a wait for a change has found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing has changed.
+    None,
+    /// There may be newer records.
+    Newer,
+    /// The directory doesn't have the position: older records were deleted, or its end is lower.
+    PositionGone,
+}
+
+/// The end of a wait for a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Waited {
+    /// What was found.
+    pub change: Change,
+    /// What the answer states of its era.
+    pub era: StatedEra,
+}
+
+/// The end of a conditional append.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Appended {
+    /// Position after the record; `None` if something else was recorded before.
+    pub end: Option<Offset>,
+    /// What the answer states of its era.
+    pub era: StatedEra,
+}
+
 /// The directory, which keeps declarations, upstreams and entries.
 pub trait Directory: Send + Sync + 'static {
     /// Reads the newest declarations; `None` if there are none yet.
     fn catalog(&self) -> impl Future<Output = Result<DirectoryRead<Option<Catalog>>>> + Send;
 
-    /// Returns true once declarations may have changed after `from`, or false after `wait`.
+    /// Returns once declarations may have changed after `from`, or after `wait`.
     fn wait_for_change(
         &self,
         from: Offset,
         wait: Duration,
-    ) -> impl Future<Output = Result<bool>> + Send;
+    ) -> impl Future<Output = Result<Waited>> + Send;
 
     /// Reads the listed upstreams.
     fn upstreams(&self) -> impl Future<Output = Result<DirectoryRead<Vec<ListedUpstream>>>> + Send;
@@ -81,16 +119,19 @@
     /// Reads the recorded states of moves; moves without one are left out.
     fn moves(&self) -> impl Future<Output = Result<DirectoryRead<Vec<MoveStatus>>>> + Send;
 
-    /// Records the state of a move, if nothing was recorded since `end`; returns the position after
-    /// the record, or `None` if something was.
+    /// Records the state of a move, if nothing was recorded since `end`.
     fn record_move(
         &self,
         status: &MoveStatus,
         end: Offset,
-    ) -> impl Future<Output = Result<Option<Offset>>> + Send;
+    ) -> impl Future<Output = Result<Appended>> + Send;
 
-    /// Adds this entry to the list of entries.
-    fn announce(&self, name: &str, address: SocketAddr) -> impl Future<Output = Result<()>> + Send;
+    /// Adds this entry to the list of entries; returns what the answer states of its era.
+    fn announce(
+        &self,
+        name: &str,
+        address: SocketAddr,
+    ) -> impl Future<Output = Result<StatedEra>> + Send;
 
     /// Reads the addresses of the entries, this one included.
     fn entries(&self) -> impl Future<Output = Result<DirectoryRead<Vec<SocketAddr>>>> + Send;
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -20,6 +20,7 @@
 use crate::dialect::Dialect;
 use crate::directory::Directory;
 use crate::dispatcher::DispatcherHandle;
+use crate::eras::Eras;
 use crate::exchange::ExchangeContext;
 use crate::gossip::{Gossip, ReadingChannels};
 use crate::pages::{Answer, Page};
@@ -95,6 +96,7 @@
         let scheduler = Scheduler::new(&name, &zone, incarnation).with_retry_limit(retry_limit);
         let dispatcher = DispatcherHandle::start(scheduler, log.clone());
         let directory = Arc::new(directory);
+        let eras = Arc::new(Eras::new(log.clone()));
         let (catalog_sender, catalog) = watch::channel(None);
         let (upstreams_sender, upstreams) = watch::channel(false);
         let (entries_sender, entries) = watch::channel(Vec::new());
@@ -104,9 +106,9 @@
 
         let (rank_sender, rank) = watch::channel(0);
         let (catalog_channels, catalog_state) =
-            follow_channels(sync::CATALOG_INTERVALS, rank.clone());
+            follow_channels(sync::CATALOG_INTERVALS, rank.clone(), &eras);
         let (upstreams_channels, upstreams_state) =
-            follow_channels(sync::UPSTREAMS_INTERVALS, rank);
+            follow_channels(sync::UPSTREAMS_INTERVALS, rank, &eras);
 
         tokio::spawn(sync::follow_catalog(
             Arc::clone(&directory),
@@ -119,6 +121,7 @@
             Arc::clone(&directory),
             catalog.clone(),
             dispatcher.clone(),
+            Arc::clone(&eras),
             log.clone(),
         ));
         tokio::spawn(sync::follow_upstreams(
@@ -134,6 +137,7 @@
             addresses.peers,
             entries_sender,
             dispatcher.clone(),
+            Arc::clone(&eras),
             log.clone(),
         ));
         let gossip = Gossip {
@@ -143,6 +147,7 @@
             dispatcher: dispatcher.clone(),
             catalog: catalog_channels,
             upstreams: upstreams_channels,
+            eras,
             rank: rank_sender,
             log: log.clone(),
         };
@@ -200,11 +205,12 @@
 fn follow_channels(
     intervals: PollIntervals,
     rank: watch::Receiver<usize>,
+    eras: &Arc<Eras>,
 ) -> (ReadingChannels, SharedState) {
     let (own_sender, own) = watch::channel(None);
     let (peers_sender, peers) = watch::channel(None);
     let channels = ReadingChannels { own, peers: peers_sender };
-    (channels, SharedState::new(intervals, peers, own_sender, rank))
+    (channels, SharedState::new(intervals, peers, own_sender, rank, Arc::clone(eras)))
 }
 
 /// Reports that the entry is ready once declarations and upstreams are known, until it stops.
--- a/crates/egretgate-gateway/src/gossip.rs
+++ b/crates/egretgate-gateway/src/gossip.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Instant;
 
 use egretgate_core::ZoneId;
@@ -14,6 +15,7 @@
 use tokio::time::sleep;
 
 use crate::dispatcher::{DispatcherHandle, Message};
+use crate::eras::Eras;
 use crate::wire::{decode, encode};
 
 /// Largest datagram, in bytes; larger ones would be fragmented.
@@ -35,8 +37,7 @@
     /// Publishes another entry's reading, unless a newer one was published.
     fn publish_peer(&self, reading: Reading) {
         self.peers.send_if_modified(|newest| {
-            let newer =
-                newest.is_none_or(|old| reading.end > old.end || reading.read_at > old.read_at);
+            let newer = newest.is_none_or(|old| reading.replaces(&old));
             if newer {
                 *newest = Some(reading);
             }
@@ -78,6 +79,7 @@
     pub(crate) dispatcher: DispatcherHandle,
     pub(crate) catalog: ReadingChannels,
     pub(crate) upstreams: ReadingChannels,
+    pub(crate) eras: Arc<Eras>,
     /// Rank of this entry.
     pub(crate) rank: watch::Sender<usize>,
     pub(crate) log: Logger,
@@ -140,11 +142,12 @@
             info!(self.log, "first report from an entry"; "from" => %from);
         }
         let now = Instant::now();
-        if let Some(catalog) = report.catalog {
-            self.catalog.publish_peer(catalog.reading(now));
-        }
-        if let Some(upstreams) = report.upstreams {
-            self.upstreams.publish_peer(upstreams.reading(now));
+        let readings = [(&self.catalog, report.catalog), (&self.upstreams, report.upstreams)];
+        for (channels, reading) in readings {
+            let Some(reading) = reading.map(|reading| reading.reading(now)) else { continue };
+            if self.eras.record_peer(from, &reading, now) {
+                channels.publish_peer(reading);
+            }
         }
         self.dispatcher.send(Message::PeerReport(report));
     }
--- a/crates/egretgate-gateway/src/lib.rs
+++ b/crates/egretgate-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod dialect;
 mod directory;
 mod dispatcher;
+mod eras;
 mod events;
 mod exchange;
 mod framing;
@@ -33,7 +34,9 @@
 mod wire;
 
 pub use dialect::{AnswerHead, Dialect, ForwardHead, RequestHead};
-pub use directory::{Directory, DirectoryError, DirectoryRead, Result, Transfer};
+pub use directory::{
+    Appended, Change, Directory, DirectoryError, DirectoryRead, Result, Transfer, Waited,
+};
 pub use events::EventSplitter;
 pub use gateway::{Addresses, Gateway, Options, StopTimes};
 pub use pages::{Answer, Page};
--- a/crates/egretgate-gateway/src/moves.rs
+++ b/crates/egretgate-gateway/src/moves.rs
@@ -9,8 +9,9 @@
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::directory::{Directory, DirectoryError};
+use crate::directory::{Directory, DirectoryError, Result};
 use crate::dispatcher::DispatcherHandle;
+use crate::eras::Eras;
 
 /// Interval between two judgements: short compared with the seconds within which a bad version must
 /// stop getting requests.
@@ -30,6 +31,7 @@
     directory: Arc<D>,
     mut catalog: watch::Receiver<Option<Arc<Catalog>>>,
     dispatcher: DispatcherHandle,
+    eras: Arc<Eras>,
     log: Logger,
 ) {
     loop {
@@ -42,7 +44,8 @@
         let Some(pending) = dispatcher.judge_moves().await else { return };
         let is_idle = pending.unknown.is_empty() && pending.changes.is_empty();
         if !is_idle
-            && let Err(error) = record_changes(&*directory, &pending, &dispatcher, &log).await
+            && let Err(error) =
+                record_changes(&*directory, &pending, &dispatcher, &eras, &log).await
         {
             warn!(log, "move not recorded"; "error" => %error);
         }
@@ -55,9 +58,11 @@
     directory: &D,
     pending: &PendingMoves,
     dispatcher: &DispatcherHandle,
+    eras: &Eras,
     log: &Logger,
-) -> Result<(), DirectoryError> {
+) -> Result<()> {
     let read = directory.moves().await?;
+    let era = eras.record_answer("moves", read.era)?;
     for record_fault in &read.skipped {
         warn!(log, "record skipped"; "fault" => record_fault);
     }
@@ -75,7 +80,12 @@
             dispatcher.record_move(MoveStatus { spec: spec.clone(), state: earlier.state });
             continue;
         }
-        let Some(after) = directory.record_move(status, end).await? else {
+        let appended = directory.record_move(status, end).await?;
+        // An offset of another era proves nothing about what was recorded before.
+        if eras.record_answer("record move", appended.era)? != era {
+            return Err(DirectoryError("an era began meanwhile".to_owned()));
+        }
+        let Some(after) = appended.end else {
             info!(log, "move recorded by another entry"; "service" => &spec.service,
                 "target" => &spec.target, "state" => ?status.state);
             return Ok(());
--- a/crates/egretgate-gateway/src/sync.rs
+++ b/crates/egretgate-gateway/src/sync.rs
@@ -6,6 +6,7 @@
 
 use egretgate_core::Offset;
 use egretgate_core::gateway::catalog::{Catalog, TokenLimit};
+use egretgate_core::gateway::era::Era;
 use egretgate_core::gateway::follow::{Fingerprint, Follower, PollIntervals, Reading};
 use egretgate_core::gateway::peer::name_hash;
 use egretgate_core::gateway::upstream::{ListedUpstream, Stage};
@@ -13,8 +14,9 @@
 use tokio::sync::watch;
 use tokio::time::{sleep, sleep_until};
 
-use crate::directory::{Directory, DirectoryError, Transfer};
+use crate::directory::{Change, Directory, DirectoryError, DirectoryRead, Result, Transfer};
 use crate::dispatcher::{DispatcherHandle, Message};
+use crate::eras::Eras;
 
 /// How often upstreams are read: a draining one may get requests for two seconds at most.
 pub(crate) const UPSTREAMS_INTERVALS: PollIntervals = PollIntervals {
@@ -93,33 +95,54 @@
     own: watch::Sender<Option<Reading>>,
     /// Rank of this entry.
     rank: watch::Receiver<usize>,
+    eras: Arc<Eras>,
+    /// The era in force.
+    era: watch::Receiver<Option<Era>>,
 }
 
 impl SharedState {
     /// Returns the state before the first reading.
-    pub(crate) const fn new(
+    pub(crate) fn new(
         intervals: PollIntervals,
         peers: watch::Receiver<Option<Reading>>,
         own: watch::Sender<Option<Reading>>,
         rank: watch::Receiver<usize>,
+        eras: Arc<Eras>,
     ) -> Self {
-        Self { follower: Follower::new(intervals), peers, own, rank }
+        let era = eras.subscribe();
+        Self { follower: Follower::new(intervals), peers, own, rank, eras, era }
     }
 
-    fn record_reading(&mut self, fingerprint: Fingerprint, end: Offset) {
-        self.follower.record_reading(Reading { fingerprint, end, read_at: Instant::now() });
+    /// Returns a reading with its era; an error if it is of an older copy.
+    fn check<T>(
+        &self,
+        call: &'static str,
+        read: Result<DirectoryRead<T>>,
+    ) -> Result<(DirectoryRead<T>, Option<Era>)> {
+        let read = read?;
+        let era = self.eras.record_answer(call, read.era)?;
+        Ok((read, era))
+    }
+
+    fn record_reading(&mut self, fingerprint: Fingerprint, era: Option<Era>, end: Offset) {
+        let reading = Reading { fingerprint, era, end, read_at: Instant::now() };
+        self.follower.record_reading(reading);
         self.own.send_replace(self.follower.reading());
     }
 
     /// Returns once this entry should read.
     async fn wait_until_due(&mut self) {
         loop {
+            if let Some(era) = *self.era.borrow_and_update() {
+                self.follower.record_era(era);
+            }
             let rank = *self.rank.borrow();
             let due = self.follower.due(rank, Instant::now());
             tokio::select! {
                 biased;
                 () = sleep_until(due.into()) => return,
-                // The sender lives as long as the process.
+                // The senders live as long as the process.
+                _ = self.era.changed() => {}
                 _ = self.peers.changed() => {
                     if let Some(reading) = *self.peers.borrow_and_update() {
                         self.follower.record_peer_reading(reading);
@@ -130,10 +153,10 @@
         }
     }
 
-    /// Returns the end of this entry's reading, if it is the leading entry.
-    fn leader_end(&self) -> Option<Offset> {
-        let own = self.follower.reading().filter(|_| *self.rank.borrow() == 0);
-        own.map(|own| own.end)
+    /// Returns this entry's reading, if it leads and may wait for a change after that reading.
+    fn leader_reading(&self) -> Option<Reading> {
+        let may_wait = *self.rank.borrow() == 0 && !self.follower.is_behind();
+        self.follower.reading().filter(|_| may_wait)
     }
 }
 
@@ -148,15 +171,22 @@
     let mut backoff = Backoff::new();
     loop {
         state.wait_until_due().await;
-        if let Some(end) = state.leader_end()
-            && !wait_for_change(&*directory, end, &log).await
-            && let Some(own) = state.follower.reading()
-        {
-            state.record_reading(own.fingerprint, own.end);
-            continue;
+        if let Some(own) = state.leader_reading() {
+            match wait_for_change(&*directory, &mut state, own, &log).await {
+                Change::None => {
+                    state.record_reading(own.fingerprint, own.era, own.end);
+                    continue;
+                }
+                Change::Newer => {}
+                Change::PositionGone => {
+                    warn!(log, "position gone"; "call" => "declarations", "end" => own.end,
+                        "era" => own.era);
+                }
+            }
         }
-        match directory.catalog().await {
-            Ok(read) => {
+        let read = directory.catalog().await;
+        match state.check("declarations", read) {
+            Ok((read, era)) => {
                 backoff.succeeded("declarations", &log);
                 for record_fault in &read.skipped {
                     warn!(log, "record skipped"; "fault" => record_fault);
@@ -165,7 +195,7 @@
                 if let Some(newest) = read.value {
                     apply(newest, &read.transfer, &catalog, &dispatcher, &log);
                 }
-                state.record_reading(fingerprint, read.end);
+                state.record_reading(fingerprint, era, read.end);
                 if fingerprint == 0 {
                     sleep(MIN_RETRY_DELAY).await;
                 }
@@ -183,13 +213,26 @@
     })
 }
 
-/// Waits for a change of the declarations; true if there may be one.
-async fn wait_for_change<D: Directory>(directory: &D, end: Offset, log: &Logger) -> bool {
-    match directory.wait_for_change(end, CHANGE_WAIT).await {
-        Ok(changed) => changed,
+/// Waits for a change of the declarations after a reading. A new era counts as one: in it the
+/// position stands for other records.
+async fn wait_for_change<D: Directory>(
+    directory: &D,
+    state: &mut SharedState,
+    own: Reading,
+    log: &Logger,
+) -> Change {
+    let waited = tokio::select! {
+        waited = directory.wait_for_change(own.end, CHANGE_WAIT) => waited,
+        _ = state.era.changed() => return Change::Newer,
+    };
+    let checked = waited
+        .and_then(|waited| Ok((waited.change, state.eras.record_answer("change", waited.era)?)));
+    match checked {
+        Ok((Change::None, era)) if era != own.era => Change::Newer,
+        Ok((change, _)) => change,
         Err(error) => {
             slog::debug!(log, "wait for changes failed"; "error" => %error);
-            true
+            Change::Newer
         }
     }
 }
@@ -204,8 +247,13 @@
     let old = catalog.borrow().as_ref().map(|catalog| catalog.version);
     // Older declarations never replace newer ones within one incarnation. Moves have no version of
     // their own, so they may change while the version of the declarations stays the same.
+    if let Some(old) = old.filter(|old| *old > newest.version) {
+        slog::debug!(log, "older declarations not applied"; "version" => newest.version,
+            "in_force" => old);
+        return;
+    }
     let same = catalog.borrow().as_ref().is_some_and(|current| current.moves() == newest.moves());
-    if old.is_some_and(|old| old > newest.version || (old == newest.version && same)) {
+    if old == Some(newest.version) && same {
         return;
     }
     info!(log, "declarations in force"; "version" => newest.version, "before" => old,
@@ -248,8 +296,9 @@
     let mut logged: Vec<String> = Vec::new();
     loop {
         state.wait_until_due().await;
-        match directory.upstreams().await {
-            Ok(read) => {
+        let read = directory.upstreams().await;
+        match state.check("upstreams", read) {
+            Ok((read, era)) => {
                 backoff.succeeded("upstreams", &log);
                 dispatcher.send(Message::DirectoryUp(true));
                 for record_fault in
@@ -259,9 +308,10 @@
                 }
                 logged = read.skipped;
                 if count.replace(read.value.len()) != Some(read.value.len()) {
-                    info!(log, "upstreams listed"; "count" => read.value.len(), "end" => read.end);
+                    info!(log, "upstreams listed"; "count" => read.value.len(), "era" => era,
+                        "end" => read.end);
                 }
-                state.record_reading(upstreams_fingerprint(&read.value), read.end);
+                state.record_reading(upstreams_fingerprint(&read.value), era, read.end);
                 dispatcher.send(Message::Upstreams(read.value));
                 known.send_replace(true);
             }
@@ -289,16 +339,23 @@
     address: SocketAddr,
     entries: watch::Sender<Vec<SocketAddr>>,
     dispatcher: DispatcherHandle,
+    eras: Arc<Eras>,
     log: Logger,
 ) {
     let mut backoff = Backoff::new();
+    let announce = async || {
+        let stated = directory.announce(&name, address).await?;
+        eras.record_answer("announce", stated)
+    };
     // Listed before the first reading, so that of two entries that start together at least one
     // reads the address of the other, which learns of it by its reports.
-    while let Err(error) = directory.announce(&name, address).await {
+    while let Err(error) = announce().await {
         backoff.failed("announce", &error, &log).await;
     }
     for reading in 0_u32.. {
-        let read = match directory.entries().await {
+        let read = directory.entries().await;
+        let read = read.and_then(|read| eras.record_answer("entries", read.era).map(|_| read));
+        let read = match read {
             Ok(read) => read,
             Err(error) => {
                 backoff.failed("entries", &error, &log).await;
@@ -316,7 +373,7 @@
             info!(log, "entries listed"; "count" => read.value.len());
         }
         entries.send_replace(read.value);
-        if !listed && let Err(error) = directory.announce(&name, address).await {
+        if !listed && let Err(error) = announce().await {
             backoff.failed("announce", &error, &log).await;
             continue;
         }
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -302,6 +302,9 @@
     end: u64,
     #[prost(uint64, tag = "3")]
     age_ms: u64,
+    /// Absent in reports of earlier builds.
+    #[prost(uint64, optional, tag = "4")]
+    era: Option<u64>,
 }
 
 impl From<AgedReading> for SentReading {
@@ -310,6 +313,7 @@
             fingerprint: reading.fingerprint,
             end: reading.end,
             age_ms: reading.age.as_millis() as u64,
+            era: reading.era,
         }
     }
 }
@@ -318,6 +322,7 @@
     fn from(reading: SentReading) -> Self {
         Self {
             fingerprint: reading.fingerprint,
+            era: reading.era,
             end: reading.end,
             age: Duration::from_millis(reading.age_ms),
         }
--- a/crates/egretgate-gateway/tests/wire.rs
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -12,6 +12,7 @@
 use egretgate_core::gateway::traffic_move::{MoveReport, MoveState};
 use egretgate_core::moves::Counts;
 use egretgate_gateway::{decode, encode};
+use prost::Message;
 
 fn move_report(ended: Option<MoveState>) -> MoveReport {
     let counts = Counts { total: 40, errors: 3, slow_first_token: 2, slow_inter_token: 1 };
@@ -24,7 +25,8 @@
 }
 
 fn full() -> PeerReport {
-    let reading = |fingerprint| AgedReading { fingerprint, end: 9, age: Duration::from_millis(30) };
+    let reading =
+        |fingerprint, era| AgedReading { fingerprint, era, end: 9, age: Duration::from_millis(30) };
     let move_of = |version: &str| (name_hash("writer"), name_hash(version));
     PeerReport {
         name: "entry-1".to_owned(),
@@ -81,8 +83,8 @@
             (move_of("v4"), move_report(Some(MoveState::TakenBack))),
         ]
         .into(),
-        catalog: Some(reading(1)),
-        upstreams: Some(reading(2)),
+        catalog: Some(reading(1, Some(3))),
+        upstreams: Some(reading(2, None)),
     }
 }
 
@@ -101,6 +103,37 @@
     }
 }
 
+/// A reading as builds send and read it that know no eras.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct EarlierReading {
+    #[prost(fixed64, tag = "1")]
+    fingerprint: u64,
+    #[prost(uint64, tag = "2")]
+    end: u64,
+    #[prost(uint64, tag = "3")]
+    age_ms: u64,
+}
+
+/// The readings of a report of such a build.
+#[derive(Clone, PartialEq, Message)]
+struct EarlierReport {
+    #[prost(message, optional, tag = "7")]
+    catalog: Option<EarlierReading>,
+    #[prost(message, optional, tag = "8")]
+    upstreams: Option<EarlierReading>,
+}
+
+#[test]
+fn readings_pass_between_builds_with_and_without_eras() {
+    let reading = |fingerprint| EarlierReading { fingerprint, end: 9, age_ms: 30 };
+    let earlier = EarlierReport { catalog: Some(reading(1)), upstreams: Some(reading(2)) };
+    let received = decode(&earlier.encode_to_vec()).expect("it is a report");
+    let expected = full();
+    assert_eq!(received.catalog, expected.catalog.map(|read| AgedReading { era: None, ..read }));
+    assert_eq!(received.upstreams, expected.upstreams);
+    assert_eq!(EarlierReport::decode(&encode(&expected)[..]), Ok(earlier));
+}
+
 #[test]
 fn invalid_datagrams_are_rejected_or_sanitized() {
     struct Case {
--- a/crates/egretgate-http/src/answer.rs
+++ b/crates/egretgate-http/src/answer.rs
@@ -68,6 +68,10 @@
         }
     }
 
+    pub(crate) fn into_headers(self) -> HeaderMap {
+        self.headers
+    }
+
     /// Returns the whole body; an error if it is cut or over `limit` bytes.
     pub async fn collect(mut self, limit: usize) -> Result<Bytes> {
         let mut whole = BytesMut::new();
--- a/crates/egretgate-http/src/client.rs
+++ b/crates/egretgate-http/src/client.rs
@@ -4,6 +4,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use http::HeaderMap;
+use http::header::HeaderName;
 use http_body_util::Full;
 use hyper_util::client::legacy::Client as Pool;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -100,6 +102,7 @@
         Ok(BufferedAnswer {
             status: answer.status,
             retry_after: answer.retry_after(),
+            headers: answer.into_headers(),
             body: body.freeze(),
             transfer,
         })
@@ -140,6 +143,7 @@
     pub body: Bytes,
     /// How it arrived.
     pub transfer: Transfer,
+    headers: HeaderMap,
 }
 
 /// How much of an answer has arrived, and when.
@@ -159,6 +163,11 @@
         self.status >= 200 && self.status < 300
     }
 
+    /// Returns a header's value, if it is present and text.
+    pub fn header(&self, name: &HeaderName) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+
     /// Decodes the body as JSON. Returns an error unless the status is a success.
     pub fn json<T: DeserializeOwned>(&self) -> Result<T> {
         if !self.is_success() {
--- a/crates/egretgate/tests/operations.rs
+++ b/crates/egretgate/tests/operations.rs
@@ -58,6 +58,12 @@
         std::fs::read_to_string(self.log.path()).unwrap()
     }
 
+    /// Sends the process a signal by its name, such as `STOP`.
+    fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
+    }
+
     /// Returns the output of `egretgate explain` for a request.
     async fn explain(&self, id: &str) -> String {
         self.await_line(&format!("id={id}")).await;
@@ -199,3 +205,34 @@
         assert!(!gateway.log_text().contains("key-1\""), "{failure_cause:?}: a key is in the log");
     }
 }
+
+/// Guards against a frozen entry that wakes after two drills of the store and goes on at offsets of
+/// the first era, or says nothing of it.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_era_that_begins_while_the_entry_is_frozen_is_in_the_log() {
+    let store = Store::start().await;
+    store.declare(1);
+    let upstream = Upstream::start(Behaviour::Whole).await;
+    store.list(0, upstream.address, "ready");
+    let gateway = Gateway::start(&store).await;
+    gateway.await_line("era=1").await;
+    let copy = store.copy();
+    store.declare_other_key(5);
+    gateway.await_line("version=5").await;
+    gateway.signal("STOP");
+    sleep(Duration::from_millis(100)).await;
+    store.roll_back(copy.clone());
+    store.roll_back(copy);
+    // The same offset as that of version 5.
+    store.declare(6);
+    sleep(Duration::from_secs(2)).await;
+    gateway.signal("CONT");
+    gateway.await_line("version=6").await;
+    let log = gateway.log_text();
+    let begins =
+        log.lines().find(|line| line.contains("era of the directory") && line.contains("era=3"));
+    let begins = begins.unwrap_or_else(|| panic!("no era 3 in {log}"));
+    assert!(begins.contains("before=1") && begins.contains("told_by="), "{begins}");
+    let answer = ask(gateway.caller_address, &request("/safe/x", "r1", "")).await;
+    assert_eq!(status(&answer), 200, "{answer}");
+}
