fix(gateway): what the older copy lacks holds for a bounded time

Callers saw, right after the store came back from an older copy, 503 for a service whose upstreams live but were missing from the copy, requests at upstreams that had left or begun to leave and that the copy lists as ready, and requests at the old version of a service whose traffic had been moved away.

Cause: each reading replaced the one before whole. Moves have no version, so a copy without the newest looked like an operator's change. Ruled out: waiting before the first reading of an era, since what the copy does list and what is written meanwhile must be followed.

From the beginning of an era an entry keeps what it knew: upstreams for 2.5 s (servers that live are back within about two), unless listed again, as a newer incarnation, or with their address taken over; a draining one stays draining, and one that left within a minute stays out, for as long. Entries stay listed for as long, and the list is read when an era begins; an entry that is missing from it lists itself again. A move holds until it is listed again, until one that was never in force is, or for the time within which it must end. At the end of a hold the list is read anew and taken as it is. A second era extends the hold once.

`upstreams listed` has `held` and `era`, `declarations in force` has `held_moves`; new line `entry listed again`.

--- a/crates/egretgate-gateway/src/sync.rs
+++ b/crates/egretgate-gateway/src/sync.rs
@@ -8,11 +8,14 @@
 use egretgate_core::gateway::catalog::{Catalog, TokenLimit};
 use egretgate_core::gateway::era::Era;
 use egretgate_core::gateway::follow::{Fingerprint, Follower, PollIntervals, Reading};
+use egretgate_core::gateway::held_entries::HeldEntries;
+use egretgate_core::gateway::held_moves::HeldMoves;
+use egretgate_core::gateway::held_upstreams::HeldUpstreams;
 use egretgate_core::gateway::peer::name_hash;
 use egretgate_core::gateway::upstream::{ListedUpstream, Stage};
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{sleep, sleep_until, timeout};
 
 use crate::directory::{Change, Directory, DirectoryError, DirectoryRead, Result, Transfer};
 use crate::dispatcher::{DispatcherHandle, Message};
@@ -98,6 +101,8 @@
     eras: Arc<Eras>,
     /// The era in force.
     era: watch::Receiver<Option<Era>>,
+    /// Time of a reading that is due whatever other entries read.
+    reread_at: Option<Instant>,
 }
 
 impl SharedState {
@@ -110,7 +115,7 @@
         eras: Arc<Eras>,
     ) -> Self {
         let era = eras.subscribe();
-        Self { follower: Follower::new(intervals), peers, own, rank, eras, era }
+        Self { follower: Follower::new(intervals), peers, own, rank, eras, era, reread_at: None }
     }
 
     /// Returns a reading with its era; an error if it is of an older copy.
@@ -138,6 +143,7 @@
             }
             let rank = *self.rank.borrow();
             let due = self.follower.due(rank, Instant::now());
+            let due = self.reread_at.map_or(due, |reread_at| due.min(reread_at));
             tokio::select! {
                 biased;
                 () = sleep_until(due.into()) => return,
@@ -153,10 +159,16 @@
         }
     }
 
+    /// Sets the end of a hold, at which the state is read again.
+    fn reread_at(&mut self, until: Option<Instant>) {
+        self.reread_at = until.filter(|until| *until > Instant::now());
+    }
+
     /// Returns this entry's reading, if it leads and may wait for a change after that reading.
     fn leader_reading(&self) -> Option<Reading> {
-        let may_wait = *self.rank.borrow() == 0 && !self.follower.is_behind();
-        self.follower.reading().filter(|_| may_wait)
+        let must_read = self.follower.is_behind()
+            || self.reread_at.is_some_and(|reread_at| reread_at <= Instant::now());
+        self.follower.reading().filter(|_| *self.rank.borrow() == 0 && !must_read)
     }
 }
 
@@ -169,6 +181,8 @@
     log: Logger,
 ) {
     let mut backoff = Backoff::new();
+    let mut held = HeldMoves::default();
+    let mut last_era = None;
     loop {
         state.wait_until_due().await;
         if let Some(own) = state.leader_reading() {
@@ -188,14 +202,18 @@
         match state.check("declarations", read) {
             Ok((read, era)) => {
                 backoff.succeeded("declarations", &log);
+                if std::mem::replace(&mut last_era, era) != era {
+                    held.begin_era(Instant::now());
+                }
                 for record_fault in &read.skipped {
                     warn!(log, "record skipped"; "fault" => record_fault);
                 }
                 let fingerprint = read.value.as_ref().map_or(0, catalog_fingerprint);
                 if let Some(newest) = read.value {
-                    apply(newest, &read.transfer, &catalog, &dispatcher, &log);
+                    apply(newest, &mut held, &read.transfer, &catalog, &dispatcher, &log);
                 }
                 state.record_reading(fingerprint, era, read.end);
+                state.reread_at(held.until());
                 if fingerprint == 0 {
                     sleep(MIN_RETRY_DELAY).await;
                 }
@@ -239,6 +257,7 @@
 
 fn apply(
     newest: Catalog,
+    held: &mut HeldMoves,
     transfer: &Transfer,
     catalog: &watch::Sender<Option<Arc<Catalog>>>,
     dispatcher: &DispatcherHandle,
@@ -252,12 +271,15 @@
             "in_force" => old);
         return;
     }
+    let moves = held.apply(newest.moves().to_vec(), Instant::now());
+    let newest = newest.with_moves(moves);
     let same = catalog.borrow().as_ref().is_some_and(|current| current.moves() == newest.moves());
     if old == Some(newest.version) && same {
         return;
     }
     info!(log, "declarations in force"; "version" => newest.version, "before" => old,
         "routes" => newest.routes().len(), "teams" => newest.teams().len(),
+        "held_moves" => held.unconfirmed_count(),
         "read_bytes" => transfer.bytes, "waited_ms" => transfer.waited.as_millis() as u64,
         "read_ms" => transfer.took.as_millis() as u64);
     metrics::gauge!("egretgate_catalog_version").set(newest.version as f64);
@@ -293,6 +315,8 @@
 ) {
     let mut backoff = Backoff::new();
     let mut count = None;
+    let mut held = HeldUpstreams::default();
+    let mut last_era = None;
     let mut logged: Vec<String> = Vec::new();
     loop {
         state.wait_until_due().await;
@@ -307,12 +331,19 @@
                     warn!(log, "record skipped"; "fault" => record_fault);
                 }
                 logged = read.skipped;
-                if count.replace(read.value.len()) != Some(read.value.len()) {
-                    info!(log, "upstreams listed"; "count" => read.value.len(), "era" => era,
-                        "end" => read.end);
+                let now = Instant::now();
+                if std::mem::replace(&mut last_era, era) != era {
+                    held.begin_era(now);
                 }
                 state.record_reading(upstreams_fingerprint(&read.value), era, read.end);
-                dispatcher.send(Message::Upstreams(read.value));
+                let listed = held.apply(read.value, now);
+                let counts = (listed.len(), held.unconfirmed_count());
+                if count.replace(counts) != Some(counts) {
+                    info!(log, "upstreams listed"; "count" => counts.0, "held" => counts.1,
+                        "era" => era, "end" => read.end);
+                }
+                state.reread_at(held.until());
+                dispatcher.send(Message::Upstreams(listed));
                 known.send_replace(true);
             }
             Err(error) => {
@@ -343,6 +374,9 @@
     log: Logger,
 ) {
     let mut backoff = Backoff::new();
+    let mut held = HeldEntries::default();
+    let mut last_era = None;
+    let mut current_era = eras.subscribe();
     let announce = async || {
         let stated = directory.announce(&name, address).await?;
         eras.record_answer("announce", stated)
@@ -354,8 +388,8 @@
     }
     for reading in 0_u32.. {
         let read = directory.entries().await;
-        let read = read.and_then(|read| eras.record_answer("entries", read.era).map(|_| read));
-        let read = match read {
+        let read = read.and_then(|read| Ok((eras.record_answer("entries", read.era)?, read)));
+        let (era, read) = match read {
             Ok(read) => read,
             Err(error) => {
                 backoff.failed("entries", &error, &log).await;
@@ -366,19 +400,31 @@
         for record_fault in &read.skipped {
             warn!(log, "record skipped"; "fault" => record_fault);
         }
-        let listed = read.value.contains(&address);
-        let peers = read.value.iter().filter(|entry| **entry != address).count();
+        let now = Instant::now();
+        if std::mem::replace(&mut last_era, era) != era {
+            held.begin_era(now);
+        }
+        let is_listed = read.value.contains(&address);
+        let listed = held.apply(read.value, now);
+        let peers = listed.iter().filter(|entry| **entry != address).count();
         dispatcher.send(Message::PeerCount(peers));
-        if *entries.borrow() != read.value {
-            info!(log, "entries listed"; "count" => read.value.len());
+        if *entries.borrow() != listed {
+            info!(log, "entries listed"; "count" => listed.len());
         }
-        entries.send_replace(read.value);
-        if !listed && let Err(error) = announce().await {
-            backoff.failed("announce", &error, &log).await;
-            continue;
+        entries.send_replace(listed);
+        if !is_listed {
+            if let Err(error) = announce().await {
+                backoff.failed("announce", &error, &log).await;
+                continue;
+            }
+            info!(log, "entry listed again"; "era" => era);
         }
         let interval = ENTRIES_INTERVAL.max(ENTRIES_INTERVAL_PER_PEER * peers as u32);
         // All entries of a new fleet start within a second, so the list grows at first.
-        sleep((STARTING_INTERVAL * 2_u32.saturating_pow(reading.min(16))).min(interval)).await;
+        let interval = (STARTING_INTERVAL * 2_u32.saturating_pow(reading.min(16))).min(interval);
+        let hold_left = held.until().map(|until| until.saturating_duration_since(Instant::now()));
+        let interval = hold_left.map_or(interval, |left| left.min(interval));
+        // Ends early when another era begins, in which this entry may not be listed.
+        let _ = timeout(interval, current_era.wait_for(|current| *current != era)).await;
     }
 }
