fix(gateway): states of moves that the store has lost are written again

Operators saw a move without a state, or under way for ever, after the store came back from a copy that is older than the state's record.

Cause: a state was recorded once, when it changed, and never compared with the store again. Ruled out: the reports among entries. Each entry still knows the end; only the record is missing.

The leading entry compares the states that it holds with the store's once an era and writes again what is missing or older, by the same append on condition as before. An end that was read in the store is not overwritten, and a different one is logged. An append that loses to another entry's, or whose answer is of another era, makes it compare again.

--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -125,6 +125,11 @@
         self.moves.set_state(spec, state);
     }
 
+    /// Returns the moves with the states that the directory should hold, if this entry leads.
+    pub fn recorded_moves(&self, now: Instant) -> Vec<MoveStatus> {
+        if self.is_leader(now) { self.moves.recorded() } else { Vec::new() }
+    }
+
     /// Judges the moves that have not ended and returns the states to record.
     pub fn judge_moves(&mut self, now: Instant) -> Vec<MoveStatus> {
         self.refresh(now);
--- a/crates/egretgate-core/src/gateway/traffic_move.rs
+++ b/crates/egretgate-core/src/gateway/traffic_move.rs
@@ -192,6 +192,15 @@
         unknown.map(|tracker| tracker.spec.clone()).collect()
     }
 
+    /// Returns the moves with their states that the directory should hold.
+    pub fn recorded(&self) -> Vec<MoveStatus> {
+        let is_recorded = |state: MoveState| state == MoveState::Running || state.is_end();
+        let recorded = self.moves.values().filter(|tracker| is_recorded(tracker.state));
+        recorded
+            .map(|tracker| MoveStatus { spec: tracker.spec.clone(), state: tracker.state })
+            .collect()
+    }
+
     /// Returns the version that a request should go to, and whether it must.
     ///
     /// `allow_canary` is false if the request must not go to an unproven version.
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -317,8 +317,9 @@
             Message::JudgeMoves(result_sender) => {
                 let unknown = self.scheduler.unknown_moves();
                 let changes = self.scheduler.judge_moves(now);
+                let recorded = self.scheduler.recorded_moves(now);
                 // The requesting task may have ended.
-                let _ = result_sender.send(PendingMoves { unknown, changes });
+                let _ = result_sender.send(PendingMoves { unknown, changes, recorded });
             }
             Message::RecordMove(status) => self.scheduler.record_move(&status.spec, status.state),
             Message::Report(result_sender) => {
--- a/crates/egretgate-gateway/src/eras.rs
+++ b/crates/egretgate-gateway/src/eras.rs
@@ -33,6 +33,11 @@
         Self { state: Mutex::default(), current: watch::Sender::new(None), log }
     }
 
+    /// Returns the era in force.
+    pub(crate) fn era(&self) -> Option<Era> {
+        *self.current.borrow()
+    }
+
     /// Returns a receiver of the era in force.
     pub(crate) fn subscribe(&self) -> watch::Receiver<Option<Era>> {
         self.current.subscribe()
--- a/crates/egretgate-gateway/src/moves.rs
+++ b/crates/egretgate-gateway/src/moves.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use egretgate_core::gateway::catalog::{Catalog, MoveSpec};
+use egretgate_core::gateway::era::Era;
 use egretgate_core::gateway::traffic_move::{MoveState, MoveStatus};
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
@@ -24,6 +25,8 @@
     pub(crate) unknown: Vec<MoveSpec>,
     /// States to record.
     pub(crate) changes: Vec<MoveStatus>,
+    /// States that the directory should hold, if this entry leads.
+    pub(crate) recorded: Vec<MoveStatus>,
 }
 
 /// Has moves judged while there are any, until the process ends.
@@ -34,6 +37,8 @@
     eras: Arc<Eras>,
     log: Logger,
 ) {
+    // Era in which the recorded states were last compared with the directory's.
+    let mut compared = None;
     loop {
         let has_moves = |catalog: &Option<Arc<Catalog>>| {
             catalog.as_ref().is_some_and(|catalog| !catalog.moves().is_empty())
@@ -42,25 +47,26 @@
             return;
         }
         let Some(pending) = dispatcher.judge_moves().await else { return };
-        let is_idle = pending.unknown.is_empty() && pending.changes.is_empty();
-        if !is_idle
-            && let Err(error) =
-                record_changes(&*directory, &pending, &dispatcher, &eras, &log).await
-        {
-            warn!(log, "move not recorded"; "error" => %error);
+        let may_be_lost = !pending.recorded.is_empty() && compared != eras.era();
+        if !pending.unknown.is_empty() || !pending.changes.is_empty() || may_be_lost {
+            match record_changes(&*directory, &pending, &dispatcher, &eras, &log).await {
+                Ok(era) => compared = era,
+                Err(error) => warn!(log, "move not recorded"; "error" => %error),
+            }
         }
         sleep(EVALUATION_INTERVAL).await;
     }
 }
 
-/// Reads the recorded states of moves and records the pending ones. A recorded end doesn't change.
+/// Reads the recorded states of moves and records the pending ones, and those that the directory
+/// has lost; returns the era for which they are recorded. A recorded end doesn't change.
 async fn record_changes<D: Directory>(
     directory: &D,
     pending: &PendingMoves,
     dispatcher: &DispatcherHandle,
     eras: &Eras,
     log: &Logger,
-) -> Result<()> {
+) -> Result<Option<Era>> {
     let read = directory.moves().await?;
     let era = eras.record_answer("moves", read.era)?;
     for record_fault in &read.skipped {
@@ -74,9 +80,18 @@
         dispatcher.record_move(MoveStatus { spec: spec.clone(), state });
     }
     let mut end = read.end;
-    for status in &pending.changes {
+    let is_changing = |spec: &MoveSpec| pending.changes.iter().any(|status| status.spec == *spec);
+    let lost = pending.recorded.iter().filter(|status| {
+        !is_changing(&status.spec)
+            && recorded(&status.spec).is_none_or(|found| found.state != status.state)
+    });
+    for status in pending.changes.iter().chain(lost) {
         let spec = &status.spec;
         if let Some(earlier) = recorded(spec).filter(|earlier| earlier.state.is_end()) {
+            if earlier.state != status.state {
+                warn!(log, "move has another recorded end"; "service" => &spec.service,
+                    "target" => &spec.target, "state" => ?earlier.state, "own" => ?status.state);
+            }
             dispatcher.record_move(MoveStatus { spec: spec.clone(), state: earlier.state });
             continue;
         }
@@ -88,12 +103,12 @@
         let Some(after) = appended.end else {
             info!(log, "move recorded by another entry"; "service" => &spec.service,
                 "target" => &spec.target, "state" => ?status.state);
-            return Ok(());
+            return Ok(None);
         };
         end = after;
         info!(log, "move recorded"; "service" => &spec.service, "target" => &spec.target,
             "state" => ?status.state, "at" => end);
         dispatcher.record_move(status.clone());
     }
-    Ok(())
+    Ok(era)
 }
