fix(gateway): positions that are gone cost a bounded number of calls

Seen at the store: an entry whose every long poll was answered 410 read the declarations without a pause, 2,520 calls in 3 s against the stand-in.

Cause: 410 counted as a change, the reading that followed gave the same position, and the leading entry waits for nothing else. Ruled out: treating 410 as a failure at once, which would delay the first reading of an era.

From the second 410 in a row on, the entry waits 200 ms, then longer, 600 ms at most, before it reads. Changes are still in force within 2 s.

--- a/crates/egretgate-gateway/src/sync.rs
+++ b/crates/egretgate-gateway/src/sync.rs
@@ -183,18 +183,27 @@
     let mut backoff = Backoff::new();
     let mut held = HeldMoves::default();
     let mut last_era = None;
+    // Waits in a row that found their position gone.
+    let mut gone: u32 = 0;
     loop {
         state.wait_until_due().await;
         if let Some(own) = state.leader_reading() {
             match wait_for_change(&*directory, &mut state, own, &log).await {
                 Change::None => {
+                    gone = 0;
                     state.record_reading(own.fingerprint, own.era, own.end);
                     continue;
                 }
-                Change::Newer => {}
+                Change::Newer => gone = 0,
                 Change::PositionGone => {
                     warn!(log, "position gone"; "call" => "declarations", "end" => own.end,
-                        "era" => own.era);
+                        "era" => own.era, "times_before" => gone);
+                    // The next reading should give a position that the directory has.
+                    if gone > 0 {
+                        let delay = MIN_RETRY_DELAY * 2_u32.saturating_pow(gone.min(8));
+                        sleep(delay.min(MAX_RETRY_DELAY)).await;
+                    }
+                    gone = gone.saturating_add(1);
                 }
             }
         }
