--- a/crates/egretgate-gateway/src/sync.rs
+++ b/crates/egretgate-gateway/src/sync.rs
@@ -6,15 +6,20 @@
 
 use egretgate_core::Offset;
 use egretgate_core::gateway::catalog::{Catalog, TokenLimit};
+use egretgate_core::gateway::era::Era;
 use egretgate_core::gateway::follow::{Fingerprint, Follower, PollIntervals, Reading};
+use egretgate_core::gateway::held_entries::HeldEntries;
+use egretgate_core::gateway::held_moves::HeldMoves;
+use egretgate_core::gateway::held_upstreams::HeldUpstreams;
 use egretgate_core::gateway::peer::name_hash;
 use egretgate_core::gateway::upstream::{ListedUpstream, Stage};
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
-use tokio::time::{sleep, sleep_until};
+use tokio::time::{sleep, sleep_until, timeout};
 
-use crate::directory::{Directory, DirectoryError, Transfer};
+use crate::directory::{Change, Directory, DirectoryError, DirectoryRead, Result, Transfer};
 use crate::dispatcher::{DispatcherHandle, Message};
+use crate::eras::Eras;
 
 /// How often upstreams are read: a draining one may get requests for two seconds at most.
 pub(crate) const UPSTREAMS_INTERVALS: PollIntervals = PollIntervals {
@@ -93,33 +98,57 @@
     own: watch::Sender<Option<Reading>>,
     /// Rank of this entry.
     rank: watch::Receiver<usize>,
+    eras: Arc<Eras>,
+    /// The era in force.
+    era: watch::Receiver<Option<Era>>,
+    /// Time of a reading that is due whatever other entries read.
+    reread_at: Option<Instant>,
 }
 
 impl SharedState {
     /// Returns the state before the first reading.
-    pub(crate) const fn new(
+    pub(crate) fn new(
         intervals: PollIntervals,
         peers: watch::Receiver<Option<Reading>>,
         own: watch::Sender<Option<Reading>>,
         rank: watch::Receiver<usize>,
+        eras: Arc<Eras>,
     ) -> Self {
-        Self { follower: Follower::new(intervals), peers, own, rank }
+        let era = eras.subscribe();
+        Self { follower: Follower::new(intervals), peers, own, rank, eras, era, reread_at: None }
     }
 
-    fn record_reading(&mut self, fingerprint: Fingerprint, end: Offset) {
-        self.follower.record_reading(Reading { fingerprint, end, read_at: Instant::now() });
+    /// Returns a reading with its era; an error if it is of an older copy.
+    fn check<T>(
+        &self,
+        call: &'static str,
+        read: Result<DirectoryRead<T>>,
+    ) -> Result<(DirectoryRead<T>, Option<Era>)> {
+        let read = read?;
+        let era = self.eras.record_answer(call, read.era)?;
+        Ok((read, era))
+    }
+
+    fn record_reading(&mut self, fingerprint: Fingerprint, era: Option<Era>, end: Offset) {
+        let reading = Reading { fingerprint, era, end, read_at: Instant::now() };
+        self.follower.record_reading(reading);
         self.own.send_replace(self.follower.reading());
     }
 
     /// Returns once this entry should read.
     async fn wait_until_due(&mut self) {
         loop {
+            if let Some(era) = *self.era.borrow_and_update() {
+                self.follower.record_era(era);
+            }
             let rank = *self.rank.borrow();
             let due = self.follower.due(rank, Instant::now());
+            let due = self.reread_at.map_or(due, |reread_at| due.min(reread_at));
             tokio::select! {
                 biased;
                 () = sleep_until(due.into()) => return,
-                // The sender lives as long as the process.
+                // The senders live as long as the process.
+                _ = self.era.changed() => {}
                 _ = self.peers.changed() => {
                     if let Some(reading) = *self.peers.borrow_and_update() {
                         self.follower.record_peer_reading(reading);
@@ -130,10 +159,16 @@
         }
     }
 
-    /// Returns the end of this entry's reading, if it is the leading entry.
-    fn leader_end(&self) -> Option<Offset> {
-        let own = self.follower.reading().filter(|_| *self.rank.borrow() == 0);
-        own.map(|own| own.end)
+    /// Sets the end of a hold, at which the state is read again.
+    fn reread_at(&mut self, until: Option<Instant>) {
+        self.reread_at = until.filter(|until| *until > Instant::now());
+    }
+
+    /// Returns this entry's reading, if it leads and may wait for a change after that reading.
+    fn leader_reading(&self) -> Option<Reading> {
+        let must_read = self.follower.is_behind()
+            || self.reread_at.is_some_and(|reread_at| reread_at <= Instant::now());
+        self.follower.reading().filter(|_| *self.rank.borrow() == 0 && !must_read)
     }
 }
 
@@ -146,26 +181,48 @@
     log: Logger,
 ) {
     let mut backoff = Backoff::new();
+    let mut held = HeldMoves::default();
+    let mut last_era = None;
+    // Waits in a row that found their position gone.
+    let mut gone: u32 = 0;
     loop {
         state.wait_until_due().await;
-        if let Some(end) = state.leader_end()
-            && !wait_for_change(&*directory, end, &log).await
-            && let Some(own) = state.follower.reading()
-        {
-            state.record_reading(own.fingerprint, own.end);
-            continue;
+        if let Some(own) = state.leader_reading() {
+            match wait_for_change(&*directory, &mut state, own, &log).await {
+                Change::None => {
+                    gone = 0;
+                    state.record_reading(own.fingerprint, own.era, own.end);
+                    continue;
+                }
+                Change::Newer => gone = 0,
+                Change::PositionGone => {
+                    warn!(log, "position gone"; "call" => "declarations", "end" => own.end,
+                        "era" => own.era, "times_before" => gone);
+                    // The next reading should give a position that the directory has.
+                    if gone > 0 {
+                        let delay = MIN_RETRY_DELAY * 2_u32.saturating_pow(gone.min(8));
+                        sleep(delay.min(MAX_RETRY_DELAY)).await;
+                    }
+                    gone = gone.saturating_add(1);
+                }
+            }
         }
-        match directory.catalog().await {
-            Ok(read) => {
+        let read = directory.catalog().await;
+        match state.check("declarations", read) {
+            Ok((read, era)) => {
                 backoff.succeeded("declarations", &log);
+                if std::mem::replace(&mut last_era, era) != era {
+                    held.begin_era(Instant::now());
+                }
                 for record_fault in &read.skipped {
                     warn!(log, "record skipped"; "fault" => record_fault);
                 }
                 let fingerprint = read.value.as_ref().map_or(0, catalog_fingerprint);
                 if let Some(newest) = read.value {
-                    apply(newest, &read.transfer, &catalog, &dispatcher, &log);
+                    apply(newest, &mut held, &read.transfer, &catalog, &dispatcher, &log);
                 }
-                state.record_reading(fingerprint, read.end);
+                state.record_reading(fingerprint, era, read.end);
+                state.reread_at(held.until());
                 if fingerprint == 0 {
                     sleep(MIN_RETRY_DELAY).await;
                 }
@@ -183,19 +240,33 @@
     })
 }
 
-/// Waits for a change of the declarations; true if there may be one.
-async fn wait_for_change<D: Directory>(directory: &D, end: Offset, log: &Logger) -> bool {
-    match directory.wait_for_change(end, CHANGE_WAIT).await {
-        Ok(changed) => changed,
+/// Waits for a change of the declarations after a reading. A new era counts as one: in it the
+/// position stands for other records.
+async fn wait_for_change<D: Directory>(
+    directory: &D,
+    state: &mut SharedState,
+    own: Reading,
+    log: &Logger,
+) -> Change {
+    let waited = tokio::select! {
+        waited = directory.wait_for_change(own.end, CHANGE_WAIT) => waited,
+        _ = state.era.changed() => return Change::Newer,
+    };
+    let checked = waited
+        .and_then(|waited| Ok((waited.change, state.eras.record_answer("change", waited.era)?)));
+    match checked {
+        Ok((Change::None, era)) if era != own.era => Change::Newer,
+        Ok((change, _)) => change,
         Err(error) => {
             slog::debug!(log, "wait for changes failed"; "error" => %error);
-            true
+            Change::Newer
         }
     }
 }
 
 fn apply(
     newest: Catalog,
+    held: &mut HeldMoves,
     transfer: &Transfer,
     catalog: &watch::Sender<Option<Arc<Catalog>>>,
     dispatcher: &DispatcherHandle,
@@ -204,12 +275,20 @@
     let old = catalog.borrow().as_ref().map(|catalog| catalog.version);
     // Older declarations never replace newer ones within one incarnation. Moves have no version of
     // their own, so they may change while the version of the declarations stays the same.
+    if let Some(old) = old.filter(|old| *old > newest.version) {
+        slog::debug!(log, "older declarations not applied"; "version" => newest.version,
+            "in_force" => old);
+        return;
+    }
+    let moves = held.apply(newest.moves().to_vec(), Instant::now());
+    let newest = newest.with_moves(moves);
     let same = catalog.borrow().as_ref().is_some_and(|current| current.moves() == newest.moves());
-    if old.is_some_and(|old| old > newest.version || (old == newest.version && same)) {
+    if old == Some(newest.version) && same {
         return;
     }
     info!(log, "declarations in force"; "version" => newest.version, "before" => old,
         "routes" => newest.routes().len(), "teams" => newest.teams().len(),
+        "held_moves" => held.unconfirmed_count(),
         "read_bytes" => transfer.bytes, "waited_ms" => transfer.waited.as_millis() as u64,
         "read_ms" => transfer.took.as_millis() as u64);
     metrics::gauge!("egretgate_catalog_version").set(newest.version as f64);
@@ -245,11 +324,14 @@
 ) {
     let mut backoff = Backoff::new();
     let mut count = None;
+    let mut held = HeldUpstreams::default();
+    let mut last_era = None;
     let mut logged: Vec<String> = Vec::new();
     loop {
         state.wait_until_due().await;
-        match directory.upstreams().await {
-            Ok(read) => {
+        let read = directory.upstreams().await;
+        match state.check("upstreams", read) {
+            Ok((read, era)) => {
                 backoff.succeeded("upstreams", &log);
                 dispatcher.send(Message::DirectoryUp(true));
                 for record_fault in
@@ -258,11 +340,19 @@
                     warn!(log, "record skipped"; "fault" => record_fault);
                 }
                 logged = read.skipped;
-                if count.replace(read.value.len()) != Some(read.value.len()) {
-                    info!(log, "upstreams listed"; "count" => read.value.len(), "end" => read.end);
+                let now = Instant::now();
+                if std::mem::replace(&mut last_era, era) != era {
+                    held.begin_era(now);
+                }
+                state.record_reading(upstreams_fingerprint(&read.value), era, read.end);
+                let listed = held.apply(read.value, now);
+                let counts = (listed.len(), held.unconfirmed_count());
+                if count.replace(counts) != Some(counts) {
+                    info!(log, "upstreams listed"; "count" => counts.0, "held" => counts.1,
+                        "era" => era, "end" => read.end);
                 }
-                state.record_reading(upstreams_fingerprint(&read.value), read.end);
-                dispatcher.send(Message::Upstreams(read.value));
+                state.reread_at(held.until());
+                dispatcher.send(Message::Upstreams(listed));
                 known.send_replace(true);
             }
             Err(error) => {
@@ -289,16 +379,26 @@
     address: SocketAddr,
     entries: watch::Sender<Vec<SocketAddr>>,
     dispatcher: DispatcherHandle,
+    eras: Arc<Eras>,
     log: Logger,
 ) {
     let mut backoff = Backoff::new();
+    let mut held = HeldEntries::default();
+    let mut last_era = None;
+    let mut current_era = eras.subscribe();
+    let announce = async || {
+        let stated = directory.announce(&name, address).await?;
+        eras.record_answer("announce", stated)
+    };
     // Listed before the first reading, so that of two entries that start together at least one
     // reads the address of the other, which learns of it by its reports.
-    while let Err(error) = directory.announce(&name, address).await {
+    while let Err(error) = announce().await {
         backoff.failed("announce", &error, &log).await;
     }
     for reading in 0_u32.. {
-        let read = match directory.entries().await {
+        let read = directory.entries().await;
+        let read = read.and_then(|read| Ok((eras.record_answer("entries", read.era)?, read)));
+        let (era, read) = match read {
             Ok(read) => read,
             Err(error) => {
                 backoff.failed("entries", &error, &log).await;
@@ -309,19 +409,31 @@
         for record_fault in &read.skipped {
             warn!(log, "record skipped"; "fault" => record_fault);
         }
-        let listed = read.value.contains(&address);
-        let peers = read.value.iter().filter(|entry| **entry != address).count();
+        let now = Instant::now();
+        if std::mem::replace(&mut last_era, era) != era {
+            held.begin_era(now);
+        }
+        let is_listed = read.value.contains(&address);
+        let listed = held.apply(read.value, now);
+        let peers = listed.iter().filter(|entry| **entry != address).count();
         dispatcher.send(Message::PeerCount(peers));
-        if *entries.borrow() != read.value {
-            info!(log, "entries listed"; "count" => read.value.len());
+        if *entries.borrow() != listed {
+            info!(log, "entries listed"; "count" => listed.len());
         }
-        entries.send_replace(read.value);
-        if !listed && let Err(error) = directory.announce(&name, address).await {
-            backoff.failed("announce", &error, &log).await;
-            continue;
+        entries.send_replace(listed);
+        if !is_listed {
+            if let Err(error) = announce().await {
+                backoff.failed("announce", &error, &log).await;
+                continue;
+            }
+            info!(log, "entry listed again"; "era" => era);
         }
         let interval = ENTRIES_INTERVAL.max(ENTRIES_INTERVAL_PER_PEER * peers as u32);
         // All entries of a new fleet start within a second, so the list grows at first.
-        sleep((STARTING_INTERVAL * 2_u32.saturating_pow(reading.min(16))).min(interval)).await;
+        let interval = (STARTING_INTERVAL * 2_u32.saturating_pow(reading.min(16))).min(interval);
+        let hold_left = held.until().map(|until| until.saturating_duration_since(Instant::now()));
+        let interval = hold_left.map_or(interval, |left| left.min(interval));
+        // Ends early when another era begins, in which this entry may not be listed.
+        let _ = timeout(interval, current_era.wait_for(|current| *current != era)).await;
     }
 }
