fix(side): an innocent request is not named in the report of a death

A report named every request that was in flight when the first answer was cut, however it ended before the probe showed the death. One whose connection was refused is offered to another engine at once, and one whose whole answer was still in the socket is sent again by its caller; either then meets the second death. It could also end that way after the report and reach another engine before the entries knew that it is a suspect.

A request that cut its stream was ruled out: its end already waits until all entries know of the death, and a suspect starts 100 ms later and alone.

Requests that were answered in whole or proven not sent before the probe ends are no longer named. What ends while the news of a death is pending waits for it, however it ends. Cut, failed and cancelled requests are named as before, so a culprit is still quarantined at its second death.

Engines and entries are played by the tests, which force the order.

--- a/crates/egretgate/tests/processes.rs
+++ b/crates/egretgate/tests/processes.rs
@@ -13,6 +13,8 @@
 mod cuts;
 #[path = "processes/death_news.rs"]
 mod death_news;
+#[path = "processes/death_reports.rs"]
+mod death_reports;
 #[path = "processes/horizon.rs"]
 mod horizon;
 #[path = "processes/leaving.rs"]
@@ -21,6 +23,8 @@
 mod moving;
 #[path = "processes/once.rs"]
 mod once;
+#[path = "processes/played_entry.rs"]
+mod played_entry;
 #[path = "processes/poison.rs"]
 mod poison;
 #[path = "processes/stopping.rs"]
--- a/crates/egretside/src/dispatcher/lifecycle.rs
+++ b/crates/egretside/src/dispatcher/lifecycle.rs
@@ -116,7 +116,7 @@
     }
 
     /// Records the end of a run. Returns the engine if a probe that is under way will show whether
-    /// it died.
+    /// it died, or if some entry may not know yet that it did.
     pub(crate) fn handle_ended(&mut self, summary: &RunSummary) -> Option<EngineKey> {
         let running = self.running.remove(&summary.ticket)?;
         self.delivering.insert(summary.ticket, running.control.clone());
@@ -151,16 +151,16 @@
         }
         self.log_end(&running, summary);
         let cut = matches!(summary.finish, Finish::Cut);
-        let needs_probe = self.engines.record_end(running.engine, summary.ticket, cut);
+        let needs_probe = self.engines.record_end(running.engine, summary.ticket, summary.finish);
         let unreachable =
             summary.finish == Finish::NotSent && self.engines.mark_unreachable(running.engine);
         if needs_probe || unreachable {
             self.probe(running.engine, Duration::ZERO);
         }
-        let may_have_died = cut
-            && (self.engines.is_probing(running.engine)
-                || self.death_news.is_pending(&running.engine));
-        may_have_died.then_some(running.engine)
+        // A report that is under way may name this request, however it ended.
+        let must_wait = cut && self.engines.is_probing(running.engine)
+            || self.death_news.is_pending(&running.engine);
+        must_wait.then_some(running.engine)
     }
 
     fn log_end(&self, running: &Running, summary: &RunSummary) {
--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 
 use crate::replica::Targets;
+use crate::run::Finish;
 use crate::target_client::TargetClient;
 
 /// Interval between two probes of an engine that doesn't answer.
@@ -42,6 +43,9 @@
     crash_candidates: Vec<InFlight>,
     /// Requests whose answers were cut since then.
     cut_requests: Vec<InFlight>,
+    /// Requests that were answered in whole or proven not sent since then, so that they are no
+    /// cause of a crash.
+    harmless_requests: Vec<InFlight>,
 }
 
 /// A request in flight on an engine.
@@ -88,6 +92,7 @@
                 running: Vec::new(),
                 crash_candidates: Vec::new(),
                 cut_requests: Vec::new(),
+                harmless_requests: Vec::new(),
             });
         }
         Self { engines }
@@ -170,7 +175,7 @@
     }
 
     /// Records the end of a request. Returns true if a probe must show whether the engine died.
-    pub(crate) fn record_end(&mut self, key: EngineKey, ticket: Ticket, cut: bool) -> bool {
+    pub(crate) fn record_end(&mut self, key: EngineKey, ticket: Ticket, finish: Finish) -> bool {
         let engine = &mut self.engines[key];
         let candidates = engine.running.clone();
         let ended = engine.running.iter().position(|request| request.ticket == ticket);
@@ -178,8 +183,17 @@
         if engine.exclusive == Some(ticket) {
             engine.exclusive = None;
         }
-        let Some(request) = ended.filter(|_| cut) else { return false };
-        engine.cut_requests.push(request);
+        let Some(request) = ended else { return false };
+        match finish {
+            Finish::Cut => engine.cut_requests.push(request),
+            Finish::Whole | Finish::NotSent => {
+                if engine.health == Health::Probing {
+                    engine.harmless_requests.push(request);
+                }
+                return false;
+            }
+            Finish::Failed | Finish::Cancelled => return false,
+        }
         if engine.health != Health::Up {
             return false;
         }
@@ -222,6 +236,7 @@
         }
         let candidates = std::mem::take(&mut engine.crash_candidates);
         let cut = std::mem::take(&mut engine.cut_requests);
+        let harmless = std::mem::take(&mut engine.harmless_requests);
         // A quickly restarted engine answers the probe, but every request that it ran was cut.
         let all_cut =
             candidates.len() > 1 && candidates.iter().all(|request| cut.contains(request));
@@ -231,8 +246,8 @@
         if alive {
             engine.limit.restart(now);
         }
-        let mut digests: Vec<Digest> =
-            candidates.iter().chain(&cut).map(|request| request.digest).collect();
+        let suspects = candidates.iter().filter(|request| !harmless.contains(request));
+        let mut digests: Vec<Digest> = suspects.chain(&cut).map(|request| request.digest).collect();
         digests.sort_unstable();
         digests.dedup();
         ProbeOutcome::Died { digests, recovered: alive }
