fix(entry): a refused request that became a suspect runs alone

Callers saw a harmless request quarantined, and a poisonous one could kill a third engine: the entry decided once, when a request arrived, whether it is a suspect. A request that a side process refused after its engine had died was offered elsewhere as if nothing had happened, beside whatever ran there.

The entry now looks again before each offer. A request that became a suspect meanwhile is counted anew, after every side process was asked for copies, and is offered to run alone; one that became quarantined is refused as not run.

Evidence: refused_suspect plays two side processes; one reports a death with the request, awaits the acknowledgement and refuses it. Before, the other got it as an ordinary request; now it gets it to run alone, or not at all while a copy is in flight.

--- a/crates/egretgate/src/entry/request.rs
+++ b/crates/egretgate/src/entry/request.rs
@@ -68,6 +68,8 @@
     /// True while `recorded_body` holds the whole answer so far: it is still within
     /// [`MAX_RECORDED_BYTES`].
     body_complete: bool,
+    /// True while the fleet counts the request among those in flight.
+    is_counted: bool,
 }
 
 impl RequestTask {
@@ -85,6 +87,7 @@
             key: None,
             recorded_body: Vec::new(),
             body_complete: true,
+            is_counted: false,
         }
     }
 
@@ -146,10 +149,7 @@
     ) -> Result<()> {
         let digest = self.digest(resolved);
         let exclusive = match view.quarantine_state(digest) {
-            QuarantineState::Quarantined => {
-                let detail = "upstreams died while they ran this request";
-                return Err(Error::new(ErrorKind::Quarantined, detail));
-            }
+            QuarantineState::Quarantined => return Err(quarantined_error()),
             QuarantineState::Suspect => true,
             QuarantineState::Clear => false,
         };
@@ -168,24 +168,57 @@
         exclusive: bool,
     ) -> Result<()> {
         let state = if exclusive { QuarantineState::Suspect } else { QuarantineState::Clear };
-        let (reply, started) = oneshot::channel();
-        let service = resolved.service.clone();
-        let start = FleetMessage::StartCopy { digest, state, service, reply };
-        let _ = self.handles.fleet.send(start).await;
-        if !started.await.unwrap_or(false) {
-            let detail = "an equal request is in flight, and an upstream died while it ran another";
-            let error = Error::new(ErrorKind::Overloaded, detail);
-            return Err(error.with_retry_after(COPY_RETRY_AFTER));
-        }
+        self.start_copy(resolved, digest, state).await?;
         let result = if resolved.once {
             self.run_keyed_call(resolved, exclusive).await
         } else {
             self.offer_until_answered(resolved, exclusive).await
         };
-        let _ = self.handles.fleet.send(FleetMessage::EndCopy(digest)).await;
+        self.end_copy(digest).await;
         result
     }
 
+    /// Has the fleet count the request as in flight; fails if it is a suspect and a copy of it is.
+    async fn start_copy(
+        &mut self,
+        resolved: &ResolvedRequest,
+        digest: Digest,
+        state: QuarantineState,
+    ) -> Result<()> {
+        let (reply, started) = oneshot::channel();
+        let service = resolved.service.clone();
+        let start = FleetMessage::StartCopy { digest, state, service, reply };
+        let _ = self.handles.fleet.send(start).await;
+        self.is_counted = started.await.unwrap_or(false);
+        if self.is_counted {
+            return Ok(());
+        }
+        let detail = "an equal request is in flight, and an upstream died while it ran another";
+        Err(Error::new(ErrorKind::Overloaded, detail).with_retry_after(COPY_RETRY_AFTER))
+    }
+
+    async fn end_copy(&mut self, digest: Digest) {
+        if std::mem::take(&mut self.is_counted) {
+            let _ = self.handles.fleet.send(FleetMessage::EndCopy(digest)).await;
+        }
+    }
+
+    /// Returns whether the next offer must be exclusive, since an upstream may have died after the
+    /// request arrived.
+    async fn recheck(&mut self, resolved: &ResolvedRequest, exclusive: bool) -> Result<bool> {
+        let digest = self.digest(resolved);
+        let state = self.handles.view.borrow().quarantine_state(digest);
+        match state {
+            QuarantineState::Quarantined => Err(quarantined_error()),
+            QuarantineState::Suspect if !exclusive => {
+                self.end_copy(digest).await;
+                self.start_copy(resolved, digest, state).await?;
+                Ok(true)
+            }
+            QuarantineState::Suspect | QuarantineState::Clear => Ok(exclusive),
+        }
+    }
+
     /// Clears a suspect that was answered whole, since no engine died while it ran.
     async fn clear_suspect(&self, digest: Digest) {
         let state = self.handles.view.borrow().quarantine_state(digest);
@@ -276,11 +309,12 @@
     async fn offer_until_answered(
         &mut self,
         resolved: &ResolvedRequest,
-        exclusive: bool,
+        mut exclusive: bool,
     ) -> Result<()> {
         let mut request = self.routing_request(resolved);
-        request.suspect = exclusive.then(|| self.digest(resolved));
         loop {
+            exclusive = self.recheck(resolved, exclusive).await?;
+            request.suspect = exclusive.then(|| self.digest(resolved));
             let chosen = self.choose(&request).await?;
             if resolved.once && !self.may_dispatch().await {
                 self.release(chosen).await;
@@ -474,6 +508,10 @@
     !matches!(kind, ErrorKind::Quarantined | ErrorKind::DeadlinePassed | ErrorKind::CallerGone)
 }
 
+fn quarantined_error() -> Error {
+    Error::new(ErrorKind::Quarantined, "upstreams died while they ran this request")
+}
+
 /// Returns the hash of a bearer key, by which declarations store it.
 fn hash_key(key: &str) -> String {
     blake3::hash(key.as_bytes()).to_hex().to_string()
--- a/crates/egretgate/tests/processes.rs
+++ b/crates/egretgate/tests/processes.rs
@@ -27,6 +27,8 @@
 mod played_entry;
 #[path = "processes/poison.rs"]
 mod poison;
+#[path = "processes/refused_suspect.rs"]
+mod refused_suspect;
 #[path = "processes/stopping.rs"]
 mod stopping;
 #[path = "processes/testbed.rs"]
