fix(core): an upstream that was slow is measured again within seconds

Callers saw one upstream do all the work after the other had recovered: in leaving::requests_go_around_a_frozen_side_process_until_it_wakes the upstream that woke got no requests within 20 s, 1 of about 10 runs on a busy machine.

One cause: an entry adds the excess of first tokens that it measured to an upstream's score, and the excess lost weight as 1 / (1 + age / 5 s).

The excess now halves every 2 s. A slow upstream is tried once in some seconds for that, and avoided again after one measurement.

Ruled out: membership (the upstream had joined 2 ms after it woke), its queue and limit (nothing queued or running), leaked requests (none in flight). Not shown: that the runs that failed by chance had this cause.

Evidence: an_upstream_that_was_slow_is_tried_again found nothing sent within 20 s before, and passes; it also asks that it is avoided for 2 s.

--- a/crates/egretgate-core/src/choice/view.rs
+++ b/crates/egretgate-core/src/choice/view.rs
@@ -7,8 +7,8 @@
 
 /// Age at which a report has half the weight of a fresh one.
 const REPORT_HALF_AGE: Duration = Duration::from_secs(1);
-/// Age at which a measured excess over the prediction has half its weight.
-const EXCESS_HALF_AGE: Duration = Duration::from_secs(5);
+/// Time in which a measured excess over the prediction loses half its weight.
+const EXCESS_HALF_LIFE: Duration = Duration::from_secs(2);
 /// Weight of a new observation in the moving averages.
 const MEAN_GAIN: f64 = 0.2;
 /// Weight of an observation above the moving lower bound of prefill time. Lower than [`MEAN_GAIN`],
@@ -334,15 +334,14 @@
 impl Excess {
     fn at(self, now: Instant) -> f64 {
         let since = |at: Instant| now.saturating_duration_since(at);
-        let measured =
-            self.updated_at.map_or(0.0, |at| self.average * decay(since(at), EXCESS_HALF_AGE));
+        let measured = self.updated_at.map_or(0.0, |at| self.average * fade(since(at)));
         let stalled = self.stalled_since.map_or(0.0, |at| since(at).as_secs_f64());
         measured.max(stalled)
     }
 
     fn observe(&mut self, excess: f64, now: Instant) {
         let age = self.updated_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
-        let decayed = self.average * decay(age, EXCESS_HALF_AGE);
+        let decayed = self.average * fade(age);
         self.average = decayed + MEAN_GAIN * (excess - decayed);
         self.updated_at = Some(now);
     }
@@ -353,6 +352,12 @@
     usize::from(tier).min(MAX_TIERS - 1)
 }
 
+/// Returns the weight of a measured excess. It falls so fast that an upstream which is avoided for
+/// its excess is soon measured again.
+fn fade(age: Duration) -> f64 {
+    0.5_f64.powf(age.as_secs_f64() / EXCESS_HALF_LIFE.as_secs_f64())
+}
+
 /// Returns a weight that falls with age: 1 at age zero, one half at `half_age`.
 fn decay(age: Duration, half_age: Duration) -> f64 {
     1.0 / (1.0 + age.as_secs_f64() / half_age.as_secs_f64())
--- a/crates/egretgate-core/tests/choice.rs
+++ b/crates/egretgate-core/tests/choice.rs
@@ -287,3 +287,40 @@
         );
     }
 }
+
+/// Guards against an upstream that was slow once, is avoided for that and never gets work again.
+#[test]
+fn an_upstream_that_was_slow_is_tried_again() {
+    const SLOW: Duration = Duration::from_secs(1);
+    const FAST: Duration = Duration::from_millis(20);
+    const AVOIDED_TIME: Duration = Duration::from_secs(2);
+    const RETRY_TIME: Duration = Duration::from_secs(20);
+    let short = ChoiceRequest { prompt_tokens: 4, ..request() };
+    let mut now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut fleet = Fleet::new(Policy::Affinity);
+    let [slow, fast] = [0, 3].map(|index| fleet.insert(upstream(index, &["v1"])));
+    let run = |fleet: &mut Fleet, key, took: Duration, now: Instant| {
+        let mut in_flight = fleet.begin(key, &short, now);
+        fleet.record_first_token(key, &mut in_flight, now + took);
+        fleet.end(key, in_flight, 0, now + took);
+    };
+    for _ in 0..20 {
+        run(&mut fleet, slow, SLOW, now);
+        run(&mut fleet, fast, FAST, now);
+    }
+    let begin = now + SLOW;
+    now = begin;
+    loop {
+        assert!(now < begin + RETRY_TIME, "it gets nothing any more");
+        for key in [slow, fast] {
+            fleet.record_report(key, idle(), now);
+        }
+        if fleet.choose(&short, now, &mut rng) == Some(slow) {
+            break;
+        }
+        run(&mut fleet, fast, FAST, now);
+        now += Duration::from_millis(100);
+    }
+    assert!(now >= begin + AVOIDED_TIME, "it attracts requests after {:?}", now - begin);
+}
