fix(core): the learned delay of an idle upstream fades

The second cause: a side process reports the time to first token that it learned under its last load. While nothing runs nothing is learned, so an upstream that was slow when its entries left it reported that time for good, and entries kept to others.

While nothing runs, the learned delay beyond the unloaded time now halves each second. It does not fade while requests run, so a stalled engine isn't taken for a fast one.

Evidence: requests_return_to_a_side_process_that_froze_while_its_engine_was_slow forces the order: an engine is slow for 3 s, its side process freezes, the engine recovers, and the side process wakes.

--- a/crates/egretgate-core/src/limit.rs
+++ b/crates/egretgate-core/src/limit.rs
@@ -10,11 +10,11 @@
 //!
 //! let now = Instant::now();
 //! let mut limit = Limit::new(LimitOptions::default(), now);
-//! limit.record_start(420);
+//! limit.record_start(420, now);
 //! limit.record_first_token(120, Duration::from_millis(40), now);
 //! limit.record_next_token(Duration::from_millis(12), now);
 //! assert_eq!(limit.headroom().requests, 3);
-//! assert_eq!(limit.estimate().inter_token_seconds, 0.012);
+//! assert_eq!(limit.estimate(now).inter_token_seconds, 0.012);
 //! limit.record_end(420, 122, Duration::from_millis(52));
 //! assert_eq!(limit.headroom().requests, 4);
 //! ```
@@ -65,6 +65,9 @@
 const UNLOADED_REQUESTS: f64 = 2.0;
 /// The first-token target is at least this multiple of the unloaded time to first token.
 const FIRST_TOKEN_FACTOR: f64 = 2.0;
+/// Time since the last first token after which half of the learned delay beyond the unloaded time
+/// is forgotten, while nothing runs.
+const DELAY_HALF_AGE: Duration = Duration::from_secs(1);
 /// Factor by which the unloaded latency rises at each decision while unloaded, so that it is
 /// learned anew.
 const UNLOADED_DRIFT: f64 = 1.1;
@@ -338,6 +341,8 @@
     window_start: Instant,
     /// Time to first token by prompt length, under recent load.
     first_token_fit: LinearFit,
+    /// Time of the last first token; `None` until there is one.
+    last_first_token: Option<Instant>,
     /// Lowest time to first token and time per prompt token.
     unloaded: UnloadedLatency,
     /// Mean inter-token latency, in seconds.
@@ -364,6 +369,7 @@
             slow_start: true,
             window_start: now,
             first_token_fit: LinearFit::new(),
+            last_first_token: None,
             unloaded: UnloadedLatency::NONE,
             inter_token: None,
             mean_tokens: None,
@@ -382,15 +388,20 @@
     /// latencies and means are kept.
     pub fn restart(&mut self, now: Instant) {
         let fresh = Self::new(self.options, now);
-        let Self { first_token_fit, unloaded, inter_token, mean_tokens, mean_time, .. } = self;
-        let (first_token_fit, unloaded, inter_token) =
-            (first_token_fit.clone(), *unloaded, *inter_token);
-        let (mean_tokens, mean_time) = (*mean_tokens, *mean_time);
-        *self = Self { first_token_fit, unloaded, inter_token, mean_tokens, mean_time, ..fresh };
+        let old = std::mem::replace(self, fresh);
+        let Self { first_token_fit, last_first_token, unloaded, inter_token, .. } = old;
+        let Self { mean_tokens, mean_time, .. } = old;
+        self.first_token_fit = first_token_fit;
+        self.last_first_token = last_first_token;
+        self.unloaded = unloaded;
+        self.inter_token = inter_token;
+        self.mean_tokens = mean_tokens;
+        self.mean_time = mean_time;
     }
 
     /// Records the dispatch of a request with `tokens` tokens: its prompt and the estimated answer.
-    pub fn record_start(&mut self, tokens: u64) {
+    pub fn record_start(&mut self, tokens: u64, now: Instant) {
+        self.first_token_fit = self.faded_fit(now);
         self.requests.acquire(1.0);
         self.tokens.acquire(tokens as f64);
     }
@@ -399,6 +410,7 @@
     pub fn record_first_token(&mut self, prompt: u32, took: Duration, now: Instant) {
         let seconds = took.as_secs_f64();
         self.first_token_fit.add(f64::from(prompt), seconds);
+        self.last_first_token = Some(now);
         self.unloaded.add(prompt, seconds);
         let score = seconds / self.first_token_target(prompt);
         self.first_token_scores.saturating_record(scale_score(score));
@@ -463,8 +475,8 @@
     }
 
     /// Returns the expected speed of the upstream.
-    pub fn estimate(&self) -> Estimate {
-        let (base, prefill) = self.first_token_fit.fit();
+    pub fn estimate(&self, now: Instant) -> Estimate {
+        let (base, prefill) = self.faded_fit(now).fit();
         Estimate {
             base: bounded_duration(base),
             prefill_seconds: prefill,
@@ -474,6 +486,22 @@
         }
     }
 
+    /// Returns the times to first token as expected at `now`.
+    ///
+    /// While nothing runs, the learned delay fades to the unloaded time: an upstream that is
+    /// avoided for its delay would otherwise never show that the delay is over.
+    fn faded_fit(&self, now: Instant) -> LinearFit {
+        let mut fit = self.first_token_fit.clone();
+        if self.requests.used < 1.0
+            && let Some(last) = self.last_first_token
+        {
+            let age = now.saturating_duration_since(last).as_secs_f64();
+            let kept = 0.5_f64.powf(age / DELAY_HALF_AGE.as_secs_f64());
+            fit.fade(kept, |prompt| self.unloaded.first_token_time(prompt as u32));
+        }
+        fit
+    }
+
     /// Returns the number of tokens finished per second when the limit is reached, by Little's law.
     fn token_rate(&self) -> f64 {
         let (Some(tokens), Some(time)) = (self.mean_tokens, self.mean_time) else {
--- a/crates/egretgate-core/src/limit/linear_fit.rs
+++ b/crates/egretgate-core/src/limit/linear_fit.rs
@@ -32,6 +32,13 @@
         self.xy = self.xy * DECAY + dx * (y - self.y);
     }
 
+    /// Lowers the mean to the one that `floor` gives for the mean x, but for a fraction `kept` of
+    /// the difference.
+    pub(super) fn fade(&mut self, kept: f64, floor: impl Fn(f64) -> f64) {
+        let floor = floor(self.x).min(self.y);
+        self.y = floor + kept * (self.y - floor);
+    }
+
     /// Returns the value at 0 and the slope, neither of them negative.
     pub(super) fn fit(&self) -> (f64, f64) {
         if self.x <= 0.0 || self.xx <= f64::EPSILON {
--- a/crates/egretgate-core/tests/limit.rs
+++ b/crates/egretgate-core/tests/limit.rs
@@ -59,7 +59,7 @@
         while limit.headroom().requests > 0 {
             let (prompt, output) = (rng.random_range(20..1500), rng.random_range(20..300));
             let tokens = u64::from(prompt + output);
-            limit.record_start(tokens);
+            limit.record_start(tokens, *now);
             let took = engine.first_token_ms(prompt, running.len()) * rng.random_range(0.9..1.1);
             let first = *now + Duration::from_secs_f64(took / 1e3);
             limit.record_first_token(prompt, Duration::from_secs_f64(took / 1e3), *now);
@@ -149,7 +149,7 @@
     let first = PREFILL.first_token_ms(1400, mean as usize);
     println!("prefill-bound: running {mean:.1}, first {first:.0} ms at 1400 prompt tokens");
     assert!(first <= 380.0 * 1.1, "{first} ms to the first token");
-    let estimate = limit.estimate();
+    let estimate = limit.estimate(now);
     for prompt in [200, 700, 1400] {
         let estimated = estimate.service_time(prompt, 5).as_secs_f64() * 1e3;
         let actual = PREFILL.first_token_ms(prompt, mean as usize)
@@ -190,7 +190,7 @@
         for _ in 0..20_000 {
             now += Duration::from_millis(10);
             while limit.headroom().requests > 0 && running.len() < case.offered as usize {
-                limit.record_start(1);
+                limit.record_start(1, now);
                 let slow = f64::max(1.0, running.len() as f64 / f64::from(case.knee));
                 let took = Duration::from_secs_f64(0.5 * slow * rng.random_range(0.9..1.1));
                 running.push((now + took, took));
@@ -286,12 +286,51 @@
             // The time is proportional to the prompt: the line passes through the origin.
             let took = Duration::from_micros(u64::from(prompt) * rng.random_range(90..=110));
             limit.record_first_token(prompt, took, now);
-            let base = limit.estimate().base;
+            let base = limit.estimate(now).base;
             assert!(base < Duration::from_secs(1), "base {base:?}");
         }
     }
 }
 
+/// Guards against an upstream that was slow once, is avoided for that and never gets work again.
+#[test]
+fn the_delay_of_an_idle_upstream_fades() {
+    struct Case {
+        name: &'static str,
+        /// Requests that run all the time.
+        running: u32,
+        idle: Duration,
+        fades: bool,
+    }
+    let (unloaded, slow) = (Duration::from_millis(5), Duration::from_millis(1_600));
+    let cases = [
+        Case { name: "at once", running: 0, idle: Duration::ZERO, fades: false },
+        Case { name: "idle", running: 0, idle: Duration::from_secs(10), fades: true },
+        Case { name: "stalled", running: 1, idle: Duration::from_secs(10), fades: false },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut limit = Limit::new(LimitOptions::default(), now);
+        for _ in 0..case.running {
+            limit.record_start(8, now);
+        }
+        for took in [[unloaded; 20], [slow; 20]].as_flattened() {
+            limit.record_first_token(8, *took, now);
+        }
+        let later = now + case.idle;
+        let expected = limit.estimate(later).service_time(8, 0);
+        let range = if case.fades { unloaded..2 * unloaded } else { slow / 4..slow };
+        assert!(range.contains(&expected), "{}: {expected:?}", case.name);
+        limit.record_start(8, later);
+        assert_eq!(limit.estimate(later).service_time(8, 0), expected, "{}", case.name);
+        for _ in 0..20 {
+            limit.record_first_token(8, slow, later);
+        }
+        let learned = limit.estimate(later).service_time(8, 0);
+        assert!(learned > slow / 4, "{}: {learned:?} while it is slow again", case.name);
+    }
+}
+
 #[test]
 fn capacity_is_reserved_while_urgent_work_is_offered() {
     struct Case {
@@ -334,7 +373,7 @@
     let mut limit = Limit::new(options, Instant::now());
     let mut started = 0;
     while limit.keeps_reservation() {
-        limit.record_start(1);
+        limit.record_start(1, Instant::now());
         started += 1;
     }
     assert_eq!(started, 6, "a quarter of 8 stays reserved");
@@ -354,7 +393,7 @@
         let mut limit = Limit::new(options, now);
         // Three of four run: a quarter stays reserved, and latencies are far below their targets.
         for _ in 0..3 {
-            limit.record_start(1);
+            limit.record_start(1, now);
         }
         for _ in 0..400 {
             if held_back {
--- a/crates/egretgate/tests/processes/leaving.rs
+++ b/crates/egretgate/tests/processes/leaving.rs
@@ -111,6 +111,26 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_return_to_a_side_process_that_froze_while_its_engine_was_slow() {
+    let cluster = Cluster::start().await;
+    let load = LoadGenerator::start(&cluster.entries);
+    wait_until("both engines work", || {
+        cluster.engines.iter().all(|engine| executions(engine) > 20)
+    })
+    .await;
+    cluster.engines[0].set_step_factor(400.0);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    cluster.sides[0].freeze();
+    cluster.engines[0].set_step_factor(1.0);
+    tokio::time::sleep(Duration::from_secs(10)).await;
+    let before = executions(&cluster.engines[0]);
+    cluster.sides[0].signal("CONT");
+    wait_until("the engine gets requests again", || executions(&cluster.engines[0]) > before + 20)
+        .await;
+    load.finish().await;
+}
+
 /// Two engines of one service and two entries.
 struct Cluster {
     testbed: Testbed,
--- a/crates/egretside/src/dispatcher.rs
+++ b/crates/egretside/src/dispatcher.rs
@@ -365,7 +365,7 @@
         }
         let work = self.build_work(ticket, &offer, now);
         self.reservation.record_offer(work.tier, now);
-        let estimate = self.engines.estimate();
+        let estimate = self.engines.estimate(now);
         let payload = QueuedOffer { entry, offer };
         match self.queue.offer(work, payload, now, &estimate, &mut self.rng) {
             OfferOutcome::Queued { displaced } => {
--- a/crates/egretside/src/dispatcher/lifecycle.rs
+++ b/crates/egretside/src/dispatcher/lifecycle.rs
@@ -26,7 +26,7 @@
     pub(crate) fn advance(&mut self) {
         let released = self.death_news.expire(Instant::now());
         self.reply_load(released);
-        let estimate = self.engines.estimate();
+        let estimate = self.engines.estimate(Instant::now());
         for discarded in self.queue.expire(Instant::now(), &estimate, &mut self.rng) {
             self.refuse_discarded(discarded);
         }
@@ -86,7 +86,8 @@
         };
         metrics::histogram!("egretside_wait_seconds").record(queued_at.elapsed().as_secs_f64());
         let load_level = self.engines.level(engine);
-        self.engines.record_start(engine, &work);
+        let started = Instant::now();
+        self.engines.record_start(engine, &work, started);
         let client = self.engines.client(engine);
         let version = client.version().clone();
         let route = offer.route.clone();
@@ -102,7 +103,7 @@
             output_tokens: work.output_tokens,
             load_level,
             version,
-            started: Instant::now(),
+            started,
         };
         self.running.insert(work.ticket, running);
         tokio::spawn(run_and_deliver(run, self.self_sender.clone()));
@@ -251,7 +252,7 @@
 
     /// Refuses every queued request, and replies once the running ones have finished.
     pub(crate) fn stop(&mut self, reply: oneshot::Sender<()>) {
-        let estimate = self.engines.estimate();
+        let estimate = self.engines.estimate(Instant::now());
         let goodbye = to_entry::Body::Goodbye(egretgate_link::message::Goodbye {});
         self.entries.broadcast(&goodbye);
         for mut discarded in self.queue.drain(Instant::now(), &estimate, &mut self.rng) {
--- a/crates/egretside/src/dispatcher/maintenance.rs
+++ b/crates/egretside/src/dispatcher/maintenance.rs
@@ -75,7 +75,7 @@
 
     /// Returns the current load, without samples.
     pub(crate) fn load(&self) -> Load {
-        let estimate = self.engines.estimate();
+        let estimate = self.engines.estimate(Instant::now());
         let waiting_tokens = self.queue.tokens();
         Load {
             queued: self.queue.len() as u32,
--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -160,9 +160,9 @@
     }
 
     /// Records the start of a request.
-    pub(crate) fn record_start(&mut self, key: EngineKey, work: &Work) {
+    pub(crate) fn record_start(&mut self, key: EngineKey, work: &Work, now: Instant) {
         let engine = &mut self.engines[key];
-        engine.limit.record_start(work.tokens());
+        engine.limit.record_start(work.tokens(), now);
         engine.running.push(InFlight { ticket: work.ticket, digest: work.digest });
         if work.exclusive {
             engine.exclusive = Some(work.ticket);
@@ -254,9 +254,9 @@
     }
 
     /// Returns the joint estimate of all engines that are not down; they share one queue.
-    pub(crate) fn estimate(&self) -> Estimate {
+    pub(crate) fn estimate(&self, now: Instant) -> Estimate {
         let engines = self.engines.values().filter(|engine| engine.health != Health::Down);
-        Estimate::combine(engines.map(|engine| engine.limit.estimate())).unwrap_or_default()
+        Estimate::combine(engines.map(|engine| engine.limit.estimate(now))).unwrap_or_default()
     }
 
     /// Sets the latency targets and the maximum number of requests of every limit.
