fix(side): a request cut after its engine counts as down is reported

A poisonous request could stay unknown after a death and kill one engine more than promised. An engine that dies may refuse a connection before the answers that it was writing are cut. The refusal starts the probe, no answer is cut yet, and the report named only those that were cut by the end of the probe: none, or not the culprit. Later cuts were dropped because the engine was down.

Each digest that is cut while its engine is down, and was not in the report, is now reported as a death of its own, and its end waits for the acknowledgements. One death never names a digest twice. Naming all requests that run when a connection is refused was ruled out: an engine that stops as planned refuses connections while its streams finish.

Found by reading.

--- a/crates/egretgate/tests/processes/death_reports.rs
+++ b/crates/egretgate/tests/processes/death_reports.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use egretgate::core::Digest;
+use egretgate_link::message::to_entry;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
@@ -116,6 +117,26 @@
     named.innocent == (ends == Ends::AfterReport)
 }
 
+/// Guards against a culprit that no report names: the engine refuses a connection and a probe before
+/// the culprit's answer is cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_is_cut_after_the_engine_counts_as_down_is_reported() {
+    let Scene { engine, _side, mut first, mut second, culprit } = Scene::start().await;
+    drop(engine);
+    first.offer(2, INNOCENT).await;
+    let is_down =
+        |body: &to_entry::Body| matches!(body, to_entry::Body::Load(load) if !load.healthy);
+    first.wait_for(SOON, is_down).await.expect("the engine counts as down");
+    drop(culprit);
+    let report = first.wait_for_death().await;
+    assert_eq!(Named::of(&report.digests), Named { culprit: true, innocent: false });
+    second.wait_for_death().await;
+    first.acknowledge(report.sequence).await;
+    assert!(!first.gets_end(1, HELD).await, "the second entry may not know of the death");
+    second.acknowledge(report.sequence).await;
+    assert!(first.gets_end(1, SOON).await, "no last frame");
+}
+
 /// Fails unless the last frame about the innocent waits until both entries know of the death, which
 /// names it.
 async fn check_held(first: &mut PlayedEntry, second: &mut PlayedEntry, death: u64) {
--- a/crates/egretside/src/dispatcher/lifecycle.rs
+++ b/crates/egretside/src/dispatcher/lifecycle.rs
@@ -158,6 +158,11 @@
         if needs_probe || unreachable {
             self.probe(running.engine, Duration::ZERO);
         }
+        if cut && self.engines.record_late_cut(running.engine, running.digest) {
+            warn!(self.log, "request cut after the death was reported";
+                "request" => summary.ticket.to_string());
+            self.report_death(running.engine, vec![running.digest]);
+        }
         // A report that is under way may name this request, however it ended.
         let must_wait = cut && self.engines.is_probing(running.engine)
             || self.death_news.is_pending(&running.engine);
@@ -196,6 +201,8 @@
             ProbeOutcome::Recovered => info!(self.log, "engine is back"),
             ProbeOutcome::StillDown => self.probe(key, PROBE_INTERVAL),
             ProbeOutcome::Died { digests, recovered } => {
+                warn!(self.log, "engine died"; "in_flight" => digests.len());
+                metrics::counter!("egretside_deaths_total").increment(1);
                 self.report_death(key, digests);
                 if !recovered {
                     self.probe(key, PROBE_INTERVAL);
@@ -211,8 +218,6 @@
     }
 
     fn report_death(&mut self, engine: EngineKey, digests: Vec<egretgate_core::Digest>) {
-        warn!(self.log, "engine died"; "in_flight" => digests.len());
-        metrics::counter!("egretside_deaths_total").increment(1);
         if digests.is_empty() {
             return;
         }
--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -46,6 +46,8 @@
     /// Requests that were answered in whole or proven not sent since then, so that they are no
     /// cause of a crash.
     harmless_requests: Vec<InFlight>,
+    /// Digests that were reported with the death after which it is down.
+    reported_digests: Vec<Digest>,
 }
 
 /// A request in flight on an engine.
@@ -93,6 +95,7 @@
                 crash_candidates: Vec::new(),
                 cut_requests: Vec::new(),
                 harmless_requests: Vec::new(),
+                reported_digests: Vec::new(),
             });
         }
         Self { engines }
@@ -202,6 +205,17 @@
         true
     }
 
+    /// Returns true if the digest was not reported with the death of an engine that is down, so
+    /// that it must be reported now that its answer was cut.
+    pub(crate) fn record_late_cut(&mut self, key: EngineKey, digest: Digest) -> bool {
+        let engine = &mut self.engines[key];
+        let is_late = engine.health == Health::Down && !engine.reported_digests.contains(&digest);
+        if is_late {
+            engine.reported_digests.push(digest);
+        }
+        is_late
+    }
+
     /// Returns whether a probe of the engine is under way.
     pub(crate) fn is_probing(&self, key: EngineKey) -> bool {
         self.engines[key].health == Health::Probing
@@ -250,6 +264,7 @@
         let mut digests: Vec<Digest> = suspects.chain(&cut).map(|request| request.digest).collect();
         digests.sort_unstable();
         digests.dedup();
+        engine.reported_digests.clone_from(&digests);
         ProbeOutcome::Died { digests, recovered: alive }
     }
 
