--- a/crates/egretgate/tests/processes/refused_suspect.rs
+++ b/crates/egretgate/tests/processes/refused_suspect.rs
@@ -1,7 +1,7 @@
 //! A request that is refused by a side process after it became a suspect. The test plays the side
 //! processes.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -119,6 +119,12 @@
         let mut sides = Sides::start(&testbed, runs_copy).await;
         let entry = testbed.entry("entry-1");
         testbed.declare(&entry).await;
+        // The entry sends a heartbeat once it counts a side process as connected.
+        let mut connected = BTreeSet::new();
+        while connected.len() < 2 {
+            let is_heartbeat = |body| matches!(body, to_side::Body::Heartbeat(_)).then_some(());
+            connected.insert(sides.wait_for(SOON, is_heartbeat).await.expect("connected").0);
+        }
         let callers = entry.address("callers");
         let call = tokio::spawn(async move { complete(callers, "inspection report", 4).await });
         let (first, offered) = sides.wait_for(SOON, offer).await.expect("an offer");
