--- a/crates/egretside/src/dispatcher/lifecycle.rs
+++ b/crates/egretside/src/dispatcher/lifecycle.rs
@@ -26,7 +26,7 @@
     pub(crate) fn advance(&mut self) {
         let released = self.death_news.expire(Instant::now());
         self.reply_load(released);
-        let estimate = self.engines.estimate();
+        let estimate = self.engines.estimate(Instant::now());
         for discarded in self.queue.expire(Instant::now(), &estimate, &mut self.rng) {
             self.refuse_discarded(discarded);
         }
@@ -86,7 +86,8 @@
         };
         metrics::histogram!("egretside_wait_seconds").record(queued_at.elapsed().as_secs_f64());
         let load_level = self.engines.level(engine);
-        self.engines.record_start(engine, &work);
+        let started = Instant::now();
+        self.engines.record_start(engine, &work, started);
         let client = self.engines.client(engine);
         let version = client.version().clone();
         let route = offer.route.clone();
@@ -102,7 +103,7 @@
             output_tokens: work.output_tokens,
             load_level,
             version,
-            started: Instant::now(),
+            started,
         };
         self.running.insert(work.ticket, running);
         tokio::spawn(run_and_deliver(run, self.self_sender.clone()));
@@ -116,7 +117,7 @@
     }
 
     /// Records the end of a run. Returns the engine if a probe that is under way will show whether
-    /// it died.
+    /// it died, or if some entry may not know yet that it did.
     pub(crate) fn handle_ended(&mut self, summary: &RunSummary) -> Option<EngineKey> {
         let running = self.running.remove(&summary.ticket)?;
         self.delivering.insert(summary.ticket, running.control.clone());
@@ -151,16 +152,21 @@
         }
         self.log_end(&running, summary);
         let cut = matches!(summary.finish, Finish::Cut);
-        let needs_probe = self.engines.record_end(running.engine, summary.ticket, cut);
+        let needs_probe = self.engines.record_end(running.engine, summary.ticket, summary.finish);
         let unreachable =
             summary.finish == Finish::NotSent && self.engines.mark_unreachable(running.engine);
         if needs_probe || unreachable {
             self.probe(running.engine, Duration::ZERO);
         }
-        let may_have_died = cut
-            && (self.engines.is_probing(running.engine)
-                || self.death_news.is_pending(&running.engine));
-        may_have_died.then_some(running.engine)
+        if cut && self.engines.record_late_cut(running.engine, running.digest) {
+            warn!(self.log, "request cut after the death was reported";
+                "request" => summary.ticket.to_string());
+            self.report_death(running.engine, vec![running.digest]);
+        }
+        // A report that is under way may name this request, however it ended.
+        let must_wait = cut && self.engines.is_probing(running.engine)
+            || self.death_news.is_pending(&running.engine);
+        must_wait.then_some(running.engine)
     }
 
     fn log_end(&self, running: &Running, summary: &RunSummary) {
@@ -195,6 +201,8 @@
             ProbeOutcome::Recovered => info!(self.log, "engine is back"),
             ProbeOutcome::StillDown => self.probe(key, PROBE_INTERVAL),
             ProbeOutcome::Died { digests, recovered } => {
+                warn!(self.log, "engine died"; "in_flight" => digests.len());
+                metrics::counter!("egretside_deaths_total").increment(1);
                 self.report_death(key, digests);
                 if !recovered {
                     self.probe(key, PROBE_INTERVAL);
@@ -210,8 +218,6 @@
     }
 
     fn report_death(&mut self, engine: EngineKey, digests: Vec<egretgate_core::Digest>) {
-        warn!(self.log, "engine died"; "in_flight" => digests.len());
-        metrics::counter!("egretside_deaths_total").increment(1);
         if digests.is_empty() {
             return;
         }
@@ -251,7 +257,7 @@
 
     /// Refuses every queued request, and replies once the running ones have finished.
     pub(crate) fn stop(&mut self, reply: oneshot::Sender<()>) {
-        let estimate = self.engines.estimate();
+        let estimate = self.engines.estimate(Instant::now());
         let goodbye = to_entry::Body::Goodbye(egretgate_link::message::Goodbye {});
         self.entries.broadcast(&goodbye);
         for mut discarded in self.queue.drain(Instant::now(), &estimate, &mut self.rng) {
--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -8,6 +8,7 @@
 use slotmap::SlotMap;
 
 use crate::replica::Targets;
+use crate::run::Finish;
 use crate::target_client::TargetClient;
 
 /// Interval between two probes of an engine that doesn't answer.
@@ -42,6 +43,11 @@
     crash_candidates: Vec<InFlight>,
     /// Requests whose answers were cut since then.
     cut_requests: Vec<InFlight>,
+    /// Requests that were answered in whole or proven not sent since then, so that they are no
+    /// cause of a crash.
+    harmless_requests: Vec<InFlight>,
+    /// Digests that were reported with the death after which it is down.
+    reported_digests: Vec<Digest>,
 }
 
 /// A request in flight on an engine.
@@ -88,6 +94,8 @@
                 running: Vec::new(),
                 crash_candidates: Vec::new(),
                 cut_requests: Vec::new(),
+                harmless_requests: Vec::new(),
+                reported_digests: Vec::new(),
             });
         }
         Self { engines }
@@ -155,9 +163,9 @@
     }
 
     /// Records the start of a request.
-    pub(crate) fn record_start(&mut self, key: EngineKey, work: &Work) {
+    pub(crate) fn record_start(&mut self, key: EngineKey, work: &Work, now: Instant) {
         let engine = &mut self.engines[key];
-        engine.limit.record_start(work.tokens());
+        engine.limit.record_start(work.tokens(), now);
         engine.running.push(InFlight { ticket: work.ticket, digest: work.digest });
         if work.exclusive {
             engine.exclusive = Some(work.ticket);
@@ -170,7 +178,7 @@
     }
 
     /// Records the end of a request. Returns true if a probe must show whether the engine died.
-    pub(crate) fn record_end(&mut self, key: EngineKey, ticket: Ticket, cut: bool) -> bool {
+    pub(crate) fn record_end(&mut self, key: EngineKey, ticket: Ticket, finish: Finish) -> bool {
         let engine = &mut self.engines[key];
         let candidates = engine.running.clone();
         let ended = engine.running.iter().position(|request| request.ticket == ticket);
@@ -178,8 +186,17 @@
         if engine.exclusive == Some(ticket) {
             engine.exclusive = None;
         }
-        let Some(request) = ended.filter(|_| cut) else { return false };
-        engine.cut_requests.push(request);
+        let Some(request) = ended else { return false };
+        match finish {
+            Finish::Cut => engine.cut_requests.push(request),
+            Finish::Whole | Finish::NotSent => {
+                if engine.health == Health::Probing {
+                    engine.harmless_requests.push(request);
+                }
+                return false;
+            }
+            Finish::Failed | Finish::Cancelled => return false,
+        }
         if engine.health != Health::Up {
             return false;
         }
@@ -188,6 +205,17 @@
         true
     }
 
+    /// Returns true if the digest was not reported with the death of an engine that is down, so
+    /// that it must be reported now that its answer was cut.
+    pub(crate) fn record_late_cut(&mut self, key: EngineKey, digest: Digest) -> bool {
+        let engine = &mut self.engines[key];
+        let is_late = engine.health == Health::Down && !engine.reported_digests.contains(&digest);
+        if is_late {
+            engine.reported_digests.push(digest);
+        }
+        is_late
+    }
+
     /// Returns whether a probe of the engine is under way.
     pub(crate) fn is_probing(&self, key: EngineKey) -> bool {
         self.engines[key].health == Health::Probing
@@ -222,6 +250,7 @@
         }
         let candidates = std::mem::take(&mut engine.crash_candidates);
         let cut = std::mem::take(&mut engine.cut_requests);
+        let harmless = std::mem::take(&mut engine.harmless_requests);
         // A quickly restarted engine answers the probe, but every request that it ran was cut.
         let all_cut =
             candidates.len() > 1 && candidates.iter().all(|request| cut.contains(request));
@@ -231,17 +260,18 @@
         if alive {
             engine.limit.restart(now);
         }
-        let mut digests: Vec<Digest> =
-            candidates.iter().chain(&cut).map(|request| request.digest).collect();
+        let suspects = candidates.iter().filter(|request| !harmless.contains(request));
+        let mut digests: Vec<Digest> = suspects.chain(&cut).map(|request| request.digest).collect();
         digests.sort_unstable();
         digests.dedup();
+        engine.reported_digests.clone_from(&digests);
         ProbeOutcome::Died { digests, recovered: alive }
     }
 
     /// Returns the joint estimate of all engines that are not down; they share one queue.
-    pub(crate) fn estimate(&self) -> Estimate {
+    pub(crate) fn estimate(&self, now: Instant) -> Estimate {
         let engines = self.engines.values().filter(|engine| engine.health != Health::Down);
-        Estimate::combine(engines.map(|engine| engine.limit.estimate())).unwrap_or_default()
+        Estimate::combine(engines.map(|engine| engine.limit.estimate(now))).unwrap_or_default()
     }
 
     /// Sets the latency targets and the maximum number of requests of every limit.
