--- a/crates/egretgate-gateway/src/exchange/handover.rs
+++ b/crates/egretgate-gateway/src/exchange/handover.rs
@@ -1,5 +1,8 @@
-//! Hands a request over to another upstream. The present one is left only once the other has taken
-//! the request, since another may refuse it and the present one may go on.
+//! Hands a request over to another upstream.
+//!
+//! The other one may refuse the request, and the present one may go on. So the connection to the
+//! present one stays open until the other has taken the request; for a stream, no longer than two
+//! upstreams may have it.
 
 use std::time::{Duration, Instant};
 
