feat(core): interfaces for regions, cold upstreams, drained zones and stated load

Change: ServiceSpec, Regions, Needs, StatedLoad and ListedUpstream::cold_for; the adapter decodes them.

--- a/crates/egretgate-core/src/gateway/admission.rs
+++ b/crates/egretgate-core/src/gateway/admission.rs
@@ -6,6 +6,7 @@
 use slotmap::new_key_type;
 
 use super::prompt_part::PartHash;
+use super::regions::Regions;
 use super::request_queue::{Priority, RequestNumber};
 use super::upstream::Outcome;
 use crate::{Digest, RouteId, ServiceId, TeamId, UpstreamId};
@@ -51,6 +52,19 @@
     pub digest: Option<Digest>,
     /// Parts of its prompt that other requests may share.
     pub parts: Arc<[PartHash]>,
+    /// What it needs of an upstream.
+    pub needs: Needs,
+}
+
+/// What a request needs of an upstream, beside a slot.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Needs {
+    /// Regions in which it may run.
+    pub regions: Regions,
+    /// Tokens of its prompt; 0 if unknown.
+    pub prompt_tokens: u64,
+    /// Maximum number of tokens of its answer; 0 if unknown.
+    pub output_tokens: u64,
 }
 
 /// Tokens that count against the limit of a team.
--- a/crates/egretgate-core/src/gateway/catalog.rs
+++ b/crates/egretgate-core/src/gateway/catalog.rs
@@ -14,7 +14,8 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::{RouteId, ServiceId, TeamId, Tier, VersionId};
+use super::regions::Regions;
+use crate::{RouteId, ServiceId, TeamId, Tier, VersionId, ZoneId};
 
 /// Version of a set of declarations; a higher one replaces a lower one.
 pub type CatalogVersion = u64;
@@ -78,6 +79,8 @@
     pub attempts: u32,
     /// True if requests need no key.
     pub anonymous: bool,
+    /// Regions in which its requests may run.
+    pub regions: Regions,
 }
 
 impl Route {
@@ -100,6 +103,7 @@
             targets: Vec::new(),
             attempts: 1,
             anonymous: false,
+            regions: Regions::ANY,
         }
     }
 
@@ -162,6 +166,33 @@
     pub limit: Option<TokenLimit>,
     /// Tokens of a request that declares none.
     pub default_cost: u64,
+    /// Regions in which its requests may run.
+    pub regions: Regions,
+}
+
+/// The rate that upstreams of a service take for some time after their start.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Time for which an upstream stays cold after its start.
+    pub time: Duration,
+    /// Requests per second that a cold upstream takes from all entries together; above 0.
+    pub rate: f64,
+}
+
+/// What is declared of a service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServiceSpec {
+    /// Tokens in each event of a stream; at least 1.
+    pub event_tokens: u32,
+    /// Rate of upstreams that have just started; `None` if they take any.
+    pub cold_start: Option<ColdStart>,
+    /// Tokens that an upstream holds in memory for running requests and cached parts together.
+    pub memory_tokens: Option<u64>,
+}
+
+impl ServiceSpec {
+    /// A service of which nothing is declared.
+    pub const UNDECLARED: Self = Self { event_tokens: 1, cold_start: None, memory_tokens: None };
 }
 
 /// Limits on what a caller may send, and in what time.
@@ -208,8 +239,9 @@
     teams: Vec<Team>,
     /// Declared moves, at most one per service.
     moves: Vec<MoveSpec>,
-    /// Tokens per event of a stream, by service.
-    event_tokens: HashMap<ServiceId, u32>,
+    services: HashMap<ServiceId, ServiceSpec>,
+    /// Zones that operators drain; their upstreams get no new requests.
+    drained_zones: Vec<ZoneId>,
     /// Index in `teams` of the team that has a key.
     keys: HashMap<String, usize>,
     /// Index in `routes` by host and prefix.
@@ -262,16 +294,28 @@
         &self.moves
     }
 
-    /// Sets the tokens per event of the service's streams.
+    /// Adds what is declared of a service.
+    #[must_use]
+    pub fn with_service(mut self, service: &str, spec: ServiceSpec) -> Self {
+        self.services.insert(service.to_owned(), spec);
+        self
+    }
+
+    /// Returns what is declared of a service.
+    pub fn service(&self, service: &str) -> ServiceSpec {
+        self.services.get(service).copied().unwrap_or(ServiceSpec::UNDECLARED)
+    }
+
+    /// Sets the zones that operators drain.
     #[must_use]
-    pub fn with_event_tokens(mut self, service: &str, tokens: u32) -> Self {
-        self.event_tokens.insert(service.to_owned(), tokens.max(1));
+    pub fn with_drained_zones(mut self, zones: Vec<ZoneId>) -> Self {
+        self.drained_zones = zones;
         self
     }
 
-    /// Returns the tokens per event of the service's streams; 1 if none are declared.
-    pub fn event_tokens(&self, service: &str) -> u32 {
-        self.event_tokens.get(service).copied().unwrap_or(1)
+    /// Returns the zones that operators drain.
+    pub fn drained_zones(&self) -> &[ZoneId] {
+        &self.drained_zones
     }
 
     /// Returns every route.
--- a/crates/egretgate-core/src/gateway/upstream.rs
+++ b/crates/egretgate-core/src/gateway/upstream.rs
@@ -55,6 +55,8 @@
     /// Start of this incarnation, in Unix milliseconds; distinguishes incarnations with the same
     /// name.
     pub started_ms: Option<u64>,
+    /// Time for which it stays cold, as of the record's writing; zero if it is warm.
+    pub cold_for: Duration,
 }
 
 impl ListedUpstream {
--- a/crates/egretgate-core/src/ids.rs
+++ b/crates/egretgate-core/src/ids.rs
@@ -4,6 +4,8 @@
 
 /// Name of an availability zone, as declared by operators.
 pub type ZoneId = String;
+/// Name of a region, which holds one or more availability zones.
+pub type RegionId = String;
 /// Name of a customer of the service.
 pub type TeamId = String;
 /// Name of a group of upstreams that serve the same calls.
--- a/crates/egretgate-core/src/lib.rs
+++ b/crates/egretgate-core/src/lib.rs
@@ -39,6 +39,6 @@
 
 pub use error::{Answer, Error, ErrorKind, Execution, Result};
 pub use ids::{
-    Digest, FencingNumber, Incarnation, InstanceId, MAX_TIERS, Offset, OperatorId, Revision,
-    RouteId, ServiceId, TeamId, Ticket, Tier, UpstreamId, VersionId, ZoneId,
+    Digest, FencingNumber, Incarnation, InstanceId, MAX_TIERS, Offset, OperatorId, RegionId,
+    Revision, RouteId, ServiceId, TeamId, Ticket, Tier, UpstreamId, VersionId, ZoneId,
 };
--- a/crates/egretgate-core/tests/gateway_catalog.rs
+++ b/crates/egretgate-core/tests/gateway_catalog.rs
@@ -1,9 +1,10 @@
 //! Routing by host and longest prefix, and keys of teams.
 
 use egretgate_core::gateway::catalog::{Catalog, KeyFault, Route, RouteKind, Team, TokenLimit};
+use egretgate_core::gateway::regions::Regions;
 
 fn team(name: &str) -> Team {
-    Team { name: name.to_owned(), tier: None, limit: None, default_cost: 1 }
+    Team { name: name.to_owned(), tier: None, limit: None, default_cost: 1, regions: Regions::ANY }
 }
 
 fn catalog() -> Catalog {
--- a/crates/egretgate-core/tests/gateway_cut_limits.rs
+++ b/crates/egretgate-core/tests/gateway_cut_limits.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use egretgate_core::gateway::admission::{Admission, AdmissionRequest, Charge, Completion};
+use egretgate_core::gateway::admission::{Admission, AdmissionRequest, Charge, Completion, Needs};
 use egretgate_core::gateway::catalog::{Catalog, Team, TokenLimit};
+use egretgate_core::gateway::regions::Regions;
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::gateway::upstream::{ListedUpstream, Outcome, Stage};
@@ -34,7 +35,13 @@
 
 fn entry(index: usize, entries: usize, now: Instant) -> Scheduler {
     let mut entry = Scheduler::new(&format!("entry-{index:03}"), "olinda", index as u64 + 1);
-    let team = Team { name: TEAM.to_owned(), tier: None, limit: Some(LIMIT), default_cost: 1 };
+    let team = Team {
+        name: TEAM.to_owned(),
+        tier: None,
+        limit: Some(LIMIT),
+        default_cost: 1,
+        regions: Regions::ANY,
+    };
     entry.set_peer_count(entries - 1);
     entry.set_catalog(Arc::new(Catalog::new(1).with_team(team, Vec::new())), now);
     let listed = |index| ListedUpstream {
@@ -46,6 +53,7 @@
         slots: 1_000,
         stage: Stage::Ready,
         started_ms: Some(1),
+        cold_for: Duration::ZERO,
     };
     entry.set_upstreams((0..4).map(listed).collect());
     entry
@@ -68,6 +76,7 @@
         avoid: Vec::new(),
         digest: None,
         parts: Arc::default(),
+        needs: Needs::default(),
     }
 }
 
--- a/crates/egretgate-core/tests/gateway_eras.rs
+++ b/crates/egretgate-core/tests/gateway_eras.rs
@@ -265,6 +265,7 @@
         slots: 8,
         stage,
         started_ms: Some(started_ms),
+        cold_for: Duration::ZERO,
     }
 }
 
--- a/crates/egretgate-core/tests/gateway_moving.rs
+++ b/crates/egretgate-core/tests/gateway_moving.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use egretgate_core::gateway::admission::{Admission, AdmissionRequest, Completion, UpstreamKey};
+use egretgate_core::gateway::admission::{
+    Admission, AdmissionRequest, Completion, Needs, UpstreamKey,
+};
 use egretgate_core::gateway::catalog::{Catalog, MoveSpec};
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::scheduler::Scheduler;
@@ -99,6 +101,7 @@
         slots: 9,
         stage: Stage::Ready,
         started_ms: Some(1),
+        cold_for: Duration::ZERO,
     }
 }
 
@@ -197,6 +200,7 @@
                 avoid: Vec::new(),
                 digest: None,
                 parts: Arc::default(),
+                needs: Needs::default(),
             };
             match entries[index].admit(request, now) {
                 Admission::Started(key) => starts.push_back((index, route, key)),
--- a/crates/egretgate-core/tests/gateway_notices.rs
+++ b/crates/egretgate-core/tests/gateway_notices.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::gateway::admission::{
-    Admission, AdmissionRequest, Completion, Reason, Refusal, UpstreamKey,
+    Admission, AdmissionRequest, Completion, Needs, Reason, Refusal, UpstreamKey,
 };
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::scheduler::{Departure, Scheduler};
@@ -25,6 +25,7 @@
         slots: 9,
         stage: Stage::Ready,
         started_ms: Some(started_ms),
+        cold_for: Duration::ZERO,
     }
 }
 
@@ -51,6 +52,7 @@
         avoid: Vec::new(),
         digest: None,
         parts: Arc::default(),
+        needs: Needs::default(),
     }
 }
 
--- a/crates/egretgate-core/tests/gateway_overload/fleet.rs
+++ b/crates/egretgate-core/tests/gateway_overload/fleet.rs
@@ -5,10 +5,11 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::gateway::admission::{
-    Admission, AdmissionRequest, Charge, Completion, UpstreamKey,
+    Admission, AdmissionRequest, Charge, Completion, Needs, UpstreamKey,
 };
 use egretgate_core::gateway::catalog::{Catalog, Team, TokenLimit};
 use egretgate_core::gateway::peer::PeerReport;
+use egretgate_core::gateway::regions::Regions;
 use egretgate_core::gateway::report_schedule::ReportSchedule;
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::scheduler::Scheduler;
@@ -135,6 +136,7 @@
             slots,
             stage: Stage::Ready,
             started_ms: Some(1),
+            cold_for: Duration::ZERO,
         };
         let entry = |index: usize| {
             let mut entry =
@@ -172,7 +174,13 @@
         let tokens = rate * REQUEST_TOKENS as f64;
         let catalog = (0..teams).fold(Catalog::new(2), |catalog, team| {
             let limit = Some(TokenLimit { rate: tokens, burst: tokens });
-            let team = Team { name: team_name(team), tier: None, limit, default_cost: 1 };
+            let team = Team {
+                name: team_name(team),
+                tier: None,
+                limit,
+                default_cost: 1,
+                regions: Regions::ANY,
+            };
             catalog.with_team(team, Vec::new())
         });
         let catalog = Arc::new(catalog);
@@ -316,6 +324,7 @@
             avoid: Vec::new(),
             digest: None,
             parts: Arc::default(),
+            needs: Needs::default(),
         };
         self.dispatch(entry, now);
         match self.entries[entry].admit(request, now) {
--- a/crates/egretgate-core/tests/gateway_parts/fleet.rs
+++ b/crates/egretgate-core/tests/gateway_parts/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::gateway::admission::{
-    Admission, AdmissionRequest, Completion, Refusal, UpstreamKey,
+    Admission, AdmissionRequest, Completion, Needs, Refusal, UpstreamKey,
 };
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::peer::PeerReport;
@@ -282,6 +282,7 @@
             slots: SLOTS,
             stage: Stage::Ready,
             started_ms: Some(u64::from(upstream.generation) + 1),
+            cold_for: Duration::ZERO,
         })
         .collect()
     }
@@ -407,6 +408,7 @@
             avoid: Vec::new(),
             digest: None,
             parts: Arc::clone(&parts),
+            needs: Needs::default(),
         };
         self.dispatch(entry, now);
         self.waiting.insert((entry, number), Waiting { index, is_bad, parts });
--- a/crates/egretgate-core/tests/gateway_parts/rulings.rs
+++ b/crates/egretgate-core/tests/gateway_parts/rulings.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::gateway::admission::{
-    Admission, AdmissionRequest, Completion, Refusal, UpstreamKey,
+    Admission, AdmissionRequest, Completion, Needs, Refusal, UpstreamKey,
 };
 use egretgate_core::gateway::part_quarantine::{PartReport, Ruling};
 use egretgate_core::gateway::peer::PeerReport;
@@ -30,6 +30,7 @@
         slots,
         stage: Stage::Ready,
         started_ms: Some(1),
+        cold_for: Duration::ZERO,
     };
     entry.set_upstreams((0..2).map(listed).collect());
     entry
@@ -52,6 +53,7 @@
         avoid: Vec::new(),
         digest: None,
         parts: parts.into(),
+        needs: Needs::default(),
     }
 }
 
--- a/crates/egretgate-core/tests/gateway_rate_limit.rs
+++ b/crates/egretgate-core/tests/gateway_rate_limit.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use egretgate_core::gateway::admission::{Admission, AdmissionRequest, Completion, UpstreamKey};
+use egretgate_core::gateway::admission::{
+    Admission, AdmissionRequest, Completion, Needs, UpstreamKey,
+};
 use egretgate_core::gateway::peer::PeerReport;
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::scheduler::Scheduler;
@@ -57,6 +59,7 @@
         slots: 40,
         stage: Stage::Ready,
         started_ms: Some(1),
+        cold_for: Duration::ZERO,
     }
 }
 
@@ -152,6 +155,7 @@
             avoid: Vec::new(),
             digest: None,
             parts: Arc::default(),
+            needs: Needs::default(),
         };
         let scheduler = &mut self.entries[entry];
         // Requests that would wait don't matter here.
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -7,7 +7,7 @@
 use assert_matches::assert_matches;
 use egretgate_core::Digest;
 use egretgate_core::gateway::admission::{
-    Admission, AdmissionRequest, Completion, Refusal, UpstreamKey,
+    Admission, AdmissionRequest, Completion, Needs, Refusal, UpstreamKey,
 };
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::request_queue::Priority;
@@ -28,6 +28,7 @@
         slots,
         stage: Stage::Ready,
         started_ms: Some(1),
+        cold_for: Duration::ZERO,
     }
 }
 
@@ -48,6 +49,7 @@
         avoid: Vec::new(),
         digest: None,
         parts: Arc::default(),
+        needs: Needs::default(),
     }
 }
 
--- a/crates/egretgate-gateway/src/dialect.rs
+++ b/crates/egretgate-gateway/src/dialect.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use egretgate_core::gateway::prompt_part::PartHash;
+use egretgate_core::gateway::stated_load::StatedLoad;
 use http::HeaderMap;
 
 /// The fields of a request's head that matter, beside its method and path.
@@ -16,6 +17,8 @@
     pub key: Option<String>,
     /// Number of prompt tokens plus the maximum number of output tokens.
     pub tokens: Option<u64>,
+    /// Number of prompt tokens.
+    pub prompt_tokens: Option<u64>,
     /// Expected number of output tokens, as estimated by the caller.
     pub likely_output: Option<u64>,
     /// Maximum number of output tokens.
@@ -56,6 +59,10 @@
     pub pause: Option<Duration>,
     /// True if it states that the upstream leaves.
     pub leaving: bool,
+    /// Load that it states.
+    pub load: Option<StatedLoad>,
+    /// Time for which the upstream stays cold, if it states one.
+    pub cold_for: Option<Duration>,
 }
 
 /// Names and formats of the headers that a platform puts on requests and answers.
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -411,6 +411,7 @@
             avoid: self.avoid.clone(),
             digest: Some(self.plan.digest),
             parts: Arc::clone(&self.plan.parts),
+            needs: self.plan.needs.clone(),
         };
         let result = self.context.dispatcher.admit(request).await;
         self.waited += now.elapsed();
--- a/crates/egretgate-gateway/src/plan.rs
+++ b/crates/egretgate-gateway/src/plan.rs
@@ -4,7 +4,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use egretgate_core::gateway::admission::Charge;
+use egretgate_core::gateway::admission::{Charge, Needs};
 use egretgate_core::gateway::catalog::{Catalog, Route};
 use egretgate_core::gateway::prompt_part::PartHash;
 use egretgate_core::gateway::request_queue::Priority;
@@ -45,6 +45,8 @@
     pub(crate) digest: Digest,
     /// Parts of the prompt that other requests may share.
     pub(crate) parts: Arc<[PartHash]>,
+    /// What the request needs of an upstream.
+    pub(crate) needs: Needs,
 }
 
 impl Plan {
@@ -72,11 +74,17 @@
             },
             team: team.map(|team| team.name.clone()),
             route: route.clone(),
-            events: likely_events(route, &request.head, catalog.event_tokens(&service)),
-            max_events: max_events(&request.head, catalog.event_tokens(&service)),
+            events: likely_events(route, &request.head, catalog.service(&service).event_tokens),
+            max_events: max_events(&request.head, catalog.service(&service).event_tokens),
             service,
             tokens: charge.as_ref().map_or(0, |charge| charge.tokens),
             charge,
+            needs: Needs {
+                regions: team
+                    .map_or_else(|| route.regions.clone(), |team| route.regions.and(&team.regions)),
+                prompt_tokens: request.head.prompt_tokens.unwrap_or(0),
+                output_tokens: request.head.most_output.unwrap_or(0),
+            },
             version: catalog.version,
             digest,
             parts: request.head.shared_parts.as_slice().into(),
--- a/crates/egretgate-model/src/simulation/entries.rs
+++ b/crates/egretgate-model/src/simulation/entries.rs
@@ -2,8 +2,9 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
-use egretgate_core::gateway::admission::AdmissionRequest;
+use egretgate_core::gateway::admission::{AdmissionRequest, Needs};
 use egretgate_core::gateway::peer::PeerReport;
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::upstream::{ListedUpstream, Stage};
@@ -37,6 +38,7 @@
             avoid: request.avoid.clone(),
             digest: None,
             parts: Arc::default(),
+            needs: Needs::default(),
         }
     }
 
@@ -108,6 +110,7 @@
                 slots: service.slots,
                 stage: Stage::Ready,
                 started_ms: Some(upstream.incarnation.into()),
+                cold_for: Duration::ZERO,
             };
             (index, listed)
         };
