fix(gateway): an answer without an id on a reused connection proves nothing

Callers saw: another request's refusal or failure, among them a 503 that promised "not run" for a request that had run. Cause: an answer that names no request was taken for the present one's, also on a connection where a second copy of an earlier answer may arrive late. Change: on a reused connection such an answer counts as foreign; the connection is closed and the outcome is unknown.

--- a/crates/egretgate-gateway/src/connect.rs
+++ b/crates/egretgate-gateway/src/connect.rs
@@ -43,6 +43,8 @@
     head_budget: HeadBudget,
     /// Time until which the connection may be reused while it is idle.
     reusable_until: Instant,
+    /// True once an earlier request was answered on it.
+    is_reused: bool,
 }
 
 impl Connection {
@@ -58,7 +60,8 @@
         tokio::spawn(async move {
             let _ = connection.await;
         });
-        Ok(Self { sender, head_budget, reusable_until: Instant::now() + DEFAULT_IDLE })
+        let reusable_until = Instant::now() + DEFAULT_IDLE;
+        Ok(Self { sender, head_budget, reusable_until, is_reused: false })
     }
 
     /// Returns true if another request may be sent.
@@ -66,6 +69,12 @@
         self.sender.is_ready() && now < self.reusable_until
     }
 
+    /// Returns true if an earlier request was answered on it: what arrives may be a second copy of
+    /// that answer.
+    pub(crate) const fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Sends a request and returns the head of its answer.
     pub(crate) async fn send(
         &mut self,
@@ -93,6 +102,7 @@
         }
         self.sender.ready().await.ok()?;
         self.reusable_until = Instant::now() + idle_time(headers);
+        self.is_reused = true;
         Some(self)
     }
 }
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -556,7 +556,10 @@
         self.rate_limit = head.rate_limit;
         self.framing = Some(Framing::of(&parts.headers));
         let answer = UpstreamAnswer { permit, connection, headers: parts.headers, body };
-        let is_foreign = head.id.as_ref().is_some_and(|id| *id != self.request.head.id);
+        let is_foreign = match &head.id {
+            Some(id) => *id != self.request.head.id,
+            None => answer.connection.is_reused(),
+        };
         if !is_foreign && parts.status != StatusCode::MISDIRECTED_REQUEST {
             answer.permit.record_limit(head.rate_limit);
             if let Some(pause) = head.pause {
