fix(gateway): a planned stop takes in the requests that have just arrived

Callers saw: connections closed without an answer when an entry on a busy core stopped. Cause: at the end of the linger time the listener was dropped with connections in its backlog, and the HTTP library closes a connection whose first request it hasn't read yet. Change: both go on for 150 ms, and the entry doesn't stop before its listener.

--- a/crates/egretgate-gateway/src/caller_listener.rs
+++ b/crates/egretgate-gateway/src/caller_listener.rs
@@ -1,6 +1,7 @@
 //! The listener for callers.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -31,6 +32,9 @@
 const START_WAIT: Duration = Duration::from_millis(700);
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time for which connections and requests that have arrived are still taken in once the entry closes
+/// idle connections: a busy core reads them late.
+const CLOSING_WAIT: Duration = Duration::from_millis(150);
 /// Least size that a connection's read buffer may grow to, in bytes. The buffer holds the head of a
 /// request, whose declared limit may grow while the connection is kept.
 const READ_BUFFER_BYTES: usize = 64 << 10;
@@ -58,8 +62,11 @@
 }
 
 impl CallerListener {
-    /// Accepts connections until the entry closes idle ones: later ones could not be served.
+    /// Accepts connections until shortly after the entry closes idle ones: later ones could not be
+    /// served.
     pub(crate) async fn run(self: Arc<Self>, listener: TcpListener) {
+        // The entry doesn't stop before the listener has ended.
+        let _guard = self.connections.subscribe();
         let mut phase = self.phase.clone();
         let mut catalog = self.catalog.clone();
         // Callers that connect before the declarations are read wait rather than being refused.
@@ -67,10 +74,15 @@
         if timeout(START_WAIT, known).await.is_err() {
             warn!(self.context.log, "callers are refused until declarations are read");
         }
+        let mut closed = pin!(async {
+            closing(&mut phase).await;
+            sleep(CLOSING_WAIT).await;
+        });
         loop {
             let accepted = tokio::select! {
+                biased;
                 accepted = listener.accept() => accepted,
-                () = closing(&mut phase) => return,
+                () = &mut closed => return,
             };
             match accepted {
                 Ok((stream, _)) => {
@@ -113,8 +125,12 @@
         let result = tokio::select! {
             result = &mut connection => result,
             () = closing(&mut phase) => {
-                Pin::new(&mut connection).graceful_shutdown();
-                (&mut connection).await
+                if let Ok(result) = timeout(CLOSING_WAIT, &mut connection).await {
+                    result
+                } else {
+                    Pin::new(&mut connection).graceful_shutdown();
+                    (&mut connection).await
+                }
             }
         };
         // This happens when a caller leaves or an answer is cut on purpose.
