--- a/crates/egretgate-core/tests/choice.rs
+++ b/crates/egretgate-core/tests/choice.rs
@@ -157,7 +157,7 @@
         let now = Instant::now();
         let (mut fleet, _) = fleet(Policy::Affinity, size, now);
         let mut rng = ChaCha8Rng::seed_from_u64(3);
-        let mut used = std::collections::BTreeSet::new();
+        let mut used = BTreeSet::new();
         for prefix in 0..50 {
             let request =
                 ChoiceRequest { prefix_hash: xxhash_rust::xxh3::xxh3_64(&[prefix]), ..request() };
