feat(gateway): drained zones, regions of requests, and the rate of cold upstreams

Orders to drain a zone and the regions of routes and teams weren't read; an upstream that had just started got whatever its free slots took. Change: the adapter reads drained zones; they hold across an older copy of the store like moves (HeldZones), change the catalog's fingerprint, and bind every choice, as the regions do. A request that no upstream may get is refused at once (drained, no_region). While an upstream counts as cold, its declared rate is divided among a few entries by the directory's list, with the part of a rate that stated limits use (RatePart). It counts as cold by the list, by its answers, after a lost connection until a request that began before it succeeds, and after its zone is restored; entries tell each other by reports. Bounds come from the settings. Ruled out: dividing among the entries that hear each other, as stated limits do: entries cut off from each other each start one request at once, and a hundred of them exceed the bound in one second.

--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -7,7 +7,9 @@
 pub mod admission;
 pub mod broken_runs;
 pub mod catalog;
+pub mod cold_start;
 pub mod decaying_count;
+pub mod drained_zones;
 pub mod era;
 pub mod fair_use;
 pub mod follow;
--- a/crates/egretgate-core/src/gateway/admission.rs
+++ b/crates/egretgate-core/src/gateway/admission.rs
@@ -102,6 +102,10 @@
     Expired,
     /// All upstreams pause for longer than is useful.
     Paused,
+    /// Operators drain the zones of all its upstreams.
+    Drained,
+    /// No upstream is in a region in which it may run.
+    NoRegion,
     /// No upstream is clearly faster than the one where it runs.
     NoneFaster,
     /// The entry is stopping.
@@ -144,6 +148,8 @@
             Self::TooLong => "too_long",
             Self::Expired => "expired",
             Self::Paused => "paused",
+            Self::Drained => "drained",
+            Self::NoRegion => "no_region",
             Self::NoneFaster => "none_faster",
             Self::Stopping => "stopping",
         }
--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -5,10 +5,12 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::cold_start::ColdNotice;
 use super::era::Era;
 use super::follow::{Fingerprint, Reading};
 use super::part_quarantine::PartReport;
-use super::rate_limit::{LimitNotice, order_key};
+use super::rate_limit::LimitNotice;
+use super::rate_limit::part::order_key;
 use super::refusals::RefusalCounts;
 use super::request_queue::Priority;
 use super::traffic_move::{MoveKey, MoveReport};
@@ -21,6 +23,9 @@
 /// unreachable.
 pub const PEER_EXPIRY: Duration = Duration::from_secs(20);
 
+/// Longest time for which an upstream counts as cold by another entry's word.
+const MAX_COLD_TIME: Duration = Duration::from_mins(1);
+
 /// Hash that replaces a name in reports.
 pub type NameHash = u64;
 
@@ -49,6 +54,8 @@
     pub unit_seconds: HashMap<NameHash, f64>,
     /// What upstreams stated to the entry about their limits, by upstream.
     pub limits: HashMap<NameHash, AgedLimit>,
+    /// What the entry found out of upstreams that may be cold, by upstream.
+    pub cold: HashMap<NameHash, AgedCold>,
     /// Upstreams that said to the entry that they leave.
     pub leaving: Vec<LeavingUpstream>,
     /// Arrivals and refusals for lack of headroom, by service and priority.
@@ -127,6 +134,43 @@
     }
 }
 
+/// What an entry found out of an upstream that may be cold, with ages instead of times.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AgedCold {
+    /// Time since it was found out.
+    pub age: Duration,
+    /// Time for which it counts as cold; zero if it is warm.
+    pub time_left: Duration,
+    /// Time since the last lost connection, unless a request has proved that it lived through it.
+    pub loss_age: Option<Duration>,
+    /// True if a request that began after the loss has succeeded.
+    pub is_back: bool,
+}
+
+impl AgedCold {
+    /// Returns the notice with its ages at `now`.
+    pub fn new(notice: ColdNotice, now: Instant) -> Self {
+        let age = |time| now.saturating_duration_since(time);
+        Self {
+            age: age(notice.stated_at),
+            time_left: notice.until.saturating_duration_since(now),
+            loss_age: notice.loss.map(age),
+            is_back: notice.is_back,
+        }
+    }
+
+    /// Returns the notice that was received at `now`.
+    pub fn notice(self, now: Instant) -> ColdNotice {
+        let at = |age| now.checked_sub(age).unwrap_or(now);
+        ColdNotice {
+            stated_at: at(self.age),
+            until: now + self.time_left.min(MAX_COLD_TIME),
+            loss: self.loss_age.map(at),
+            is_back: self.is_back,
+        }
+    }
+}
+
 /// Tokens that another entry has admitted for a team since its last report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TokenSpend {
--- a/crates/egretgate-core/src/gateway/rate_limit.rs
+++ b/crates/egretgate-core/src/gateway/rate_limit.rs
@@ -7,9 +7,9 @@
 
 use std::time::{Duration, Instant};
 
-use xxhash_rust::xxh3::xxh3_64;
+use part::RatePart;
 
-use super::peer::NameHash;
+pub(super) mod part;
 
 /// Entries that divide a limit among them, for each request per second of the limit. Each may start
 /// one request at once, so more of them would exceed the limit together.
@@ -34,22 +34,22 @@
 }
 
 /// The limit of one upstream and this entry's part of it.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub(super) struct RateLimit {
     /// Newest notice of any entry; `None` if the upstream never stated a limit.
     newest: Option<LimitNotice>,
     /// True if `newest` was stated to this entry.
     is_own: bool,
-    /// This entry's part, in requests per second; 0 if it belongs to other entries.
-    rate: f64,
-    /// Requests that this entry may start now; at most 1 and those of [`SAVED_SECONDS`]. Below 0 if
-    /// it started more than it knew of.
-    level: f64,
-    /// Time up to which `level` was filled; `None` without a part.
-    filled: Option<Instant>,
+    /// This entry's part.
+    part: RatePart,
 }
 
 impl RateLimit {
+    /// Returns the state of an upstream that never stated a limit.
+    pub(super) const fn new() -> Self {
+        Self { newest: None, is_own: false, part: RatePart::new(SAVED_SECONDS) }
+    }
+
     /// Returns the limit in force.
     pub(super) fn limit(&self) -> Option<f64> {
         self.newest.and_then(|notice| notice.limit)
@@ -76,9 +76,7 @@
         self.newest = Some(notice);
         self.is_own = is_own;
         if notice.limit.is_none() {
-            self.rate = 0.0;
-            self.level = 0.0;
-            self.filled = None;
+            self.part.clear();
         }
     }
 
@@ -98,41 +96,24 @@
         let limit = limit.max(PROBE_RATE);
         let parts = (limit * ENTRIES_PER_RATE).min(reachable as f64) as usize;
         let parts = (parts + MIN_ENTRIES).min(reachable);
-        self.rate = if position < parts { limit * reachable_fraction / parts as f64 } else { 0.0 };
-        if self.rate <= 0.0 {
-            self.filled = None;
-        }
+        let has_part = position < parts;
+        self.part.set_rate(if has_part { limit * reachable_fraction / parts as f64 } else { 0.0 });
     }
 
     /// Returns true if this entry may start a request.
     pub(super) fn allows(&self, now: Instant) -> bool {
-        self.limit().is_none() || self.level_at(now) >= 1.0
+        self.limit().is_none() || self.part.allows(now)
     }
 
     /// Counts a started request.
     pub(super) fn record_start(&mut self, now: Instant) {
         if self.limit().is_some() {
-            self.refill(now);
-            self.level -= 1.0;
+            self.part.record_start(now);
         }
     }
 
-    /// Fills the level up to `now`. An entry that just got its part begins with nothing: the entry
-    /// that had it may have used it.
+    /// Fills this entry's part up to `now`.
     pub(super) fn refill(&mut self, now: Instant) {
-        self.level = self.level_at(now);
-        self.filled = (self.rate > 0.0).then_some(now);
+        self.part.refill(now);
     }
-
-    fn level_at(&self, now: Instant) -> f64 {
-        let Some(filled) = self.filled else { return 0.0 };
-        let gained = self.rate * now.saturating_duration_since(filled).as_secs_f64();
-        (self.level + gained).min(1.0 + self.rate * SAVED_SECONDS)
-    }
-}
-
-/// Returns an entry's place in the upstream's order of entries, which differs from upstream to
-/// upstream.
-pub(super) fn order_key(entry: NameHash, upstream: NameHash) -> u64 {
-    xxh3_64(&[entry.to_le_bytes(), upstream.to_le_bytes()].concat())
 }
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -11,6 +11,8 @@
 };
 use super::broken_runs::BrokenRuns;
 use super::catalog::Catalog;
+use super::cold_start::ColdBound;
+use super::drained_zones::ZoneChange;
 use super::fair_use::FairUse;
 use super::part_quarantine::{PartChange, PartQuarantine, Turn};
 use super::peer::{LeavingUpstream, NameHash, Peers};
@@ -22,10 +24,12 @@
 use super::token_bucket::TokenBucket;
 use super::traffic_move::{Moves, VersionSample};
 use super::upstream::{ListedUpstream, Outcome, UpstreamState};
-use crate::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId, ZoneId};
+use crate::{Incarnation, InstanceId, RegionId, ServiceId, TeamId, UpstreamId, ZoneId};
 
+mod cold;
 mod peer_view;
 mod placement;
+mod places;
 mod reports;
 
 /// Waiting requests of a service that find no upstream before its dispatch stops. Several are tried
@@ -88,6 +92,16 @@
     moves: Moves,
     /// Upstreams that were found to leave since the last [`Scheduler::take_departures`].
     departures: Vec<Departure>,
+    /// Region of each zone.
+    regions: HashMap<ZoneId, RegionId>,
+    /// Zones whose drain began or ended since the last [`Scheduler::take_zone_changes`].
+    zone_changes: Vec<ZoneChange>,
+    /// How far requests may exceed the rate of a cold upstream.
+    cold_bound: ColdBound,
+    /// Hashes of this entry and of the others that the directory lists; `None` before it was read.
+    listed_entries: Option<(NameHash, Vec<NameHash>)>,
+    /// Requests that found no upstream while a cold one had a free slot.
+    cold_holds: u64,
 }
 
 impl Scheduler {
@@ -119,6 +133,11 @@
             trials: HashSet::new(),
             moves: Moves::default(),
             departures: Vec::new(),
+            regions: HashMap::new(),
+            zone_changes: Vec::new(),
+            cold_bound: ColdBound::STRICT,
+            listed_entries: None,
+            cold_holds: 0,
         }
     }
 
@@ -129,6 +148,13 @@
         self
     }
 
+    /// Sets the region of each zone.
+    #[must_use]
+    pub fn with_regions(mut self, regions: HashMap<ZoneId, RegionId>) -> Self {
+        self.regions = regions;
+        self
+    }
+
     /// Sets the number of other entries in the directory.
     pub fn set_peer_count(&mut self, count: usize) {
         if self.peer_count.is_none() {
@@ -160,7 +186,9 @@
             }
         }
         self.moves.set_moves(catalog.moves(), now);
-        self.catalog = catalog;
+        let before = std::mem::replace(&mut self.catalog, catalog);
+        self.apply_zones(before.drained_zones(), now);
+        self.place_upstreams();
     }
 
     /// Replaces the list of upstreams and returns the keys of those that are no longer listed or
@@ -188,6 +216,8 @@
         }
         self.by_id = by_id;
         self.by_hash = self.upstreams.iter().map(|(key, upstream)| (upstream.hash, key)).collect();
+        self.place_upstreams();
+        self.order_entries();
         self.rebuild_members();
         gone
     }
@@ -247,9 +277,14 @@
             self.record_start(&request.service, key, now);
             return Admission::Started(key);
         }
-        let pause = self.pause_left(&request.service, now);
+        let wait = wait.max(self.cold_wait(&request, now));
+        self.count_cold_hold(&request, now);
+        let pause = self.pause_left(&request, now);
         let is_too_long = |wait| wait > request.useful_wait || now + wait > request.queue_deadline;
-        let reason = if is_too_long(pause) {
+        let excluded = self.excluded(&request);
+        let reason = if excluded.is_some() {
+            excluded
+        } else if is_too_long(pause) {
             Some(Reason::Paused)
         } else if self.must_yield(&request) {
             Some(Reason::ReservedForUrgent)
@@ -257,8 +292,8 @@
             is_too_long(wait).then_some(Reason::TooLong)
         };
         if let Some(reason) = reason {
-            self.record_refusal(&request, now);
-            let overload = self.overload(&request.service, reason, wait, now);
+            self.refuse(&request, reason, now);
+            let overload = self.overload(&request, reason, wait, now);
             return Admission::Refused(Refusal::Overloaded(overload));
         }
         if let Some(service_state) = self.services.get_mut(&request.service) {
@@ -312,21 +347,19 @@
     /// was quarantined while they waited.
     pub fn expire(&mut self, now: Instant) -> Vec<(RequestNumber, Refusal)> {
         let mut expired = Vec::new();
-        for (service, service_state) in &mut self.services {
+        for service_state in self.services.values_mut() {
             let queue_keys = service_state.queue.expire(now);
-            expired.extend(
-                queue_keys.into_iter().map(|queue_key| (queue_key.number, service.clone())),
-            );
+            expired.extend(queue_keys.into_iter().map(|queue_key| queue_key.number));
         }
         let mut refused = Vec::with_capacity(expired.len());
-        for (number, service) in expired {
-            let overload = self.overload(&service, Reason::Expired, Duration::ZERO, now);
-            refused.push((number, Refusal::Overloaded(overload)));
+        for number in expired {
             self.trials.remove(&number);
-            if let Some((_, request)) = self.waiting.remove(&number) {
-                self.record_refusal(&request, now);
-            }
+            let Some((_, request)) = self.waiting.remove(&number) else { continue };
+            let overload = self.overload(&request, Reason::Expired, Duration::ZERO, now);
+            refused.push((number, Refusal::Overloaded(overload)));
+            self.record_refusal(&request, now);
         }
+        refused.extend(self.expire_excluded(now));
         if self.parts.quarantined_count() > 0 {
             let held = self.waiting.iter().filter(|(number, (_, request))| {
                 self.parts.is_quarantined(&request.parts) && !self.trials.contains(*number)
@@ -352,6 +385,7 @@
         }
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.record_outcome(outcome, completion.suspected, now);
+            upstream.record_cold_outcome(outcome, completion.started, now);
             if let Some(sample) = version_sample(completion) {
                 self.moves.record_sample(
                     &completion.service,
@@ -484,15 +518,15 @@
 
     fn overload(
         &self,
-        service: &ServiceId,
+        request: &AdmissionRequest,
         reason: Reason,
         expected_wait: Duration,
         now: Instant,
     ) -> Overload {
-        let service_state = self.services.get(service);
+        let service_state = self.services.get(&request.service);
         let waiting = service_state.map_or(0, |service_state| service_state.queue.len());
         let running = service_state.map_or(0, |service_state| service_state.running);
-        let pause = self.pause_left(service, now);
+        let pause = self.pause_left(request, now);
         Overload { reason, expected_wait, pause, waiting, running }
     }
 
@@ -552,6 +586,7 @@
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.own_running += 1;
             upstream.rate_limit.record_start(now);
+            upstream.cold.record_start(now);
         }
         if let Some(service_state) = self.services.get_mut(service) {
             service_state.running += 1;
@@ -567,7 +602,7 @@
             let service = upstream.listed.service.clone();
             let service_state = self.services.entry(service).or_default();
             service_state.members.push(key);
-            service_state.slots += upstream.listed.slots;
+            service_state.slots += if upstream.drained { 0 } else { upstream.listed.slots };
         }
     }
 }
--- a/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
@@ -63,6 +63,11 @@
             upstream.rate_limit.refill(now);
             upstream.rate_limit.divide(position, reachable, reachable_fraction);
         }
+        let listed = self.listed_entries();
+        let bound = self.cold_bound;
+        for upstream in self.upstreams.values_mut() {
+            upstream.cold.divide(listed, bound, now);
+        }
         // Peers that haven't reported yet may be in any zone.
         let far = self.peers.known_count() - self.peers.zone_count(&self.zone);
         self.schedule = ReportSchedule::new(self.entries() - 1 - far, far);
--- a/crates/egretgate-core/src/gateway/scheduler/placement.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/placement.rs
@@ -5,6 +5,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Scheduler;
+use crate::VersionId;
 use crate::gateway::admission::{AdmissionRequest, UpstreamKey};
 use crate::gateway::headroom::{has_free_slot, has_headroom, has_unreserved_slot};
 use crate::gateway::peer::name_hash;
@@ -13,7 +14,6 @@
 use crate::gateway::share::SlotShare;
 use crate::gateway::traffic_move::VersionPreference;
 use crate::gateway::upstream::UpstreamState;
-use crate::{ServiceId, VersionId};
 
 /// Requests per slot that all entries together may have at an upstream with short calls, which end
 /// before reports of them arrive. With two, as many calls wait there as run, which only doubles a
@@ -25,6 +25,8 @@
 /// Seconds per event, relative to those of a running stream, at which an upstream is fast enough
 /// for a migration to be worth reading the prompt again.
 const FASTER_FACTOR: f64 = 0.5;
+/// Cost factor of a cold upstream, which works more slowly for some time.
+const COLD_FACTOR: f64 = 2.0;
 /// Largest number of entries at which each compares every upstream: the reports of so few are
 /// recent enough.
 const FULL_COMPARE_ENTRIES: usize = 4;
@@ -79,7 +81,10 @@
             VersionPreference::Prefer(target) => {
                 let is_ready = |key: &UpstreamKey| {
                     let upstream = &self.upstreams[*key];
-                    upstream.listed.version == *target && !upstream.is_leaving()
+                    upstream.listed.version == *target
+                        && !upstream.is_leaving()
+                        && !upstream.is_drained()
+                        && request.needs.regions.allows(upstream.region.as_deref())
                 };
                 let has_target = service_state.members.iter().any(is_ready);
                 pick(&|version| version == target || !has_target)
@@ -95,6 +100,7 @@
         fits: &dyn Fn(&VersionId) -> bool,
         now: Instant,
     ) -> Option<UpstreamKey> {
+        let members = self.allowed_members(request, service_state);
         let mean = self.mean_unit_seconds(service_state);
         let rules = self.slot_rules(request, service_state);
         let time_left = request.deadline.saturating_duration_since(now).as_secs_f64();
@@ -103,17 +109,16 @@
         };
         // A long answer waits for an upstream that is fast enough, if there is one.
         let needs_fast = request.events > 0.0
-            && service_state.members.iter().any(|key| {
+            && members.iter().any(|key| {
                 let upstream = &self.upstreams[*key];
                 let takes_requests = upstream.is_available() && upstream.pause_left(now).is_zero();
-                takes_requests && upstream.rate_limit.allows(now) && in_time(upstream)
+                takes_requests && upstream.allows_start(now) && in_time(upstream)
             });
         // A suspected upstream gets a request only if every usable one is suspected.
         let is_unsuspected =
             |upstream: &UpstreamState| upstream.is_usable(now) && !upstream.is_suspected(now);
-        let all_suspected =
-            !service_state.members.iter().any(|key| is_unsuspected(&self.upstreams[*key]));
-        let usable = service_state.members.iter().copied().filter(|key| {
+        let all_suspected = !members.iter().any(|key| is_unsuspected(&self.upstreams[*key]));
+        let usable = members.iter().copied().filter(|key| {
             let upstream = &self.upstreams[*key];
             upstream.is_usable(now)
                 && (all_suspected || !upstream.is_suspected(now))
@@ -130,16 +135,18 @@
             let in_share = upstream.own_running < slots;
             let unreported =
                 if in_share { 0.0 } else { self.unreported_starts(upstream, service_state) };
-            upstream.cost(mean, &self.zone, unreported)
+            let cold_factor = if upstream.cold_left(now).is_zero() { 1.0 } else { COLD_FACTOR };
+            upstream.cost(mean, &self.zone, unreported) * cold_factor
         };
         // Entries with the same late reports must not all choose the same upstream, so each
         // compares only a subset of them that differs from request to request.
         let full_squared = FULL_COMPARE_ENTRIES * FULL_COMPARE_ENTRIES;
         let entries = self.entries();
-        let compared =
-            (service_state.members.len() * full_squared / (entries * entries)).max(MIN_COMPARED);
+        let compared = (members.len() * full_squared / (entries * entries)).max(MIN_COMPARED);
         let is_near = |key: &UpstreamKey| self.upstreams[*key].listed.zone == self.zone;
-        let (near, far): (Vec<UpstreamKey>, Vec<UpstreamKey>) = usable.partition(is_near);
+        let usable = self.prefer_warm(request, usable.collect(), mean, now);
+        let (near, far): (Vec<UpstreamKey>, Vec<UpstreamKey>) =
+            usable.into_iter().partition(is_near);
         let sample = |usable: &[UpstreamKey]| {
             let first = spread(request.number, usable.len());
             let count = compared.min(usable.len());
@@ -149,10 +156,13 @@
         candidates.min_by(|a, b| cost(a).total_cmp(&cost(b)))
     }
 
-    /// Returns the time until the first upstream of a service takes requests again, if all of them
-    /// pause.
-    pub(super) fn pause_left(&self, service: &ServiceId, now: Instant) -> Duration {
-        let members = self.services.get(service).map_or(&[][..], |state| &state.members);
+    /// Returns the time until the first upstream that a request may go to takes requests again, if
+    /// all of them pause.
+    pub(super) fn pause_left(&self, request: &AdmissionRequest, now: Instant) -> Duration {
+        let Some(service_state) = self.services.get(&request.service) else {
+            return Duration::ZERO;
+        };
+        let members = self.allowed_members(request, service_state);
         let upstreams = members.iter().map(|key| &self.upstreams[*key]);
         let available = upstreams.filter(|upstream| upstream.is_available());
         available.map(|upstream| upstream.pause_left(now)).min().unwrap_or_default()
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -5,12 +5,14 @@
 
 use super::Scheduler;
 use crate::gateway::catalog::MoveSpec;
-use crate::gateway::peer::{AgedLimit, LeavingUpstream, NameHash, PeerReport, name_hash};
+use crate::gateway::peer::{AgedCold, AgedLimit, LeavingUpstream, NameHash, PeerReport, name_hash};
 use crate::gateway::service_state::ServiceState;
 use crate::gateway::traffic_move::{MoveState, MoveStatus};
 
 /// Decayed count of a priority's arrivals, in requests, below which the priority isn't reported.
 const MIN_REPORTED_ARRIVALS: f64 = 0.1;
+/// Most upstreams of which a report says that they may be cold, so that it fits into a datagram.
+const MAX_REPORTED_COLD: usize = 96;
 
 impl Scheduler {
     /// Receives the report of another entry.
@@ -42,6 +44,7 @@
                 upstream.rate_limit.record_peer(limit.notice(now));
             }
         }
+        self.receive_cold(&report.cold, now);
         let entries = self.entries();
         let overdue_age = self.schedule.overdue_age();
         for spend in self.peers.record_report(report, now) {
@@ -88,6 +91,11 @@
             Some((upstream.hash, AgedLimit::new(notice, now)))
         });
         let limits = limits.collect();
+        let cold = self.upstreams.values().filter_map(|upstream| {
+            let notice = upstream.cold.report(now)?;
+            Some((upstream.hash, AgedCold::new(notice, now)))
+        });
+        let cold = cold.take(MAX_REPORTED_COLD);
         let leaving = self.upstreams.values().filter(|upstream| upstream.told_leaving);
         let leaving = leaving.map(|upstream| LeavingUpstream {
             upstream: upstream.hash,
@@ -104,6 +112,7 @@
             running,
             unit_seconds,
             limits,
+            cold: cold.collect(),
             leaving: leaving.collect(),
             refusals: refusals.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
--- a/crates/egretgate-core/src/gateway/upstream.rs
+++ b/crates/egretgate-core/src/gateway/upstream.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use super::cold_start::ColdState;
 use super::peer::{NameHash, name_hash};
 use super::rate_limit::RateLimit;
-use crate::{ServiceId, UpstreamId, VersionId, ZoneId};
+use crate::{RegionId, ServiceId, UpstreamId, VersionId, ZoneId};
 
 /// Weight of a new sample in the running averages; about the last ten samples count.
 const SMOOTHING: f64 = 0.1;
@@ -136,8 +137,14 @@
     pub(super) told_leaving: bool,
     /// True once the address was found to belong to another upstream.
     misdirected: bool,
+    /// True while operators drain its zone.
+    pub(super) drained: bool,
+    /// Region of its zone, if it is known.
+    pub(super) region: Option<RegionId>,
     /// The rate of requests that it takes.
     pub(super) rate_limit: RateLimit,
+    /// The rate of requests that it takes while it is cold.
+    pub(super) cold: ColdState,
 }
 
 impl UpstreamState {
@@ -161,7 +168,10 @@
             said_leaving: false,
             told_leaving: false,
             misdirected: false,
-            rate_limit: RateLimit::default(),
+            drained: false,
+            region: None,
+            rate_limit: RateLimit::new(),
+            cold: ColdState::new(),
         }
     }
 
@@ -174,12 +184,27 @@
             && self.pause_left(now).is_zero()
             && !backing_off
             && !probing
-            && self.rate_limit.allows(now)
+            && self.allows_start(now)
+    }
+
+    /// Returns true if the rates that it takes leave this entry a request now.
+    pub(super) fn allows_start(&self, now: Instant) -> bool {
+        self.rate_limit.allows(now) && self.cold.allows(now)
+    }
+
+    /// Returns the time for which it counts as cold; zero if it is warm.
+    pub fn cold_left(&self, now: Instant) -> Duration {
+        self.cold.time_left(now)
     }
 
     /// Returns true if it takes requests, now or after a pause or a backoff.
     pub(super) fn is_available(&self) -> bool {
-        !self.is_leaving() && !self.misdirected
+        !self.is_leaving() && !self.misdirected && !self.drained
+    }
+
+    /// Returns true while operators drain its zone.
+    pub const fn is_drained(&self) -> bool {
+        self.drained
     }
 
     /// Returns the time that is left of its pause.
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -3,20 +3,20 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime};
 
 use egretgate_core::gateway::admission::{
     Admission, AdmissionRequest, Completion, Overload, Reason, Refusal, UpstreamKey,
 };
 use egretgate_core::gateway::catalog::Catalog;
-use egretgate_core::gateway::peer::PeerReport;
+use egretgate_core::gateway::peer::{NameHash, PeerReport};
 use egretgate_core::gateway::prompt_part::PartHash;
 use egretgate_core::gateway::request_queue::RequestNumber;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::gateway::traffic_move::MoveStatus;
 use egretgate_core::gateway::upstream::{ListedUpstream, Outcome, UpstreamState};
 use egretgate_core::{Digest, RouteId, ServiceId, UpstreamId};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{MissedTickBehavior, interval};
 
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Records for how long the answer states that the upstream stays cold.
+    pub(crate) fn record_cold(&self, cold_for: Duration) {
+        self.dispatcher.send(Message::Cold { key: self.key, cold_for });
+    }
+
     /// Records that the upstream wants no requests for a while.
     pub(crate) fn record_pause(&self, pause: Duration) {
         self.dispatcher.send(Message::Pause {
@@ -147,8 +152,10 @@
     Catalog(Arc<Catalog>),
     /// Replaces the list of upstreams.
     Upstreams(Vec<ListedUpstream>),
-    /// Reports the number of other entries in the directory.
-    PeerCount(usize),
+    /// Reports the entries in the directory, by the hashes of their addresses: this one and others.
+    Entries { own: NameHash, others: Vec<NameHash> },
+    /// Reports for how long an upstream states to stay cold.
+    Cold { key: UpstreamKey, cold_for: Duration },
     /// Reports whether the directory can be read.
     DirectoryUp(bool),
     /// Passes on a report of another entry.
@@ -300,15 +307,20 @@
                 self.scheduler.record_leaving(key);
                 self.log_departures();
             }
-            Message::Catalog(catalog) => self.scheduler.set_catalog(catalog, now),
+            Message::Catalog(catalog) => {
+                self.scheduler.set_catalog(catalog, now);
+                self.log_zone_changes();
+            }
             Message::Upstreams(upstreams) => {
                 for key in self.scheduler.set_upstreams(upstreams) {
                     self.idle.remove(&key);
                 }
+                self.scheduler.record_listed_cold(now);
                 self.dispatch(now);
             }
             Message::DirectoryUp(is_up) => self.scheduler.set_directory_up(is_up),
-            Message::PeerCount(count) => self.scheduler.set_peer_count(count),
+            Message::Entries { own, others } => self.scheduler.set_entries(own, others),
+            Message::Cold { key, cold_for } => self.scheduler.record_cold(key, cold_for, now),
             Message::PeerReport(report) => {
                 self.scheduler.receive_report(report, now);
                 self.log_part_changes();
@@ -362,6 +374,8 @@
         metrics::gauge!("egretgate_upstreams").set(self.scheduler.upstreams().count() as f64);
         metrics::gauge!("egretgate_quarantined_parts")
             .set(self.scheduler.quarantined_parts() as f64);
+        let drained = self.scheduler.upstreams().filter(|upstream| upstream.is_drained());
+        metrics::gauge!("egretgate_upstreams_drained").set(drained.count() as f64);
         let leaving = self.scheduler.upstreams().filter(|upstream| upstream.is_leaving());
         metrics::gauge!("egretgate_upstreams_leaving").set(leaving.count() as f64);
         let now = Instant::now();
@@ -370,6 +384,10 @@
         metrics::gauge!("egretgate_upstreams_paused").set(paused.count() as f64);
         let limited = self.scheduler.upstreams().filter(|upstream| upstream.limit().is_some());
         metrics::gauge!("egretgate_upstreams_limited").set(limited.count() as f64);
+        let is_cold = |upstream: &&UpstreamState| !upstream.cold_left(now).is_zero();
+        let cold = self.scheduler.upstreams().filter(is_cold);
+        metrics::gauge!("egretgate_upstreams_cold").set(cold.count() as f64);
+        metrics::counter!("egretgate_cold_holds_total").absolute(self.scheduler.cold_holds());
     }
 
     fn tick(&mut self) {
@@ -430,6 +448,23 @@
         }
     }
 
+    /// Logs which zones are drained or restored from now on.
+    fn log_zone_changes(&mut self) {
+        for change in self.scheduler.take_zone_changes() {
+            let event = if change.drained { "zone drained" } else { "zone restored" };
+            let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+            let since = if change.drained { since.unwrap_or_default() } else { Duration::ZERO };
+            metrics::gauge!("egretgate_zone_drained_since_seconds", "zone" => change.zone.clone())
+                .set(since.as_secs_f64());
+            if change.upstreams == 0 {
+                warn!(self.log, "zone without upstreams"; "event" => event, "zone" => change.zone);
+            } else {
+                info!(self.log, "zone"; "event" => event, "zone" => change.zone,
+                    "upstreams" => change.upstreams);
+            }
+        }
+    }
+
     /// Logs what has changed in the quarantine of prompt parts.
     fn log_part_changes(&mut self) {
         for change in self.scheduler.take_part_changes() {
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -562,6 +562,9 @@
             if let Some(pause) = head.pause {
                 answer.permit.record_pause(pause);
             }
+            if let Some(cold_for) = head.cold_for {
+                answer.permit.record_cold(cold_for);
+            }
             if head.leaving {
                 answer.permit.record_leaving();
             }
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -1,14 +1,16 @@
 //! Starts and stops the forwarding path.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
 
+use egretgate_core::gateway::cold_start::ColdBound;
 use egretgate_core::gateway::follow::PollIntervals;
 use egretgate_core::gateway::retry_limit::RetryLimit;
 use egretgate_core::gateway::scheduler::Scheduler;
-use egretgate_core::{InstanceId, ZoneId};
+use egretgate_core::{InstanceId, RegionId, ZoneId};
 use http::StatusCode;
 use rand::RngExt;
 use slog::{Logger, info, warn};
@@ -61,10 +63,14 @@
     pub name: InstanceId,
     /// Availability zone.
     pub zone: ZoneId,
+    /// Region of each zone.
+    pub regions: HashMap<ZoneId, RegionId>,
     /// Addresses on which it listens.
     pub addresses: Addresses,
     /// Retry budget of the whole fleet.
     pub retry_limit: RetryLimit,
+    /// How far requests of the whole fleet may exceed the rate of a cold upstream.
+    pub cold_bound: ColdBound,
     /// Times for stopping.
     pub stop_times: StopTimes,
     /// Address and page of the metrics; `None` if they aren't served.
@@ -88,12 +94,24 @@
         directory: D,
         log: Logger,
     ) -> std::io::Result<Self> {
-        let Options { name, zone, addresses, retry_limit, stop_times, metrics } = options;
+        let Options {
+            name,
+            zone,
+            regions,
+            addresses,
+            retry_limit,
+            cold_bound,
+            stop_times,
+            metrics,
+        } = options;
         let callers = TcpListener::bind(addresses.callers).await?;
         let ready_listener = TcpListener::bind(addresses.ready).await?;
         let peers = UdpSocket::bind(addresses.peers).await?;
         let incarnation = rand::rng().random();
-        let scheduler = Scheduler::new(&name, &zone, incarnation).with_retry_limit(retry_limit);
+        let scheduler = Scheduler::new(&name, &zone, incarnation)
+            .with_retry_limit(retry_limit)
+            .with_cold_bound(cold_bound)
+            .with_regions(regions);
         let dispatcher = DispatcherHandle::start(scheduler, log.clone());
         let directory = Arc::new(directory);
         let eras = Arc::new(Eras::new(log.clone()));
--- a/crates/egretgate-gateway/src/sync.rs
+++ b/crates/egretgate-gateway/src/sync.rs
@@ -6,12 +6,13 @@
 
 use egretgate_core::Offset;
 use egretgate_core::gateway::catalog::{Catalog, TokenLimit};
+use egretgate_core::gateway::drained_zones::HeldZones;
 use egretgate_core::gateway::era::Era;
 use egretgate_core::gateway::follow::{Fingerprint, Follower, PollIntervals, Reading};
 use egretgate_core::gateway::held_entries::HeldEntries;
 use egretgate_core::gateway::held_moves::HeldMoves;
 use egretgate_core::gateway::held_upstreams::HeldUpstreams;
-use egretgate_core::gateway::peer::name_hash;
+use egretgate_core::gateway::peer::{NameHash, name_hash};
 use egretgate_core::gateway::upstream::{ListedUpstream, Stage};
 use slog::{Logger, info, warn};
 use tokio::sync::watch;
@@ -181,7 +182,7 @@
     log: Logger,
 ) {
     let mut backoff = Backoff::new();
-    let mut held = HeldMoves::default();
+    let mut held = HeldOrders::default();
     let mut last_era = None;
     // Waits in a row that found their position gone.
     let mut gone: u32 = 0;
@@ -232,12 +233,42 @@
     }
 }
 
-/// Returns a number that identifies the declarations and their moves, which have no version of
-/// their own; 0 stands for no declarations.
+/// What operators order beside the declarations, across the beginnings of eras.
+#[derive(Debug, Default)]
+struct HeldOrders {
+    moves: HeldMoves,
+    zones: HeldZones,
+}
+
+impl HeldOrders {
+    /// Begins an era.
+    fn begin_era(&mut self, now: Instant) {
+        self.moves.begin_era(now);
+        self.zones.begin_era(now);
+    }
+
+    /// Returns the next end of a hold, at which the orders must be read again.
+    fn until(&self) -> Option<Instant> {
+        self.moves.until().into_iter().chain(self.zones.until()).min()
+    }
+
+    /// Returns declarations that were read with the orders in force from then on.
+    fn apply(&mut self, read: Catalog, now: Instant) -> Catalog {
+        let moves = self.moves.apply(read.moves().to_vec(), now);
+        let zones = self.zones.apply(read.drained_zones().to_vec(), now);
+        read.with_moves(moves).with_drained_zones(zones)
+    }
+}
+
+/// Returns a number that identifies the declarations with their moves and drained zones, which have
+/// no version of their own; 0 stands for no declarations.
 fn catalog_fingerprint(catalog: &Catalog) -> Fingerprint {
-    catalog.moves().iter().fold(catalog.version, |fingerprint, spec| {
-        fingerprint ^ name_hash(&format!("{} {} {:?}", spec.service, spec.target, spec.within))
-    })
+    let moves = catalog
+        .moves()
+        .iter()
+        .map(|spec| format!("{} {} {:?}", spec.service, spec.target, spec.within));
+    let zones = catalog.drained_zones().iter().map(|zone| format!("drained {zone}"));
+    moves.chain(zones).fold(catalog.version, |fingerprint, order| fingerprint ^ name_hash(&order))
 }
 
 /// Waits for a change of the declarations after a reading. A new era counts as one: in it the
@@ -266,33 +297,41 @@
 
 fn apply(
     newest: Catalog,
-    held: &mut HeldMoves,
+    held: &mut HeldOrders,
     transfer: &Transfer,
     catalog: &watch::Sender<Option<Arc<Catalog>>>,
     dispatcher: &DispatcherHandle,
     log: &Logger,
 ) {
-    let old = catalog.borrow().as_ref().map(|catalog| catalog.version);
-    // Older declarations never replace newer ones within one incarnation. Moves have no version of
-    // their own, so they may change while the version of the declarations stays the same.
-    if let Some(old) = old.filter(|old| *old > newest.version) {
-        slog::debug!(log, "older declarations not applied"; "version" => newest.version,
-            "in_force" => old);
-        return;
-    }
-    let moves = held.apply(newest.moves().to_vec(), Instant::now());
-    let newest = newest.with_moves(moves);
-    let same = catalog.borrow().as_ref().is_some_and(|current| current.moves() == newest.moves());
+    let current = catalog.borrow().clone();
+    let old = current.as_ref().map(|catalog| catalog.version);
+    // Older declarations never replace newer ones within one incarnation. Orders have no version of
+    // their own, so they may change while the version of the declarations stays the same. Those for
+    // zones hold with any declarations.
+    let newest = match &current {
+        Some(current) if current.version > newest.version => {
+            slog::debug!(log, "older declarations not applied"; "version" => newest.version,
+                "in_force" => old);
+            let zones = held.zones.apply(newest.drained_zones().to_vec(), Instant::now());
+            Catalog::clone(current).with_drained_zones(zones)
+        }
+        _ => held.apply(newest, Instant::now()),
+    };
+    let same = current.as_ref().is_some_and(|current| {
+        current.moves() == newest.moves() && current.drained_zones() == newest.drained_zones()
+    });
     if old == Some(newest.version) && same {
         return;
     }
     info!(log, "declarations in force"; "version" => newest.version, "before" => old,
         "routes" => newest.routes().len(), "teams" => newest.teams().len(),
-        "held_moves" => held.unconfirmed_count(),
+        "held_moves" => held.moves.unconfirmed_count(),
+        "drained_zones" => newest.drained_zones().join(","),
+        "held_zones" => held.zones.unconfirmed_count(),
         "read_bytes" => transfer.bytes, "waited_ms" => transfer.waited.as_millis() as u64,
         "read_ms" => transfer.took.as_millis() as u64);
     metrics::gauge!("egretgate_catalog_version").set(newest.version as f64);
-    log_limits(catalog.borrow().as_deref(), &newest, log);
+    log_limits(current.as_deref(), &newest, log);
     let newest = Arc::new(newest);
     dispatcher.send(Message::Catalog(Arc::clone(&newest)));
     catalog.send_replace(Some(newest));
@@ -363,11 +402,14 @@
     }
 }
 
-/// Returns a number that identifies the upstreams with their stages, in any order.
+/// Returns a number that identifies the upstreams with their stages, and with whether they are cold,
+/// in any order.
 fn upstreams_fingerprint(upstreams: &[ListedUpstream]) -> Fingerprint {
     upstreams.iter().fold(0, |fingerprint, listed| {
         let stage = matches!(listed.stage, Stage::Draining);
-        let identity = format!("{} {} {:?} {stage}", listed.id, listed.address, listed.started_ms);
+        let cold = !listed.cold_for.is_zero();
+        let identity =
+            format!("{} {} {:?} {stage} {cold}", listed.id, listed.address, listed.started_ms);
         fingerprint ^ name_hash(&identity)
     })
 }
@@ -415,8 +457,11 @@
         }
         let is_listed = read.value.contains(&address);
         let listed = held.apply(read.value, now);
-        let peers = listed.iter().filter(|entry| **entry != address).count();
-        dispatcher.send(Message::PeerCount(peers));
+        let hash = |entry: &SocketAddr| name_hash(&entry.to_string());
+        let others: Vec<NameHash> =
+            listed.iter().filter(|entry| **entry != address).map(hash).collect();
+        let peers = others.len();
+        dispatcher.send(Message::Entries { own: hash(&address), others });
         if *entries.borrow() != listed {
             info!(log, "entries listed"; "count" => listed.len());
         }
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -5,7 +5,7 @@
 
 use egretgate_core::gateway::part_quarantine::{AgedCrash, PartReport, Ruling};
 use egretgate_core::gateway::peer::{
-    AgedLimit, AgedReading, LeavingUpstream, NameHash, PeerReport,
+    AgedCold, AgedLimit, AgedReading, LeavingUpstream, NameHash, PeerReport,
 };
 use egretgate_core::gateway::refusals::RefusalCounts;
 use egretgate_core::gateway::request_queue::Priority;
@@ -49,6 +49,8 @@
     parts: Vec<SentPart>,
     #[prost(message, repeated, tag = "17")]
     leaving: Vec<SentLeaving>,
+    #[prost(message, repeated, tag = "18")]
+    cold: Vec<SentCold>,
 }
 
 /// What the sender knows of a prompt part under which upstreams have crashed.
@@ -166,6 +168,47 @@
     }
 }
 
+/// What the sender found out of an upstream that may be cold.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct SentCold {
+    #[prost(fixed64, tag = "1")]
+    upstream: u64,
+    #[prost(uint64, tag = "2")]
+    age_ms: u64,
+    #[prost(uint64, tag = "3")]
+    left_ms: u64,
+    /// Age of the last lost connection.
+    #[prost(uint64, optional, tag = "4")]
+    loss_ms: Option<u64>,
+    /// True if a request has succeeded since the loss.
+    #[prost(bool, tag = "5")]
+    back: bool,
+}
+
+impl From<(NameHash, AgedCold)> for SentCold {
+    fn from((upstream, cold): (NameHash, AgedCold)) -> Self {
+        Self {
+            upstream,
+            age_ms: cold.age.as_millis() as u64,
+            left_ms: cold.time_left.as_millis() as u64,
+            loss_ms: cold.loss_age.map(|age| age.as_millis() as u64),
+            back: cold.is_back,
+        }
+    }
+}
+
+impl From<SentCold> for (NameHash, AgedCold) {
+    fn from(sent: SentCold) -> Self {
+        let cold = AgedCold {
+            age: Duration::from_millis(sent.age_ms),
+            time_left: Duration::from_millis(sent.left_ms),
+            loss_age: sent.loss_ms.map(Duration::from_millis),
+            is_back: sent.back,
+        };
+        (sent.upstream, cold)
+    }
+}
+
 /// Broken runs of one request.
 #[derive(Clone, PartialEq, Message)]
 struct SentBrokenRuns {
@@ -348,6 +391,7 @@
             .map(|(upstream, seconds)| (*upstream, *seconds as f32))
             .collect(),
         limits: report.limits.iter().map(|(key, limit)| (*key, *limit).into()).collect(),
+        cold: report.cold.iter().map(|(key, cold)| (*key, *cold).into()).collect(),
         leaving: report.leaving.iter().copied().map(SentLeaving::from).collect(),
         broken_runs: report
             .broken_runs
@@ -385,6 +429,7 @@
         running: datagram.running,
         unit_seconds: unit_seconds.collect(),
         limits: datagram.limits.into_iter().map(Into::into).collect(),
+        cold: datagram.cold.into_iter().map(Into::into).collect(),
         leaving: datagram.leaving.into_iter().map(LeavingUpstream::from).collect(),
         broken_runs: broken_runs.collect(),
         parts: datagram.parts.into_iter().map(PartReport::from).collect(),
--- a/crates/egretgate-gateway/tests/wire.rs
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -5,7 +5,7 @@
 use egretgate_core::Digest;
 use egretgate_core::gateway::part_quarantine::{AgedCrash, PartReport, Ruling};
 use egretgate_core::gateway::peer::{
-    AgedLimit, AgedReading, LeavingUpstream, PeerReport, name_hash,
+    AgedCold, AgedLimit, AgedReading, LeavingUpstream, PeerReport, name_hash,
 };
 use egretgate_core::gateway::refusals::RefusalCounts;
 use egretgate_core::gateway::request_queue::Priority;
@@ -41,6 +41,27 @@
             (name_hash("writer-2"), AgedLimit { limit: None, age: Duration::from_secs(9) }),
         ]
         .into(),
+        cold: [
+            (
+                name_hash("writer-1"),
+                AgedCold {
+                    age: Duration::from_millis(40),
+                    time_left: Duration::from_millis(4_960),
+                    loss_age: Some(Duration::from_millis(90)),
+                    is_back: true,
+                },
+            ),
+            (
+                name_hash("writer-2"),
+                AgedCold {
+                    age: Duration::from_millis(7),
+                    time_left: Duration::ZERO,
+                    loss_age: None,
+                    is_back: false,
+                },
+            ),
+        ]
+        .into(),
         leaving: vec![
             LeavingUpstream { upstream: name_hash("writer-1"), started_ms: Some(1 << 41) },
             LeavingUpstream { upstream: name_hash("writer-2"), started_ms: None },
