--- a/crates/egretgate-core/tests/gateway_cold.rs
+++ b/crates/egretgate-core/tests/gateway_cold.rs
@@ -21,7 +21,7 @@
 const STEP: Duration = Duration::from_millis(10);
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Time from an upstream's record to its reading at every entry.
-const LIST_LAG: Duration = Duration::from_millis(2_000);
+const LIST_LAG: Duration = Duration::from_secs(2);
 const LIST_INTERVAL: Duration = Duration::from_millis(600);
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Time that a sent request may take to arrive.
