--- a/crates/egretgate-core/src/gateway/cold_start.rs
+++ b/crates/egretgate-core/src/gateway/cold_start.rs
@@ -15,6 +15,7 @@
 use super::catalog::ColdStart;
 use super::peer::NameHash;
 use super::rate_limit::part::{RatePart, order_key};
+use crate::UpstreamId;
 
 /// Time after the last lost connection for which an upstream counts as cold: if it hasn't started
 /// again by then, it is no longer listed.
@@ -72,6 +73,42 @@
     }
 }
 
+/// Why an upstream counts as cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ColdCause {
+    /// The list says so.
+    Listed,
+    /// An answer says so, or its zone was restored.
+    Noticed,
+    /// Its connections were lost, and none has succeeded since.
+    Lost,
+    /// It works again after a lost connection.
+    Back,
+}
+
+impl ColdCause {
+    /// Returns the name used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Listed => "listed",
+            Self::Noticed => "noticed",
+            Self::Lost => "lost",
+            Self::Back => "back",
+        }
+    }
+}
+
+/// An upstream that counts as cold from now on, or as warm.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ColdChange {
+    /// Upstream.
+    pub id: UpstreamId,
+    /// Why it counts as cold; `None` if it is warm.
+    pub cause: Option<ColdCause>,
+    /// Time for which it counts as cold, as far as is known.
+    pub time_left: Duration,
+}
+
 /// What an entry knows of one upstream's being cold, and its part of the rate.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ColdState {
@@ -92,6 +129,8 @@
     /// Entries before this one in the upstream's order of entries; `None` if unknown.
     position: Option<usize>,
     part: RatePart,
+    /// True if it counted as cold at the last call of [`ColdState::divide`].
+    was_cold: bool,
 }
 
 impl ColdState {
@@ -107,6 +146,7 @@
             lived: None,
             position: None,
             part: RatePart::new(0.0),
+            was_cold: false,
         }
     }
 
@@ -224,22 +264,36 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
+    /// Returns why the upstream counts as cold; `None` if it is warm.
+    pub(super) fn cause(&self, now: Instant) -> Option<ColdCause> {
+        let notice = self.newest.filter(|notice| now < notice.until);
+        self.is_cold(now).then(|| match notice {
+            Some(notice) if notice.is_back => ColdCause::Back,
+            Some(notice) if notice.is_lost() => ColdCause::Lost,
+            Some(_) => ColdCause::Noticed,
+            None => ColdCause::Listed,
+        })
+    }
+
     /// Returns true if the upstream counts as cold.
     pub(super) fn is_cold(&self, now: Instant) -> bool {
         !self.time_left(now).is_zero()
     }
 
     /// Divides the rate among `entries` entries, this one among them, and fills this entry's part.
-    pub(super) fn divide(&mut self, entries: usize, bound: ColdBound, now: Instant) {
-        let spec = self.spec.filter(|_| self.is_cold(now));
-        let Some(spec) = spec else {
+    /// Returns true if the upstream has become cold or warm since the last call.
+    pub(super) fn divide(&mut self, entries: usize, bound: ColdBound, now: Instant) -> bool {
+        let is_cold = self.is_cold(now);
+        let changed = std::mem::replace(&mut self.was_cold, is_cold) != is_cold;
+        let Some(spec) = self.spec.filter(|_| is_cold) else {
             self.part.clear();
-            return;
+            return changed;
         };
         let parts = bound.parts(spec.rate, entries);
         let has_part = self.position.is_some_and(|position| position < parts);
         self.part.refill(now);
         self.part.set_rate(if has_part { spec.rate / parts as f64 } else { 0.0 });
+        changed
     }
 
     /// Returns the requests per second that this entry may start while the upstream is cold.
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -11,7 +11,7 @@
 };
 use super::broken_runs::BrokenRuns;
 use super::catalog::Catalog;
-use super::cold_start::ColdBound;
+use super::cold_start::{ColdBound, ColdChange};
 use super::drained_zones::ZoneChange;
 use super::fair_use::FairUse;
 use super::part_quarantine::{PartChange, PartQuarantine, Turn};
@@ -102,6 +102,8 @@
     listed_entries: Option<(NameHash, Vec<NameHash>)>,
     /// Requests that found no upstream while a cold one had a free slot.
     cold_holds: u64,
+    /// Upstreams that became cold or warm since the last [`Scheduler::take_cold_changes`].
+    cold_changes: Vec<ColdChange>,
 }
 
 impl Scheduler {
@@ -138,6 +140,7 @@
             cold_bound: ColdBound::STRICT,
             listed_entries: None,
             cold_holds: 0,
+            cold_changes: Vec::new(),
         }
     }
 
--- a/crates/egretgate-core/src/gateway/scheduler/cold.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/cold.rs
@@ -5,7 +5,7 @@
 
 use super::Scheduler;
 use crate::gateway::admission::{AdmissionRequest, UpstreamKey};
-use crate::gateway::cold_start::ColdBound;
+use crate::gateway::cold_start::{ColdBound, ColdChange};
 use crate::gateway::peer::{AgedCold, NameHash};
 use crate::gateway::upstream::{Outcome, UpstreamState};
 
@@ -42,6 +42,11 @@
         self.cold_holds
     }
 
+    /// Returns the upstreams that became cold or warm since the last call.
+    pub fn take_cold_changes(&mut self) -> Vec<ColdChange> {
+        std::mem::take(&mut self.cold_changes)
+    }
+
     /// Returns the number of listed entries, this one among them.
     pub(super) fn listed_entries(&self) -> usize {
         self.listed_entries.as_ref().map_or(0, |(_, others)| others.len()) + 1
--- a/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use super::Scheduler;
+use crate::gateway::cold_start::ColdChange;
 use crate::gateway::peer::name_hash;
 use crate::gateway::refusals::ExcessRefusals;
 use crate::gateway::report_schedule::ReportSchedule;
@@ -66,7 +67,13 @@
         let listed = self.listed_entries();
         let bound = self.cold_bound;
         for upstream in self.upstreams.values_mut() {
-            upstream.cold.divide(listed, bound, now);
+            if upstream.cold.divide(listed, bound, now) {
+                self.cold_changes.push(ColdChange {
+                    id: upstream.listed.id.clone(),
+                    cause: upstream.cold.cause(now),
+                    time_left: upstream.cold.time_left(now),
+                });
+            }
         }
         // Peers that haven't reported yet may be in any zone.
         let far = self.peers.known_count() - self.peers.zone_count(&self.zone);
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -9,6 +9,7 @@
     Admission, AdmissionRequest, Completion, Overload, Reason, Refusal, UpstreamKey,
 };
 use egretgate_core::gateway::catalog::Catalog;
+use egretgate_core::gateway::cold_start::ColdCause;
 use egretgate_core::gateway::peer::{NameHash, PeerReport};
 use egretgate_core::gateway::prompt_part::PartHash;
 use egretgate_core::gateway::request_queue::RequestNumber;
@@ -336,6 +337,7 @@
             Message::RecordMove(status) => self.scheduler.record_move(&status.spec, status.state),
             Message::Report(result_sender) => {
                 self.set_gauges();
+                self.log_cold_changes();
                 // The requesting task may have ended.
                 let _ =
                     result_sender.send((self.scheduler.report(now), self.scheduler.peer_rank(now)));
@@ -448,6 +450,15 @@
         }
     }
 
+    /// Logs which upstreams have become cold or warm.
+    fn log_cold_changes(&mut self) {
+        for change in self.scheduler.take_cold_changes() {
+            info!(self.log, "upstream is cold or warm"; "upstream" => change.id,
+                "cause" => change.cause.map_or("warm", ColdCause::as_str),
+                "left_ms" => change.time_left.as_millis() as u64);
+        }
+    }
+
     /// Logs which zones are drained or restored from now on.
     fn log_zone_changes(&mut self) {
         for change in self.scheduler.take_zone_changes() {
