feat(gateway): answers are read ahead of slow callers within a budget

A caller that stopped reading held its slot for as long as its connection was open, since the deadline was checked only when the HTTP library asked for more; its upstream cut the unread answer, and the stream was run a second time elsewhere. Bodies had no bound in time or in all. Change: held_bytes decides what may be held in all and for each request (a quarter of memoryMb); read_ahead reads an answer on in the caller's own task while it isn't taken; bodies are admitted by the budget and must be whole by the caller's deadline. Log lines, gauge, counter, docs. Ruled out: a task and a channel for each answer (a wake for each event); a fixed bound for each caller.

--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -11,6 +11,7 @@
 pub mod era;
 pub mod fair_use;
 pub mod follow;
+pub mod held_bytes;
 pub mod held_entries;
 pub mod held_moves;
 pub mod held_upstreams;
--- a/crates/egretgate-gateway/src/answer.rs
+++ b/crates/egretgate-gateway/src/answer.rs
@@ -46,6 +46,8 @@
     TimedOut,
     /// Its deadline passed before it was sent to an upstream.
     TimedOutWaiting,
+    /// The entry holds too much for other callers to take it.
+    MemoryFull,
 }
 
 impl Fault {
@@ -62,6 +64,7 @@
             | Self::Overloaded
             | Self::NoUpstream
             | Self::Quarantined
+            | Self::MemoryFull
             | Self::TimedOutWaiting => StatusCode::SERVICE_UNAVAILABLE,
             Self::Poison | Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -90,6 +93,7 @@
             Self::AnswerLost => "answer_lost",
             Self::TimedOut => "timed_out",
             Self::TimedOutWaiting => "timed_out_waiting",
+            Self::MemoryFull => "memory_full",
         }
     }
 
@@ -100,7 +104,7 @@
         *response.status_mut() = self.status();
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-        if matches!(self, Self::HeadTooLarge | Self::TooLarge) {
+        if matches!(self, Self::HeadTooLarge | Self::TooLarge | Self::MemoryFull) {
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
         let seconds = retry_after.map(|wait| format!("{:.3}", wait.as_secs_f64()));
--- a/crates/egretgate-gateway/src/attempt.rs
+++ b/crates/egretgate-gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
+use egretgate_core::gateway::held_bytes::AnswerUse;
 use egretgate_core::gateway::upstream::Outcome;
 use http::header::CONTENT_ENCODING;
 use http::{HeaderMap, Response, StatusCode};
@@ -14,6 +15,7 @@
 use crate::dialect::AnswerHead;
 use crate::dispatcher::SlotPermit;
 use crate::headers::strip_connection;
+use crate::held::{Holder, Lease};
 use crate::relay::UpstreamAnswer;
 
 /// Largest answer, in bytes, that is read completely before it is passed on.
@@ -58,6 +60,7 @@
     answer: UpstreamAnswer,
     status: StatusCode,
     deadline: Instant,
+    holder: &Holder,
 ) -> Attempt {
     let outcome = if status == StatusCode::MISDIRECTED_REQUEST {
         Outcome::Misdirected
@@ -66,7 +69,7 @@
     };
     // Reading a refusal to its end keeps the connection usable. The next attempt waits for it.
     let deadline = deadline.min(Instant::now() + MAX_REFUSAL_READ);
-    match read_body(answer, MAX_REFUSAL_BYTES, deadline).await {
+    match read_body(answer, MAX_REFUSAL_BYTES, deadline, holder).await {
         BodyRead::Complete(answer, _) => answer.complete(outcome).await,
         BodyRead::Incomplete(permit) => permit.finish(outcome, None),
     }
@@ -78,10 +81,11 @@
     answer: UpstreamAnswer,
     status: StatusCode,
     deadline: Instant,
+    holder: &Holder,
 ) -> Attempt {
     let mut headers = answer.headers.clone();
     strip_connection(&mut headers);
-    match read_body(answer, MAX_BUFFERED_BYTES, deadline).await {
+    match read_body(answer, MAX_BUFFERED_BYTES, deadline, holder).await {
         BodyRead::Complete(answer, bytes) => {
             answer.complete(Outcome::Failed).await;
             Attempt::Failure(respond(status, headers, full(bytes)))
@@ -95,22 +99,46 @@
 
 /// Reads the complete body of an answer, of at most `limit` bytes.
 pub(crate) async fn read_body(
-    mut answer: UpstreamAnswer,
+    answer: UpstreamAnswer,
     limit: usize,
     deadline: Instant,
+    holder: &Holder,
 ) -> BodyRead {
     let mut bytes = BytesMut::new();
+    let mut lease = holder.lease(0);
+    holder.set_use(AnswerUse::Whole);
+    let read = read_whole(answer, limit, deadline, holder, &mut bytes, &mut lease).await;
+    holder.set_use(AnswerUse::Stream);
+    match read {
+        Ok(answer) => BodyRead::Complete(answer, lease.attach(bytes.freeze())),
+        Err(permit) => BodyRead::Incomplete(permit),
+    }
+}
+
+/// Reads a body to its end; returns the permit if it was cut or is too large.
+async fn read_whole(
+    mut answer: UpstreamAnswer,
+    limit: usize,
+    deadline: Instant,
+    holder: &Holder,
+    bytes: &mut BytesMut,
+    lease: &mut Lease,
+) -> Result<UpstreamAnswer, SlotPermit> {
     loop {
+        if timeout_at(deadline.into(), holder.room()).await.is_err() {
+            return Err(answer.permit);
+        }
         let frame = match timeout_at(deadline.into(), answer.body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
-            Ok(None) => return BodyRead::Complete(answer, bytes.freeze()),
-            Ok(Some(Err(_))) | Err(_) => return BodyRead::Incomplete(answer.permit),
+            Ok(None) => return Ok(answer),
+            Ok(Some(Err(_))) | Err(_) => return Err(answer.permit),
         };
         if let Ok(data) = frame.into_data() {
+            lease.grow(data.len());
             bytes.extend_from_slice(&data);
         }
         if bytes.len() > limit {
-            return BodyRead::Incomplete(answer.permit);
+            return Err(answer.permit);
         }
     }
 }
--- a/crates/egretgate-gateway/src/caller_listener.rs
+++ b/crates/egretgate-gateway/src/caller_listener.rs
@@ -1,34 +1,44 @@
 //! The listener for callers.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use egretgate_core::gateway::catalog::{CallerLimits, Catalog};
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Request, Response, Version};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::answer::{Body, Fault};
+use crate::dialect::RequestHead;
 use crate::exchange::{Exchange, ExchangeContext};
+use crate::held::{Holder, Lease};
 use crate::idle_timer::IdleTimer;
 use crate::plan::CallerRequest;
+use crate::read_ahead::{ReadAhead, Reading};
 
 /// Retry-after while the entry starts.
 const START_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Time for which callers are kept waiting while the entry starts; they wait one second for a
 /// connection.
 const START_WAIT: Duration = Duration::from_millis(700);
+/// Longest time in which the body of a request must arrive; its caller may state a shorter one.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Retry-after of a request whose body was not read.
+const BODY_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Least size that a connection's read buffer may grow to, in bytes. The buffer holds the head of a
@@ -94,11 +104,14 @@
         let listener = Arc::clone(&self);
         let lacks_chunks = Arc::new(AtomicBool::new(false));
         let caller_lacks_chunks = Arc::clone(&lacks_chunks);
+        let ahead = ReadAhead::default();
+        let reading = ahead.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let listener = Arc::clone(&listener);
+            let ahead = ahead.clone();
             lacks_chunks.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
             async move {
-                let mut response = Arc::clone(&listener).answer(request).await;
+                let mut response = Arc::clone(&listener).answer(request, ahead).await;
                 if *listener.phase.borrow() > Phase::Serving {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -110,11 +123,27 @@
             .header_read_timeout(limits.idle_timeout)
             .max_buf_size(limits.header_bytes.max(READ_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
-        let result = tokio::select! {
-            result = &mut connection => result,
-            () = closing(&mut phase) => {
+        let mut is_closing = false;
+        let mut closing = pin!(closing(&mut phase));
+        let served = poll_fn(|cx| {
+            if !is_closing && closing.as_mut().poll(cx).is_ready() {
+                is_closing = true;
                 Pin::new(&mut connection).graceful_shutdown();
-                (&mut connection).await
+            }
+            if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
+                return Poll::Ready(Ok(result));
+            }
+            match reading.poll(cx) {
+                Reading::GoesOn => Poll::Pending,
+                Reading::Unread { id, held } => Poll::Ready(Err((id, held))),
+            }
+        });
+        let result = match served.await {
+            Ok(result) => result,
+            Err((id, held)) => {
+                metrics::counter!("egretgate_unread_answers_total").increment(1);
+                info!(self.context.log, "unread answer given up"; "id" => id, "held" => held);
+                return;
             }
         };
         // This happens when a caller leaves or an answer is cut on purpose.
@@ -139,7 +168,11 @@
         self.catalog.borrow().as_ref().map(|catalog| catalog.limits).unwrap_or_default()
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        ahead: ReadAhead,
+    ) -> Response<Body> {
         let received = Instant::now();
         let catalog = self.catalog.borrow().clone();
         let Some(catalog) = catalog else {
@@ -153,9 +186,13 @@
         let limit = catalog.limits.body_bytes;
         let has_body = head.headers.contains_key(CONTENT_LENGTH)
             || head.headers.contains_key(TRANSFER_ENCODING);
-        let body = match read(body, limit).await {
-            Ok(body) => body,
-            Err(fault) => return fault.answer(None),
+        let (body, holder) = match self.read_body(body, limit, &request_head, received).await {
+            Ok(read) => read,
+            Err(fault) => {
+                info!(self.context.log, "refused"; "id" => request_head.id,
+                    "outcome" => fault.code());
+                return fault.answer(fault.means_not_run().then_some(BODY_RETRY_AFTER));
+            }
         };
         let caller_request = CallerRequest {
             head: request_head,
@@ -170,7 +207,8 @@
         let catalog = self.catalog.borrow().clone().unwrap_or(catalog);
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
         let id = caller_request.head.id.clone();
-        match Exchange::new(Arc::clone(&self.context), &catalog, caller_request, number) {
+        let context = Arc::clone(&self.context);
+        match Exchange::new(context, &catalog, caller_request, number, Arc::new(holder), ahead) {
             Ok(exchange) => exchange.serve().await,
             Err(fault) => {
                 info!(self.context.log, "refused"; "id" => id, "outcome" => fault.code(),
@@ -180,6 +218,27 @@
         }
     }
 
+    /// Reads a body while there is room for it and its caller still waits.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        limit: usize,
+        head: &RequestHead,
+        received: Instant,
+    ) -> Result<(Bytes, Holder), Fault> {
+        let stated = body.size_hint().exact().map_or(0, |length| length as usize);
+        if stated > limit {
+            return Err(Fault::TooLarge);
+        }
+        let holder = self.context.held.admit(stated).ok_or(Fault::MemoryFull)?;
+        let mut lease = holder.lease(stated);
+        let reading = read(body, limit, &holder, &mut lease);
+        let patience = head.timeout.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
+        let read = timeout_at((received + patience).into(), reading).await;
+        let body = read.unwrap_or(Err(Fault::TimedOutWaiting))?;
+        Ok((lease.attach(body), holder))
+    }
+
     fn refuse(
         &self,
         request: &Request<Incoming>,
@@ -204,10 +263,26 @@
 }
 
 /// Reads a complete body.
-async fn read(body: Incoming, limit: usize) -> Result<Bytes, Fault> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Fault::TooLarge),
-        Err(_) => Err(Fault::BadRequest),
+async fn read(
+    mut body: Incoming,
+    limit: usize,
+    holder: &Holder,
+    lease: &mut Lease,
+) -> Result<Bytes, Fault> {
+    let is_stated = body.size_hint().exact().is_some();
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Fault::BadRequest)?.into_data() else { continue };
+        if bytes.len() + data.len() > limit {
+            return Err(Fault::TooLarge);
+        }
+        if !is_stated {
+            if !holder.admits(data.len()) {
+                return Err(Fault::MemoryFull);
+            }
+            lease.grow(data.len());
+        }
+        bytes.extend_from_slice(&data);
     }
+    Ok(bytes.freeze())
 }
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -28,7 +28,9 @@
 use crate::dispatcher::{DispatcherHandle, SlotPermit};
 use crate::framing::Framing;
 use crate::headers::{prepare_request, strip_connection};
+use crate::held::{HeldBudget, Holder};
 use crate::plan::{CallerRequest, Plan};
+use crate::read_ahead::ReadAhead;
 use crate::relay::{Relay, UpstreamAnswer};
 
 mod handover;
@@ -57,6 +59,8 @@
     pub(crate) dialect: Box<dyn Dialect>,
     /// Grants slots at upstreams.
     pub(crate) dispatcher: DispatcherHandle,
+    /// Bounds what is held for callers.
+    pub(crate) held: HeldBudget,
     /// Logger.
     pub(crate) log: Logger,
 }
@@ -67,6 +71,8 @@
     request: CallerRequest,
     plan: Plan,
     number: RequestNumber,
+    holder: Arc<Holder>,
+    ahead: ReadAhead,
     /// Attempts that may have reached an upstream.
     attempts: u32,
     /// True once an attempt may have run.
@@ -102,6 +108,8 @@
         catalog: &Catalog,
         request: CallerRequest,
         number: RequestNumber,
+        holder: Arc<Holder>,
+        ahead: ReadAhead,
     ) -> Result<Self, Fault> {
         let plan = Plan::new(catalog, &request)?;
         let resume_after = request.head.last_event;
@@ -110,6 +118,8 @@
             request,
             plan,
             number,
+            holder,
+            ahead,
             attempts: 0,
             may_have_run: false,
             avoid: Vec::new(),
@@ -567,14 +577,14 @@
             }
         }
         if head.not_run && !is_foreign {
-            return refused_attempt(answer, parts.status, self.deadline()).await;
+            return refused_attempt(answer, parts.status, self.deadline(), &self.holder).await;
         }
         if is_foreign || is_invalid(&head, parts.status, &answer.headers) {
             answer.permit.finish(Outcome::InvalidAnswer, None);
             return Attempt::Unknown;
         }
         if parts.status.is_server_error() && self.plan.route.kind.is_idempotent() {
-            return failed_attempt(answer, parts.status, self.deadline()).await;
+            return failed_attempt(answer, parts.status, self.deadline(), &self.holder).await;
         }
         Attempt::Answer(answer, parts.status)
     }
@@ -587,10 +597,13 @@
             // A caller that has all bytes of a stated length takes the answer for a whole one.
             headers.remove(CONTENT_LENGTH);
             self.head_sent = true;
-            let body = streamed(Relay::body(self, answer));
+            let (ahead, holder) = (self.ahead.clone(), Arc::clone(&self.holder));
+            let (id, deadline) = (self.request.head.id.clone(), self.deadline());
+            let frames = ahead.body(id, holder, deadline, Relay::body(self, answer));
+            let body = streamed(frames);
             return respond(status, headers, body);
         }
-        match read_body(answer, MAX_BUFFERED_BYTES, self.deadline()).await {
+        match read_body(answer, MAX_BUFFERED_BYTES, self.deadline(), &self.holder).await {
             BodyRead::Complete(mut answer, bytes) => {
                 let outcome = self.outcome(status);
                 if status.is_success() {
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::gateway::follow::PollIntervals;
+use egretgate_core::gateway::held_bytes::{DEFAULT_MEMORY_BYTES, HeldBytes};
 use egretgate_core::gateway::retry_limit::RetryLimit;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::{InstanceId, ZoneId};
@@ -23,6 +24,7 @@
 use crate::eras::Eras;
 use crate::exchange::ExchangeContext;
 use crate::gossip::{Gossip, ReadingChannels};
+use crate::held::HeldBudget;
 use crate::pages::{Answer, Page};
 use crate::sync::SharedState;
 use crate::{moves, pages, sync};
@@ -69,6 +71,8 @@
     pub stop_times: StopTimes,
     /// Address and page of the metrics; `None` if they aren't served.
     pub metrics: Option<(SocketAddr, Page)>,
+    /// Memory of the instance, in bytes; `None` if it is not known.
+    pub memory: Option<usize>,
 }
 
 /// The running forwarding path.
@@ -88,7 +92,7 @@
         directory: D,
         log: Logger,
     ) -> std::io::Result<Self> {
-        let Options { name, zone, addresses, retry_limit, stop_times, metrics } = options;
+        let Options { name, zone, addresses, retry_limit, stop_times, metrics, memory } = options;
         let callers = TcpListener::bind(addresses.callers).await?;
         let ready_listener = TcpListener::bind(addresses.ready).await?;
         let peers = UdpSocket::bind(addresses.peers).await?;
@@ -171,7 +175,13 @@
             ready_sender,
             log.clone(),
         ));
-        let context = ExchangeContext { dialect: Box::new(dialect), dispatcher, log: log.clone() };
+        let held = HeldBytes::of_memory(memory.unwrap_or(DEFAULT_MEMORY_BYTES));
+        let context = ExchangeContext {
+            dialect: Box::new(dialect),
+            dispatcher,
+            held: HeldBudget::new(held, log.clone()),
+            log: log.clone(),
+        };
         let listener = Arc::new(CallerListener {
             context: Arc::new(context),
             catalog,
