fix(gateway): a planned stop answers the requests that the system has accepted

Cause: when the entry stopped taking connections it closed its listener with connections in the system's queue, which resets them, and closed connections whose first request had arrived and wasn't read. Change: it takes over what is in the queue before the listener closes, and keeps connections without a request for 100 ms more before it closes them. Ruled out: a longer linger, since the queue is never empty under load.

--- a/crates/egretgate-gateway/src/caller_listener.rs
+++ b/crates/egretgate-gateway/src/caller_listener.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::poll_fn;
+use std::io::ErrorKind;
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -39,6 +40,9 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 /// Retry-after of a request whose body was not read.
 const BODY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time for which a connection without a request is kept once the entry closes idle ones: a request
+/// that its caller has sent by then arrives.
+const LAST_REQUEST_WAIT: Duration = Duration::from_millis(100);
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Least size that a connection's read buffer may grow to, in bytes. The buffer holds the head of a
@@ -80,7 +84,7 @@
         loop {
             let accepted = tokio::select! {
                 accepted = listener.accept() => accepted,
-                () = closing(&mut phase) => return,
+                () = closing(&mut phase) => break,
             };
             match accepted {
                 Ok((stream, _)) => {
@@ -92,6 +96,25 @@
                 }
             }
         }
+        if let Err(error) = self.accept_waiting(listener) {
+            warn!(self.context.log, "connections lost at the stop"; "error" => %error);
+        }
+    }
+
+    /// Accepts the connections that the system has opened; closing the listener would reset them.
+    fn accept_waiting(self: &Arc<Self>, listener: TcpListener) -> std::io::Result<()> {
+        let listener = listener.into_std()?;
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    let stream = TcpStream::from_std(stream)?;
+                    tokio::spawn(Arc::clone(self).connection(stream));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
     }
 
     async fn connection(self: Arc<Self>, stream: TcpStream) {
@@ -124,14 +147,21 @@
             .max_buf_size(limits.header_bytes.max(READ_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
         let mut is_closing = false;
-        let mut closing = pin!(closing(&mut phase));
+        let mut closing = pin!(async {
+            closing(&mut phase).await;
+            sleep(LAST_REQUEST_WAIT).await;
+        });
         let served = poll_fn(|cx| {
+            if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
+                return Poll::Ready(Ok(result));
+            }
+            // The connection has read what was there, so no request on it is closed with it.
             if !is_closing && closing.as_mut().poll(cx).is_ready() {
                 is_closing = true;
                 Pin::new(&mut connection).graceful_shutdown();
-            }
-            if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
-                return Poll::Ready(Ok(result));
+                if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
+                    return Poll::Ready(Ok(result));
+                }
             }
             match reading.poll(cx) {
                 Reading::GoesOn => Poll::Pending,
