--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod era;
 pub mod fair_use;
 pub mod follow;
+pub mod held_bytes;
 pub mod held_entries;
 pub mod held_moves;
 pub mod held_upstreams;
--- a/crates/egretgate-gateway/src/caller_listener.rs
+++ b/crates/egretgate-gateway/src/caller_listener.rs
@@ -1,40 +1,50 @@
 //! The listener for callers.
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::future::poll_fn;
+use std::io::ErrorKind;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use egretgate_core::gateway::catalog::{CallerLimits, Catalog};
 use http::header::{CONNECTION, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, HeaderValue, Request, Response, Version};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use slog::{info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout, timeout_at};
 
 use crate::answer::{Body, Fault};
+use crate::dialect::RequestHead;
 use crate::exchange::{Exchange, ExchangeContext};
+use crate::held::{Holder, Lease};
 use crate::idle_timer::IdleTimer;
 use crate::plan::CallerRequest;
+use crate::read_ahead::{ReadAhead, Reading};
 
 /// Retry-after while the entry starts.
 const START_RETRY_AFTER: Duration = Duration::from_millis(400);
 /// Time for which callers are kept waiting while the entry starts; they wait one second for a
 /// connection.
 const START_WAIT: Duration = Duration::from_millis(700);
+/// Longest time in which the body of a request must arrive; its caller may state a shorter one.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Retry-after of a request whose body was not read.
+const BODY_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time for which a connection without a request is kept once the entry closes idle ones: a request
+/// that its caller has sent by then arrives.
+const LAST_REQUEST_WAIT: Duration = Duration::from_millis(100);
 /// Delay after a failed accept, such as one for lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time for which connections and requests that have arrived are still taken in once the entry closes
-/// idle connections: a busy core reads them late.
-const CLOSING_WAIT: Duration = Duration::from_millis(150);
 /// Least size that a connection's read buffer may grow to, in bytes. The buffer holds the head of a
 /// request, whose declared limit may grow while the connection is kept.
 const READ_BUFFER_BYTES: usize = 64 << 10;
@@ -62,8 +72,7 @@
 }
 
 impl CallerListener {
-    /// Accepts connections until shortly after the entry closes idle ones: later ones could not be
-    /// served.
+    /// Accepts connections until the entry closes idle ones: later ones could not be served.
     pub(crate) async fn run(self: Arc<Self>, listener: TcpListener) {
         // The entry doesn't stop before the listener has ended.
         let _guard = self.connections.subscribe();
@@ -74,19 +83,16 @@
         if timeout(START_WAIT, known).await.is_err() {
             warn!(self.context.log, "callers are refused until declarations are read");
         }
-        let mut closed = pin!(async {
-            closing(&mut phase).await;
-            sleep(CLOSING_WAIT).await;
-        });
         loop {
             let accepted = tokio::select! {
-                biased;
                 accepted = listener.accept() => accepted,
-                () = &mut closed => return,
+                () = closing(&mut phase) => break,
             };
             match accepted {
                 Ok((stream, _)) => {
-                    tokio::spawn(Arc::clone(&self).connection(stream));
+                    tokio::spawn(
+                        Arc::clone(&self).connection(stream, self.connections.subscribe()),
+                    );
                 }
                 Err(error) => {
                     warn!(self.context.log, "accept failed"; "error" => %error);
@@ -94,10 +100,28 @@
                 }
             }
         }
+        if let Err(error) = self.accept_waiting(listener) {
+            warn!(self.context.log, "connections lost at the stop"; "error" => %error);
+        }
     }
 
-    async fn connection(self: Arc<Self>, stream: TcpStream) {
-        let _guard = self.connections.subscribe();
+    /// Accepts the connections that the system has opened; closing the listener would reset them.
+    fn accept_waiting(self: &Arc<Self>, listener: TcpListener) -> std::io::Result<()> {
+        let listener = listener.into_std()?;
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => {
+                    stream.set_nonblocking(true)?;
+                    let stream = TcpStream::from_std(stream)?;
+                    tokio::spawn(Arc::clone(self).connection(stream, self.connections.subscribe()));
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    async fn connection(self: Arc<Self>, stream: TcpStream, _guard: watch::Receiver<()>) {
         if let Err(error) = stream.set_nodelay(true) {
             info!(self.context.log, "TCP_NODELAY not set"; "error" => %error);
         }
@@ -106,11 +130,14 @@
         let listener = Arc::clone(&self);
         let lacks_chunks = Arc::new(AtomicBool::new(false));
         let caller_lacks_chunks = Arc::clone(&lacks_chunks);
+        let ahead = ReadAhead::default();
+        let reading = ahead.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let listener = Arc::clone(&listener);
+            let ahead = ahead.clone();
             lacks_chunks.store(request.version() < Version::HTTP_11, Ordering::Relaxed);
             async move {
-                let mut response = Arc::clone(&listener).answer(request).await;
+                let mut response = Arc::clone(&listener).answer(request, ahead).await;
                 if *listener.phase.borrow() > Phase::Serving {
                     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
                 }
@@ -122,16 +149,35 @@
             .header_read_timeout(limits.idle_timeout)
             .max_buf_size(limits.header_bytes.max(READ_BUFFER_BYTES))
             .serve_connection(TokioIo::new(stream), service);
-        let result = tokio::select! {
-            result = &mut connection => result,
-            () = closing(&mut phase) => {
-                if let Ok(result) = timeout(CLOSING_WAIT, &mut connection).await {
-                    result
-                } else {
-                    Pin::new(&mut connection).graceful_shutdown();
-                    (&mut connection).await
+        let mut is_closing = false;
+        let mut closing = pin!(async {
+            closing(&mut phase).await;
+            sleep(LAST_REQUEST_WAIT).await;
+        });
+        let served = poll_fn(|cx| {
+            if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
+                return Poll::Ready(Ok(result));
+            }
+            // The connection has read what was there, so no request on it is closed with it.
+            if !is_closing && closing.as_mut().poll(cx).is_ready() {
+                is_closing = true;
+                Pin::new(&mut connection).graceful_shutdown();
+                if let Poll::Ready(result) = Pin::new(&mut connection).poll(cx) {
+                    return Poll::Ready(Ok(result));
                 }
             }
+            match reading.poll(cx) {
+                Reading::GoesOn => Poll::Pending,
+                Reading::Unread { id, held } => Poll::Ready(Err((id, held))),
+            }
+        });
+        let result = match served.await {
+            Ok(result) => result,
+            Err((id, held)) => {
+                metrics::counter!("egretgate_unread_answers_total").increment(1);
+                info!(self.context.log, "unread answer given up"; "id" => id, "held" => held);
+                return;
+            }
         };
         // This happens when a caller leaves or an answer is cut on purpose.
         let Err(error) = result else { return };
@@ -155,7 +201,11 @@
         self.catalog.borrow().as_ref().map(|catalog| catalog.limits).unwrap_or_default()
     }
 
-    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Response<Body> {
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+        ahead: ReadAhead,
+    ) -> Response<Body> {
         let received = Instant::now();
         let catalog = self.catalog.borrow().clone();
         let Some(catalog) = catalog else {
@@ -169,9 +219,13 @@
         let limit = catalog.limits.body_bytes;
         let has_body = head.headers.contains_key(CONTENT_LENGTH)
             || head.headers.contains_key(TRANSFER_ENCODING);
-        let body = match read(body, limit).await {
-            Ok(body) => body,
-            Err(fault) => return fault.answer(None),
+        let (body, holder) = match self.read_body(body, limit, &request_head, received).await {
+            Ok(read) => read,
+            Err(fault) => {
+                info!(self.context.log, "refused"; "id" => request_head.id,
+                    "outcome" => fault.code());
+                return fault.answer(fault.means_not_run().then_some(BODY_RETRY_AFTER));
+            }
         };
         let caller_request = CallerRequest {
             head: request_head,
@@ -186,7 +240,8 @@
         let catalog = self.catalog.borrow().clone().unwrap_or(catalog);
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
         let id = caller_request.head.id.clone();
-        match Exchange::new(Arc::clone(&self.context), &catalog, caller_request, number) {
+        let context = Arc::clone(&self.context);
+        match Exchange::new(context, &catalog, caller_request, number, Arc::new(holder), ahead) {
             Ok(exchange) => exchange.serve().await,
             Err(fault) => {
                 info!(self.context.log, "refused"; "id" => id, "outcome" => fault.code(),
@@ -196,6 +251,27 @@
         }
     }
 
+    /// Reads a body while there is room for it and its caller still waits.
+    async fn read_body(
+        &self,
+        body: Incoming,
+        limit: usize,
+        head: &RequestHead,
+        received: Instant,
+    ) -> Result<(Bytes, Holder), Fault> {
+        let stated = body.size_hint().exact().map_or(0, |length| length as usize);
+        if stated > limit {
+            return Err(Fault::TooLarge);
+        }
+        let holder = self.context.held.admit(stated).ok_or(Fault::MemoryFull)?;
+        let mut lease = holder.lease(stated);
+        let reading = read(body, limit, &holder, &mut lease);
+        let patience = head.timeout.unwrap_or(BODY_TIMEOUT).min(BODY_TIMEOUT);
+        let read = timeout_at((received + patience).into(), reading).await;
+        let body = read.unwrap_or(Err(Fault::TimedOutWaiting))?;
+        Ok((lease.attach(body), holder))
+    }
+
     fn refuse(
         &self,
         request: &Request<Incoming>,
@@ -220,10 +296,26 @@
 }
 
 /// Reads a complete body.
-async fn read(body: Incoming, limit: usize) -> Result<Bytes, Fault> {
-    match Limited::new(body, limit).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Fault::TooLarge),
-        Err(_) => Err(Fault::BadRequest),
+async fn read(
+    mut body: Incoming,
+    limit: usize,
+    holder: &Holder,
+    lease: &mut Lease,
+) -> Result<Bytes, Fault> {
+    let is_stated = body.size_hint().exact().is_some();
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(|_| Fault::BadRequest)?.into_data() else { continue };
+        if bytes.len() + data.len() > limit {
+            return Err(Fault::TooLarge);
+        }
+        if !is_stated {
+            if !holder.admits(data.len()) {
+                return Err(Fault::MemoryFull);
+            }
+            lease.grow(data.len());
+        }
+        bytes.extend_from_slice(&data);
     }
+    Ok(bytes.freeze())
 }
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -8,6 +8,7 @@
 
 use egretgate_core::gateway::cold_start::ColdBound;
 use egretgate_core::gateway::follow::PollIntervals;
+use egretgate_core::gateway::held_bytes::{DEFAULT_MEMORY_BYTES, HeldBytes};
 use egretgate_core::gateway::retry_limit::RetryLimit;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::{InstanceId, RegionId, ZoneId};
@@ -25,6 +26,7 @@
 use crate::eras::Eras;
 use crate::exchange::ExchangeContext;
 use crate::gossip::{Gossip, ReadingChannels};
+use crate::held::HeldBudget;
 use crate::pages::{Answer, Page};
 use crate::sync::SharedState;
 use crate::{moves, pages, sync};
@@ -75,6 +77,8 @@
     pub stop_times: StopTimes,
     /// Address and page of the metrics; `None` if they aren't served.
     pub metrics: Option<(SocketAddr, Page)>,
+    /// Memory of the instance, in bytes; `None` if it is not known.
+    pub memory: Option<usize>,
 }
 
 /// The running forwarding path.
@@ -103,6 +107,7 @@
             cold_bound,
             stop_times,
             metrics,
+            memory,
         } = options;
         let callers = TcpListener::bind(addresses.callers).await?;
         let ready_listener = TcpListener::bind(addresses.ready).await?;
@@ -189,7 +194,13 @@
             ready_sender,
             log.clone(),
         ));
-        let context = ExchangeContext { dialect: Box::new(dialect), dispatcher, log: log.clone() };
+        let held = HeldBytes::of_memory(memory.unwrap_or(DEFAULT_MEMORY_BYTES));
+        let context = ExchangeContext {
+            dialect: Box::new(dialect),
+            dispatcher,
+            held: HeldBudget::new(held, log.clone()),
+            log: log.clone(),
+        };
         let listener = Arc::new(CallerListener {
             context: Arc::new(context),
             catalog,
