feat(core): limits of teams use the excess that the platform tolerates

Tokens given back after a report stayed a debt at the peers, and the next ones counted twice.

A total that falls gives back.

--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -14,6 +14,7 @@
 pub mod held_entries;
 pub mod held_moves;
 pub mod held_upstreams;
+pub mod limit_tolerance;
 pub mod part_quarantine;
 pub mod peer;
 pub mod prompt_part;
--- a/crates/egretgate-core/src/gateway/admission.rs
+++ b/crates/egretgate-core/src/gateway/admission.rs
@@ -8,6 +8,7 @@
 use super::prompt_part::PartHash;
 use super::regions::Regions;
 use super::request_queue::{Priority, RequestNumber};
+use super::token_bucket::Shortage;
 use super::upstream::Outcome;
 use crate::{Digest, RouteId, ServiceId, TeamId, UpstreamId};
 
@@ -79,8 +80,8 @@
 /// Why the scheduler refuses a request. It is not sent to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
-    /// Its team is over its limit; enough tokens will be available after the given time.
-    OverLimit(Duration),
+    /// Its team is over its limit.
+    OverLimit(Shortage),
     /// No upstream is expected to have headroom for it in time.
     Overloaded(Overload),
     /// The retry budget is spent.
--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -132,8 +132,8 @@
 pub struct TokenSpend {
     /// Team.
     pub team: NameHash,
-    /// Tokens.
-    pub tokens: u64,
+    /// Tokens; negative if it gave back more, of requests that it didn't send, than it admitted.
+    pub tokens: i64,
     /// Time since the report before, in which they were admitted.
     pub silence: Duration,
 }
@@ -176,13 +176,17 @@
         if !self.is_newer(&report) {
             return Vec::new();
         }
-        let spends = report.admitted.iter().map(|(team, total)| {
+        // A total of 0 isn't reported.
+        let ended = same_incarnation.into_iter().flat_map(|old| old.admitted.keys());
+        let ended = ended.filter(|team| !report.admitted.contains_key(*team));
+        let totals = report.admitted.iter().map(|(team, total)| (team, *total));
+        let spends = totals.chain(ended.map(|team| (team, 0))).map(|(team, total)| {
             let before = same_incarnation.and_then(|old| old.admitted.get(team)).copied();
             // What a new peer admitted before its first report may have been long ago.
-            let spent = if known { total.saturating_sub(before.unwrap_or(0)) } else { 0 };
+            let spent = if known { total as i64 - before.unwrap_or_default() as i64 } else { 0 };
             TokenSpend { team: *team, tokens: spent, silence }
         });
-        let spends = spends.filter(|spend| spend.tokens > 0).collect();
+        let spends = spends.filter(|spend| spend.tokens != 0).collect();
         for (upstream, count) in &report.running {
             *self.running.entry(*upstream).or_default() += count;
         }
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -12,6 +12,7 @@
 use super::broken_runs::BrokenRuns;
 use super::catalog::Catalog;
 use super::fair_use::FairUse;
+use super::limit_tolerance::LimitTolerance;
 use super::part_quarantine::{PartChange, PartQuarantine, Turn};
 use super::peer::{LeavingUpstream, NameHash, Peers};
 use super::report_schedule::ReportSchedule;
@@ -62,6 +63,7 @@
     sequence: u64,
     catalog: Arc<Catalog>,
     retry_limit: RetryLimit,
+    limit_tolerance: LimitTolerance,
     upstreams: SlotMap<UpstreamKey, UpstreamState>,
     by_id: HashMap<UpstreamId, UpstreamKey>,
     by_hash: HashMap<NameHash, UpstreamKey>,
@@ -100,6 +102,7 @@
             sequence: 0,
             catalog: Arc::default(),
             retry_limit: RetryLimit::default(),
+            limit_tolerance: LimitTolerance::default(),
             upstreams: SlotMap::with_key(),
             by_id: HashMap::new(),
             by_hash: HashMap::new(),
@@ -129,6 +132,13 @@
         self
     }
 
+    /// Sets the excess over the limits of teams that is tolerated.
+    #[must_use]
+    pub const fn with_limit_tolerance(mut self, tolerance: LimitTolerance) -> Self {
+        self.limit_tolerance = tolerance;
+        self
+    }
+
     /// Sets the number of other entries in the directory.
     pub fn set_peer_count(&mut self, count: usize) {
         if self.peer_count.is_none() {
@@ -148,7 +158,8 @@
             match (team.limit, self.buckets.get_mut(&team.name)) {
                 (Some(limit), Some(bucket)) => bucket.set_limit(limit),
                 (Some(limit), None) => {
-                    let mut bucket = TokenBucket::new(limit, now);
+                    let bucket = TokenBucket::new(limit, now);
+                    let mut bucket = bucket.with_tolerance(self.limit_tolerance);
                     if let Some(count) = self.peer_count {
                         bucket.add_initial(count + 1);
                     }
@@ -464,6 +475,11 @@
         self.peers.rank(&self.name, now)
     }
 
+    /// Returns the number of teams that have spent more than their limits allowed.
+    pub fn teams_in_debt(&self) -> usize {
+        self.buckets.values().filter(|bucket| bucket.is_in_debt()).count()
+    }
+
     /// Returns the number of waiting requests.
     pub fn queue_len(&self) -> usize {
         self.waiting.len()
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -50,7 +50,10 @@
                 // While the peer was overdue, this entry left the peer's part of the rate to it.
                 let overdue = spend.silence.saturating_sub(overdue_age);
                 let part = bucket.limit().rate * overdue.as_secs_f64() / entries as f64;
-                bucket.record_peer_spend(spend.tokens.saturating_sub(part as u64), now);
+                match u64::try_from(spend.tokens) {
+                    Ok(tokens) => bucket.record_peer_spend(tokens.saturating_sub(part as u64), now),
+                    Err(_) => bucket.record_peer_refund(spend.tokens.unsigned_abs(), now),
+                }
             }
         }
     }
--- a/crates/egretgate-core/tests/gateway_limits.rs
+++ b/crates/egretgate-core/tests/gateway_limits.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::gateway::catalog::TokenLimit;
+use egretgate_core::gateway::peer::{PeerReport, Peers};
 use egretgate_core::gateway::report_schedule::ReportSchedule;
 use egretgate_core::gateway::retry_limit::{RetryLimit, RetryWindow};
 use egretgate_core::gateway::share::SlotShare;
@@ -236,3 +237,33 @@
         prop_assert!(total + 1 >= slots, "{total} of {slots}");
     }
 }
+
+/// Tokens of a request that isn't sent after all are given back after a report has counted them.
+#[test]
+fn peers_learn_what_an_entry_gave_back() {
+    struct Case {
+        name: &'static str,
+        /// Totals in successive reports.
+        totals: [u64; 3],
+        /// Changes that a peer learns.
+        learned: [i64; 3],
+    }
+    let cases = [
+        Case { name: "only spent", totals: [100, 150, 400], learned: [0, 50, 250] },
+        Case { name: "given back", totals: [100, 40, 140], learned: [0, -60, 100] },
+        Case { name: "all given back", totals: [100, 0, 70], learned: [0, -100, 70] },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut peers = Peers::default();
+        for (sequence, (total, learned)) in (1..).zip(case.totals.into_iter().zip(case.learned)) {
+            let mut report = PeerReport { name: "b".to_owned(), sequence, ..PeerReport::default() };
+            if total > 0 {
+                report.admitted.insert(7, total);
+            }
+            let spends = peers.record_report(report, now);
+            let change: i64 = spends.iter().map(|spend| spend.tokens).sum();
+            assert_eq!(change, learned, "{}, report {sequence}", case.name);
+        }
+    }
+}
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -8,6 +8,7 @@
 use egretgate_core::gateway::admission::{AdmissionRequest, Overload, Refusal};
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::request_queue::RequestNumber;
+use egretgate_core::gateway::token_bucket::Shortage;
 use egretgate_core::gateway::upstream::Outcome;
 use egretgate_core::gateway::wait_limits;
 use http::header::CONTENT_LENGTH;
@@ -362,6 +363,19 @@
             "running" => overload.running);
     }
 
+    /// Logs why the team's limit doesn't allow the request.
+    fn log_shortage(&self, shortage: Shortage) {
+        info!(self.context.log, "over limit";
+            "id" => &self.request.head.id,
+            "team" => self.plan.team.as_deref().unwrap_or(""),
+            "tier" => self.plan.route.tier,
+            "tokens" => self.plan.tokens,
+            "level" => shortage.level,
+            "needed" => shortage.needed,
+            "heard_percent" => shortage.heard_percent,
+            "wait_ms" => shortage.wait.as_millis() as u64);
+    }
+
     /// Logs that the retry budget allows no further attempt.
     fn log_budget_spent(&self) {
         info!(self.context.log, "retry budget spent";
@@ -422,8 +436,9 @@
         let time_left = self.caller_timeout().saturating_sub(self.request.received.elapsed());
         let retry_after = wait_limits::retry_delay(time_left, &mut rand::rng());
         match refusal {
-            Refusal::OverLimit(wait) => {
-                NoAnswer::EntryFault(Fault::OverLimit, Some(wait.max(retry_after)))
+            Refusal::OverLimit(shortage) => {
+                self.log_shortage(shortage);
+                NoAnswer::EntryFault(Fault::OverLimit, Some(shortage.wait.max(retry_after)))
             }
             Refusal::Overloaded(overload) if self.time_left().is_zero() => {
                 self.log_overload(overload);
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::gateway::follow::PollIntervals;
+use egretgate_core::gateway::limit_tolerance::LimitTolerance;
 use egretgate_core::gateway::retry_limit::RetryLimit;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::{InstanceId, ZoneId};
@@ -65,6 +66,8 @@
     pub addresses: Addresses,
     /// Retry budget of the whole fleet.
     pub retry_limit: RetryLimit,
+    /// Excess over the limits of teams that is tolerated.
+    pub limit_tolerance: LimitTolerance,
     /// Times for stopping.
     pub stop_times: StopTimes,
     /// Address and page of the metrics; `None` if they aren't served.
@@ -88,12 +91,15 @@
         directory: D,
         log: Logger,
     ) -> std::io::Result<Self> {
-        let Options { name, zone, addresses, retry_limit, stop_times, metrics } = options;
+        let Options { name, zone, addresses, retry_limit, limit_tolerance, stop_times, metrics } =
+            options;
         let callers = TcpListener::bind(addresses.callers).await?;
         let ready_listener = TcpListener::bind(addresses.ready).await?;
         let peers = UdpSocket::bind(addresses.peers).await?;
         let incarnation = rand::rng().random();
-        let scheduler = Scheduler::new(&name, &zone, incarnation).with_retry_limit(retry_limit);
+        let scheduler = Scheduler::new(&name, &zone, incarnation)
+            .with_retry_limit(retry_limit)
+            .with_limit_tolerance(limit_tolerance);
         let dispatcher = DispatcherHandle::start(scheduler, log.clone());
         let directory = Arc::new(directory);
         let eras = Arc::new(Eras::new(log.clone()));
