--- a/crates/egretgate-core/src/gateway/admission.rs
+++ b/crates/egretgate-core/src/gateway/admission.rs
@@ -8,6 +8,9 @@
 use super::prompt_part::PartHash;
 use super::regions::Regions;
 use super::request_queue::{Priority, RequestNumber};
+use super::returns::Standing;
+use super::team_share::ShareRank;
+use super::token_bucket::Shortage;
 use super::upstream::Outcome;
 use crate::{Digest, RouteId, ServiceId, TeamId, UpstreamId};
 
@@ -79,8 +82,8 @@
 /// Why the scheduler refuses a request. It is not sent to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
-    /// Its team is over its limit; enough tokens will be available after the given time.
-    OverLimit(Duration),
+    /// Its team is over its limit.
+    OverLimit(Shortage),
     /// No upstream is expected to have headroom for it in time.
     Overloaded(Overload),
     /// The retry budget is spent.
@@ -121,6 +124,12 @@
     pub expected_wait: Duration,
     /// Time until the first upstream takes requests again, if all of them pause; else zero.
     pub pause: Duration,
+    /// Time after which the caller should come back; `None` if that isn't planned.
+    pub retry_after: Option<Duration>,
+    /// How far its team is beyond its part.
+    pub share_rank: ShareRank,
+    /// Whether it was refused before.
+    pub standing: Standing,
     /// Requests of the service in the queue of this entry.
     pub waiting: usize,
     /// Requests of the service that this entry has in flight.
@@ -134,6 +143,9 @@
             reason,
             expected_wait: Duration::ZERO,
             pause: Duration::ZERO,
+            retry_after: None,
+            share_rank: 0,
+            standing: Standing::New,
             waiting: 0,
             running: 0,
         }
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -13,14 +13,16 @@
 use super::catalog::Catalog;
 use super::cold_start::{ColdBound, ColdChange};
 use super::drained_zones::ZoneChange;
-use super::fair_use::FairUse;
+use super::limit_tolerance::LimitTolerance;
 use super::part_quarantine::{PartChange, PartQuarantine, Turn};
 use super::peer::{LeavingUpstream, NameHash, Peers};
 use super::report_schedule::ReportSchedule;
 use super::request_queue::{QueueKey, RequestNumber};
 use super::retry_limit::RetryLimit;
+use super::returns::{Returns, Standing};
 use super::service_state::ServiceState;
 use super::share::TimeSlice;
+use super::team_share::TeamShares;
 use super::token_bucket::TokenBucket;
 use super::traffic_move::{Moves, VersionSample};
 use super::upstream::{ListedUpstream, Outcome, UpstreamState};
@@ -66,6 +68,7 @@
     sequence: u64,
     catalog: Arc<Catalog>,
     retry_limit: RetryLimit,
+    limit_tolerance: LimitTolerance,
     upstreams: SlotMap<UpstreamKey, UpstreamState>,
     by_id: HashMap<UpstreamId, UpstreamKey>,
     by_hash: HashMap<NameHash, UpstreamKey>,
@@ -74,7 +77,8 @@
     /// When the retries that aren't sent yet were taken from the budget.
     retry_times: HashMap<RequestNumber, Instant>,
     buckets: HashMap<TeamId, TokenBucket>,
-    fair_use: FairUse,
+    team_shares: TeamShares,
+    returns: Returns,
     peers: Peers,
     /// Other entries in the directory, reachable or not; `None` before the directory was read.
     peer_count: Option<usize>,
@@ -116,6 +120,7 @@
             sequence: 0,
             catalog: Arc::default(),
             retry_limit: RetryLimit::default(),
+            limit_tolerance: LimitTolerance::default(),
             upstreams: SlotMap::with_key(),
             by_id: HashMap::new(),
             by_hash: HashMap::new(),
@@ -123,7 +128,8 @@
             waiting: HashMap::new(),
             retry_times: HashMap::new(),
             buckets: HashMap::new(),
-            fair_use: FairUse::default(),
+            team_shares: TeamShares::default(),
+            returns: Returns::default(),
             peers: Peers::default(),
             peer_count: None,
             directory_up: true,
@@ -158,6 +164,13 @@
         self
     }
 
+    /// Sets the excess over the limits of teams that is tolerated.
+    #[must_use]
+    pub const fn with_limit_tolerance(mut self, tolerance: LimitTolerance) -> Self {
+        self.limit_tolerance = tolerance;
+        self
+    }
+
     /// Sets the number of other entries in the directory.
     pub fn set_peer_count(&mut self, count: usize) {
         if self.peer_count.is_none() {
@@ -177,7 +190,8 @@
             match (team.limit, self.buckets.get_mut(&team.name)) {
                 (Some(limit), Some(bucket)) => bucket.set_limit(limit),
                 (Some(limit), None) => {
-                    let mut bucket = TokenBucket::new(limit, now);
+                    let bucket = TokenBucket::new(limit, now);
+                    let mut bucket = bucket.with_tolerance(self.limit_tolerance);
                     if let Some(count) = self.peer_count {
                         bucket.add_initial(count + 1);
                     }
@@ -251,14 +265,22 @@
         }
         self.refresh(now);
         let bucket = request.charge.as_ref().and_then(|charge| self.buckets.get(&charge.team));
-        request.priority.over_share =
-            bucket.is_some_and(|bucket| self.fair_use.is_exceeded(bucket, now));
+        let share_rank = bucket.map_or(0, |bucket| self.team_shares.rank(bucket, now));
+        request.priority.over_share = share_rank > 0;
         if request.faster_than.is_some() {
             return self.admit_migration(&request, now);
         }
+        let digest = request.digest.filter(|_| !request.is_retry);
+        let standing = digest.map_or(Standing::New, |digest| self.returns.take(&digest, now));
+        if standing == Standing::Returned {
+            // Its answer is late already, so it waits for as long as it can.
+            request.useful_wait = request.queue_deadline.saturating_duration_since(now);
+        }
         let entries = self.entries();
         let queue_key = QueueKey {
             priority: request.priority,
+            share_rank,
+            standing,
             objective: request.objective,
             number: request.number,
         };
@@ -296,7 +318,7 @@
         };
         if let Some(reason) = reason {
             self.refuse(&request, reason, now);
-            let overload = self.overload(&request, reason, wait, now);
+            let overload = self.overload(&request, &queue_key, reason, wait, now);
             return Admission::Refused(Refusal::Overloaded(overload));
         }
         if let Some(service_state) = self.services.get_mut(&request.service) {
@@ -357,8 +379,9 @@
         let mut refused = Vec::with_capacity(expired.len());
         for number in expired {
             self.trials.remove(&number);
-            let Some((_, request)) = self.waiting.remove(&number) else { continue };
-            let overload = self.overload(&request, Reason::Expired, Duration::ZERO, now);
+            let Some((queue_key, request)) = self.waiting.remove(&number) else { continue };
+            let reason = Reason::Expired;
+            let overload = self.overload(&request, &queue_key, reason, Duration::ZERO, now);
             refused.push((number, Refusal::Overloaded(overload)));
             self.record_refusal(&request, now);
         }
@@ -501,6 +524,16 @@
         self.peers.rank(&self.name, now)
     }
 
+    /// Returns the number of callers that are expected back.
+    pub fn expected_returns(&self) -> usize {
+        self.returns.len()
+    }
+
+    /// Returns the number of teams that have spent more than their limits allowed.
+    pub fn teams_in_debt(&self) -> usize {
+        self.buckets.values().filter(|bucket| bucket.is_in_debt()).count()
+    }
+
     /// Returns the number of waiting requests.
     pub fn queue_len(&self) -> usize {
         self.waiting.len()
@@ -520,17 +553,31 @@
     }
 
     fn overload(
-        &self,
+        &mut self,
         request: &AdmissionRequest,
+        queue_key: &QueueKey,
         reason: Reason,
         expected_wait: Duration,
         now: Instant,
     ) -> Overload {
+        let time_left = request.deadline.saturating_duration_since(now);
+        let retry_after = self.returns.plan(request.digest, expected_wait, time_left, now);
         let service_state = self.services.get(&request.service);
         let waiting = service_state.map_or(0, |service_state| service_state.queue.len());
         let running = service_state.map_or(0, |service_state| service_state.running);
         let pause = self.pause_left(request, now);
-        Overload { reason, expected_wait, pause, waiting, running }
+        let retry_after = Some(retry_after);
+        let QueueKey { share_rank, standing, .. } = *queue_key;
+        Overload {
+            reason,
+            expected_wait,
+            pause,
+            retry_after,
+            share_rank,
+            standing,
+            waiting,
+            running,
+        }
     }
 
     fn record_refusal(&mut self, request: &AdmissionRequest, now: Instant) {
--- a/crates/egretgate-core/src/gateway/scheduler/places.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/places.rs
@@ -56,17 +56,17 @@
     /// Removes and returns the waiting requests that no upstream may get any more.
     pub(super) fn expire_excluded(&mut self, now: Instant) -> Vec<(RequestNumber, Refusal)> {
         let waiting = self.waiting.iter();
-        let excluded: Vec<(RequestNumber, Refusal)> = waiting
-            .filter_map(|(number, (_, request))| {
-                let reason = self.excluded(request)?;
-                let overload = self.overload(request, reason, Duration::ZERO, now);
-                Some((*number, Refusal::Overloaded(overload)))
-            })
+        let excluded: Vec<(RequestNumber, Reason)> = waiting
+            .filter_map(|(number, (_, request))| Some((*number, self.excluded(request)?)))
             .collect();
-        for (number, _) in &excluded {
-            self.withdraw(*number, now);
+        let mut refused = Vec::with_capacity(excluded.len());
+        for (number, reason) in excluded {
+            let Some((queue_key, request)) = self.waiting.get(&number).cloned() else { continue };
+            let overload = self.overload(&request, &queue_key, reason, Duration::ZERO, now);
+            refused.push((number, Refusal::Overloaded(overload)));
+            self.withdraw(number, now);
         }
-        excluded
+        refused
     }
 
     /// Applies the drained zones of the declarations, which replace those of `before`.
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -24,6 +24,7 @@
             self.broken_runs.merge(report.incarnation, *digest, *broken_runs, now);
         }
         self.parts.merge(&report.parts, now);
+        self.returns.merge(&report.returns, now);
         for (key, move_report) in &report.moves {
             self.moves.merge_report(report.incarnation, *key, move_report.clone(), now);
         }
@@ -53,7 +54,10 @@
                 // While the peer was overdue, this entry left the peer's part of the rate to it.
                 let overdue = spend.silence.saturating_sub(overdue_age);
                 let part = bucket.limit().rate * overdue.as_secs_f64() / entries as f64;
-                bucket.record_peer_spend(spend.tokens.saturating_sub(part as u64), now);
+                match u64::try_from(spend.tokens) {
+                    Ok(tokens) => bucket.record_peer_spend(tokens.saturating_sub(part as u64), now),
+                    Err(_) => bucket.record_peer_refund(spend.tokens.unsigned_abs(), now),
+                }
             }
         }
     }
@@ -118,6 +122,7 @@
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
             broken_runs: self.broken_runs.recent_changes(now),
             parts: self.parts.report(now),
+            returns: self.returns.report(now),
             moves: self.moves.report(self.is_leader(now), now),
             catalog: None,
             upstreams: None,
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -8,6 +8,7 @@
 use egretgate_core::gateway::admission::{AdmissionRequest, Overload, Refusal};
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::request_queue::RequestNumber;
+use egretgate_core::gateway::token_bucket::Shortage;
 use egretgate_core::gateway::upstream::Outcome;
 use egretgate_core::gateway::wait_limits;
 use http::header::CONTENT_LENGTH;
@@ -367,11 +368,26 @@
             "service" => &self.plan.service,
             "reason" => overload.reason.as_str(),
             "expected_wait_ms" => overload.expected_wait.as_millis() as u64,
+            "standing" => overload.standing.as_str(),
+            "share_rank" => overload.share_rank,
             "pause_ms" => overload.pause.as_millis() as u64,
             "waiting" => overload.waiting,
             "running" => overload.running);
     }
 
+    /// Logs why the team's limit doesn't allow the request.
+    fn log_shortage(&self, shortage: Shortage) {
+        info!(self.context.log, "over limit";
+            "id" => &self.request.head.id,
+            "team" => self.plan.team.as_deref().unwrap_or(""),
+            "tier" => self.plan.route.tier,
+            "tokens" => self.plan.tokens,
+            "level" => shortage.level,
+            "needed" => shortage.needed,
+            "heard_percent" => shortage.heard_percent,
+            "wait_ms" => shortage.wait.as_millis() as u64);
+    }
+
     /// Logs that the retry budget allows no further attempt.
     fn log_budget_spent(&self) {
         info!(self.context.log, "retry budget spent";
@@ -432,8 +448,9 @@
         let time_left = self.caller_timeout().saturating_sub(self.request.received.elapsed());
         let retry_after = wait_limits::retry_delay(time_left, &mut rand::rng());
         match refusal {
-            Refusal::OverLimit(wait) => {
-                NoAnswer::EntryFault(Fault::OverLimit, Some(wait.max(retry_after)))
+            Refusal::OverLimit(shortage) => {
+                self.log_shortage(shortage);
+                NoAnswer::EntryFault(Fault::OverLimit, Some(shortage.wait.max(retry_after)))
             }
             Refusal::Overloaded(overload) if self.time_left().is_zero() => {
                 self.log_overload(overload);
@@ -443,7 +460,7 @@
             Refusal::Overloaded(overload) => {
                 self.log_overload(overload);
                 let retry_after = if overload.pause.is_zero() {
-                    retry_after
+                    overload.retry_after.unwrap_or(retry_after)
                 } else {
                     wait_limits::retry_delay_after(overload.pause, time_left, &mut rand::rng())
                 };
--- a/crates/egretgate-gateway/src/gateway.rs
+++ b/crates/egretgate-gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use egretgate_core::gateway::cold_start::ColdBound;
 use egretgate_core::gateway::follow::PollIntervals;
 use egretgate_core::gateway::held_bytes::{DEFAULT_MEMORY_BYTES, HeldBytes};
+use egretgate_core::gateway::limit_tolerance::LimitTolerance;
 use egretgate_core::gateway::retry_limit::RetryLimit;
 use egretgate_core::gateway::scheduler::Scheduler;
 use egretgate_core::{InstanceId, RegionId, ZoneId};
@@ -73,6 +74,8 @@
     pub retry_limit: RetryLimit,
     /// How far requests of the whole fleet may exceed the rate of a cold upstream.
     pub cold_bound: ColdBound,
+    /// Excess over the limits of teams that is tolerated.
+    pub limit_tolerance: LimitTolerance,
     /// Times for stopping.
     pub stop_times: StopTimes,
     /// Address and page of the metrics; `None` if they aren't served.
@@ -104,6 +107,7 @@
             regions,
             addresses,
             retry_limit,
+            limit_tolerance,
             cold_bound,
             stop_times,
             metrics,
@@ -115,6 +119,7 @@
         let incarnation = rand::rng().random();
         let scheduler = Scheduler::new(&name, &zone, incarnation)
             .with_retry_limit(retry_limit)
+            .with_limit_tolerance(limit_tolerance)
             .with_cold_bound(cold_bound)
             .with_regions(regions);
         let dispatcher = DispatcherHandle::start(scheduler, log.clone());
