feat(core): slots are reserved by the need of more urgent requests

Change: each entry computes from the reports what every priority needs (arrivals, learned slot times, waiting requests), and what the less urgent ones may start on, with a margin for random arrivals. Reports carry requests in flight, waiting and ended by priority. Only services whose requests outlast the reports; short calls keep the reserve by refusals. Gauge egretgate_reserved_slots.

--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -22,6 +22,7 @@
 pub mod regions;
 pub mod report_schedule;
 pub mod request_queue;
+pub mod reserve;
 pub mod retry_limit;
 pub mod scheduler;
 pub mod share;
--- a/crates/egretgate-core/src/gateway/admission.rs
+++ b/crates/egretgate-core/src/gateway/admission.rs
@@ -94,7 +94,7 @@
 /// Why no upstream has headroom for a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reason {
-    /// Slots are reserved for more urgent requests that are refused.
+    /// Slots are reserved for more urgent requests.
     ReservedForUrgent,
     /// It would wait for longer than is useful.
     TooLong,
--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -11,6 +11,7 @@
 use super::rate_limit::{LimitNotice, order_key};
 use super::refusals::RefusalCounts;
 use super::request_queue::Priority;
+use super::reserve::PriorityLoad;
 use super::traffic_move::{MoveKey, MoveReport};
 use crate::{Digest, Incarnation, InstanceId, Offset, ServiceId, ZoneId};
 
@@ -53,6 +54,8 @@
     pub leaving: Vec<LeavingUpstream>,
     /// Arrivals and refusals for lack of headroom, by service and priority.
     pub refusals: BTreeMap<(NameHash, Priority), RefusalCounts>,
+    /// Requests in flight, waiting and ended, by service and priority.
+    pub loads: BTreeMap<(NameHash, Priority), PriorityLoad>,
     /// Tokens admitted in that incarnation, by team.
     pub admitted: HashMap<NameHash, u64>,
     /// Requests whose runs broke recently, with the number of broken runs; 0 after a successful
@@ -252,6 +255,19 @@
             .map(|((_, priority), counts)| (*priority, *counts))
     }
 
+    /// Returns the load of each reachable entry, by priority.
+    pub fn loads(
+        &self,
+        service: &ServiceId,
+        now: Instant,
+    ) -> impl Iterator<Item = (Priority, PriorityLoad)> + '_ {
+        let hash = name_hash(service);
+        let loads = self.reachable(now).flat_map(|report| &report.loads);
+        loads
+            .filter(move |((reported, _), _)| *reported == hash)
+            .map(|((_, priority), load)| (*priority, *load))
+    }
+
     /// Returns the number of reachable entries whose names sort before `name`.
     pub fn rank(&self, name: &str, now: Instant) -> usize {
         self.reachable(now).filter(|report| report.name.as_str() < name).count()
--- a/crates/egretgate-core/src/gateway/refusals.rs
+++ b/crates/egretgate-core/src/gateway/refusals.rs
@@ -40,6 +40,11 @@
         (self.refused - self.arrived * TOLERATED_REFUSALS).max(0.0) / REFUSAL_DECAY.as_secs_f64()
     }
 
+    /// Returns the arrivals per second.
+    pub fn arrived_per_second(self) -> f64 {
+        self.arrived / REFUSAL_DECAY.as_secs_f64()
+    }
+
     /// Returns the refusals per second.
     pub fn refused_per_second(self) -> f64 {
         self.refused / REFUSAL_DECAY.as_secs_f64()
@@ -113,11 +118,15 @@
     pub fn more_urgent_than(&self, priority: Priority) -> f64 {
         let within_share = Priority { over_share: false, ..priority };
         let others: f64 = self.rates.range(..within_share).map(|(_, rate)| rate).sum();
-        if priority.over_share {
-            others + self.within_share.get(&within_share).copied().unwrap_or(0.0)
-        } else {
-            others
-        }
+        others + self.within_share_of(priority)
+    }
+
+    /// Returns the refusals per second of teams within their shares in the tiers of a `priority`
+    /// beyond its share; 0 for another priority.
+    pub fn within_share_of(&self, priority: Priority) -> f64 {
+        let within_share = Priority { over_share: false, ..priority };
+        let refused = self.within_share.get(&within_share).filter(|_| priority.over_share);
+        refused.copied().unwrap_or(0.0)
     }
 
     /// Returns the excess refusals per second of requests less urgent than `priority`.
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use slotmap::SlotMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::admission::{
     Admission, AdmissionRequest, Completion, Overload, Reason, Refusal, Start, UpstreamKey,
@@ -32,6 +33,9 @@
 /// because the requests ahead may need a faster upstream than the one with a free slot.
 const MAX_UNPLACED: usize = 24;
 
+/// Seed that makes draws independent of the choice among upstreams.
+const DRAW_SEED: u64 = 1;
+
 /// A change of the limit that an upstream states.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LimitChange {
@@ -240,11 +244,18 @@
         }
         service_state.queue.record_arrival(queue_key.priority, now);
         service_state.refusals.record_arrival(queue_key.priority, now);
+        if !service_state.reserve.admits(request.priority, draw(request.number)) {
+            let wait = service_state.expected_wait(&queue_key, now);
+            self.record_refusal(&request, now);
+            let reason = Reason::ReservedForUrgent;
+            let overload = self.overload(&request.service, reason, wait, now);
+            return Admission::Refused(Refusal::Overloaded(overload));
+        }
         let wait = service_state.expected_wait(&queue_key, now);
         // The queue was dispatched just before, so no waiting request can use the free slots.
         if let Some(key) = self.choose_upstream(&request, now) {
             self.retry_times.remove(&request.number);
-            self.record_start(&request.service, key, now);
+            self.record_start(&request, key, now);
             return Admission::Started(key);
         }
         let pause = self.pause_left(&request.service, now);
@@ -284,7 +295,7 @@
         if !service_state.retries.take_retry(now, &self.retry_limit, entries) {
             return Admission::Refused(Refusal::RetryBudgetSpent);
         }
-        self.record_start(&request.service, key, now);
+        self.record_start(request, key, now);
         Admission::Started(key)
     }
 
@@ -345,7 +356,9 @@
         let Completion { key, outcome, digest, .. } = *completion;
         if let Some(service_state) = self.services.get_mut(&completion.service) {
             service_state.running = service_state.running.saturating_sub(1);
-            if matches!(outcome, Outcome::Succeeded { .. }) {
+            let sound = matches!(outcome, Outcome::Succeeded { .. });
+            service_state.loads.record_end(key, completion.started, sound, now);
+            if sound {
                 service_state
                     .record_upstream_time(now.saturating_duration_since(completion.started));
             }
@@ -464,6 +477,11 @@
         self.peers.rank(&self.name, now)
     }
 
+    /// Returns the slots of each service that are kept free for more urgent requests.
+    pub fn reserved_slots(&self) -> impl Iterator<Item = (&ServiceId, f64)> {
+        self.services.iter().map(|(service, state)| (service, state.reserve.slots()))
+    }
+
     /// Returns the number of waiting requests.
     pub fn queue_len(&self) -> usize {
         self.waiting.len()
@@ -536,25 +554,28 @@
                 }
                 continue;
             };
-            self.waiting.remove(&queue_key.number);
+            let request = self.waiting.remove(&queue_key.number).map(|(_, request)| request);
             self.trials.remove(&queue_key.number);
             self.retry_times.remove(&queue_key.number);
             if let Some(service_state) = self.services.get_mut(service) {
                 service_state.queue.remove(&queue_key);
             }
-            self.record_start(service, key, now);
+            if let Some(request) = request {
+                self.record_start(&request, key, now);
+            }
             starts.push(Start { number: queue_key.number, upstream: key });
         }
         starts
     }
 
-    fn record_start(&mut self, service: &ServiceId, key: UpstreamKey, now: Instant) {
+    fn record_start(&mut self, request: &AdmissionRequest, key: UpstreamKey, now: Instant) {
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.own_running += 1;
             upstream.rate_limit.record_start(now);
         }
-        if let Some(service_state) = self.services.get_mut(service) {
+        if let Some(service_state) = self.services.get_mut(&request.service) {
             service_state.running += 1;
+            service_state.loads.record_start(key, request.priority, now);
         }
     }
 
@@ -572,6 +593,11 @@
     }
 }
 
+/// Returns a number in `0.0..1.0` that differs from request to request.
+fn draw(number: RequestNumber) -> f64 {
+    xxh3_64_with_seed(&number.to_le_bytes(), DRAW_SEED) as f64 / u64::MAX as f64
+}
+
 /// Returns the sample of the upstream's version that a completed request provides; `None` if its
 /// outcome says nothing about the version.
 fn version_sample(completion: &Completion) -> Option<VersionSample> {
--- a/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
@@ -6,10 +6,13 @@
 use crate::gateway::peer::name_hash;
 use crate::gateway::refusals::ExcessRefusals;
 use crate::gateway::report_schedule::ReportSchedule;
+use crate::gateway::reserve::{FleetLoad, Reserve};
 use crate::gateway::share::SlotShare;
 
 /// Age at which the values derived from the peers' reports are computed again.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(20);
+/// Largest age of a report, in intervals of reports from other zones.
+const REPORT_AGE_INTERVALS: u32 = 2;
 /// Sorts before every name.
 const FIRST_NAME: &str = "";
 /// Sorts after every name.
@@ -66,6 +69,7 @@
         // Peers that haven't reported yet may be in any zone.
         let far = self.peers.known_count() - self.peers.zone_count(&self.zone);
         self.schedule = ReportSchedule::new(self.entries() - 1 - far, far);
+        let report_age = self.schedule.far_interval() * REPORT_AGE_INTERVALS;
         for (service, service_state) in &mut self.services {
             let members = service_state.members.iter().filter_map(|key| self.upstreams.get(*key));
             let in_flight = members.map(|upstream| upstream.own_running + upstream.peer_running);
@@ -75,6 +79,24 @@
             let refusals =
                 service_state.refusals.by_priority(now).chain(self.peers.refusals(service, now));
             service_state.excess_refusals = ExcessRefusals::new(refusals);
+            service_state.reserve = if service_state.has_short_calls() {
+                Reserve::default()
+            } else {
+                let members = service_state.members.iter();
+                let members = members.filter_map(|key| self.upstreams.get(*key));
+                let slots: u32 = members
+                    .filter(|upstream| upstream.is_available() && !upstream.is_resting(now))
+                    .map(|upstream| upstream.listed.slots)
+                    .sum();
+                let slots = f64::from(slots) * (1.0 - unreachable_fraction);
+                let seconds = service_state.upstream_seconds.unwrap_or(0.0);
+                let fleet = FleetLoad::new(slots, seconds, report_age)
+                    .with_loads(service_state.loads(now).into_iter())
+                    .with_loads(self.peers.loads(service, now))
+                    .with_arrivals(service_state.refusals.by_priority(now))
+                    .with_arrivals(self.peers.refusals(service, now));
+                Reserve::new(&fleet)
+            };
             let peers = self.peers.demand(service, now);
             // Unreachable entries are assumed to have the same demand as this one. Some of them, a
             // different number at each entry, sort before it, so that entries that reach no other
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -6,11 +6,14 @@
 use super::Scheduler;
 use crate::gateway::catalog::MoveSpec;
 use crate::gateway::peer::{AgedLimit, LeavingUpstream, NameHash, PeerReport, name_hash};
+use crate::gateway::reserve::PriorityLoad;
 use crate::gateway::service_state::ServiceState;
 use crate::gateway::traffic_move::{MoveState, MoveStatus};
 
 /// Decayed count of a priority's arrivals, in requests, below which the priority isn't reported.
 const MIN_REPORTED_ARRIVALS: f64 = 0.1;
+/// The same for requests that ended.
+const MIN_REPORTED_ENDS: f64 = 0.1;
 
 impl Scheduler {
     /// Receives the report of another entry.
@@ -70,6 +73,14 @@
                 .map(move |(priority, counts)| ((hash, priority), counts))
         });
         let refusals = refusals.filter(|(_, counts)| counts.arrived > MIN_REPORTED_ARRIVALS);
+        let loads = self.services.iter().flat_map(|(service, service_state)| {
+            let hash = name_hash(service);
+            let loads = service_state.loads(now).into_iter();
+            loads.map(move |(priority, load)| ((hash, priority), load))
+        });
+        let is_reported =
+            |load: &PriorityLoad| load.running + load.waiting > 0 || load.ended > MIN_REPORTED_ENDS;
+        let loads = loads.filter(|(_, load)| is_reported(load)).collect();
         let running = self.upstreams.values().map(|upstream| {
             let short_calls = self
                 .services
@@ -105,6 +116,7 @@
             unit_seconds,
             limits,
             leaving: leaving.collect(),
+            loads,
             refusals: refusals.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
             broken_runs: self.broken_runs.recent_changes(now),
--- a/crates/egretgate-core/src/gateway/service_state.rs
+++ b/crates/egretgate-core/src/gateway/service_state.rs
@@ -1,10 +1,12 @@
 //! The requests of one service that wait and run, as one entry sees them.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use super::admission::UpstreamKey;
 use super::refusals::{ExcessRefusals, RefusalCounters};
 use super::request_queue::{Priority, QueueKey, RequestQueue};
+use super::reserve::{LoadCounters, PriorityLoad, Reserve};
 use super::retry_limit::RetryWindow;
 use super::share::SlotShare;
 
@@ -45,6 +47,10 @@
     pub(super) refusals: RefusalCounters,
     /// Refusals of all entries beyond the tolerated fraction.
     pub(super) excess_refusals: ExcessRefusals,
+    /// Requests of this entry by priority.
+    pub(super) loads: LoadCounters,
+    /// Which less urgent requests may start.
+    pub(super) reserve: Reserve,
     /// Slots of all upstreams.
     pub(super) slots: u32,
     /// Requests that all entries start at one upstream per second, on average.
@@ -80,16 +86,27 @@
         wait + Duration::from_secs_f64(seconds) / self.running + queued
     }
 
+    /// Returns the load of each priority at this entry.
+    pub(super) fn loads(&self, now: Instant) -> BTreeMap<Priority, PriorityLoad> {
+        let mut loads: BTreeMap<Priority, PriorityLoad> = self.loads.by_priority(now).collect();
+        for key in self.queue.iter() {
+            loads.entry(key.priority).or_default().waiting += 1;
+        }
+        loads
+    }
+
     /// Returns the fraction of the slots that is reserved because the fleet refuses requests more
     /// urgent than `priority`.
     pub(super) fn reserved_fraction(&self, priority: Priority) -> f64 {
-        let excess = self.excess_refusals.more_urgent_than(priority);
         if self.has_short_calls() {
+            let excess = self.excess_refusals.more_urgent_than(priority);
             let wanted = excess * self.upstream_seconds.unwrap_or(0.0);
             return (wanted / f64::from(self.slots.max(1))).min(MAX_RESERVED_FRACTION);
         }
-        // A long request occupies its slot for longer than the requests that arrive meanwhile can
-        // wait, so the largest fraction is reserved at once.
+        // For more urgent tiers, [`Reserve`] limits what starts. A long request occupies its slot
+        // for longer than the requests that arrive meanwhile can wait, so the largest fraction is
+        // reserved at once.
+        let excess = self.excess_refusals.within_share_of(priority);
         if excess > MIN_EXCESS_PER_SECOND { MAX_RESERVED_FRACTION } else { 0.0 }
     }
 
--- a/crates/egretgate-core/src/gateway/upstream.rs
+++ b/crates/egretgate-core/src/gateway/upstream.rs
@@ -167,7 +167,7 @@
 
     /// Returns true if the upstream may get a request now.
     pub fn is_usable(&self, now: Instant) -> bool {
-        let backing_off = self.backoff_until.is_some_and(|until| now < until);
+        let backing_off = self.is_backing_off(now);
         // After a backoff, one request at a time probes whether the upstream works again.
         let probing = self.backoffs > 0 && self.active() > 0;
         self.is_available()
@@ -177,6 +177,15 @@
             && self.rate_limit.allows(now)
     }
 
+    fn is_backing_off(&self, now: Instant) -> bool {
+        self.backoff_until.is_some_and(|until| now < until)
+    }
+
+    /// Returns true if it takes no requests for a while: it pauses or is backed off.
+    pub(super) fn is_resting(&self, now: Instant) -> bool {
+        self.is_backing_off(now) || !self.pause_left(now).is_zero()
+    }
+
     /// Returns true if it takes requests, now or after a pause or a backoff.
     pub(super) fn is_available(&self) -> bool {
         !self.is_leaving() && !self.misdirected
--- a/crates/egretgate-core/tests/gateway_overload/main.rs
+++ b/crates/egretgate-core/tests/gateway_overload/main.rs
@@ -8,6 +8,7 @@
 use crate::fleet::{Fleet, Stream, Tally};
 
 mod fleet;
+mod reserves;
 mod speeds;
 mod teams;
 
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -362,6 +362,9 @@
         metrics::gauge!("egretgate_upstreams").set(self.scheduler.upstreams().count() as f64);
         metrics::gauge!("egretgate_quarantined_parts")
             .set(self.scheduler.quarantined_parts() as f64);
+        for (service, slots) in self.scheduler.reserved_slots() {
+            metrics::gauge!("egretgate_reserved_slots", "service" => service.clone()).set(slots);
+        }
         let leaving = self.scheduler.upstreams().filter(|upstream| upstream.is_leaving());
         metrics::gauge!("egretgate_upstreams_leaving").set(leaving.count() as f64);
         let now = Instant::now();
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -9,6 +9,7 @@
 };
 use egretgate_core::gateway::refusals::RefusalCounts;
 use egretgate_core::gateway::request_queue::Priority;
+use egretgate_core::gateway::reserve::PriorityLoad;
 use egretgate_core::gateway::traffic_move::{MoveKey, MoveReport, MoveState};
 use egretgate_core::moves::Counts;
 use egretgate_core::{Digest, Tier};
@@ -49,6 +50,8 @@
     parts: Vec<SentPart>,
     #[prost(message, repeated, tag = "17")]
     leaving: Vec<SentLeaving>,
+    #[prost(message, repeated, tag = "24")]
+    loads: Vec<SentLoad>,
 }
 
 /// What the sender knows of a prompt part under which upstreams have crashed.
@@ -293,6 +296,60 @@
     }
 }
 
+/// Requests of one priority that occupy or want slots.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct SentLoad {
+    #[prost(fixed64, tag = "1")]
+    service: u64,
+    #[prost(uint32, tag = "2")]
+    tier: u32,
+    #[prost(uint32, tag = "3")]
+    route: u32,
+    #[prost(bool, tag = "4")]
+    over_share: bool,
+    #[prost(uint32, tag = "5")]
+    running: u32,
+    #[prost(uint32, tag = "6")]
+    waiting: u32,
+    #[prost(float, tag = "7")]
+    ended: f32,
+    #[prost(float, tag = "8")]
+    busy: f32,
+}
+
+impl From<((NameHash, Priority), PriorityLoad)> for SentLoad {
+    fn from(((service, priority), load): ((NameHash, Priority), PriorityLoad)) -> Self {
+        Self {
+            service,
+            tier: priority.tier.into(),
+            route: priority.route_tier.into(),
+            over_share: priority.over_share,
+            running: load.running,
+            waiting: load.waiting,
+            ended: load.ended as f32,
+            busy: load.busy as f32,
+        }
+    }
+}
+
+impl From<SentLoad> for ((NameHash, Priority), PriorityLoad) {
+    fn from(sent: SentLoad) -> Self {
+        let tier = |value| Tier::try_from(value).unwrap_or(Tier::MAX);
+        let priority = Priority {
+            tier: tier(sent.tier),
+            route_tier: tier(sent.route),
+            over_share: sent.over_share,
+        };
+        let load = PriorityLoad {
+            running: sent.running,
+            waiting: sent.waiting,
+            ended: sanitized_count(sent.ended),
+            busy: sanitized_count(sent.busy),
+        };
+        ((sent.service, priority), load)
+    }
+}
+
 /// The sender's reading of a piece of shared state.
 #[derive(Clone, Copy, PartialEq, Message)]
 struct SentReading {
@@ -359,6 +416,7 @@
             .collect(),
         parts: report.parts.iter().cloned().map(SentPart::from).collect(),
         moves: report.moves.iter().map(|(key, sent)| (*key, sent.clone()).into()).collect(),
+        loads: report.loads.iter().map(|(key, load)| (*key, *load).into()).collect(),
         refusals: report.refusals.iter().map(|(key, counts)| (*key, *counts).into()).collect(),
     }
     .encode_to_vec()
@@ -389,6 +447,7 @@
         broken_runs: broken_runs.collect(),
         parts: datagram.parts.into_iter().map(PartReport::from).collect(),
         moves: datagram.moves.into_iter().map(Into::into).collect(),
+        loads: datagram.loads.into_iter().map(Into::into).collect(),
         refusals: datagram.refusals.into_iter().map(Into::into).collect(),
         admitted: datagram.admitted,
         catalog: datagram.catalog.map(AgedReading::from),
--- a/crates/egretgate-gateway/tests/wire.rs
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -9,6 +9,7 @@
 };
 use egretgate_core::gateway::refusals::RefusalCounts;
 use egretgate_core::gateway::request_queue::Priority;
+use egretgate_core::gateway::reserve::PriorityLoad;
 use egretgate_core::gateway::traffic_move::{MoveReport, MoveState};
 use egretgate_core::moves::Counts;
 use egretgate_gateway::{decode, encode};
@@ -50,6 +51,11 @@
             RefusalCounts { arrived: 8.0, refused: 0.5 },
         )]
         .into(),
+        loads: [(
+            (name_hash("writer"), Priority { tier: 1, route_tier: 2, over_share: true }),
+            PriorityLoad { running: 4, waiting: 1, ended: 2.5, busy: 0.75 },
+        )]
+        .into(),
         admitted: [(name_hash("atelier"), 1 << 40)].into(),
         broken_runs: vec![(Digest::of(&[b"poison"]), 2), (Digest::of(&[b"innocent"]), 0)],
         parts: vec![
