--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -25,6 +25,7 @@
 pub mod regions;
 pub mod report_schedule;
 pub mod request_queue;
+pub mod reserve;
 pub mod retry_limit;
 pub mod returns;
 pub mod scheduler;
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -380,6 +380,9 @@
             .set(self.scheduler.quarantined_parts() as f64);
         let drained = self.scheduler.upstreams().filter(|upstream| upstream.is_drained());
         metrics::gauge!("egretgate_upstreams_drained").set(drained.count() as f64);
+        for (service, slots) in self.scheduler.reserved_slots() {
+            metrics::gauge!("egretgate_reserved_slots", "service" => service.clone()).set(slots);
+        }
         let leaving = self.scheduler.upstreams().filter(|upstream| upstream.is_leaving());
         metrics::gauge!("egretgate_upstreams_leaving").set(leaving.count() as f64);
         let now = Instant::now();
