fix(core): at most a tenth of the requests have a place as returns

Cause: answers to callers that come back are late. At twice the capacity as many come back as are served, and with their place before newcomers they would take all slots.

Change: an entry gives such a place to a tenth of its requests, two at once; the others that come back are newcomers.

--- a/crates/egretgate-core/src/gateway/returns.rs
+++ b/crates/egretgate-core/src/gateway/returns.rs
@@ -23,6 +23,11 @@
 const EARLY: Duration = Duration::from_millis(50);
 /// Time after the planned one until which a caller counts as returned.
 const LATE: Duration = Duration::from_secs(1);
+/// Fraction of an entry's requests that may have a place before others because they come back as
+/// told. Their answers are late; under a load far beyond the capacity, they would take all slots.
+const MAX_PLACED_FRACTION: f64 = 0.1;
+/// Requests that may have such a place at once.
+const PLACED_BURST: f64 = 2.0;
 /// Time for which a planned return is in the reports: longer than the interval of the rarest ones.
 const REPORT_TIME: Duration = Duration::from_millis(500);
 /// Largest number of planned returns in a report.
@@ -73,7 +78,7 @@
 }
 
 /// The planned returns of all entries, as one entry knows them.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Returns {
     /// Returns by request; the newest refusal of a request decides.
     due: HashMap<ReturnId, Due>,
@@ -85,10 +90,26 @@
     start: Option<Instant>,
     /// Returns planned by this entry.
     planned: u64,
+    /// Places that may be given now; at most [`PLACED_BURST`].
+    places: f64,
     /// Time of the last [`Returns::expire`].
     expired: Option<Instant>,
 }
 
+impl Default for Returns {
+    fn default() -> Self {
+        Self {
+            due: HashMap::new(),
+            spans: HashMap::new(),
+            own: VecDeque::new(),
+            start: None,
+            planned: 0,
+            places: PLACED_BURST,
+            expired: None,
+        }
+    }
+}
+
 impl Returns {
     /// Plans the return of a caller that has `time_left` and returns the time until it: in a span
     /// with fewer returns, not before `room`, the time at which the queue will have room.
@@ -124,14 +145,16 @@
         wait
     }
 
-    /// Returns the standing of a request. It has come back then: the same request is a new one
+    /// Returns the standing of a request that arrives. It has come back then: the same request is a new one
     /// afterwards, and one that came too early has lost its place.
     pub fn take(&mut self, digest: &Digest, now: Instant) -> Standing {
+        self.places = (self.places + MAX_PLACED_FRACTION).min(PLACED_BURST);
         let Some(due) = self.due.get_mut(&return_id(digest)) else { return Standing::New };
         let is_first = !std::mem::replace(&mut due.is_spent, true);
         if now + EARLY < due.at {
             Standing::Early
-        } else if is_first && now <= due.at + LATE {
+        } else if is_first && now <= due.at + LATE && self.places >= 1.0 {
+            self.places -= 1.0;
             Standing::Returned
         } else {
             Standing::New
--- a/crates/egretgate-core/tests/gateway_returns.rs
+++ b/crates/egretgate-core/tests/gateway_returns.rs
@@ -125,3 +125,35 @@
     );
     assert_eq!(returns.report(now + wait), []);
 }
+
+/// Under any load, callers that come back leave most places to those whose answers can be in time.
+#[test]
+fn returns_leave_places_to_newcomers() {
+    struct Case {
+        name: &'static str,
+        /// Requests that come back for each newcomer.
+        returns: usize,
+        /// Least and largest number of places for 400 newcomers.
+        placed: std::ops::RangeInclusive<usize>,
+    }
+    let cases = [
+        Case { name: "few", returns: 0, placed: 0..=0 },
+        Case { name: "one each", returns: 1, placed: 70..=90 },
+        Case { name: "four each", returns: 4, placed: 180..=210 },
+    ];
+    for case in cases {
+        let now = Instant::now();
+        let mut returns = Returns::default();
+        let mut placed = 0;
+        for newcomer in 0..400_u16 {
+            assert_eq!(returns.take(&Digest::of(&[&newcomer.to_le_bytes()]), now), New);
+            for index in 0..case.returns {
+                let digest = Digest::of(&[&newcomer.to_le_bytes(), &[index as u8]]);
+                let planned = PlannedReturn { id: return_id(&digest), due_in: millis(1) };
+                returns.merge(&[planned], now);
+                placed += usize::from(returns.take(&digest, now) == Returned);
+            }
+        }
+        assert!(case.placed.contains(&placed), "{}: {placed}", case.name);
+    }
+}
