fix(gateway): answers that nobody takes are given up, and never look whole

Cause: an answer that was read whole, and the last 64 KB of a stream, stayed with a caller that takes nothing for as long as its connection was open. A connection closed in the middle of an answer to a caller without chunks would have looked like its end. Change: an answer is watched until its last byte is written; 10 s after the deadline without a byte taken its connection is reset.

--- a/crates/egretgate-gateway/src/caller_listener.rs
+++ b/crates/egretgate-gateway/src/caller_listener.rs
@@ -173,6 +173,11 @@
             Err((id, held)) => {
                 metrics::counter!("egretgate_unread_answers_total").increment(1);
                 info!(self.context.log, "unread answer given up"; "id" => id, "held" => held);
+                // Without a reset, an answer that ends with its connection would look whole.
+                let stream = connection.into_parts().io.into_inner();
+                if let Err(error) = stream.set_zero_linger() {
+                    info!(self.context.log, "connection not reset"; "error" => %error);
+                }
                 return;
             }
         };
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -142,6 +142,7 @@
             Ok((answer, status)) => self.pass_on(answer, status).await,
             Err(NoAnswer::UpstreamFailure(response)) => {
                 self.log_end("failed_upstream");
+                self.watch_answer();
                 response
             }
             Err(NoAnswer::EntryFault(cause, retry_after)) => {
@@ -611,6 +612,7 @@
                 }
                 self.log_end(if status.is_success() { "served" } else { "failed_upstream" });
                 answer.complete(outcome).await;
+                self.watch_answer();
                 respond(status, headers, full(bytes))
             }
             BodyRead::Incomplete(permit) => {
@@ -626,6 +628,12 @@
         }
     }
 
+    /// Has an answer that was read whole given up if its caller takes nothing of it.
+    fn watch_answer(&self) {
+        let (id, holder) = (self.request.head.id.clone(), Arc::clone(&self.holder));
+        self.ahead.watch(id, holder, self.deadline());
+    }
+
     fn outcome(&self, status: StatusCode) -> Outcome {
         if status.is_server_error() {
             return Outcome::Failed;
--- a/crates/egretgate-gateway/src/read_ahead.rs
+++ b/crates/egretgate-gateway/src/read_ahead.rs
@@ -71,21 +71,16 @@
         deadline: Instant,
         source: Frames,
     ) -> Frames {
-        *self.state() = Some(Ahead {
-            id,
-            holder,
-            deadline,
-            source: Some(source),
-            ready: VecDeque::new(),
-            waits: false,
-            room: None,
-            check: None,
-            held: 0,
-            taken: true,
-        });
+        *self.state() = Some(Ahead::new(id, holder, deadline, Some(source)));
         AheadFrames(self.clone()).boxed()
     }
 
+    /// Sets an answer that was read whole and is passed on next, so that it is given up when its
+    /// caller takes nothing of it.
+    pub(crate) fn watch(&self, id: String, holder: Arc<Holder>, deadline: Instant) {
+        *self.state() = Some(Ahead::new(id, holder, deadline, None));
+    }
+
     fn state(&self) -> MutexGuard<'_, Option<Ahead>> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -94,14 +89,38 @@
     /// polled, by the same task.
     pub(crate) fn poll(&self, cx: &mut Context<'_>) -> Reading {
         let mut state = self.state();
-        match state.as_mut() {
-            Some(ahead) if !ahead.waits => ahead.read_on(cx),
-            _ => Reading::GoesOn,
+        let Some(ahead) = state.as_mut().filter(|ahead| !ahead.waits) else {
+            return Reading::GoesOn;
+        };
+        if ahead.is_passed_on() {
+            *state = None;
+            return Reading::GoesOn;
         }
+        ahead.read_on(cx)
     }
 }
 
 impl Ahead {
+    fn new(id: String, holder: Arc<Holder>, deadline: Instant, source: Option<Frames>) -> Self {
+        Self {
+            id,
+            holder,
+            deadline,
+            source,
+            ready: VecDeque::new(),
+            waits: false,
+            room: None,
+            check: None,
+            held: 0,
+            taken: true,
+        }
+    }
+
+    /// Returns true once the caller's connection has taken all.
+    fn is_passed_on(&self) -> bool {
+        self.source.is_none() && self.ready.is_empty() && self.holder.held() == 0
+    }
+
     fn read_on(&mut self, cx: &mut Context<'_>) -> Reading {
         while self.source.is_some() {
             // The source itself ends what has timed out.
@@ -190,7 +209,11 @@
 
 impl Drop for AheadFrames {
     fn drop(&mut self) {
-        let ahead = self.0.state().take();
-        drop(ahead);
+        // What the HTTP library has not written yet stays watched.
+        let unread = self.0.state().as_mut().map(|ahead| {
+            ahead.waits = false;
+            (ahead.source.take(), std::mem::take(&mut ahead.ready))
+        });
+        drop(unread);
     }
 }
