feat(gateway): upstreams that fail more than their siblings get only probes

Cause: an upstream that answers errors at once always has a free slot.

Change: ejection as a decision of its own (gateway/ejection.rs). Entries report recent answers and failures by upstream and route, where any entry sees failures; an upstream of a version is ejected if three quarters of its answers are failures and chance doesn't explain it by what its siblings fail on the same routes. At most half of a version is. Probes, repeatable requests first, one entry after the other, pauses of 0.5 to 2 s; it returns after two successes.

--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -8,6 +8,7 @@
 pub mod broken_runs;
 pub mod catalog;
 pub mod decaying_count;
+pub mod ejection;
 pub mod era;
 pub mod fair_use;
 pub mod follow;
--- a/crates/egretgate-core/src/gateway/admission.rs
+++ b/crates/egretgate-core/src/gateway/admission.rs
@@ -65,6 +65,8 @@
     pub prompt_tokens: u64,
     /// Maximum number of tokens of its answer; 0 if unknown.
     pub output_tokens: u64,
+    /// True if it may be repeated at another upstream, so that it may probe one that has failed.
+    pub may_repeat: bool,
 }
 
 /// Tokens that count against the limit of a team.
--- a/crates/egretgate-core/src/gateway/broken_runs.rs
+++ b/crates/egretgate-core/src/gateway/broken_runs.rs
@@ -85,6 +85,11 @@
         })
     }
 
+    /// Returns true if a run of the request has broken.
+    pub fn has_broken(&self, digest: &Digest) -> bool {
+        self.records.get(digest).is_some_and(|record| record.own > 0 || !record.peers.is_empty())
+    }
+
     fn record(&mut self, digest: Digest, now: Instant) -> &mut RequestRecord {
         let record = self.records.entry(digest).or_insert_with(|| RequestRecord {
             own: 0,
--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -5,6 +5,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::ejection::EjectionReport;
 use super::era::Era;
 use super::follow::{Fingerprint, Reading};
 use super::part_quarantine::PartReport;
@@ -62,6 +63,8 @@
     pub parts: Vec<PartReport>,
     /// Counts and decisions for the declared moves whose state in the store is known.
     pub moves: BTreeMap<MoveKey, MoveReport>,
+    /// What the entry knows of upstreams that fail.
+    pub ejection: EjectionReport,
     /// Its reading of the declarations.
     pub catalog: Option<AgedReading>,
     /// Its reading of the list of upstreams.
@@ -265,6 +268,17 @@
         self.reachable(now).filter(before).count()
     }
 
+    /// Returns what each reachable entry reports of upstreams that fail, with the age of the report.
+    pub(super) fn ejection_reports(
+        &self,
+        now: Instant,
+    ) -> impl Iterator<Item = (&EjectionReport, Duration)> + '_ {
+        let ages = self.peers.values().map(move |peer| {
+            (&peer.report.ejection, now.saturating_duration_since(peer.received_at))
+        });
+        ages.filter(|(_, age)| *age < PEER_TIMEOUT)
+    }
+
     /// Returns the requests that other entries have in flight at an upstream, as of the last
     /// [`Peers::expire`].
     pub fn running(&self, upstream: NameHash) -> u32 {
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -11,6 +11,7 @@
 };
 use super::broken_runs::BrokenRuns;
 use super::catalog::Catalog;
+use super::ejection::Ejections;
 use super::fair_use::FairUse;
 use super::part_quarantine::{PartChange, PartQuarantine, Turn};
 use super::peer::{LeavingUpstream, NameHash, Peers};
@@ -24,6 +25,7 @@
 use super::upstream::{ListedUpstream, Outcome, UpstreamState};
 use crate::{Incarnation, InstanceId, ServiceId, TeamId, UpstreamId, ZoneId};
 
+mod ejecting;
 mod peer_view;
 mod placement;
 mod reports;
@@ -88,6 +90,7 @@
     moves: Moves,
     /// Upstreams that were found to leave since the last [`Scheduler::take_departures`].
     departures: Vec<Departure>,
+    ejections: Ejections,
 }
 
 impl Scheduler {
@@ -119,6 +122,7 @@
             trials: HashSet::new(),
             moves: Moves::default(),
             departures: Vec::new(),
+            ejections: Ejections::default(),
         }
     }
 
@@ -184,7 +188,9 @@
         let unlisted = self.by_id.iter().filter(|(id, _)| !by_id.contains_key(*id));
         gone.extend(unlisted.map(|(_, key)| *key));
         for key in &gone {
-            self.upstreams.remove(*key);
+            if let Some(upstream) = self.upstreams.remove(*key) {
+                self.ejections.forget(upstream.hash);
+            }
         }
         self.by_id = by_id;
         self.by_hash = self.upstreams.iter().map(|(key, upstream)| (upstream.hash, key)).collect();
@@ -343,6 +349,7 @@
     /// Records how a started request ended.
     pub fn finish(&mut self, completion: &Completion, now: Instant) {
         let Completion { key, outcome, digest, .. } = *completion;
+        self.record_answer(completion, now);
         if let Some(service_state) = self.services.get_mut(&completion.service) {
             service_state.running = service_state.running.saturating_sub(1);
             if matches!(outcome, Outcome::Succeeded { .. }) {
@@ -552,6 +559,7 @@
         if let Some(upstream) = self.upstreams.get_mut(key) {
             upstream.own_running += 1;
             upstream.rate_limit.record_start(now);
+            self.ejections.record_start(upstream.hash);
         }
         if let Some(service_state) = self.services.get_mut(service) {
             service_state.running += 1;
--- a/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
@@ -48,6 +48,7 @@
         self.time_slice.advance(now);
         self.peers.expire(now);
         self.fair_use.update(self.buckets.values(), now);
+        self.judge_upstreams(now);
         let unreachable = self.unreachable_peers(now);
         let unreachable_fraction = unreachable as f64 / self.entries() as f64;
         for upstream in self.upstreams.values_mut() {
--- a/crates/egretgate-core/src/gateway/scheduler/placement.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/placement.rs
@@ -95,6 +95,9 @@
         fits: &dyn Fn(&VersionId) -> bool,
         now: Instant,
     ) -> Option<UpstreamKey> {
+        if let Some(key) = self.due_probe(request, service_state, fits, now) {
+            return Some(key);
+        }
         let mean = self.mean_unit_seconds(service_state);
         let rules = self.slot_rules(request, service_state);
         let time_left = request.deadline.saturating_duration_since(now).as_secs_f64();
@@ -106,16 +109,21 @@
             && service_state.members.iter().any(|key| {
                 let upstream = &self.upstreams[*key];
                 let takes_requests = upstream.is_available() && upstream.pause_left(now).is_zero();
-                takes_requests && upstream.rate_limit.allows(now) && in_time(upstream)
+                takes_requests
+                    && upstream.rate_limit.allows(now)
+                    && !upstream.is_ejected
+                    && in_time(upstream)
             });
         // A suspected upstream gets a request only if every usable one is suspected.
-        let is_unsuspected =
-            |upstream: &UpstreamState| upstream.is_usable(now) && !upstream.is_suspected(now);
+        let is_unsuspected = |upstream: &UpstreamState| {
+            upstream.is_usable(now) && !upstream.is_suspected(now) && !upstream.is_ejected
+        };
         let all_suspected =
             !service_state.members.iter().any(|key| is_unsuspected(&self.upstreams[*key]));
         let usable = service_state.members.iter().copied().filter(|key| {
             let upstream = &self.upstreams[*key];
             upstream.is_usable(now)
+                && !upstream.is_ejected
                 && (all_suspected || !upstream.is_suspected(now))
                 && self.has_headroom(upstream, &rules)
                 && fits(&upstream.listed.version)
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -25,6 +25,7 @@
         for (key, move_report) in &report.moves {
             self.moves.merge_report(report.incarnation, *key, move_report.clone(), now);
         }
+        self.ejections.merge_probes(&report.ejection.probes, now);
         for (hash, sample) in &report.unit_seconds {
             if let Some(upstream) =
                 self.by_hash.get(hash).and_then(|key| self.upstreams.get_mut(*key))
@@ -110,6 +111,7 @@
             broken_runs: self.broken_runs.recent_changes(now),
             parts: self.parts.report(now),
             moves: self.moves.report(self.is_leader(now), now),
+            ejection: self.ejections.report(now),
             catalog: None,
             upstreams: None,
         }
--- a/crates/egretgate-core/src/gateway/upstream.rs
+++ b/crates/egretgate-core/src/gateway/upstream.rs
@@ -134,6 +134,8 @@
     said_leaving: bool,
     /// True if `said_leaving` was said to this entry.
     pub(super) told_leaving: bool,
+    /// True while it gets no requests but probes, since it fails more than its siblings.
+    pub(super) is_ejected: bool,
     /// True once the address was found to belong to another upstream.
     misdirected: bool,
     /// The rate of requests that it takes.
@@ -160,6 +162,7 @@
             paused_until: None,
             said_leaving: false,
             told_leaving: false,
+            is_ejected: false,
             misdirected: false,
             rate_limit: RateLimit::default(),
         }
@@ -222,6 +225,11 @@
         self.suspected_until.is_some_and(|until| now < until)
     }
 
+    /// Records that other upstreams should be preferred until a time.
+    pub(super) fn prefer_others(&mut self, until: Instant) {
+        self.suspected_until = self.suspected_until.max(Some(until));
+    }
+
     /// Returns how slow the upstream would be for one more request, so that upstreams can be
     /// compared; `mean` replaces its own seconds per unit of work while these are unknown, and
     /// `unreported` is the number of requests of peers that it may run besides those reported.
--- a/crates/egretgate-core/tests/gateway_overload/fleet.rs
+++ b/crates/egretgate-core/tests/gateway_overload/fleet.rs
@@ -26,6 +26,8 @@
 /// Tokens of a request.
 const REQUEST_TOKENS: u64 = 100;
 
+/// Time in which a failing upstream answers.
+const FAIL_TIME: Duration = Duration::from_millis(15);
 /// Silence after which an entry suspects an upstream.
 const SUSPECT_AFTER: Duration = Duration::from_millis(400);
 /// Silence after which an entry gives up a call.
@@ -55,6 +57,21 @@
     pub(crate) started: u32,
     /// Time spent at upstreams.
     pub(crate) busy: Duration,
+    /// Answered with an error.
+    pub(crate) failed: u32,
+}
+
+/// Upstreams that answer requests with errors, at once.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Failing {
+    /// Number of them, the first in the list.
+    pub(crate) upstreams: usize,
+    /// Fraction of the requests that they fail.
+    pub(crate) rate: f64,
+    /// Time from which they fail.
+    pub(crate) from: Duration,
+    /// Time until which they fail.
+    pub(crate) until: Duration,
 }
 
 /// A request that was sent to an upstream.
@@ -73,6 +90,8 @@
     until: Option<Instant>,
     /// True if its answer gets lost.
     lost: bool,
+    /// True if it is answered with an error.
+    failed: bool,
 }
 
 /// A request whose answer got lost.
@@ -106,6 +125,8 @@
     pub(crate) slowness: Vec<f64>,
     /// Fraction of the answers that get lost, in `0.0..=1.0`.
     pub(crate) loss_rate: f64,
+    pub(crate) failing: Failing,
+    start: Instant,
     lost: Vec<Lost>,
     /// Makes arrivals and losses random; without it, arrivals are evenly spaced.
     pub(crate) rng: Option<ChaCha8Rng>,
@@ -159,6 +180,8 @@
             upstreams: BTreeMap::new(),
             slowness: Vec::new(),
             loss_rate: 0.0,
+            failing: Failing::default(),
+            start: Instant::now(),
             lost: Vec::new(),
             rng: None,
             reports: Vec::new(),
@@ -192,6 +215,7 @@
     /// Simulates the streams for a time, of which the first second is not counted.
     pub(crate) fn simulate(&mut self, streams: &[Stream], time: Duration) -> &BTreeMap<u8, Tally> {
         let start = Instant::now();
+        self.start = start;
         let mut due: Vec<f64> = streams.iter().map(|_| 0.0).collect();
         // Reports arrive when the next ones are sent.
         let report_interval = self.schedule.near_interval();
@@ -227,7 +251,10 @@
 
     /// Ends the completed requests at the upstreams and starts queued ones.
     fn complete_requests(&mut self, now: Instant) {
-        for upstream in self.upstreams.values_mut() {
+        let time = now - self.start;
+        let fails = (self.failing.from..self.failing.until).contains(&time);
+        for (id, upstream) in &mut self.upstreams {
+            let fails = fails && position(id) < self.failing.upstreams;
             let is_done = |sent: &mut Sent| sent.until.is_some_and(|until| until <= now);
             for sent in upstream.running.extract_if(.., is_done).collect::<Vec<_>>() {
                 if sent.lost {
@@ -235,7 +262,12 @@
                     continue;
                 }
                 let unit_seconds = Some(UNIT_SECONDS * sent.slowness);
-                let outcome = Outcome::Succeeded { unit_seconds };
+                let outcome = if sent.failed {
+                    self.tallies.entry(sent.tier).or_default().failed += 1;
+                    Outcome::Failed
+                } else {
+                    Outcome::Succeeded { unit_seconds }
+                };
                 let (service, key, started) = (SERVICE.to_owned(), sent.key, sent.at);
                 let completion = Completion::new(service, key, outcome, started);
                 self.entries[sent.entry].finish(&completion, now);
@@ -243,6 +275,11 @@
             while upstream.running.len() < self.slots
                 && let Some(mut sent) = upstream.queue.pop_front()
             {
+                let rate = self.failing.rate;
+                sent.failed = fails && self.rng.as_mut().is_some_and(|rng| rng.random_bool(rate));
+                if sent.failed {
+                    sent.upstream_time = FAIL_TIME;
+                }
                 sent.until = Some(now + sent.upstream_time);
                 upstream.running.push(sent);
                 let by_team = sent.team.map(|team| self.team_tallies.entry(team).or_default());
@@ -340,8 +377,7 @@
         let (stream, objective) = self.waiting.remove(&number).expect("it waits");
         let Stream { tier, team, upstream_time, .. } = stream;
         let id = self.entries[entry].upstream(key).expect("listed").listed.id.clone();
-        let position: usize = id.trim_start_matches("engine-").parse().expect("a position");
-        let slowness = self.slowness.get(position).copied().unwrap_or(1.0);
+        let slowness = self.slowness.get(position(&id)).copied().unwrap_or(1.0);
         let upstream_time = upstream_time.mul_f64(slowness);
         let loss_rate = self.loss_rate;
         let lost = self.rng.as_mut().is_some_and(|rng| rng.random_bool(loss_rate));
@@ -356,11 +392,17 @@
             slowness,
             until: None,
             lost,
+            failed: false,
         };
         self.upstreams.entry(id).or_default().queue.push_back(sent);
     }
 }
 
+/// Returns the position of an upstream in the list.
+fn position(id: &str) -> usize {
+    id.trim_start_matches("engine-").parse().expect("a position")
+}
+
 fn team_name(team: usize) -> String {
     format!("team-{team}")
 }
--- a/crates/egretgate-core/tests/gateway_overload/main.rs
+++ b/crates/egretgate-core/tests/gateway_overload/main.rs
@@ -7,6 +7,7 @@
 
 use crate::fleet::{Fleet, Stream, Tally};
 
+mod failing;
 mod fleet;
 mod speeds;
 mod teams;
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -270,6 +270,7 @@
 
     fn handle(&mut self, message: Message) {
         let now = Instant::now();
+        self.log_ejections();
         match message {
             Message::Admit(request, result_sender) => self.admit(*request, result_sender, now),
             Message::Withdraw(number) => {
@@ -364,6 +365,7 @@
             .set(self.scheduler.quarantined_parts() as f64);
         let leaving = self.scheduler.upstreams().filter(|upstream| upstream.is_leaving());
         metrics::gauge!("egretgate_upstreams_leaving").set(leaving.count() as f64);
+        metrics::gauge!("egretgate_upstreams_ejected").set(self.scheduler.ejected_count() as f64);
         let now = Instant::now();
         let is_paused = |upstream: &&UpstreamState| !upstream.pause_left(now).is_zero();
         let paused = self.scheduler.upstreams().filter(is_paused);
@@ -430,6 +432,21 @@
         }
     }
 
+    /// Logs which upstreams get no requests since they fail, and which get requests again.
+    fn log_ejections(&mut self) {
+        for (id, change) in self.scheduler.take_ejection_changes() {
+            info!(self.log, "upstream fails";
+                "upstream" => id,
+                "event" => change.event.as_str(),
+                "failed" => format!("{:.1}", change.answers.failed),
+                "answered" => format!("{:.1}", change.answers.answered),
+                "expected" => format!("{:.1}", change.expected),
+                "number" => change.number,
+                "for_ms" => change.pause.as_millis() as u64,
+                "ejected" => self.scheduler.ejected_count());
+        }
+    }
+
     /// Logs what has changed in the quarantine of prompt parts.
     fn log_part_changes(&mut self) {
         for change in self.scheduler.take_part_changes() {
--- a/crates/egretgate-gateway/src/plan.rs
+++ b/crates/egretgate-gateway/src/plan.rs
@@ -84,6 +84,7 @@
                     .map_or_else(|| route.regions.clone(), |team| route.regions.and(&team.regions)),
                 prompt_tokens: request.head.prompt_tokens.unwrap_or(0),
                 output_tokens: request.head.most_output.unwrap_or(0),
+                may_repeat: route.kind.is_idempotent() && route.attempts > 1,
             },
             version: catalog.version,
             digest,
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use egretgate_core::gateway::ejection::{Answers, EjectionReport, ProbeReport, RouteAnswers};
 use egretgate_core::gateway::part_quarantine::{AgedCrash, PartReport, Ruling};
 use egretgate_core::gateway::peer::{
     AgedLimit, AgedReading, LeavingUpstream, NameHash, PeerReport,
@@ -49,6 +50,70 @@
     parts: Vec<SentPart>,
     #[prost(message, repeated, tag = "17")]
     leaving: Vec<SentLeaving>,
+    #[prost(message, repeated, tag = "18")]
+    answers: Vec<SentAnswers>,
+    #[prost(message, repeated, tag = "19")]
+    probes: Vec<SentProbe>,
+}
+
+/// The sender's recent answers from one upstream to the requests of one route.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct SentAnswers {
+    #[prost(fixed64, tag = "1")]
+    upstream: u64,
+    #[prost(fixed32, tag = "2")]
+    route: u32,
+    /// Weight of all answers, in hundredths.
+    #[prost(uint32, tag = "3")]
+    answered: u32,
+    /// Weight of the failures, in hundredths.
+    #[prost(uint32, tag = "4")]
+    failed: u32,
+}
+
+impl From<RouteAnswers> for SentAnswers {
+    fn from(RouteAnswers { upstream, route, answers }: RouteAnswers) -> Self {
+        let hundredths = |weight: f64| (weight * 100.0).round() as u32;
+        Self {
+            upstream,
+            route,
+            answered: hundredths(answers.answered),
+            failed: hundredths(answers.failed),
+        }
+    }
+}
+
+impl From<SentAnswers> for RouteAnswers {
+    fn from(SentAnswers { upstream, route, answered, failed }: SentAnswers) -> Self {
+        let weight = |hundredths: u32| f64::from(hundredths) / 100.0;
+        let answers = Answers { answered: weight(answered), failed: weight(failed.min(answered)) };
+        Self { upstream, route, answers }
+    }
+}
+
+/// What the sender knows of the probes of an upstream that fails.
+#[derive(Clone, Copy, PartialEq, Message)]
+struct SentProbe {
+    #[prost(fixed64, tag = "1")]
+    upstream: u64,
+    #[prost(uint32, tag = "2")]
+    number: u32,
+    #[prost(uint32, tag = "3")]
+    passed: u32,
+    #[prost(uint64, tag = "4")]
+    age_ms: u64,
+}
+
+impl From<ProbeReport> for SentProbe {
+    fn from(ProbeReport { upstream, number, passed, age }: ProbeReport) -> Self {
+        Self { upstream, number, passed, age_ms: age.as_millis() as u64 }
+    }
+}
+
+impl From<SentProbe> for ProbeReport {
+    fn from(SentProbe { upstream, number, passed, age_ms }: SentProbe) -> Self {
+        Self { upstream, number, passed, age: Duration::from_millis(age_ms) }
+    }
 }
 
 /// What the sender knows of a prompt part under which upstreams have crashed.
@@ -358,6 +423,8 @@
             })
             .collect(),
         parts: report.parts.iter().cloned().map(SentPart::from).collect(),
+        answers: report.ejection.answers.iter().copied().map(SentAnswers::from).collect(),
+        probes: report.ejection.probes.iter().copied().map(SentProbe::from).collect(),
         moves: report.moves.iter().map(|(key, sent)| (*key, sent.clone()).into()).collect(),
         refusals: report.refusals.iter().map(|(key, counts)| (*key, *counts).into()).collect(),
     }
@@ -388,6 +455,10 @@
         leaving: datagram.leaving.into_iter().map(LeavingUpstream::from).collect(),
         broken_runs: broken_runs.collect(),
         parts: datagram.parts.into_iter().map(PartReport::from).collect(),
+        ejection: EjectionReport {
+            answers: datagram.answers.into_iter().map(RouteAnswers::from).collect(),
+            probes: datagram.probes.into_iter().map(ProbeReport::from).collect(),
+        },
         moves: datagram.moves.into_iter().map(Into::into).collect(),
         refusals: datagram.refusals.into_iter().map(Into::into).collect(),
         admitted: datagram.admitted,
--- a/crates/egretgate-gateway/tests/wire.rs
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use egretgate_core::Digest;
+use egretgate_core::gateway::ejection::{Answers, EjectionReport, ProbeReport, RouteAnswers};
 use egretgate_core::gateway::part_quarantine::{AgedCrash, PartReport, Ruling};
 use egretgate_core::gateway::peer::{
     AgedLimit, AgedReading, LeavingUpstream, PeerReport, name_hash,
@@ -83,6 +84,19 @@
             (move_of("v4"), move_report(Some(MoveState::TakenBack))),
         ]
         .into(),
+        ejection: EjectionReport {
+            answers: vec![RouteAnswers {
+                upstream: name_hash("writer-1"),
+                route: u32::MAX,
+                answers: Answers { answered: 7.5, failed: 2.25 },
+            }],
+            probes: vec![ProbeReport {
+                upstream: name_hash("writer-1"),
+                number: 3,
+                passed: 1,
+                age: Duration::from_millis(750),
+            }],
+        },
         catalog: Some(reading(1, Some(3))),
         upstreams: Some(reading(2, None)),
     }
