--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -10,6 +10,7 @@
 pub mod cold_start;
 pub mod decaying_count;
 pub mod drained_zones;
+pub mod ejection;
 pub mod era;
 pub mod follow;
 pub mod held_bytes;
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -14,6 +14,7 @@
 use super::catalog::Catalog;
 use super::cold_start::{ColdBound, ColdChange};
 use super::drained_zones::ZoneChange;
+use super::ejection::Ejections;
 use super::limit_tolerance::LimitTolerance;
 use super::part_quarantine::{PartChange, PartQuarantine, Turn};
 use super::peer::{LeavingUpstream, NameHash, Peers};
@@ -30,6 +31,7 @@
 use crate::{Incarnation, InstanceId, RegionId, ServiceId, TeamId, UpstreamId, ZoneId};
 
 mod cold;
+mod ejecting;
 mod peer_view;
 mod placement;
 mod places;
@@ -112,6 +114,7 @@
     cold_holds: u64,
     /// Upstreams that became cold or warm since the last [`Scheduler::take_cold_changes`].
     cold_changes: Vec<ColdChange>,
+    ejections: Ejections,
 }
 
 impl Scheduler {
@@ -151,6 +154,7 @@
             listed_entries: None,
             cold_holds: 0,
             cold_changes: Vec::new(),
+            ejections: Ejections::default(),
         }
     }
 
@@ -233,7 +237,9 @@
         let unlisted = self.by_id.iter().filter(|(id, _)| !by_id.contains_key(*id));
         gone.extend(unlisted.map(|(_, key)| *key));
         for key in &gone {
-            self.upstreams.remove(*key);
+            if let Some(upstream) = self.upstreams.remove(*key) {
+                self.ejections.forget(upstream.hash);
+            }
         }
         self.by_id = by_id;
         self.by_hash = self.upstreams.iter().map(|(key, upstream)| (upstream.hash, key)).collect();
@@ -413,6 +419,7 @@
     /// Records how a started request ended.
     pub fn finish(&mut self, completion: &Completion, now: Instant) {
         let Completion { key, outcome, digest, .. } = *completion;
+        self.record_answer(completion, now);
         if let Some(service_state) = self.services.get_mut(&completion.service) {
             service_state.running = service_state.running.saturating_sub(1);
             let sound = matches!(outcome, Outcome::Succeeded { .. });
@@ -657,6 +664,7 @@
             upstream.own_running += 1;
             upstream.rate_limit.record_start(now);
             upstream.cold.record_start(now);
+            self.ejections.record_start(upstream.hash);
         }
         if let Some(service_state) = self.services.get_mut(&request.service) {
             service_state.running += 1;
--- a/crates/egretgate-gateway/tests/wire.rs
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use egretgate_core::Digest;
+use egretgate_core::gateway::ejection::{Answers, EjectionReport, ProbeReport, RouteAnswers};
 use egretgate_core::gateway::part_quarantine::{AgedCrash, PartReport, Ruling};
 use egretgate_core::gateway::peer::{
     AgedCold, AgedLimit, AgedReading, LeavingUpstream, PeerReport, name_hash,
@@ -112,6 +113,19 @@
         ]
         .into(),
         returns: vec![PlannedReturn { id: 9, due_in: Duration::from_millis(1_700) }],
+        ejection: EjectionReport {
+            answers: vec![RouteAnswers {
+                upstream: name_hash("writer-1"),
+                route: u32::MAX,
+                answers: Answers { answered: 7.5, failed: 2.25 },
+            }],
+            probes: vec![ProbeReport {
+                upstream: name_hash("writer-1"),
+                number: 3,
+                passed: 1,
+                age: Duration::from_millis(750),
+            }],
+        },
         catalog: Some(reading(1, Some(3))),
         upstreams: Some(reading(2, None)),
     }
