--- a/crates/egretgate-core/tests/gateway_cold.rs
+++ b/crates/egretgate-core/tests/gateway_cold.rs
@@ -23,7 +23,8 @@
 /// Time from an upstream's record to its reading at every entry.
 const LIST_LAG: Duration = Duration::from_secs(2);
 const LIST_INTERVAL: Duration = Duration::from_millis(600);
-const ANSWER_TIME: Duration = Duration::from_millis(250);
+/// Time until the end of an answer in a fleet under load.
+const ANSWER_TIME: Duration = Duration::from_millis(160);
 /// Time that a sent request may take to arrive.
 const MAX_TRANSIT: Duration = Duration::from_millis(40);
 const SECOND: Duration = Duration::from_secs(1);
@@ -39,7 +40,7 @@
         address: "127.0.0.1:9".parse().unwrap(),
         zone: ZONES[index % ZONES.len()].to_owned(),
         version: "v1".to_owned(),
-        slots: 8,
+        slots: 16,
         stage: Stage::Ready,
         started_ms: Some(1),
         cold_for: Duration::ZERO,
@@ -58,7 +59,7 @@
         number,
         service: SERVICE.to_owned(),
         route: "brief".to_owned(),
-        priority: Priority { tier: 0, route_tier: 0, over_share: false },
+        priority: Priority { tier: (number % 2) as u8, route_tier: 0, over_share: false },
         charge: None,
         objective: now + SECOND,
         useful_wait: SECOND,
@@ -96,6 +97,7 @@
     /// Arrivals at upstreams while they were cold.
     cold_arrivals: Vec<(usize, Instant)>,
     served: usize,
+    answer_time: Duration,
     sent: VecDeque<Sent>,
     /// Lists on their way to the entries, with the time at which they are read.
     lists: VecDeque<(Instant, Vec<ListedUpstream>)>,
@@ -128,6 +130,7 @@
             truth: vec![Truth { is_down: false, cold_until: now, started_ms: 1 }; upstreams],
             cold_arrivals: Vec::new(),
             served: 0,
+            answer_time: ANSWER_TIME,
             sent: VecDeque::new(),
             lists: VecDeque::new(),
             groups,
@@ -182,9 +185,9 @@
 
     fn read_answers(&mut self) {
         let now = self.now;
-        let truth = &self.truth;
+        let (truth, answer_time) = (&self.truth, self.answer_time);
         let (ended, running): (Vec<Sent>, Vec<Sent>) = self.sent.drain(..).partition(|sent| {
-            now >= sent.at + if truth[sent.upstream].is_down { MAX_TRANSIT } else { ANSWER_TIME }
+            now >= sent.at + if truth[sent.upstream].is_down { MAX_TRANSIT } else { answer_time }
         });
         self.sent.extend(running);
         for sent in ended {
@@ -192,7 +195,7 @@
                 Outcome::Unreachable
             } else {
                 self.served += 1;
-                Outcome::Succeeded { unit_seconds: Some(0.25) }
+                Outcome::Succeeded { unit_seconds: Some(0.16) }
             };
             let completion = Completion::new(SERVICE.to_owned(), sent.key, outcome, sent.at);
             self.entries[sent.entry].finish(&completion, now);
@@ -287,21 +290,21 @@
         event,
     };
     let cases = [
-        case(1, 3, 19.0, 75.0, 1, Drained),
-        case(1, 3, 19.0, 75.0, 1, Down),
-        case(20, 12, 19.0, 420.0, 1, Drained),
-        case(20, 12, 19.0, 420.0, 1, Down),
-        case(20, 12, 19.0, 420.0, 20, Drained),
-        case(20, 12, 19.0, 420.0, 20, Down),
-        case(20, 12, 2.0, 420.0, 3, Drained),
-        case(20, 12, 0.5, 420.0, 2, Down),
-        case(100, 30, 19.0, 1_100.0, 1, Drained),
-        case(100, 30, 19.0, 1_100.0, 100, Drained),
-        case(100, 30, 60.0, 1_100.0, 4, Down),
+        case(1, 3, 19.0, 270.0, 1, Drained),
+        case(1, 3, 19.0, 270.0, 1, Down),
+        case(20, 12, 19.0, 1_080.0, 1, Drained),
+        case(20, 12, 19.0, 1_080.0, 1, Down),
+        case(20, 12, 19.0, 1_080.0, 20, Drained),
+        case(20, 12, 19.0, 1_080.0, 20, Down),
+        case(20, 12, 2.0, 1_080.0, 3, Drained),
+        case(20, 12, 0.5, 1_080.0, 2, Down),
+        case(100, 30, 19.0, 2_700.0, 1, Drained),
+        case(100, 30, 19.0, 2_700.0, 100, Drained),
+        case(100, 30, 60.0, 2_700.0, 4, Down),
     ];
     let mut violations = Vec::new();
     for case in cases {
-        for seed in 0..if case.entries < 100 { 3 } else { 1 } {
+        for seed in 0..if case.entries < 100 { 2 } else { 1 } {
             let Case { entries, upstreams, cold_rate, rate, groups, event } = case;
             let mut fleet = Fleet::new(entries, upstreams, cold_rate, groups, seed);
             fleet.simulate(SECOND, rate / 2.0);
@@ -341,6 +344,8 @@
 #[test]
 fn a_broken_answer_of_a_sound_upstream_is_disproved() {
     let mut fleet = Fleet::new(20, 12, 19.0, 1, 1);
+    // Other requests must be running that began before the loss.
+    fleet.answer_time = Duration::from_millis(250);
     fleet.simulate(SECOND * 2, 500.0);
     let sent = *fleet.sent.back().expect("running");
     let outcome = Outcome::InvalidAnswer;
@@ -403,7 +408,7 @@
     for case in cases {
         let now = Instant::now();
         let mut entry = places(case.drained, now);
-        for number in 0..60 {
+        for number in 0..90 {
             let mut request = request(number, now);
             request.needs.regions =
                 Regions::new(case.regions.iter().map(|region| (*region).to_owned()).collect());
@@ -430,7 +435,7 @@
     let now = Instant::now();
     let mut entry = places(&[], now);
     let admissions: Vec<Admission> =
-        (0..200).map(|number| entry.admit(request(number, now), now)).collect();
+        (0..400).map(|number| entry.admit(request(number, now), now)).collect();
     let queued = admissions.iter().filter(|admission| **admission == Admission::Queued).count();
     assert!(queued > 0);
     entry.set_catalog(catalog(19.0, &ZONES), now);
