--- a/crates/egretgate-core/src/gateway/cold_start.rs
+++ b/crates/egretgate-core/src/gateway/cold_start.rs
@@ -6,7 +6,7 @@
 //! The newest notice of any entry decides. A request that began before a loss and succeeds after it
 //! proves that the upstream has not started again.
 //!
-//! The rate is divided as a stated limit is ([`RateLimit`](super::rate_limit::RateLimit)), but its
+//! The rate is divided as a stated limit is (`RateLimit`), but its
 //! bound holds in any second, also for entries that don't hear each other. So its parts belong to a
 //! few entries that all derive from the list of entries in the directory, reachable or not.
 
--- a/crates/egretgate-core/tests/gateway_overload/failing.rs
+++ b/crates/egretgate-core/tests/gateway_overload/failing.rs
@@ -50,6 +50,34 @@
     }
 }
 
+#[test]
+fn failing_upstreams_get_few_requests_also_if_they_are_many_or_the_load_is_little() {
+    struct Case {
+        name: &'static str,
+        upstreams: usize,
+        load: f64,
+        /// Largest allowed fraction of the requests that fail.
+        most: f64,
+    }
+    let cases = [
+        Case { name: "sixteen of fifty", upstreams: 16, load: 1.2, most: 0.05 },
+        Case { name: "little load", upstreams: 6, load: 0.5, most: 0.03 },
+    ];
+    let mut faults = Vec::new();
+    for case in cases {
+        for seed in 0..3 {
+            let until = Duration::from_secs(5);
+            let failing = Failing { upstreams: case.upstreams, rate: 1.0, from: FROM, until };
+            let tally = simulate(failing, case.load, seed, until);
+            let fraction = f64::from(tally.failed) / f64::from(tally.asked);
+            if fraction > case.most {
+                faults.push(format!("{}, seed {seed}: {fraction:.3}", case.name));
+            }
+        }
+    }
+    assert!(faults.is_empty(), "{faults:?}");
+}
+
 /// Where requests fail everywhere alike, and where upstreams work again, all slots are used.
 #[test]
 fn upstreams_that_work_keep_their_work() {
