fix(core): slots are reserved by need only where upstreams state their pace

Cause: the reserve by need was in effect at every service. Change: it is in effect where an upstream of the service states the pace of its work, as upstreams that share their instances do; elsewhere slots are reserved as before, and reports carry no loads by priority. Log line 'slots are reserved by need'.

--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -506,6 +506,16 @@
         is_new.then(|| LimitChange { id: upstream.listed.id.clone(), before, limit })
     }
 
+    /// Records that an upstream of a service states the pace of its work.
+    pub fn record_pace(&mut self, service: &ServiceId) {
+        self.services.entry(service.clone()).or_default().states_pace = true;
+    }
+
+    /// Returns true if an upstream of a service has stated the pace of its work.
+    pub fn states_pace(&self, service: &ServiceId) -> bool {
+        self.services.get(service).is_some_and(|service_state| service_state.states_pace)
+    }
+
     /// Records that an upstream wants no requests from this entry until a time; returns its name.
     pub fn pause(&mut self, key: UpstreamKey, until: Instant) -> Option<&UpstreamId> {
         let upstream = self.upstreams.get_mut(key)?;
--- a/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/peer_view.rs
@@ -92,9 +92,8 @@
             let refusals =
                 service_state.refusals.by_priority(now).chain(self.peers.refusals(service, now));
             service_state.excess_refusals = ExcessRefusals::new(refusals);
-            service_state.reserve = if service_state.has_short_calls() {
-                Reserve::default()
-            } else {
+            let by_need = service_state.states_pace && !service_state.has_short_calls();
+            service_state.reserve = if by_need {
                 let members = service_state.members.iter();
                 let members = members.filter_map(|key| self.upstreams.get(*key));
                 let slots: u32 = members
@@ -109,6 +108,8 @@
                     .with_arrivals(service_state.refusals.by_priority(now))
                     .with_arrivals(self.peers.refusals(service, now));
                 Reserve::new(&fleet)
+            } else {
+                Reserve::default()
             };
             let peers = self.peers.demand(service, now);
             // Unreachable entries are assumed to have the same demand as this one. Some of them, a
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -81,7 +81,8 @@
                 .map(move |(priority, counts)| ((hash, priority), counts))
         });
         let refusals = refusals.filter(|(_, counts)| counts.arrived > MIN_REPORTED_ARRIVALS);
-        let loads = self.services.iter().flat_map(|(service, service_state)| {
+        let planned = self.services.iter().filter(|(_, service_state)| service_state.states_pace);
+        let loads = planned.flat_map(|(service, service_state)| {
             let hash = name_hash(service);
             let loads = service_state.loads(now).into_iter();
             loads.map(move |(priority, load)| ((hash, priority), load))
--- a/crates/egretgate-core/src/gateway/service_state.rs
+++ b/crates/egretgate-core/src/gateway/service_state.rs
@@ -49,6 +49,9 @@
     pub(super) excess_refusals: ExcessRefusals,
     /// Requests of this entry by priority.
     pub(super) loads: LoadCounters,
+    /// True once an upstream stated its pace: where upstreams share their instances with others,
+    /// slots are reserved by need, elsewhere only once urgent requests are refused.
+    pub(super) states_pace: bool,
     /// Which less urgent requests may start.
     pub(super) reserve: Reserve,
     /// Slots of all upstreams.
@@ -103,10 +106,14 @@
             let wanted = excess * self.upstream_seconds.unwrap_or(0.0);
             return (wanted / f64::from(self.slots.max(1))).min(MAX_RESERVED_FRACTION);
         }
-        // For more urgent tiers, [`Reserve`] limits what starts. A long request occupies its slot
-        // for longer than the requests that arrive meanwhile can wait, so the largest fraction is
-        // reserved at once.
-        let excess = self.excess_refusals.within_share_of(priority);
+        // A long request occupies its slot for longer than the requests that arrive meanwhile can
+        // wait, so the largest fraction is reserved at once. For more urgent tiers, [`Reserve`]
+        // limits what starts.
+        let excess = if self.states_pace {
+            self.excess_refusals.within_share_of(priority)
+        } else {
+            self.excess_refusals.more_urgent_than(priority)
+        };
         if excess > MIN_EXCESS_PER_SECOND { MAX_RESERVED_FRACTION } else { 0.0 }
     }
 
--- a/crates/egretgate-core/tests/gateway_overload/fleet.rs
+++ b/crates/egretgate-core/tests/gateway_overload/fleet.rs
@@ -19,7 +19,7 @@
 
 const STEP: Duration = Duration::from_millis(5);
 const OBJECTIVE: Duration = Duration::from_millis(400);
-const SERVICE: &str = "writer";
+pub(crate) const SERVICE: &str = "writer";
 /// Time per unit of work at an upstream with slowness 1.
 const UNIT_SECONDS: f64 = 0.2;
 
--- a/crates/egretgate-core/tests/gateway_overload/reserves.rs
+++ b/crates/egretgate-core/tests/gateway_overload/reserves.rs
@@ -5,7 +5,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::fleet::{Fleet, Stream, Tally};
+use crate::fleet::{Fleet, SERVICE, Stream, Tally};
 
 const ENTRIES: usize = 12;
 const UPSTREAMS: usize = 50;
@@ -62,6 +62,9 @@
     let mut fleet = Fleet::new(ENTRIES, UPSTREAMS, SLOTS);
     fleet.rng = Some(ChaCha8Rng::seed_from_u64(3));
     fleet.cut_off = case.cut_off;
+    for entry in &mut fleet.entries {
+        entry.record_pace(&SERVICE.to_owned());
+    }
     for entry in &mut fleet.entries[ENTRIES - case.cut_off..] {
         entry.set_directory_up(false);
     }
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -50,6 +50,8 @@
     suspected: bool,
     /// True if the upstream had a limit when the permit was granted.
     limited: bool,
+    /// True if it was known that upstreams of the service state their pace.
+    states_pace: bool,
     route: RouteId,
     first_byte: Option<Duration>,
     dispatcher: DispatcherHandle,
@@ -85,6 +87,13 @@
         self.dispatcher.send(Message::Cold { key: self.key, cold_for });
     }
 
+    /// Records that the answer states the pace of the upstream.
+    pub(crate) fn record_pace(&self) {
+        if !self.states_pace {
+            self.dispatcher.send(Message::Pace(self.service.clone()));
+        }
+    }
+
     /// Records that the upstream wants no requests for a while.
     pub(crate) fn record_pause(&self, pause: Duration) {
         self.dispatcher.send(Message::Pause {
@@ -145,6 +154,8 @@
     },
     /// Reports the limit that an upstream states, in requests per second.
     Limit { key: UpstreamKey, limit: Option<f64> },
+    /// Reports that upstreams of a service state their pace.
+    Pace(ServiceId),
     /// Reports that an upstream wants no requests from this entry for a while.
     Pause { key: UpstreamKey, pause: Duration, until: Instant },
     /// Reports that an upstream states that it leaves.
@@ -299,6 +310,12 @@
                         "per_second" => change.limit, "before" => change.before);
                 }
             }
+            Message::Pace(service) => {
+                if !self.scheduler.states_pace(&service) {
+                    info!(self.log, "slots are reserved by need"; "service" => &service);
+                    self.scheduler.record_pace(&service);
+                }
+            }
             Message::Pause { key, pause, until } => {
                 if let Some(id) = self.scheduler.pause(key, until) {
                     info!(self.log, "upstream pauses"; "upstream" => id,
@@ -432,6 +449,7 @@
             address: upstream.listed.address,
             idle,
             key,
+            states_pace: self.scheduler.states_pace(&waiter.service),
             service: waiter.service,
             digest: waiter.digest,
             parts: waiter.parts,
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -590,6 +590,9 @@
         };
         if !is_foreign && parts.status != StatusCode::MISDIRECTED_REQUEST {
             answer.permit.record_limit(head.rate_limit);
+            if head.load.is_some_and(|load| load.pace.is_some()) {
+                answer.permit.record_pace();
+            }
             if let Some(pause) = head.pause {
                 answer.permit.record_pause(pause);
             }
