--- a/review/stand-ins/main.rs
+++ b/review/stand-ins/main.rs
@@ -3,6 +3,7 @@
 mod bed;
 mod client;
 mod departed;
+mod early;
 mod grey;
 mod http;
 mod moved;
@@ -13,6 +14,7 @@
 fn main() {
     match std::env::args().nth(1).as_deref() {
         Some("grey") => grey::run(),
+        Some("early") => early::run(),
         Some("departed") => departed::run(),
         Some("moved") => moved::run(),
         Some("poison") => poison::run(),
