--- a/crates/egretgate-core/src/gateway.rs
+++ b/crates/egretgate-core/src/gateway.rs
@@ -5,9 +5,9 @@
 //! arrival, while several entries share the same upstreams.
 
 pub mod admission;
-pub mod broken_runs;
 pub mod catalog;
 pub mod cold_start;
+pub mod crash_quarantine;
 pub mod decaying_count;
 pub mod drained_zones;
 pub mod ejection;
@@ -18,7 +18,6 @@
 pub mod held_moves;
 pub mod held_upstreams;
 pub mod limit_tolerance;
-pub mod part_quarantine;
 pub mod peer;
 pub mod prompt_part;
 pub mod rate_limit;
--- a/crates/egretgate-core/src/gateway/admission.rs
+++ b/crates/egretgate-core/src/gateway/admission.rs
@@ -90,7 +90,7 @@
     Overloaded(Overload),
     /// The retry budget is spent.
     RetryBudgetSpent,
-    /// It has crashed several upstreams.
+    /// It has crashed several upstreams since its last sound run.
     Poison,
     /// Requests with a part of its prompt have crashed several upstreams.
     QuarantinedPart,
@@ -224,6 +224,21 @@
     }
 }
 
+/// A run that ended with [`Outcome::InvalidAnswer`], for the check of its upstream.
+#[derive(Debug, Clone)]
+pub struct BrokenRun {
+    /// Upstream.
+    pub upstream: UpstreamId,
+    /// Digest of the request.
+    pub digest: Option<Digest>,
+    /// Parts of its prompt that other requests may share.
+    pub parts: Arc<[PartHash]>,
+    /// Time from the first to the last data of its answer; `None` if there was no data.
+    pub wrote: Option<Duration>,
+    /// Time at which the run broke.
+    pub at: Instant,
+}
+
 /// The decision on a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
--- a/crates/egretgate-core/src/gateway/peer.rs
+++ b/crates/egretgate-core/src/gateway/peer.rs
@@ -6,10 +6,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::cold_start::ColdNotice;
+use super::crash_quarantine::SuspectReport;
 use super::ejection::EjectionReport;
 use super::era::Era;
 use super::follow::{Fingerprint, Reading};
-use super::part_quarantine::PartReport;
 use super::rate_limit::LimitNotice;
 use super::rate_limit::part::order_key;
 use super::refusals::RefusalCounts;
@@ -17,7 +17,7 @@
 use super::reserve::PriorityLoad;
 use super::returns::PlannedReturn;
 use super::traffic_move::{MoveKey, MoveReport};
-use crate::{Digest, Incarnation, InstanceId, Offset, ServiceId, ZoneId};
+use crate::{Incarnation, InstanceId, Offset, ServiceId, ZoneId};
 
 /// Silence after which another entry is unreachable and its load no longer counts: several of its
 /// reports are missing then.
@@ -67,11 +67,10 @@
     pub loads: BTreeMap<(NameHash, Priority), PriorityLoad>,
     /// Tokens admitted in that incarnation, by team.
     pub admitted: HashMap<NameHash, u64>,
-    /// Requests whose runs broke recently, with the number of broken runs; 0 after a successful
-    /// run.
-    pub broken_runs: Vec<(Digest, u32)>,
+    /// What the entry knows of requests under which upstreams have crashed.
+    pub requests: Vec<SuspectReport>,
     /// What the entry knows of prompt parts under which upstreams have crashed.
-    pub parts: Vec<PartReport>,
+    pub parts: Vec<SuspectReport>,
     /// Counts and decisions for the declared moves whose state in the store is known.
     pub moves: BTreeMap<MoveKey, MoveReport>,
     /// When callers were told to come back.
--- a/crates/egretgate-core/src/gateway/returns.rs
+++ b/crates/egretgate-core/src/gateway/returns.rs
@@ -232,5 +232,5 @@
 
 /// Returns what identifies the request with a digest.
 pub fn return_id(digest: &Digest) -> ReturnId {
-    digest.as_bytes().iter().take(8).fold(0, |id, byte| id << 8 | u64::from(*byte))
+    digest.prefix()
 }
--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -8,16 +8,16 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::admission::{
-    Admission, AdmissionRequest, Completion, Overload, Reason, Refusal, Start, UpstreamKey,
+    Admission, AdmissionRequest, BrokenRun, Completion, Overload, Reason, Refusal, Start,
+    UpstreamKey,
 };
-use super::broken_runs::BrokenRuns;
 use super::catalog::Catalog;
 use super::cold_start::{ColdBound, ColdChange};
+use super::crash_quarantine::{CrashQuarantine, SuspectChange, SuspectKind, request_hash};
 use super::drained_zones::ZoneChange;
 use super::ejection::Ejections;
 use super::limit_tolerance::LimitTolerance;
-use super::part_quarantine::{PartChange, PartQuarantine, Turn};
-use super::peer::{LeavingUpstream, NameHash, Peers};
+use super::peer::{LeavingUpstream, NameHash, Peers, name_hash};
 use super::report_schedule::ReportSchedule;
 use super::request_queue::{QueueKey, RequestNumber};
 use super::retry_limit::RetryLimit;
@@ -28,7 +28,7 @@
 use super::token_bucket::TokenBucket;
 use super::traffic_move::{Moves, VersionSample};
 use super::upstream::{ListedUpstream, Outcome, UpstreamState};
-use crate::{Incarnation, InstanceId, RegionId, ServiceId, TeamId, UpstreamId, ZoneId};
+use crate::{Digest, Incarnation, InstanceId, RegionId, ServiceId, TeamId, UpstreamId, ZoneId};
 
 mod cold;
 mod ejecting;
@@ -95,9 +95,11 @@
     /// When this entry and its peers send reports.
     schedule: ReportSchedule,
     time_slice: TimeSlice,
-    broken_runs: BrokenRuns,
-    parts: PartQuarantine,
-    /// Waiting requests that are trials of a quarantined part.
+    /// Requests under which upstreams have crashed.
+    requests: CrashQuarantine,
+    /// Parts of prompts under which upstreams have crashed.
+    parts: CrashQuarantine,
+    /// Waiting requests that are trials of a quarantined suspect.
     trials: HashSet<RequestNumber>,
     moves: Moves,
     /// Upstreams that were found to leave since the last [`Scheduler::take_departures`].
@@ -143,8 +145,8 @@
             refreshed: None,
             schedule: ReportSchedule::new(0, 0),
             time_slice: TimeSlice::default(),
-            broken_runs: BrokenRuns::default(),
-            parts: PartQuarantine::default(),
+            requests: CrashQuarantine::new(SuspectKind::Request),
+            parts: CrashQuarantine::new(SuspectKind::Part),
             trials: HashSet::new(),
             moves: Moves::default(),
             departures: Vec::new(),
@@ -262,14 +264,27 @@
     /// Decides on a new request, or on a retry after an upstream didn't serve it.
     ///
     /// Call [`Scheduler::dispatch`] first, so that waiting requests start before new ones.
-    pub fn admit(&mut self, mut request: AdmissionRequest, now: Instant) -> Admission {
-        if request.digest.as_ref().is_some_and(|digest| self.broken_runs.is_poison(digest)) {
-            return Admission::Refused(Refusal::Poison);
+    pub fn admit(&mut self, request: AdmissionRequest, now: Instant) -> Admission {
+        if self.quarantine_of(&request).is_none() {
+            return self.admit_allowed(request, now);
         }
-        let is_trial = self.parts.is_quarantined(&request.parts);
-        if is_trial && self.parts.is_refused(&request.parts, self.turn(now), now) {
-            return Admission::Refused(Refusal::QuarantinedPart);
+        if let Some(refusal) = self.refuse_quarantined(&request, now) {
+            return Admission::Refused(refusal);
+        }
+        let (number, digest) = (request.number, request.digest);
+        self.trials.insert(number);
+        let admission = self.admit_allowed(request, now);
+        if admission != Admission::Queued {
+            self.trials.remove(&number);
+        }
+        if matches!(admission, Admission::Refused(_)) {
+            self.end_trial(digest, now);
         }
+        admission
+    }
+
+    /// Decides on a request that isn't quarantined, or that is a trial.
+    fn admit_allowed(&mut self, mut request: AdmissionRequest, now: Instant) -> Admission {
         if let Some(refusal) = self.charge_team(&request, now) {
             return Admission::Refused(refusal);
         }
@@ -341,9 +356,6 @@
         if let Some(service_state) = self.services.get_mut(&request.service) {
             service_state.queue.push(queue_key, request.queue_deadline);
         }
-        if is_trial {
-            self.trials.insert(request.number);
-        }
         self.waiting.insert(request.number, (queue_key, request));
         Admission::Queued
     }
@@ -376,8 +388,11 @@
 
     /// Removes a waiting request whose caller has left.
     pub fn withdraw(&mut self, number: RequestNumber, now: Instant) {
-        self.trials.remove(&number);
+        let is_trial = self.trials.remove(&number);
         if let Some((queue_key, request)) = self.waiting.remove(&number) {
+            if is_trial {
+                self.end_trial(request.digest, now);
+            }
             if let Some(service_state) = self.services.get_mut(&request.service) {
                 service_state.queue.remove(&queue_key);
             }
@@ -385,8 +400,8 @@
         }
     }
 
-    /// Removes and returns the requests whose queue deadline has passed, and those with a part that
-    /// was quarantined while they waited.
+    /// Removes and returns the requests whose queue deadline has passed, and those that were
+    /// quarantined while they waited.
     pub fn expire(&mut self, now: Instant) -> Vec<(RequestNumber, Refusal)> {
         let mut expired = Vec::new();
         for service_state in self.services.values_mut() {
@@ -395,22 +410,26 @@
         }
         let mut refused = Vec::with_capacity(expired.len());
         for number in expired {
-            self.trials.remove(&number);
+            let is_trial = self.trials.remove(&number);
             let Some((queue_key, request)) = self.waiting.remove(&number) else { continue };
+            if is_trial {
+                self.end_trial(request.digest, now);
+            }
             let reason = Reason::Expired;
             let overload = self.overload(&request, &queue_key, reason, Duration::ZERO, now);
             refused.push((number, Refusal::Overloaded(overload)));
             self.record_refusal(&request, now);
         }
         refused.extend(self.expire_excluded(now));
-        if self.parts.quarantined_count() > 0 {
-            let held = self.waiting.iter().filter(|(number, (_, request))| {
-                self.parts.is_quarantined(&request.parts) && !self.trials.contains(*number)
+        if self.quarantined_parts() + self.quarantined_requests() > 0 {
+            let held = self.waiting.iter().filter(|(number, _)| !self.trials.contains(*number));
+            let held = held.filter_map(|(number, (_, request))| {
+                self.quarantine_of(request).map(|refusal| (*number, refusal))
             });
-            let held: Vec<RequestNumber> = held.map(|(number, _)| *number).collect();
-            for number in held {
+            let held: Vec<(RequestNumber, Refusal)> = held.collect();
+            for (number, refusal) in held {
                 self.withdraw(number, now);
-                refused.push((number, Refusal::QuarantinedPart));
+                refused.push((number, refusal));
             }
         }
         refused
@@ -441,43 +460,79 @@
                 );
             }
         }
-        match (digest, outcome) {
-            (Some(digest), Outcome::InvalidAnswer) => self.broken_runs.record_broken(digest, now),
-            (Some(digest), Outcome::Succeeded { .. }) => {
-                self.broken_runs.record_success(&digest, now);
+        let request = digest.as_ref().map(request_hash);
+        match outcome {
+            Outcome::Succeeded { .. } => {
+                self.requests.record_sound(request.as_slice(), now);
+                if completion.wrote.is_some() {
+                    self.parts.record_sound(&completion.parts, now);
+                }
             }
-            _ => {}
+            // The check of the upstream decides.
+            Outcome::InvalidAnswer => {}
+            _ => self.end_trial(digest, now),
         }
-        self.record_parts(completion, now);
+    }
+
+    /// Records that the upstream of a broken run was down afterwards, so that its requests may have
+    /// crashed it.
+    pub fn record_crash(&mut self, run: &BrokenRun, now: Instant) {
+        let BrokenRun { upstream, digest, parts, wrote, at } = run;
+        let upstream = name_hash(upstream);
+        let request = digest.as_ref().map(request_hash);
+        self.requests.record_crash(request.as_slice(), upstream, *wrote, *at, now);
+        self.parts.record_crash(parts, upstream, *wrote, *at, now);
+    }
+
+    /// Records that the upstream of a broken run was up afterwards, so that the upstream has failed
+    /// and not the request.
+    pub fn record_upstream_up(&mut self, run: &BrokenRun, now: Instant) {
+        self.end_trial(run.digest, now);
+    }
+
+    /// Ends the trial of a request without a result, if there is one.
+    fn end_trial(&mut self, digest: Option<Digest>, now: Instant) {
+        let request = digest.as_ref().map(request_hash);
+        self.requests.record_undecided(request.as_slice(), now);
+    }
+
+    /// Returns the changes of the quarantine of requests since the last call.
+    pub fn take_request_changes(&mut self) -> Vec<SuspectChange> {
+        self.requests.take_changes()
     }
 
     /// Returns the changes of the quarantine of prompt parts since the last call.
-    pub fn take_part_changes(&mut self) -> Vec<PartChange> {
+    pub fn take_part_changes(&mut self) -> Vec<SuspectChange> {
         self.parts.take_changes()
     }
 
+    /// Returns the number of quarantined requests.
+    pub fn quarantined_requests(&self) -> usize {
+        self.requests.quarantined_count()
+    }
+
     /// Returns the number of quarantined prompt parts.
     pub fn quarantined_parts(&self) -> usize {
         self.parts.quarantined_count()
     }
 
-    /// Records what the end of a run says about the parts of its prompt.
-    fn record_parts(&mut self, completion: &Completion, now: Instant) {
-        let Completion { parts, wrote, outcome, key, .. } = completion;
-        match outcome {
-            Outcome::Succeeded { .. } if wrote.is_some() => self.parts.record_sound(parts, now),
-            Outcome::InvalidAnswer => {
-                if let Some(upstream) = self.upstreams.get(*key) {
-                    self.parts.record_broken(parts, upstream.hash, *wrote, now);
-                }
-            }
-            _ => {}
+    /// Returns why a request is quarantined; `None` if it isn't.
+    fn quarantine_of(&self, request: &AdmissionRequest) -> Option<Refusal> {
+        let hash = request.digest.as_ref().map(request_hash);
+        if self.requests.is_quarantined(hash.as_slice()) {
+            return Some(Refusal::Poison);
         }
+        self.parts.is_quarantined(&request.parts).then_some(Refusal::QuarantinedPart)
     }
 
-    /// Returns this entry's turn among those that it reaches.
-    fn turn(&self, now: Instant) -> Turn {
-        Turn { rank: self.peer_rank(now), entries: self.peers.reachable_count(now) + 1 }
+    /// Returns why a quarantined request is refused; `None` if it passes as a trial.
+    fn refuse_quarantined(&mut self, request: &AdmissionRequest, now: Instant) -> Option<Refusal> {
+        let own = name_hash(&self.name);
+        let hash = request.digest.as_ref().map(request_hash);
+        if self.requests.is_refused(hash.as_slice(), own, now) {
+            return Some(Refusal::Poison);
+        }
+        self.parts.is_refused(&request.parts, own, now).then_some(Refusal::QuarantinedPart)
     }
 
     /// Records that the upstream has sent nothing for a request since `since`; `again` is true if
@@ -643,7 +698,7 @@
         let mut unplaced = 0;
         for queue_key in queued {
             let Some((_, request)) = self.waiting.get(&queue_key.number) else { continue };
-            let is_held = self.parts.is_quarantined(&request.parts);
+            let is_held = self.quarantine_of(request).is_some();
             if is_held && !self.trials.contains(&queue_key.number) {
                 // Refused at the next [`Scheduler::expire`].
                 continue;
--- a/crates/egretgate-core/src/gateway/scheduler/ejecting.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/ejecting.rs
@@ -6,6 +6,7 @@
 use super::Scheduler;
 use crate::UpstreamId;
 use crate::gateway::admission::{AdmissionRequest, Completion, UpstreamKey};
+use crate::gateway::crash_quarantine::request_hash;
 use crate::gateway::ejection::{EjectionChange, RouteHash};
 use crate::gateway::peer::{NameHash, name_hash};
 use crate::gateway::upstream::{Outcome, UpstreamState};
@@ -51,11 +52,12 @@
         let failed = match outcome {
             Outcome::Succeeded { .. } => Some(false),
             Outcome::Failed => Some(true),
-            // A request that breaks upstreams is no sign that one of them fails.
+            // A request that crashes upstreams is no sign that one of them fails.
             Outcome::InvalidAnswer => {
-                let digest = completion.digest.as_ref();
-                let breaks = digest.is_some_and(|digest| self.broken_runs.has_broken(digest));
-                (!breaks && !self.parts.is_quarantined(&completion.parts)).then_some(true)
+                let request = completion.digest.as_ref().map(request_hash);
+                let crashes = self.requests.has_crashed(request.as_slice())
+                    || self.parts.is_quarantined(&completion.parts);
+                (!crashes).then_some(true)
             }
             Outcome::Rejected => is_unfounded(upstream).then_some(true),
             Outcome::Misdirected | Outcome::Unreachable | Outcome::Stalled | Outcome::Abandoned => {
--- a/crates/egretgate-core/src/gateway/scheduler/reports.rs
+++ b/crates/egretgate-core/src/gateway/scheduler/reports.rs
@@ -23,10 +23,9 @@
         if report.name == self.name || !self.peers.is_newer(&report) {
             return;
         }
-        for (digest, broken_runs) in &report.broken_runs {
-            self.broken_runs.merge(report.incarnation, *digest, *broken_runs, now);
-        }
-        self.parts.merge(&report.parts, now);
+        let peer = name_hash(&report.name);
+        self.requests.merge(peer, &report.requests, now);
+        self.parts.merge(peer, &report.parts, now);
         self.returns.merge(&report.returns, now);
         for (key, move_report) in &report.moves {
             self.moves.merge_report(report.incarnation, *key, move_report.clone(), now);
@@ -134,7 +133,7 @@
             loads,
             refusals: refusals.collect(),
             admitted: admitted.filter(|(_, tokens)| *tokens > 0).collect(),
-            broken_runs: self.broken_runs.recent_changes(now),
+            requests: self.requests.report(now),
             parts: self.parts.report(now),
             returns: self.returns.report(now),
             moves: self.moves.report(self.is_leader(now), now),
--- a/crates/egretgate-core/src/ids.rs
+++ b/crates/egretgate-core/src/ids.rs
@@ -83,6 +83,11 @@
         bytes.try_into().ok().map(Self)
     }
 
+    /// Returns the first eight bytes, which tell digests apart where chance decides.
+    pub fn prefix(&self) -> u64 {
+        self.0.iter().take(8).fold(0, |prefix, byte| prefix << 8 | u64::from(*byte))
+    }
+
     /// Returns the digest as bytes.
     pub const fn as_bytes(&self) -> &[u8] {
         &self.0
--- /dev/null
+++ b/crates/egretgate-core/tests/gateway_crashes.rs
@@ -0,0 +1,389 @@
+//! Equal requests while upstreams crash or fail: those that crash their upstreams stay bounded over
+//! all entries, and sound ones are served once their upstreams are sound.
+
+use std::time::{Duration, Instant};
+
+use egretgate_core::Digest;
+use egretgate_core::gateway::admission::{
+    Admission, AdmissionRequest, BrokenRun, Completion, Needs, Refusal, UpstreamKey,
+};
+use egretgate_core::gateway::peer::PeerReport;
+use egretgate_core::gateway::request_queue::Priority;
+use egretgate_core::gateway::scheduler::Scheduler;
+use egretgate_core::gateway::upstream::{ListedUpstream, Outcome, Stage};
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const STEP: Duration = Duration::from_millis(10);
+const REPORT_INTERVAL: Duration = Duration::from_millis(150);
+const RUN_TIME: Duration = Duration::from_millis(30);
+/// Time after which a run at a silent upstream is given up.
+const SILENCE_LIMIT: Duration = Duration::from_millis(600);
+/// Time until a crashed upstream is back.
+const DOWN_TIME: Duration = Duration::from_millis(2_500);
+/// Time until a refused connection shows that an upstream is down.
+const REFUSAL_TIME: Duration = Duration::from_millis(20);
+/// Time for which a connection stays open at an upstream that is up.
+const SETTLE_TIME: Duration = Duration::from_millis(50);
+/// The users' `stableWindowMs`.
+const STABLE_WINDOW: Duration = Duration::from_secs(3);
+/// Retries that BUDGET allows after the third crash and the stable window.
+const MAX_LATE_CRASHES: usize = 3;
+const TROUBLE: std::ops::Range<f64> = 4.0..12.0;
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Trouble {
+    /// Upstreams lose this fraction of the answers, and stay up.
+    Grey(f64),
+    /// Upstreams are silent.
+    Hung,
+    /// Upstreams crash, one each 300 ms, whatever they run.
+    Crashes,
+    /// The same, and all other answers are lost.
+    CrashesAndLosses,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Case {
+    name: &'static str,
+    entries: usize,
+    /// Time between two requests at each entry.
+    period: Duration,
+    /// True if the request crashes the upstreams that run it.
+    crashes: bool,
+    /// Upstreams that one request may be sent to.
+    attempts: u32,
+    trouble: Option<Trouble>,
+    /// True if all entries get their requests at the same time.
+    at_once: bool,
+    seconds: f64,
+}
+
+const SOUND: Case = Case {
+    name: "",
+    entries: 2,
+    period: Duration::from_millis(50),
+    crashes: false,
+    attempts: 2,
+    trouble: None,
+    at_once: false,
+    seconds: 25.0,
+};
+const CRASHING: Case = Case { crashes: true, seconds: 60.0, ..SOUND };
+const DENSE: Duration = Duration::from_millis(20);
+const RARE: Duration = Duration::from_millis(2_500);
+
+struct Run {
+    entry: usize,
+    key: UpstreamKey,
+    upstream: usize,
+    started: Instant,
+    tried: Vec<String>,
+}
+
+/// A check of the upstream of a broken run.
+struct Check {
+    due: Instant,
+    entry: usize,
+    run: BrokenRun,
+    is_up: bool,
+}
+
+struct Fleet {
+    case: Case,
+    start: Instant,
+    entries: Vec<Scheduler>,
+    /// Time until which each upstream is down.
+    down: [Option<Instant>; 8],
+    runs: Vec<Run>,
+    checks: Vec<Check>,
+    sent: Vec<PeerReport>,
+    rng: ChaCha8Rng,
+    number: u64,
+    /// Seconds at which the request crashed an upstream.
+    crashes: Vec<f64>,
+    /// Seconds of requests, and whether each was refused for its crashes.
+    asked: Vec<(f64, bool)>,
+}
+
+impl Fleet {
+    fn new(case: Case, seed: u64) -> Self {
+        let entry = |index: usize| {
+            let mut entry = Scheduler::new(&format!("entry-{index}"), "zone", index as u64 + 1);
+            entry.set_peer_count(case.entries - 1);
+            entry.set_upstreams((0..8).map(listed).collect());
+            entry
+        };
+        Self {
+            case,
+            start: Instant::now(),
+            entries: (0..case.entries).map(entry).collect(),
+            down: [None; 8],
+            runs: Vec::new(),
+            checks: Vec::new(),
+            sent: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            number: 0,
+            crashes: Vec::new(),
+            asked: Vec::new(),
+        }
+    }
+
+    fn run(mut self) -> Self {
+        let steps = (self.case.seconds / STEP.as_secs_f64()) as u32;
+        let offset =
+            |index: usize| self.case.period.mul_f64(index as f64 / self.entries.len() as f64);
+        let mut due: Vec<Instant> = (0..self.entries.len())
+            .map(|index| {
+                self.start + if self.case.at_once { Duration::ZERO } else { offset(index) }
+            })
+            .collect();
+        let (mut reported, mut crashed) = (self.start, self.start);
+        for step in 0..steps {
+            let now = self.start + STEP * step;
+            let second = (STEP * step).as_secs_f64();
+            let trouble = self.case.trouble.filter(|_| TROUBLE.contains(&second));
+            for down in &mut self.down {
+                *down = down.filter(|until| now < *until);
+            }
+            let crashes = matches!(trouble, Some(Trouble::Crashes | Trouble::CrashesAndLosses));
+            if crashes && now >= crashed + Duration::from_millis(300) {
+                crashed = now;
+                let upstream = self.rng.random_range(0..self.down.len());
+                self.crash(upstream, now);
+            }
+            self.end_runs(trouble, second, now);
+            for check in self.checks.extract_if(.., |check| check.due <= now) {
+                let entry = &mut self.entries[check.entry];
+                if check.is_up {
+                    entry.record_upstream_up(&check.run, now);
+                } else {
+                    entry.record_crash(&check.run, now);
+                }
+            }
+            if now >= reported + REPORT_INTERVAL {
+                reported = now;
+                for report in std::mem::take(&mut self.sent) {
+                    self.entries.iter_mut().for_each(|to| to.receive_report(report.clone(), now));
+                }
+                self.sent = self.entries.iter_mut().map(|entry| entry.report(now)).collect();
+            }
+            for (index, due) in due.iter_mut().enumerate().filter(|(_, due)| **due <= now) {
+                *due += self.case.period;
+                self.number += 1;
+                let is_refused = self.send(index, &[], now);
+                self.asked.push((second, is_refused));
+            }
+        }
+        self
+    }
+
+    /// Sends the request; returns true if it is refused for its crashes.
+    fn send(&mut self, entry: usize, tried: &[String], now: Instant) -> bool {
+        let request = request(self.number, tried, now);
+        match self.entries[entry].admit(request, now) {
+            Admission::Started(key) => {
+                let id = self.entries[entry].upstream(key).unwrap().listed.id.clone();
+                let upstream = id.rsplit('-').next().unwrap().parse().unwrap();
+                let tried = [tried, &[id]].concat();
+                self.runs.push(Run { entry, key, upstream, started: now, tried });
+                false
+            }
+            Admission::Queued => {
+                self.entries[entry].withdraw(self.number, now);
+                false
+            }
+            Admission::Refused(refusal) => refusal == Refusal::Poison,
+        }
+    }
+
+    fn end_runs(&mut self, trouble: Option<Trouble>, second: f64, now: Instant) {
+        let hung = trouble == Some(Trouble::Hung);
+        let time = if hung { SILENCE_LIMIT } else { RUN_TIME };
+        for run in self.runs.extract_if(.., |run| run.started + time <= now).collect::<Vec<_>>() {
+            let outcome = if self.down[run.upstream].is_some() {
+                Outcome::Unreachable
+            } else if self.case.crashes {
+                self.crashes.push(second);
+                self.runs.push(run);
+                let last = self.runs.last().unwrap().upstream;
+                self.crash(last, now);
+                continue;
+            } else {
+                match trouble {
+                    Some(Trouble::Grey(lost)) if self.rng.random_bool(lost) => {
+                        Outcome::InvalidAnswer
+                    }
+                    Some(Trouble::CrashesAndLosses) => Outcome::InvalidAnswer,
+                    Some(Trouble::Hung) => Outcome::Stalled,
+                    _ => Outcome::Succeeded { unit_seconds: Some(RUN_TIME.as_secs_f64()) },
+                }
+            };
+            self.end(&run, outcome, now);
+        }
+    }
+
+    fn crash(&mut self, upstream: usize, now: Instant) {
+        self.down[upstream] = Some(now + DOWN_TIME);
+        let is_there = |run: &mut Run| run.upstream == upstream;
+        for run in self.runs.extract_if(.., is_there).collect::<Vec<_>>() {
+            self.end(&run, Outcome::InvalidAnswer, now);
+        }
+    }
+
+    fn end(&mut self, run: &Run, outcome: Outcome, now: Instant) {
+        let completion = Completion::new("writer".to_owned(), run.key, outcome, run.started);
+        let completion = Completion { digest: Some(digest()), ..completion };
+        self.entries[run.entry].finish(&completion, now);
+        if outcome == Outcome::InvalidAnswer {
+            let is_up = self.down[run.upstream].is_none();
+            let due = now + if is_up { SETTLE_TIME } else { REFUSAL_TIME };
+            let broken = BrokenRun {
+                upstream: run.tried.last().unwrap().clone(),
+                digest: Some(digest()),
+                parts: [].into(),
+                wrote: None,
+                at: now,
+            };
+            self.checks.push(Check { due, entry: run.entry, run: broken, is_up });
+        }
+        let is_sound = matches!(outcome, Outcome::Succeeded { .. });
+        if !is_sound && (run.tried.len() as u32) < self.case.attempts {
+            self.send(run.entry, &run.tried, now);
+        }
+    }
+
+    /// Returns what breaks one of the rules.
+    fn faults(&self) -> Option<String> {
+        if self.case.crashes {
+            let third = self.crashes.get(2).copied().unwrap_or(f64::MAX);
+            let calm = third + STABLE_WINDOW.as_secs_f64();
+            let late = self.crashes.iter().filter(|at| **at > calm).count();
+            let all = self.crashes.len();
+            return (all < 3 || late > MAX_LATE_CRASHES)
+                .then(|| format!("{late} of {all} crashes late"));
+        }
+        let calm = TROUBLE.end + STABLE_WINDOW.as_secs_f64();
+        let later: Vec<bool> =
+            self.asked.iter().filter(|(at, _)| *at > calm).map(|(_, refused)| *refused).collect();
+        let refused = later.iter().filter(|refused| **refused).count();
+        (refused > 0 || later.is_empty())
+            .then(|| format!("{refused} of {} refused later", later.len()))
+    }
+}
+
+fn digest() -> Digest {
+    Digest::of(&[b"equal"])
+}
+
+fn listed(index: usize) -> ListedUpstream {
+    ListedUpstream {
+        id: format!("writer-{index}"),
+        service: "writer".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "zone".to_owned(),
+        version: "v1".to_owned(),
+        slots: 400,
+        stage: Stage::Ready,
+        started_ms: Some(1),
+        cold_for: Duration::ZERO,
+    }
+}
+
+fn request(number: u64, tried: &[String], now: Instant) -> AdmissionRequest {
+    AdmissionRequest {
+        number,
+        service: "writer".to_owned(),
+        route: String::new(),
+        priority: Priority { tier: 0, route_tier: 0, over_share: false },
+        charge: None,
+        objective: now + Duration::from_millis(150),
+        useful_wait: Duration::from_secs(1),
+        queue_deadline: now + Duration::from_secs(1),
+        events: 0.0,
+        deadline: now + Duration::from_millis(1_500),
+        faster_than: None,
+        is_retry: !tried.is_empty(),
+        avoid: tried.to_vec(),
+        digest: Some(digest()),
+        parts: [].into(),
+        needs: Needs { may_repeat: true, ..Needs::default() },
+    }
+}
+
+/// Guards against a sound request that is refused for what its upstreams did, and against one that
+/// crashes upstream after upstream.
+#[test]
+fn what_crashes_upstreams_is_told_from_upstreams_that_fail() {
+    let grey = Some(Trouble::Grey(0.45));
+    let lost = Some(Trouble::Grey(1.0));
+    let crashes = Some(Trouble::Crashes);
+    let both = Some(Trouble::CrashesAndLosses);
+    let once = |case: Case| Case { attempts: 1, ..case };
+    let many =
+        |case: Case| Case { entries: 40, period: Duration::from_secs(1), seconds: 25.0, ..case };
+    let rare = |case: Case| Case { period: RARE, ..case };
+    let dense = |case: Case| Case { period: DENSE, ..case };
+    let cases = [
+        Case { name: "grey upstreams", trouble: grey, ..SOUND },
+        Case { name: "grey, dense", trouble: grey, ..dense(SOUND) },
+        Case { name: "grey, rare", trouble: grey, ..rare(SOUND) },
+        Case { name: "grey, many entries", trouble: grey, ..many(SOUND) },
+        Case { name: "grey, once at most", trouble: grey, ..once(SOUND) },
+        Case { name: "all answers lost", trouble: lost, ..SOUND },
+        Case { name: "all lost, once at most", trouble: lost, ..once(SOUND) },
+        Case { name: "all lost, dense, once at most", trouble: lost, ..once(dense(SOUND)) },
+        Case { name: "all lost, many entries", trouble: lost, ..many(SOUND) },
+        Case { name: "hung upstreams", trouble: Some(Trouble::Hung), ..SOUND },
+        Case {
+            name: "hung, dense, once at most",
+            trouble: Some(Trouble::Hung),
+            ..once(dense(SOUND))
+        },
+        Case { name: "upstreams crash", trouble: crashes, ..SOUND },
+        Case { name: "upstreams crash, dense", trouble: crashes, ..dense(SOUND) },
+        Case { name: "upstreams crash, rare", trouble: crashes, ..rare(SOUND) },
+        Case { name: "upstreams crash, many entries", trouble: crashes, ..many(SOUND) },
+        Case { name: "upstreams crash, once at most", trouble: crashes, ..once(SOUND) },
+        Case { name: "crashes and losses", trouble: both, ..SOUND },
+        Case { name: "crashes and losses, dense", trouble: both, ..dense(SOUND) },
+        Case { name: "crashes and losses, rare", trouble: both, ..rare(SOUND) },
+        Case { name: "crashes and losses, once at most", trouble: both, ..once(SOUND) },
+        Case { name: "crashes and losses, many entries", trouble: both, ..many(SOUND) },
+        Case { name: "crashes and losses, one entry", entries: 1, trouble: both, ..SOUND },
+        Case { name: "crashing request", ..CRASHING },
+        Case { name: "crashing, dense", ..dense(CRASHING) },
+        Case { name: "crashing, rare", ..rare(CRASHING) },
+        Case { name: "crashing, once at most", ..once(CRASHING) },
+        Case { name: "crashing, one entry", entries: 1, ..CRASHING },
+        Case { name: "crashing, many entries", ..many(CRASHING) },
+        Case { name: "crashing, many entries at once", at_once: true, ..many(CRASHING) },
+        Case {
+            name: "crashing, many entries at once and rarely",
+            at_once: true,
+            period: Duration::from_secs(7),
+            seconds: 60.0,
+            entries: 12,
+            ..CRASHING
+        },
+        Case { name: "crashing, many entries, dense", period: DENSE * 5, ..many(CRASHING) },
+        Case { name: "crashing, 100 entries", entries: 100, seconds: 15.0, ..many(CRASHING) },
+        Case { name: "crashing, grey upstreams", trouble: grey, ..CRASHING },
+        Case { name: "crashing while others crash", trouble: crashes, ..CRASHING },
+        Case { name: "crashing amid crashes and losses", trouble: both, ..CRASHING },
+        Case { name: "crashing while others crash, rare", trouble: crashes, ..rare(CRASHING) },
+    ];
+    let play = |case: &Case| {
+        let seeds = if case.entries > 10 { 0..1 } else { 0..5 };
+        let faults = seeds.filter_map(|seed| {
+            let fault = Fleet::new(*case, seed).run().faults()?;
+            Some(format!("{}, seed {seed}: {fault}", case.name))
+        });
+        faults.collect::<Vec<_>>()
+    };
+    let faults: Vec<String> = std::thread::scope(|scope| {
+        let threads: Vec<_> = cases.iter().map(|case| scope.spawn(move || play(case))).collect();
+        threads.into_iter().flat_map(|thread| thread.join().unwrap()).collect()
+    });
+    assert!(faults.is_empty(), "{faults:#?}");
+}
--- a/crates/egretgate-core/tests/gateway_ejection.rs
+++ b/crates/egretgate-core/tests/gateway_ejection.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::Digest;
-use egretgate_core::gateway::admission::{Admission, AdmissionRequest, Completion, Needs};
+use egretgate_core::gateway::admission::{
+    Admission, AdmissionRequest, BrokenRun, Completion, Needs,
+};
 use egretgate_core::gateway::ejection::{EjectionEvent, EjectionReport, Ejections, ProbeReport};
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::scheduler::Scheduler;
@@ -198,23 +200,30 @@
         outcome: Outcome,
         /// Whether all runs are of the same request.
         same: bool,
+        /// Whether the upstream is down after each run.
+        down: bool,
         ejected: usize,
     }
+    const USUAL: Case =
+        Case { name: "", outcome: Outcome::InvalidAnswer, same: false, down: false, ejected: 1 };
     let cases = [
-        Case { name: "errors", outcome: Outcome::Failed, same: false, ejected: 1 },
-        Case { name: "cut answers", outcome: Outcome::InvalidAnswer, same: false, ejected: 1 },
+        Case { name: "errors", outcome: Outcome::Failed, ..USUAL },
+        Case { name: "cut answers", outcome: Outcome::InvalidAnswer, ..USUAL },
+        Case { name: "cut answers, down after each", down: true, ..USUAL },
         Case {
-            name: "a request that breaks upstreams",
-            outcome: Outcome::InvalidAnswer,
+            name: "a request that crashes upstreams",
             same: true,
+            down: true,
             ejected: 0,
+            ..USUAL
         },
-        Case { name: "refusals when idle", outcome: Outcome::Rejected, same: false, ejected: 1 },
-        Case { name: "silence", outcome: Outcome::Stalled, same: false, ejected: 0 },
-        Case { name: "callers left", outcome: Outcome::Abandoned, same: false, ejected: 0 },
-        Case { name: "another's address", outcome: Outcome::Misdirected, same: false, ejected: 0 },
+        Case { name: "cut answers to equal requests", same: true, ..USUAL },
+        Case { name: "refusals when idle", outcome: Outcome::Rejected, ..USUAL },
+        Case { name: "silence", outcome: Outcome::Stalled, ejected: 0, ..USUAL },
+        Case { name: "callers left", outcome: Outcome::Abandoned, ejected: 0, ..USUAL },
+        Case { name: "another's address", outcome: Outcome::Misdirected, ejected: 0, ..USUAL },
     ];
-    for Case { name, outcome, same, ejected } in cases {
+    for Case { name, outcome, same, down, ejected } in cases {
         let listed = |index: u32| ListedUpstream {
             id: format!("engine-{index}"),
             service: "writer".to_owned(),
@@ -237,11 +246,15 @@
             };
             let key = *chosen.get_or_insert(first);
             let digest = if same { 0 } else { number };
-            let completion = Completion {
-                digest: Some(Digest::of(&[&digest.to_le_bytes()])),
-                ..Completion::new("writer".to_owned(), key, outcome, now)
-            };
-            entry.finish(&completion, now);
+            let digest = Some(Digest::of(&[&digest.to_le_bytes()]));
+            let end = Completion::new("writer".to_owned(), key, outcome, now);
+            entry.finish(&Completion { digest, ..end }, now);
+            if down {
+                let upstream = entry.upstream(key).unwrap().listed.id.clone();
+                let crash =
+                    BrokenRun { upstream, digest, parts: Arc::default(), wrote: None, at: now };
+                entry.record_crash(&crash, now);
+            }
         }
         now += Duration::from_millis(50);
         entry.dispatch(now);
--- a/crates/egretgate-core/tests/gateway_parts/fleet.rs
+++ b/crates/egretgate-core/tests/gateway_parts/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::gateway::admission::{
-    Admission, AdmissionRequest, Completion, Needs, Refusal, UpstreamKey,
+    Admission, AdmissionRequest, BrokenRun, Completion, Needs, Refusal, UpstreamKey,
 };
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::peer::PeerReport;
@@ -361,7 +361,13 @@
             wrote,
             ..Completion::new(SERVICE.to_owned(), run.key, outcome, run.sent_at)
         };
+        let upstream = entry.scheduler.upstream(run.key).map(|state| state.listed.id.clone());
         entry.scheduler.finish(&completion, now);
+        if let (Outcome::InvalidAnswer, Some(upstream)) = (outcome, upstream) {
+            let (digest, parts) = (None, Arc::clone(&run.parts));
+            let crash = BrokenRun { upstream, digest, parts, wrote, at: now };
+            entry.scheduler.record_crash(&crash, now);
+        }
     }
 
     fn dispatch(&mut self, entry: usize, now: Instant) {
--- a/crates/egretgate-core/tests/gateway_parts/rulings.rs
+++ b/crates/egretgate-core/tests/gateway_parts/rulings.rs
@@ -4,9 +4,9 @@
 use std::time::{Duration, Instant};
 
 use egretgate_core::gateway::admission::{
-    Admission, AdmissionRequest, Completion, Needs, Refusal, UpstreamKey,
+    Admission, AdmissionRequest, BrokenRun, Completion, Needs, Refusal, UpstreamKey,
 };
-use egretgate_core::gateway::part_quarantine::{PartReport, Ruling};
+use egretgate_core::gateway::crash_quarantine::{Ruling, SuspectReport};
 use egretgate_core::gateway::peer::PeerReport;
 use egretgate_core::gateway::prompt_part::{PartHash, part_hash};
 use egretgate_core::gateway::request_queue::Priority;
@@ -72,8 +72,15 @@
 
 /// Returns a report that rules that a part is quarantined.
 fn ruling_report(part: PartHash, sequence: u64) -> PeerReport {
-    let ruling = (Ruling { number: 1, trials: 0 }, Duration::ZERO);
-    let report = PartReport { part, ruling, crashes: Vec::new(), sound_age: None };
+    let ruling = (Ruling { number: 1, ..Ruling::default() }, Duration::ZERO);
+    let report = SuspectReport {
+        suspect: part,
+        ruling,
+        crashes: Vec::new(),
+        sound_age: None,
+        claim_age: None,
+        trial_age: None,
+    };
     PeerReport {
         name: "entry-x".to_owned(),
         incarnation: 99,
@@ -117,6 +124,12 @@
             let now = start + STEP * step as u32;
             for (index, key, at) in runs.extract_if(.., |run| run.2 + RUN_TIME <= now) {
                 fleet[index].finish(&completion(key, &parts, is_sound, at), now);
+                if !is_sound {
+                    let upstream = fleet[index].upstream(key).unwrap().listed.id.clone();
+                    let (digest, parts) = (None, Arc::from(&parts[..]));
+                    let crash = BrokenRun { upstream, digest, parts, wrote: None, at: now };
+                    fleet[index].record_crash(&crash, now);
+                }
             }
             if now >= reported + REPORT_INTERVAL {
                 reported = now;
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -7,7 +7,7 @@
 use assert_matches::assert_matches;
 use egretgate_core::Digest;
 use egretgate_core::gateway::admission::{
-    Admission, AdmissionRequest, Completion, Needs, Refusal, UpstreamKey,
+    Admission, AdmissionRequest, BrokenRun, Completion, Needs, Refusal, UpstreamKey,
 };
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::request_queue::Priority;
@@ -64,6 +64,19 @@
     Completion::new("writer".to_owned(), key, outcome, started)
 }
 
+/// Ends a run whose upstream crashed.
+fn finish_crashed(
+    scheduler: &mut Scheduler,
+    key: UpstreamKey,
+    digest: Option<Digest>,
+    now: Instant,
+) {
+    let upstream = scheduler.upstream(key).unwrap().listed.id.clone();
+    scheduler.finish(&Completion { digest, ..end(key, Outcome::InvalidAnswer, now) }, now);
+    let crash = BrokenRun { upstream, digest, parts: Arc::default(), wrote: None, at: now };
+    scheduler.record_crash(&crash, now);
+}
+
 fn succeeded(unit_seconds: f64) -> Outcome {
     Outcome::Succeeded { unit_seconds: Some(unit_seconds) }
 }
@@ -231,7 +244,7 @@
         let Admission::Started(key) = scheduler.admit(poison, now) else {
             panic!("run {number} is allowed");
         };
-        scheduler.finish(&Completion { digest, ..end(key, Outcome::InvalidAnswer, now) }, now);
+        finish_crashed(&mut scheduler, key, digest, now);
     }
     let again = AdmissionRequest { digest, ..request(9, 0, now) };
     assert_eq!(scheduler.admit(again, now), Admission::Refused(Refusal::Poison));
@@ -377,7 +390,11 @@
             let Admission::Started(key) = entries[*at].admit(poison, now) else {
                 panic!("{}: run {number} is allowed", case.name);
             };
-            entries[*at].finish(&Completion { digest, ..end(key, *outcome, now) }, now);
+            if *outcome == Outcome::InvalidAnswer {
+                finish_crashed(&mut entries[*at], key, digest, now);
+            } else {
+                entries[*at].finish(&Completion { digest, ..end(key, *outcome, now) }, now);
+            }
             let reports: Vec<_> = entries.iter_mut().map(|entry| entry.report(now)).collect();
             for entry in &mut entries {
                 for report in &reports {
--- a/crates/egretgate-gateway/src/answer.rs
+++ b/crates/egretgate-gateway/src/answer.rs
@@ -36,7 +36,7 @@
     Overloaded,
     /// No upstream ran it, and none is left to try.
     NoUpstream,
-    /// It has crashed several upstreams.
+    /// It has crashed several upstreams; this time it has not run.
     Poison,
     /// Requests with a part of its prompt have crashed several upstreams; it has not run.
     Quarantined,
@@ -63,10 +63,11 @@
             Self::NotReady
             | Self::Overloaded
             | Self::NoUpstream
+            | Self::Poison
             | Self::Quarantined
             | Self::MemoryFull
             | Self::TimedOutWaiting => StatusCode::SERVICE_UNAVAILABLE,
-            Self::Poison | Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::AnswerLost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
     }
--- a/crates/egretgate-gateway/src/connect.rs
+++ b/crates/egretgate-gateway/src/connect.rs
@@ -69,6 +69,11 @@
         self.sender.is_ready() && now < self.reusable_until
     }
 
+    /// Returns true if the upstream has not closed it.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
     /// Returns true if an earlier request was answered on it: what arrives may be a second copy of
     /// that answer.
     pub(crate) const fn is_reused(&self) -> bool {
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -6,10 +6,11 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use egretgate_core::gateway::admission::{
-    Admission, AdmissionRequest, Completion, Overload, Reason, Refusal, UpstreamKey,
+    Admission, AdmissionRequest, BrokenRun, Completion, Overload, Reason, Refusal, UpstreamKey,
 };
 use egretgate_core::gateway::catalog::Catalog;
 use egretgate_core::gateway::cold_start::ColdCause;
+use egretgate_core::gateway::crash_quarantine::SuspectChange;
 use egretgate_core::gateway::peer::{NameHash, PeerReport};
 use egretgate_core::gateway::prompt_part::PartHash;
 use egretgate_core::gateway::request_queue::RequestNumber;
@@ -23,6 +24,7 @@
 
 use crate::connect::Connection;
 use crate::moves::PendingMoves;
+use crate::upstream_check::UpstreamCheck;
 
 /// Interval at which the queue is checked while requests wait.
 const TICK_INTERVAL: Duration = Duration::from_millis(15);
@@ -129,7 +131,21 @@
             route: std::mem::take(&mut self.route),
             first_byte: self.first_byte,
         };
+        let check = (self.outcome == Outcome::InvalidAnswer).then(|| UpstreamCheck {
+            key: self.key,
+            address: self.address,
+            run: BrokenRun {
+                upstream: std::mem::take(&mut self.id),
+                digest: self.digest,
+                parts: Arc::clone(&self.parts),
+                wrote: self.wrote,
+                at: Instant::now(),
+            },
+        });
         self.dispatcher.send(Message::Finish(completion, self.idle.take()));
+        if let Some(check) = check {
+            self.dispatcher.send(Message::Check(check));
+        }
     }
 }
 
@@ -145,6 +161,12 @@
     Withdraw(RequestNumber),
     /// Reports the end of a started request, with its connection if another request may use it.
     Finish(Completion, Option<Connection>),
+    /// Requests a check of the upstream of a run that broke.
+    Check(UpstreamCheck),
+    /// Reports that the upstream of a run that broke is up, with a new connection to it.
+    UpstreamUp(BrokenRun, UpstreamKey, Connection),
+    /// Reports that the upstream of a run that broke is down.
+    Crashed(BrokenRun),
     /// Reports that the upstream has sent nothing for a request since `since`.
     Suspect {
         key: UpstreamKey,
@@ -300,6 +322,17 @@
                 self.finish(&completion, idle, now);
                 self.dispatch(now);
             }
+            Message::Check(check) => {
+                tokio::spawn(check.finish(self.handle.clone(), self.log.clone()));
+            }
+            Message::UpstreamUp(run, key, connection) => {
+                self.scheduler.record_upstream_up(&run, now);
+                self.keep_idle(key, Some(connection));
+            }
+            Message::Crashed(run) => {
+                self.scheduler.record_crash(&run, now);
+                self.log_suspects();
+            }
             Message::Suspect { key, since, again } => {
                 self.scheduler.suspect(key, since, again, now);
                 self.dispatch(now);
@@ -342,7 +375,7 @@
             Message::Cold { key, cold_for } => self.scheduler.record_cold(key, cold_for, now),
             Message::PeerReport(report) => {
                 self.scheduler.receive_report(report, now);
-                self.log_part_changes();
+                self.log_suspects();
                 self.log_departures();
             }
             Message::JudgeMoves(result_sender) => {
@@ -375,7 +408,7 @@
         let (digest, parts) = (request.digest, Arc::clone(&request.parts));
         let waiter = Waiter { service, route, digest, parts, result_sender };
         let admission = self.scheduler.admit(request, now);
-        self.log_part_changes();
+        self.log_suspects();
         match admission {
             Admission::Started(key) => self.grant(waiter, key, now),
             Admission::Queued => {
@@ -396,6 +429,8 @@
         metrics::gauge!("egretgate_teams_in_debt").set(self.scheduler.teams_in_debt() as f64);
         metrics::gauge!("egretgate_quarantined_parts")
             .set(self.scheduler.quarantined_parts() as f64);
+        metrics::gauge!("egretgate_quarantined_requests")
+            .set(self.scheduler.quarantined_requests() as f64);
         let drained = self.scheduler.upstreams().filter(|upstream| upstream.is_drained());
         metrics::gauge!("egretgate_upstreams_drained").set(drained.count() as f64);
         for (service, slots) in self.scheduler.reserved_slots() {
@@ -516,11 +551,17 @@
         }
     }
 
-    /// Logs what has changed in the quarantine of prompt parts.
-    fn log_part_changes(&mut self) {
+    /// Logs what has changed in the quarantine of requests and of prompt parts.
+    fn log_suspects(&mut self) {
+        for SuspectChange { suspect, event, crashes, .. } in self.scheduler.take_request_changes() {
+            info!(self.log, "crashing request";
+                "digest" => format!("{suspect:016x}"),
+                "event" => event.as_str(),
+                "crashes" => crashes);
+        }
         for change in self.scheduler.take_part_changes() {
             info!(self.log, "prompt part";
-                "part" => format!("{:016x}", change.part),
+                "part" => format!("{:016x}", change.suspect),
                 "event" => change.event.as_str(),
                 "crashes" => change.crashes,
                 "others_sound" => change.others.sound,
@@ -529,9 +570,13 @@
     }
 
     fn finish(&mut self, completion: &Completion, idle: Option<Connection>, now: Instant) {
-        let key = completion.key;
         self.scheduler.finish(completion, now);
-        self.log_part_changes();
+        self.log_suspects();
+        self.keep_idle(completion.key, idle);
+    }
+
+    /// Keeps a connection to an upstream for another request.
+    fn keep_idle(&mut self, key: UpstreamKey, idle: Option<Connection>) {
         if self.scheduler.upstream(key).is_none() {
             return;
         }
--- a/crates/egretgate-gateway/src/exchange.rs
+++ b/crates/egretgate-gateway/src/exchange.rs
@@ -472,7 +472,13 @@
                 NoAnswer::EntryFault(Fault::NoUpstream, Some(SHORT_RETRY_AFTER))
             }
             Refusal::QuarantinedPart => NoAnswer::EntryFault(Fault::Quarantined, Some(retry_after)),
-            Refusal::Poison => NoAnswer::EntryFault(Fault::Poison, None),
+            Refusal::Poison => {
+                info!(self.context.log, "request quarantined";
+                    "id" => &self.request.head.id,
+                    "digest" => format!("{:016x}", self.plan.digest.prefix()),
+                    "sent" => self.attempts);
+                NoAnswer::EntryFault(Fault::Poison, Some(retry_after))
+            }
         }
     }
 
--- a/crates/egretgate-gateway/src/lib.rs
+++ b/crates/egretgate-gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod read_ahead;
 mod relay;
 mod sync;
+mod upstream_check;
 mod wire;
 
 pub use dialect::{AnswerHead, Dialect, ForwardHead, RequestHead};
--- a/crates/egretgate-gateway/src/wire.rs
+++ b/crates/egretgate-gateway/src/wire.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use egretgate_core::Tier;
+use egretgate_core::gateway::crash_quarantine::{AgedCrash, Ruling, SuspectReport};
 use egretgate_core::gateway::ejection::{Answers, EjectionReport, ProbeReport, RouteAnswers};
-use egretgate_core::gateway::part_quarantine::{AgedCrash, PartReport, Ruling};
 use egretgate_core::gateway::peer::{
     AgedCold, AgedLimit, AgedReading, LeavingUpstream, NameHash, PeerReport,
 };
@@ -14,7 +15,6 @@
 use egretgate_core::gateway::returns::PlannedReturn;
 use egretgate_core::gateway::traffic_move::{MoveKey, MoveReport, MoveState};
 use egretgate_core::moves::Counts;
-use egretgate_core::{Digest, Tier};
 use prost::Message;
 
 /// A report.
@@ -40,8 +40,9 @@
     refusals: Vec<PriorityRefusals>,
     #[prost(message, repeated, tag = "11")]
     moves: Vec<SentMove>,
-    #[prost(message, repeated, tag = "12")]
-    broken_runs: Vec<SentBrokenRuns>,
+    // Tag 12 held the broken runs of requests.
+    #[prost(message, repeated, tag = "25")]
+    requests: Vec<SentSuspect>,
     #[prost(map = "fixed64, float", tag = "13")]
     unit_seconds: HashMap<u64, f32>,
     #[prost(string, tag = "14")]
@@ -49,7 +50,7 @@
     #[prost(message, repeated, tag = "15")]
     limits: Vec<SentLimit>,
     #[prost(message, repeated, tag = "16")]
-    parts: Vec<SentPart>,
+    parts: Vec<SentSuspect>,
     #[prost(message, repeated, tag = "17")]
     leaving: Vec<SentLeaving>,
     #[prost(message, repeated, tag = "18")]
@@ -125,11 +126,11 @@
     }
 }
 
-/// What the sender knows of a prompt part under which upstreams have crashed.
+/// What the sender knows of a request or a prompt part under which upstreams have crashed.
 #[derive(Clone, PartialEq, Message)]
-struct SentPart {
+struct SentSuspect {
     #[prost(fixed64, tag = "1")]
-    part: u64,
+    suspect: u64,
     #[prost(uint32, tag = "2")]
     ruling: u32,
     #[prost(uint32, tag = "3")]
@@ -142,6 +143,15 @@
     /// Age of the last sound run.
     #[prost(uint64, optional, tag = "6")]
     sound_ms: Option<u64>,
+    /// Time since the sender's last refusal.
+    #[prost(uint64, optional, tag = "7")]
+    claim_ms: Option<u64>,
+    /// Age of the last trial.
+    #[prost(uint64, optional, tag = "8")]
+    trial_ms: Option<u64>,
+    /// Trials under which an upstream crashed.
+    #[prost(uint32, tag = "9")]
+    failed: u32,
 }
 
 /// A crash of an upstream.
@@ -151,13 +161,14 @@
     upstream: u64,
     #[prost(uint64, tag = "2")]
     age_ms: u64,
-    /// True if a run with the part had hardly begun to write.
+    /// True if a run with the suspect had hardly begun to write.
     #[prost(bool, tag = "3")]
     early: bool,
 }
 
-impl From<PartReport> for SentPart {
-    fn from(PartReport { part, ruling, crashes, sound_age }: PartReport) -> Self {
+impl From<SuspectReport> for SentSuspect {
+    fn from(report: SuspectReport) -> Self {
+        let SuspectReport { suspect, ruling, trial_age, crashes, sound_age, claim_age } = report;
         let (ruling, ruling_age) = ruling;
         let crashes = crashes.into_iter().map(|crash| SentCrash {
             upstream: crash.upstream,
@@ -165,29 +176,34 @@
             early: crash.is_early,
         });
         Self {
-            part,
+            suspect,
             ruling: ruling.number,
             trials: ruling.trials,
+            failed: ruling.failed,
             ruled_ms: ruling_age.as_millis() as u64,
             crashes: crashes.collect(),
             sound_ms: sound_age.map(|age| age.as_millis() as u64),
+            claim_ms: claim_age.map(|age| age.as_millis() as u64),
+            trial_ms: trial_age.map(|age| age.as_millis() as u64),
         }
     }
 }
 
-impl From<SentPart> for PartReport {
-    fn from(sent: SentPart) -> Self {
+impl From<SentSuspect> for SuspectReport {
+    fn from(sent: SentSuspect) -> Self {
         let crashes = sent.crashes.into_iter().map(|crash| AgedCrash {
             upstream: crash.upstream,
             age: Duration::from_millis(crash.age_ms),
             is_early: crash.early,
         });
-        let ruling = Ruling { number: sent.ruling, trials: sent.trials };
+        let ruling = Ruling { number: sent.ruling, trials: sent.trials, failed: sent.failed };
         Self {
-            part: sent.part,
+            suspect: sent.suspect,
             ruling: (ruling, Duration::from_millis(sent.ruled_ms)),
             crashes: crashes.collect(),
             sound_age: sent.sound_ms.map(Duration::from_millis),
+            claim_age: sent.claim_ms.map(Duration::from_millis),
+            trial_age: sent.trial_ms.map(Duration::from_millis),
         }
     }
 }
@@ -281,15 +297,6 @@
     }
 }
 
-/// Broken runs of one request.
-#[derive(Clone, PartialEq, Message)]
-struct SentBrokenRuns {
-    #[prost(bytes = "vec", tag = "1")]
-    digest: Vec<u8>,
-    #[prost(uint32, tag = "2")]
-    runs: u32,
-}
-
 /// The sender's counts and decisions for one move.
 #[derive(Clone, PartialEq, Message)]
 struct SentMove {
@@ -524,15 +531,8 @@
             .iter()
             .map(|planned| (planned.id, planned.due_in.as_millis() as u32))
             .collect(),
-        broken_runs: report
-            .broken_runs
-            .iter()
-            .map(|(digest, runs)| SentBrokenRuns {
-                digest: digest.as_bytes().to_vec(),
-                runs: *runs,
-            })
-            .collect(),
-        parts: report.parts.iter().cloned().map(SentPart::from).collect(),
+        requests: report.requests.iter().cloned().map(SentSuspect::from).collect(),
+        parts: report.parts.iter().cloned().map(SentSuspect::from).collect(),
         answers: report.ejection.answers.iter().copied().map(SentAnswers::from).collect(),
         probes: report.ejection.probes.iter().copied().map(SentProbe::from).collect(),
         moves: report.moves.iter().map(|(key, sent)| (*key, sent.clone()).into()).collect(),
@@ -547,9 +547,6 @@
     let datagram = Datagram::decode(bytes).ok()?;
     let demand =
         datagram.demand.into_iter().map(|(service, demand)| (service, sanitized_count(demand)));
-    let broken_runs = datagram.broken_runs.into_iter().filter_map(|broken| {
-        Digest::from_slice(&broken.digest).map(|digest| (digest, broken.runs))
-    });
     let returns = datagram
         .returns
         .into_iter()
@@ -569,9 +566,9 @@
         limits: datagram.limits.into_iter().map(Into::into).collect(),
         cold: datagram.cold.into_iter().map(Into::into).collect(),
         leaving: datagram.leaving.into_iter().map(LeavingUpstream::from).collect(),
-        broken_runs: broken_runs.collect(),
+        requests: datagram.requests.into_iter().map(SuspectReport::from).collect(),
         returns: returns.collect(),
-        parts: datagram.parts.into_iter().map(PartReport::from).collect(),
+        parts: datagram.parts.into_iter().map(SuspectReport::from).collect(),
         ejection: EjectionReport {
             answers: datagram.answers.into_iter().map(RouteAnswers::from).collect(),
             probes: datagram.probes.into_iter().map(ProbeReport::from).collect(),
--- a/crates/egretgate-gateway/tests/wire.rs
+++ b/crates/egretgate-gateway/tests/wire.rs
@@ -2,9 +2,8 @@
 
 use std::time::Duration;
 
-use egretgate_core::Digest;
+use egretgate_core::gateway::crash_quarantine::{AgedCrash, Ruling, SuspectReport};
 use egretgate_core::gateway::ejection::{Answers, EjectionReport, ProbeReport, RouteAnswers};
-use egretgate_core::gateway::part_quarantine::{AgedCrash, PartReport, Ruling};
 use egretgate_core::gateway::peer::{
     AgedCold, AgedLimit, AgedReading, LeavingUpstream, PeerReport, name_hash,
 };
@@ -80,11 +79,32 @@
         )]
         .into(),
         admitted: [(name_hash("atelier"), 1 << 40)].into(),
-        broken_runs: vec![(Digest::of(&[b"poison"]), 2), (Digest::of(&[b"innocent"]), 0)],
+        requests: vec![
+            SuspectReport {
+                suspect: name_hash("poison"),
+                ruling: (Ruling { number: 1, trials: 2, failed: 1 }, Duration::from_millis(900)),
+                crashes: vec![AgedCrash {
+                    upstream: name_hash("writer-1"),
+                    age: Duration::from_millis(950),
+                    is_early: true,
+                }],
+                sound_age: None,
+                claim_age: Some(Duration::from_millis(15)),
+                trial_age: None,
+            },
+            SuspectReport {
+                suspect: name_hash("innocent"),
+                ruling: (Ruling::default(), Duration::ZERO),
+                crashes: Vec::new(),
+                sound_age: Some(Duration::from_millis(20)),
+                claim_age: None,
+                trial_age: None,
+            },
+        ],
         parts: vec![
-            PartReport {
-                part: name_hash("season"),
-                ruling: (Ruling { number: 3, trials: 1 }, Duration::from_millis(1_200)),
+            SuspectReport {
+                suspect: name_hash("season"),
+                ruling: (Ruling { number: 3, trials: 1, failed: 0 }, Duration::from_millis(1_200)),
                 crashes: vec![
                     AgedCrash {
                         upstream: name_hash("writer-1"),
@@ -98,12 +118,16 @@
                     },
                 ],
                 sound_age: None,
+                claim_age: Some(Duration::from_secs(3)),
+                trial_age: Some(Duration::from_millis(400)),
             },
-            PartReport {
-                part: name_hash("common"),
+            SuspectReport {
+                suspect: name_hash("common"),
                 ruling: (Ruling::default(), Duration::ZERO),
                 crashes: Vec::new(),
                 sound_age: Some(Duration::from_millis(5)),
+                claim_age: None,
+                trial_age: None,
             },
         ],
         moves: [
