fix(egretside): a request isn't blamed for an engine that hangs

Cause: the probe after a cut answer had two results. An engine that takes connections and doesn't answer within 500 ms counted as dead, with all its requests in flight.

Change: the probe tells an engine that takes connections from one that doesn't. The first hangs: it gets no requests, is probed on, and its requests are blamed only if a later probe finds it gone.

Evidence: a_request_whose_engine_hangs_is_no_suspect failed before (the request was listed as a suspect after two seconds) and passes now; the other four tests of poison pass as before.

Ruled out: the rule that an engine which answers the probe has restarted if all of several requests were cut. It can't lead to a quarantine: a suspect runs exclusively, and alone it is no such case.

--- a/crates/egretgate/tests/processes/poison.rs
+++ b/crates/egretgate/tests/processes/poison.rs
@@ -97,6 +97,35 @@
     }
 }
 
+/// Guards against a request that becomes a suspect because its engine hung and lost its connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_whose_engine_hangs_is_no_suspect() {
+    /// Time within which several probes of the engine aren't answered.
+    const HANG: Duration = Duration::from_secs(2);
+    let cluster = Cluster::start().await;
+    for engine in &cluster.engines {
+        engine.set_step_factor(10_000.0);
+    }
+    let entry = cluster.callers(0);
+    let asked = tokio::spawn(async move { complete(entry, "harmless", TOKENS).await });
+    let busy = || cluster.engines.iter().find(|engine| engine.batch() > 0);
+    wait_until("an engine runs it", || busy().is_some()).await;
+    let engine = busy().expect("it runs");
+    engine.freeze(true);
+    engine.cut();
+    tokio::time::sleep(HANG).await;
+    engine.freeze(false);
+    for index in 0..2 {
+        let suspects = cluster.suspects(index).await;
+        assert!(suspects.is_empty(), "entry {index}: {suspects:?}");
+    }
+    asked.abort();
+    for engine in &cluster.engines {
+        engine.set_step_factor(1.0);
+    }
+    complete_until_whole(entry, "harmless").await;
+}
+
 /// Callers send the poisonous request at the same time, so that two engines run it before the first
 /// one dies. The second one dies much later. Until then the request is a suspect, and a third engine
 /// must not run it: it would be the third to die. `entry` returns the entry that gets it again.
--- a/crates/egretside/src/dispatcher.rs
+++ b/crates/egretside/src/dispatcher.rs
@@ -24,6 +24,7 @@
 use crate::replica::ConfigReplica;
 use crate::run::{Control, RunSummary};
 use crate::samples::Samples;
+use crate::target_client::Probe;
 
 mod lifecycle;
 mod maintenance;
@@ -58,7 +59,7 @@
     /// The delay of a suspect's offer is over.
     DelayedOffer { entry: Incarnation, offer: Offer },
     /// A probe of an engine has ended.
-    Probed { engine: EngineKey, alive: bool },
+    Probed { engine: EngineKey, probe: Probe },
     /// Shut down: refuse queued requests, finish running ones, then reply. Offers that still arrive
     /// are refused until [`DispatcherMessage::Close`].
     Stop(oneshot::Sender<()>),
@@ -259,7 +260,7 @@
                 self.delayed_offers -= 1;
                 self.handle_offer(entry, offer);
             }
-            DispatcherMessage::Probed { engine, alive } => self.handle_probed(engine, alive),
+            DispatcherMessage::Probed { engine, probe } => self.handle_probed(engine, probe),
             DispatcherMessage::Stop(reply) => self.stop(reply),
             DispatcherMessage::Close => self.closed = true,
         }
--- a/crates/egretside/src/dispatcher/lifecycle.rs
+++ b/crates/egretside/src/dispatcher/lifecycle.rs
@@ -16,6 +16,7 @@
 use crate::engines::{EngineKey, PROBE_INTERVAL, ProbeOutcome};
 use crate::run::{Finish, Run, RunSummary};
 use crate::samples::SampleKey;
+use crate::target_client::Probe;
 
 /// Maximum number of deaths kept until they are in the log; the oldest is dropped first.
 const MAX_UNCONFIRMED_DEATHS: usize = 64;
@@ -189,17 +190,22 @@
         let self_sender = self.self_sender.clone();
         tokio::spawn(async move {
             tokio::time::sleep(delay).await;
-            let alive = client.is_alive().await;
-            let _ = self_sender.send(DispatcherMessage::Probed { engine: key, alive }).await;
+            let probe = client.probe().await;
+            let _ = self_sender.send(DispatcherMessage::Probed { engine: key, probe }).await;
         });
     }
 
     /// Handles the result of a probe: reports a death, and keeps probing an engine that is down.
-    pub(crate) fn handle_probed(&mut self, key: EngineKey, alive: bool) {
-        match self.engines.record_probe(key, alive, Instant::now()) {
+    pub(crate) fn handle_probed(&mut self, key: EngineKey, probe: Probe) {
+        match self.engines.record_probe(key, probe, Instant::now()) {
             ProbeOutcome::Alive => {}
             ProbeOutcome::Recovered => info!(self.log, "engine is back"),
             ProbeOutcome::StillDown => self.probe(key, PROBE_INTERVAL),
+            ProbeOutcome::Hangs => {
+                warn!(self.log, "engine hangs"; "in_flight" => self.engines.running());
+                self.probe(key, PROBE_INTERVAL);
+                self.broadcast_load();
+            }
             ProbeOutcome::Died { digests, recovered } => {
                 warn!(self.log, "engine died"; "in_flight" => digests.len());
                 metrics::counter!("egretside_deaths_total").increment(1);
--- a/crates/egretside/src/engines.rs
+++ b/crates/egretside/src/engines.rs
@@ -9,7 +9,7 @@
 
 use crate::replica::Targets;
 use crate::run::Finish;
-use crate::target_client::TargetClient;
+use crate::target_client::{Probe, TargetClient};
 
 /// Interval between two probes of an engine that doesn't answer.
 pub(crate) const PROBE_INTERVAL: Duration = Duration::from_millis(200);
@@ -26,7 +26,9 @@
     Up,
     /// An answer was cut, or no connection could be made; a probe is under way.
     Probing,
-    /// It answered no probe.
+    /// It takes connections and answers no probe.
+    Silent,
+    /// It takes no connection.
     Down,
 }
 
@@ -65,9 +67,11 @@
     /// The engine died with these digests in flight. `recovered` is true if it answers again
     /// already.
     Died { digests: Vec<Digest>, recovered: bool },
-    /// The engine was down and still is.
+    /// The engine hangs from now on, so that no request is known to have crashed it.
+    Hangs,
+    /// The engine was down or hung and still does.
     StillDown,
-    /// The engine was down and answers again.
+    /// The engine was down or hung and answers again.
     Recovered,
 }
 
@@ -112,13 +116,13 @@
 
     /// Returns whether at least one engine is not down.
     pub(crate) fn healthy(&self) -> bool {
-        self.engines.values().any(|engine| engine.health != Health::Down)
+        self.engines.values().any(|engine| !engine.is_down())
     }
 
     /// Returns whether an engine that is not down runs the version. An empty version matches every
     /// engine.
     pub(crate) fn serves(&self, version: &str) -> bool {
-        self.engines.values().any(|engine| engine.health != Health::Down && engine.serves(version))
+        self.engines.values().any(|engine| !engine.is_down() && engine.serves(version))
     }
 
     /// Returns the engines that can start a request now, least loaded first.
@@ -190,7 +194,7 @@
         match finish {
             Finish::Cut => engine.cut_requests.push(request),
             Finish::Whole | Finish::NotSent => {
-                if engine.health == Health::Probing {
+                if matches!(engine.health, Health::Probing | Health::Silent) {
                     engine.harmless_requests.push(request);
                 }
                 return false;
@@ -235,18 +239,33 @@
     pub(crate) fn record_probe(
         &mut self,
         key: EngineKey,
-        alive: bool,
+        probe: Probe,
         now: Instant,
     ) -> ProbeOutcome {
         let engine = &mut self.engines[key];
-        let was_down = engine.health == Health::Down;
-        engine.health = if alive { Health::Up } else { Health::Down };
-        if was_down {
-            engine.cut_requests.clear();
-            if alive {
+        let before = engine.health;
+        engine.health = match probe {
+            Probe::Answered => Health::Up,
+            // A crashed engine that hangs while it starts is still down.
+            Probe::Silent if before == Health::Down => Health::Down,
+            Probe::Silent => Health::Silent,
+            Probe::Unreachable => Health::Down,
+        };
+        let alive = probe == Probe::Answered;
+        match (before, engine.health) {
+            (Health::Silent | Health::Down, Health::Up) => {
+                engine.forget_candidates();
                 engine.limit.restart(now);
+                return ProbeOutcome::Recovered;
             }
-            return if alive { ProbeOutcome::Recovered } else { ProbeOutcome::StillDown };
+            (Health::Down, _) => {
+                engine.cut_requests.clear();
+                return ProbeOutcome::StillDown;
+            }
+            // The candidates are kept: a later probe may show that it has crashed.
+            (Health::Silent, Health::Silent) => return ProbeOutcome::StillDown,
+            (_, Health::Silent) => return ProbeOutcome::Hangs,
+            _ => {}
         }
         let candidates = std::mem::take(&mut engine.crash_candidates);
         let cut = std::mem::take(&mut engine.cut_requests);
@@ -270,7 +289,7 @@
 
     /// Returns the joint estimate of all engines that are not down; they share one queue.
     pub(crate) fn estimate(&self, now: Instant) -> Estimate {
-        let engines = self.engines.values().filter(|engine| engine.health != Health::Down);
+        let engines = self.engines.values().filter(|engine| !engine.is_down());
         Estimate::combine(engines.map(|engine| engine.limit.estimate(now))).unwrap_or_default()
     }
 
@@ -290,13 +309,24 @@
     pub(crate) fn limit_total(&self) -> u32 {
         self.engines
             .values()
-            .filter(|engine| engine.health != Health::Down)
+            .filter(|engine| !engine.is_down())
             .map(|engine| engine.limit.requests())
             .sum()
     }
 }
 
 impl Engine {
+    /// Returns true if it answered no probe.
+    const fn is_down(&self) -> bool {
+        matches!(self.health, Health::Silent | Health::Down)
+    }
+
+    fn forget_candidates(&mut self) {
+        self.crash_candidates.clear();
+        self.cut_requests.clear();
+        self.harmless_requests.clear();
+    }
+
     fn serves(&self, version: &str) -> bool {
         version.is_empty() || self.client.version() == version
     }
--- a/crates/egretside/src/target_client.rs
+++ b/crates/egretside/src/target_client.rs
@@ -1,5 +1,6 @@
 //! One engine or plain service behind the side process.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use egretgate_core::declaration::ServiceKind;
@@ -8,6 +9,8 @@
 use egretgate_link::message::Offer;
 use egretgate_service::ServiceClient;
 use egretgate_settings::Engine;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -18,6 +21,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct TargetClient {
     client: Client,
+    address: SocketAddr,
     version: VersionId,
 }
 
@@ -27,6 +31,17 @@
     Plain(ServiceClient),
 }
 
+/// Result of a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Probe {
+    /// The target answers.
+    Answered,
+    /// It takes connections and doesn't answer: it hangs, and no request has crashed it.
+    Silent,
+    /// It takes no connection.
+    Unreachable,
+}
+
 /// Why a call failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Failure {
@@ -45,7 +60,7 @@
             ServiceKind::Engine => Client::Engine(EngineClient::new(engine.address)),
             ServiceKind::Plain => Client::Plain(ServiceClient::new(engine.address)),
         };
-        Self { client, version: engine.version.clone() }
+        Self { client, address: engine.address, version: engine.version.clone() }
     }
 
     pub(crate) fn version(&self) -> &VersionId {
@@ -84,11 +99,18 @@
         sent.map_err(Failure::from)
     }
 
-    /// Probes the target; returns whether it answers.
-    pub(crate) async fn is_alive(&self) -> bool {
-        match &self.client {
+    /// Probes the target.
+    pub(crate) async fn probe(&self) -> Probe {
+        let answers = match &self.client {
             Client::Engine(client) => client.alive(PROBE_TIMEOUT).await,
             Client::Plain(client) => client.alive(PROBE_PATH, PROBE_TIMEOUT).await,
+        };
+        if answers {
+            return Probe::Answered;
+        }
+        match timeout(PROBE_TIMEOUT, TcpStream::connect(self.address)).await {
+            Ok(Ok(_)) => Probe::Silent,
+            Ok(Err(_)) | Err(_) => Probe::Unreachable,
         }
     }
 }
