--- a/crates/egretside/src/target_client.rs
+++ b/crates/egretside/src/target_client.rs
@@ -1,6 +1,7 @@
 //! One engine or plain service behind the side process.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 use egretgate_core::declaration::ServiceKind;
@@ -10,10 +11,14 @@
 use egretgate_service::ServiceClient;
 use egretgate_settings::Engine;
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without an answer after which a probe also tries whether the target takes connections.
+const CONNECT_AFTER: Duration = Duration::from_millis(250);
+/// Timeout of that connection, so that the probe takes no longer.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
 /// Path of a probe of a plain service; an answer with any status counts as success.
 const PROBE_PATH: &str = "/healthz";
 
@@ -101,18 +106,32 @@
 
     /// Probes the target.
     pub(crate) async fn probe(&self) -> Probe {
-        let answers = match &self.client {
-            Client::Engine(client) => client.alive(PROBE_TIMEOUT).await,
-            Client::Plain(client) => client.alive(PROBE_PATH, PROBE_TIMEOUT).await,
+        let mut answers = pin!(self.answers());
+        let later = async {
+            sleep(CONNECT_AFTER).await;
+            self.connects().await
+        };
+        let (answers, connects) = tokio::select! {
+            answers = &mut answers => (answers, !answers && self.connects().await),
+            connects = later => (answers.await, connects),
         };
-        if answers {
-            return Probe::Answered;
+        match (answers, connects) {
+            (true, _) => Probe::Answered,
+            (false, true) => Probe::Silent,
+            (false, false) => Probe::Unreachable,
         }
-        match timeout(PROBE_TIMEOUT, TcpStream::connect(self.address)).await {
-            Ok(Ok(_)) => Probe::Silent,
-            Ok(Err(_)) | Err(_) => Probe::Unreachable,
+    }
+
+    async fn answers(&self) -> bool {
+        match &self.client {
+            Client::Engine(client) => client.alive(PROBE_TIMEOUT).await,
+            Client::Plain(client) => client.alive(PROBE_PATH, PROBE_TIMEOUT).await,
         }
     }
+
+    async fn connects(&self) -> bool {
+        matches!(timeout(CONNECT_TIMEOUT, TcpStream::connect(self.address)).await, Ok(Ok(_)))
+    }
 }
 
 impl From<egretgate_http::Error> for Failure {
