fix(core): a refused part of prompts is forgotten five minutes after its last crash

Cause: with each refusal renewed what is remembered of a suspect. A part has no trial left after one that crashed an upstream, so a part that is asked for all the time would have been refused for good.

Evidence: a_part_whose_trial_crashed_is_forgotten_after_a_while failed before ("it is refused for good") and passes now. gateway_crashes passes.

--- a/crates/egretgate-core/src/gateway/crash_quarantine.rs
+++ b/crates/egretgate-core/src/gateway/crash_quarantine.rs
@@ -57,7 +57,8 @@
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
 /// Trials that may break late before one of them decides.
 const MAX_LATE_TRIALS: u32 = 2;
-/// Time after the last crash, ruling or refusal at which a suspect is forgotten.
+/// Time after the last crash or ruling at which a suspect is forgotten, and of a whole request also
+/// after the last refusal.
 const RECORD_TTL: Duration = Duration::from_mins(5);
 /// Time for which a change is reported: dozens of reports, some of which get lost.
 const REPORT_TIME: Duration = Duration::from_secs(5);
@@ -456,9 +457,12 @@
         waited.is_some_and(|waited| self.claims.is_turn(own, waited, now)) && self.allows_trial(now)
     }
 
+    /// Returns the time from which the suspect may be forgotten after a while. A whole request that
+    /// keeps coming is remembered; it has trials left, which a part has not.
     fn last_change(&self) -> Instant {
         let crashed = self.crashes.last().map_or(self.ruled_at, |crash| crash.at);
-        let refused = self.claims.last().filter(|_| self.ruling.is_quarantined());
+        let is_kept = self.kind == SuspectKind::Request && self.ruling.is_quarantined();
+        let refused = self.claims.last().filter(|_| is_kept);
         crashed.max(self.ruled_at).max(refused.unwrap_or(self.ruled_at))
     }
 
--- a/crates/egretgate-core/tests/gateway_parts/rulings.rs
+++ b/crates/egretgate-core/tests/gateway_parts/rulings.rs
@@ -246,3 +246,34 @@
         assert!(matches!(admission, Admission::Started(_)), "{admission:?}");
     }
 }
+
+/// Guards against a part that is refused for as long as somebody asks for it.
+#[test]
+fn a_part_whose_trial_crashed_is_forgotten_after_a_while() {
+    const ASK_INTERVAL: Duration = Duration::from_millis(500);
+    const FORGOTTEN_AFTER: Duration = Duration::from_mins(5);
+    let start = Instant::now();
+    let parts = [part_hash("subject")];
+    let mut entry = entry(0, 2, 9);
+    entry.receive_report(ruling_report(parts[0], 1), start);
+    let mut crashed = None;
+    for step in 0..1_000 {
+        let now = start + ASK_INTERVAL * step;
+        entry.report(now);
+        let admission = entry.admit(request(step.into(), &parts, now), now);
+        let Admission::Started(key) = admission else { continue };
+        let Some(crashed_at) = crashed else {
+            let upstream = entry.upstream(key).unwrap().listed.id.clone();
+            entry.finish(&completion(key, &parts, false, now), now);
+            let (digest, parts) = (None, Arc::from(&parts[..]));
+            let crash = BrokenRun { upstream, digest, parts, wrote: None, at: now };
+            entry.record_crash(&crash, now);
+            crashed = Some(now);
+            continue;
+        };
+        let after = now - crashed_at;
+        assert!(after >= FORGOTTEN_AFTER, "it starts again {after:?} after the crash");
+        return;
+    }
+    panic!("it is refused for good");
+}
