test(soak): streams are compared after their chunks are joined

The check was wrong: it counted "data: part" in the chunked bytes.

Replaced by a stricter one: a stream that looks complete must be well formed, and its events must be exactly those that the upstream sent; before, five matches anywhere were enough.

--- a/crates/egretgate/tests/soak.rs
+++ b/crates/egretgate/tests/soak.rs
@@ -198,13 +198,32 @@
             let expected = format!("got {length} bytes");
             expected.starts_with(body)
         }
-        _ => !body.ends_with("0\r\n\r\n") || body.matches("data: part").count() == 5,
+        _ => !body.ends_with("0\r\n\r\n") || unchunked(body).is_some_and(|text| text == events()),
     };
     if !is_signed_for(answer, id) || !is_intact {
         invalid.push(format!("{id}: {answer}"));
     }
 }
 
+/// Returns the text in a whole chunked body.
+fn unchunked(mut body: &str) -> Option<String> {
+    let mut text = String::new();
+    loop {
+        let (size, rest) = body.split_once("\r\n")?;
+        let size = usize::from_str_radix(size, 16).ok()?;
+        text.push_str(rest.get(..size)?);
+        body = rest.get(size..)?.strip_prefix("\r\n")?;
+        if size == 0 {
+            return body.is_empty().then_some(text);
+        }
+    }
+}
+
+/// Returns the events of a whole stream.
+fn events() -> String {
+    (1..=5).map(|number| format!("id: {number}\ndata: part {number}\n\n")).collect()
+}
+
 /// Processes and fakes of one run.
 struct Testbed {
     store: Store,
