fix(core): many cut requests don't hide one that crashes upstreams

Cause: at most 1,024 suspects are kept, and a new one was left out once so many requests had been cut by crashes within five minutes. A request that crashed upstreams after that wasn't known.

Change: the suspect with the fewest crashes makes room; quarantined ones stay.

Evidence: a_request_that_crashes_upstreams_is_known_among_many_that_were_cut failed before (the fourth run was allowed) and passes now.

--- a/crates/egretgate-core/src/gateway/crash_quarantine.rs
+++ b/crates/egretgate-core/src/gateway/crash_quarantine.rs
@@ -774,18 +774,32 @@
         }
     }
 
-    /// Returns the record of a suspect, a new one if there is none; `None` if too many are kept.
+    /// Returns the record of a suspect, a new one if there is none; `None` if too many are
+    /// quarantined.
     fn record(&mut self, suspect: SuspectHash, now: Instant) -> Option<&mut SuspectRecord> {
         if self.records.len() >= MAX_SUSPECTS && !self.records.contains_key(&suspect) {
             self.expire(now);
-            if self.records.len() >= MAX_SUSPECTS {
-                return None;
-            }
+            self.make_room()?;
         }
         let kind = self.kind;
         Some(self.records.entry(suspect).or_insert_with(|| SuspectRecord::new(kind, now)))
     }
 
+    /// Forgets the suspect with the fewest crashes if too many are kept; `None` if all of them are
+    /// quarantined.
+    fn make_room(&mut self) -> Option<()> {
+        if self.records.len() < MAX_SUSPECTS {
+            return Some(());
+        }
+        let open = self.records.iter().filter(|(_, record)| !record.ruling.is_quarantined());
+        let least = open.min_by_key(|(suspect, record)| {
+            (record.crashes.len(), record.last_change(), **suspect)
+        });
+        let least = *least?.0;
+        self.records.remove(&least);
+        Some(())
+    }
+
     /// Forgets the suspects whose crashes are long ago, and those that were cleared.
     fn expire(&mut self, now: Instant) {
         self.records.retain(|_, record| {
--- a/crates/egretgate-core/tests/gateway_scheduler.rs
+++ b/crates/egretgate-core/tests/gateway_scheduler.rs
@@ -251,6 +251,28 @@
     assert_matches!(scheduler.admit(request(10, 0, now), now), Admission::Started(_));
 }
 
+/// Guards against a request that isn't remembered because many others broke off in crashes.
+#[test]
+fn a_request_that_crashes_upstreams_is_known_among_many_that_were_cut() {
+    const CUT: u64 = 3_000;
+    let now = Instant::now();
+    let mut scheduler = scheduler(vec![listed("a", 9), listed("b", 9), listed("c", 9)]);
+    let crash = |scheduler: &mut Scheduler, upstream: &str, digest: Digest| {
+        let (upstream, digest) = (upstream.to_owned(), Some(digest));
+        let run = BrokenRun { upstream, digest, parts: Arc::default(), wrote: None, at: now };
+        scheduler.record_crash(&run, now);
+    };
+    for number in 0..CUT {
+        crash(&mut scheduler, "a", Digest::of(&[&number.to_le_bytes()]));
+    }
+    let digest = Digest::of(&[b"poison"]);
+    for upstream in ["a", "b", "c"] {
+        crash(&mut scheduler, upstream, digest);
+    }
+    let poison = AdmissionRequest { digest: Some(digest), ..request(1, 0, now) };
+    assert_eq!(scheduler.admit(poison, now), Admission::Refused(Refusal::Poison));
+}
+
 #[test]
 fn a_withdrawn_request_never_starts() {
     let now = Instant::now();
