--- a/crates/egretgate/tests/soak.rs
+++ b/crates/egretgate/tests/soak.rs
@@ -49,6 +49,9 @@
 const BAD_PART_RATE: f64 = 0.1;
 /// Time during which callers send requests and faults are injected.
 const RUN_TIME: Duration = Duration::from_secs(6);
+/// Events of a whole stream.
+const EVENTS: &str = "id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\nid: 3\ndata: part 3\n\n\
+                      id: 4\ndata: part 4\n\nid: 5\ndata: part 5\n\n";
 /// Maximum time from the end of all faults until every entry serves again; the platform allows
 /// 12 s.
 const MAX_RECOVERY_TIME: Duration = Duration::from_secs(12);
@@ -198,7 +201,7 @@
             let expected = format!("got {length} bytes");
             expected.starts_with(body)
         }
-        _ => !body.ends_with("0\r\n\r\n") || unchunked(body).is_some_and(|text| text == events()),
+        _ => !body.ends_with("0\r\n\r\n") || unchunked(body).is_some_and(|text| text == EVENTS),
     };
     if !is_signed_for(answer, id) || !is_intact {
         invalid.push(format!("{id}: {answer}"));
@@ -219,11 +222,6 @@
     }
 }
 
-/// Returns the events of a whole stream.
-fn events() -> String {
-    (1..=5).map(|number| format!("id: {number}\ndata: part {number}\n\n")).collect()
-}
-
 /// Processes and fakes of one run.
 struct Testbed {
     store: Store,
