--- a/crates/egretgate-core/src/gateway/crash_quarantine.rs
+++ b/crates/egretgate-core/src/gateway/crash_quarantine.rs
@@ -292,7 +292,7 @@
 pub struct OtherRuns {
     /// Sound runs.
     pub sound: u32,
-    /// Runs that broke.
+    /// Runs that broke in a crash of their upstream.
     pub broken: u32,
 }
 
