fix(gateway): an upstream that resets connections beyond its limit is up

An upstream takes so many connections and resets more. One that also lost answers counted as crashed, since the check's connection was closed at once, and sound requests were quarantined.

Cause: a connection that was accepted and closed counted as none, for the sake of a process that ends and may still accept some.

Only a connection that isn't accepted shows that the upstream is down.

A first try that only repeated the connection still failed: a reset may arrive before the socket's options are set, so connecting and what follows are told apart.

--- a/crates/egretgate-gateway/src/connect.rs
+++ b/crates/egretgate-gateway/src/connect.rs
@@ -50,8 +50,11 @@
 impl Connection {
     /// Opens a connection.
     pub(crate) async fn open(address: SocketAddr) -> std::io::Result<Self> {
-        let connecting = timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
-        let stream = connecting.await.map_err(std::io::Error::from)??;
+        Self::over(connect(address).await?).await
+    }
+
+    /// Returns the connection over an open socket.
+    pub(crate) async fn over(stream: TcpStream) -> std::io::Result<Self> {
         stream.set_nodelay(true)?;
         let head_budget = HeadBudget::default();
         let stream = TokioIo::new(HeadLimited::new(stream, head_budget.clone()));
@@ -112,6 +115,11 @@
     }
 }
 
+/// Opens a socket to an upstream.
+pub(crate) async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await?
+}
+
 fn closes(headers: &HeaderMap) -> bool {
     let tokens = headers.get_all(http::header::CONNECTION).iter();
     tokens
--- a/crates/egretgate-gateway/src/dispatcher.rs
+++ b/crates/egretgate-gateway/src/dispatcher.rs
@@ -163,8 +163,9 @@
     Finish(Completion, Option<Connection>),
     /// Requests a check of the upstream of a run that broke.
     Check(UpstreamCheck),
-    /// Reports that the upstream of a run that broke is up, with a new connection to it.
-    UpstreamUp(BrokenRun, UpstreamKey, Connection),
+    /// Reports that the upstream of a run that broke is up, with a new connection to it if it left
+    /// one open.
+    UpstreamUp(BrokenRun, UpstreamKey, Option<Connection>),
     /// Reports that the upstream of a run that broke is down.
     Crashed(BrokenRun),
     /// Reports that the upstream has sent nothing for a request since `since`.
@@ -327,7 +328,7 @@
             }
             Message::UpstreamUp(run, key, connection) => {
                 self.scheduler.record_upstream_up(&run, now);
-                self.keep_idle(key, Some(connection));
+                self.keep_idle(key, connection);
             }
             Message::Crashed(run) => {
                 self.scheduler.record_crash(&run, now);
