fix(core): entries that are gone take no turns for trials

Cause: the refusals of other entries were kept for as long as a request was remembered, and it is for as long as it comes. Each replaced entry kept a turn, and its name was kept in memory.

Change: refusals older than five minutes are forgotten.

Evidence: entries_that_are_gone_hold_up_no_trial failed before (no trial after 312 s beside 60 entries that are gone; bound 306 s, the five minutes and one interval of its caller) and passes now.

--- a/crates/egretgate-core/src/gateway/crash_quarantine.rs
+++ b/crates/egretgate-core/src/gateway/crash_quarantine.rs
@@ -222,7 +222,7 @@
 struct Claims {
     /// Refusals of this entry.
     own: Option<OwnClaim>,
-    /// Time of the last refusal of each other entry.
+    /// Time of the last refusal of each other entry, within [`RECORD_TTL`].
     peers: HashMap<NameHash, Instant>,
 }
 
@@ -249,6 +249,11 @@
         *last = at.max(*last);
     }
 
+    /// Forgets the refusals that are long ago, such as those of entries that are gone.
+    fn expire(&mut self, now: Instant) {
+        self.peers.retain(|_, last| now < *last + RECORD_TTL);
+    }
+
     /// Returns the time of the last refusal of any entry.
     fn last(&self) -> Option<Instant> {
         self.peers.values().copied().chain(self.own.map(|claim| claim.last)).max()
@@ -803,6 +808,7 @@
     /// Forgets the suspects whose crashes are long ago, and those that were cleared.
     fn expire(&mut self, now: Instant) {
         self.records.retain(|_, record| {
+            record.claims.expire(now);
             let is_open = !record.crashes.is_empty() || record.ruling.number > 0;
             let ttl = if is_open { RECORD_TTL } else { REPORT_TIME };
             now.saturating_duration_since(record.last_change().max(record.changed)) < ttl
--- a/crates/egretgate-core/tests/gateway_crashes.rs
+++ b/crates/egretgate-core/tests/gateway_crashes.rs
@@ -7,6 +7,7 @@
 use egretgate_core::gateway::admission::{
     Admission, AdmissionRequest, BrokenRun, Completion, Needs, Refusal, UpstreamKey,
 };
+use egretgate_core::gateway::crash_quarantine::{Ruling, SuspectReport, request_hash};
 use egretgate_core::gateway::peer::PeerReport;
 use egretgate_core::gateway::request_queue::Priority;
 use egretgate_core::gateway::scheduler::Scheduler;
@@ -387,3 +388,39 @@
     });
     assert!(faults.is_empty(), "{faults:#?}");
 }
+
+/// Guards against a trial that waits for the turns of entries that are gone.
+#[test]
+fn entries_that_are_gone_hold_up_no_trial() {
+    const GONE: u64 = 60;
+    const ASK_INTERVAL: Duration = Duration::from_secs(6);
+    const CLAIMS_COUNT: Duration = Duration::from_mins(5);
+    let start = Instant::now();
+    let mut entry = Scheduler::new("entry-0", "zone", 1);
+    entry.set_upstreams((0..8).map(listed).collect());
+    for gone in 1..=GONE {
+        let claim = SuspectReport {
+            suspect: request_hash(&digest()),
+            ruling: (Ruling { number: 1, ..Ruling::default() }, Duration::ZERO),
+            trial_age: None,
+            crashes: Vec::new(),
+            sound_age: None,
+            claim_age: Some(Duration::ZERO),
+        };
+        let report = PeerReport {
+            name: format!("gone-{gone}"),
+            incarnation: gone + 1,
+            sequence: 1,
+            requests: vec![claim],
+            ..PeerReport::default()
+        };
+        entry.receive_report(report, start);
+    }
+    let mut now = start;
+    while entry.admit(request(1, &[], now), now) == Admission::Refused(Refusal::Poison) {
+        now += ASK_INTERVAL;
+        entry.report(now);
+        let waited = now - start;
+        assert!(waited <= CLAIMS_COUNT + ASK_INTERVAL, "no trial after {waited:?}");
+    }
+}
