fix(core): a trial that a quarantined part prevents is given back

Cause: a quarantined request whose trial was due counted it as started before its parts were looked at. If one of them was quarantined too, the request was refused, and no other trial came for five seconds.

Change: the trial is given back, as where there is no headroom.

Evidence: a_trial_that_a_part_prevents_is_not_used_up failed without the change (no trial within 1.5 s of the part's release) and passes with it.

--- a/crates/egretgate-core/src/gateway/scheduler.rs
+++ b/crates/egretgate-core/src/gateway/scheduler.rs
@@ -532,7 +532,11 @@
         if self.requests.is_refused(hash.as_slice(), own, now) {
             return Some(Refusal::Poison);
         }
-        self.parts.is_refused(&request.parts, own, now).then_some(Refusal::QuarantinedPart)
+        if self.parts.is_refused(&request.parts, own, now) {
+            self.end_trial(request.digest, now);
+            return Some(Refusal::QuarantinedPart);
+        }
+        None
     }
 
     /// Records that the upstream has sent nothing for a request since `since`; `again` is true if
--- a/crates/egretgate-core/tests/gateway_crashes.rs
+++ b/crates/egretgate-core/tests/gateway_crashes.rs
@@ -424,3 +424,47 @@
         assert!(waited <= CLAIMS_COUNT + ASK_INTERVAL, "no trial after {waited:?}");
     }
 }
+
+/// Guards against a trial of a request that is used up although a part of its prompt is refused.
+#[test]
+fn a_trial_that_a_part_prevents_is_not_used_up() {
+    const ASK_INTERVAL: Duration = Duration::from_millis(100);
+    const PART: u64 = 7;
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut entry = Scheduler::new("entry-0", "zone", 1);
+    entry.set_upstreams((0..8).map(listed).collect());
+    let ruling = |suspect, number| SuspectReport {
+        suspect,
+        ruling: (Ruling { number, ..Ruling::default() }, Duration::ZERO),
+        trial_age: None,
+        crashes: Vec::new(),
+        sound_age: None,
+        claim_age: None,
+    };
+    let report = |sequence, requests, parts| PeerReport {
+        name: "entry-1".to_owned(),
+        incarnation: 2,
+        sequence,
+        requests,
+        parts,
+        ..PeerReport::default()
+    };
+    entry.receive_report(report(1, vec![ruling(request_hash(&digest()), 1)], Vec::new()), start);
+    let mut now = start;
+    while now < at(3_000) {
+        now += ASK_INTERVAL;
+        if now == at(1_000) {
+            entry.receive_report(report(2, Vec::new(), vec![ruling(PART, 1)]), now);
+        }
+        if now == at(1_500) {
+            entry.receive_report(report(3, Vec::new(), vec![ruling(PART, 2)]), now);
+        }
+        let request = AdmissionRequest { parts: [PART].into(), ..request(1, &[], now) };
+        if matches!(entry.admit(request, now), Admission::Started(_)) {
+            assert!(now >= at(1_500), "it starts while its part is refused");
+            return;
+        }
+    }
+    panic!("no trial after its part was released");
+}
