refactor(core): claims and rulings in files of their own

Cause: crash_quarantine.rs held three concepts. Code is moved, not changed; gateway_crashes, gateway_ejection and gateway_scheduler pass.

--- a/crates/egretgate-core/src/gateway/crash_quarantine.rs
+++ b/crates/egretgate-core/src/gateway/crash_quarantine.rs
@@ -15,13 +15,19 @@
 //! is. A wrong ruling is lifted by a trial: a single request that some entry lets pass. The entries
 //! that have refused such requests lately take turns.
 
-use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use claims::Claims;
+
 use super::peer::NameHash;
 use crate::Digest;
 
+mod claims;
+mod ruling;
+
+pub use ruling::Ruling;
+
 /// Hash of a whole request or of a part of its prompt.
 pub type SuspectHash = u64;
 
@@ -46,10 +52,6 @@
 const SAME_CRASH: Duration = Duration::from_secs(1);
 /// Time from a ruling until the first trial.
 const TRIAL_DELAY: Duration = Duration::from_secs(1);
-/// Time for which one entry may start the trial before the next one's turn.
-const TRIAL_TURN: Duration = Duration::from_secs(1);
-/// Time after its last refusal for which an entry counts as one that refuses requests now.
-const ACTIVE_TIME: Duration = Duration::from_secs(5);
 /// Times from a trial under which an upstream crashed until the next one of a whole request; after
 /// that there is none.
 const REQUEST_TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(10), Duration::from_mins(5)];
@@ -105,42 +107,6 @@
     }
 }
 
-/// A decision on a suspect. Of two, the greater one holds.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Ruling {
-    /// Number of rulings on the suspect: odd while it is quarantined.
-    pub number: u32,
-    /// Trials since then; one that ends without a result counts twice.
-    pub trials: u32,
-    /// Trials since then under which an upstream crashed.
-    pub failed: u32,
-}
-
-impl Ruling {
-    /// Returns the ruling that follows on this one.
-    const fn next(self) -> Self {
-        Self { number: self.number + 1, trials: 0, failed: 0 }
-    }
-
-    /// Returns this ruling and another one merged; the greater number holds.
-    fn merge(self, other: Self) -> Self {
-        match self.number.cmp(&other.number) {
-            Ordering::Less => other,
-            Ordering::Greater => self,
-            Ordering::Equal => Self {
-                number: self.number,
-                trials: self.trials.max(other.trials),
-                failed: self.failed.max(other.failed),
-            },
-        }
-    }
-
-    /// Returns true if the suspect is quarantined.
-    pub const fn is_quarantined(self) -> bool {
-        self.number % 2 == 1
-    }
-}
-
 /// What one entry reports about a suspect.
 #[derive(Debug, Clone, PartialEq)]
 pub struct SuspectReport {
@@ -217,81 +183,6 @@
     }
 }
 
-/// The refusals by which entries claim a turn for a trial.
-#[derive(Debug, Clone, Default)]
-struct Claims {
-    /// Refusals of this entry.
-    own: Option<OwnClaim>,
-    /// Time of the last refusal of each other entry, within [`RECORD_TTL`].
-    peers: HashMap<NameHash, Instant>,
-}
-
-/// The refusals of this entry.
-#[derive(Debug, Clone, Copy)]
-struct OwnClaim {
-    first: Instant,
-    /// Time since which they follow each other within [`ACTIVE_TIME`].
-    active_since: Instant,
-    last: Instant,
-}
-
-impl Claims {
-    fn record_own(&mut self, now: Instant) {
-        let claim = self.own.get_or_insert(OwnClaim { first: now, active_since: now, last: now });
-        if now >= claim.last + ACTIVE_TIME {
-            claim.active_since = now;
-        }
-        claim.last = now;
-    }
-
-    fn record_peer(&mut self, entry: NameHash, at: Instant) {
-        let last = self.peers.entry(entry).or_insert(at);
-        *last = at.max(*last);
-    }
-
-    /// Forgets the refusals that are long ago, such as those of entries that are gone.
-    fn expire(&mut self, now: Instant) {
-        self.peers.retain(|_, last| now < *last + RECORD_TTL);
-    }
-
-    /// Returns the time of the last refusal of any entry.
-    fn last(&self) -> Option<Instant> {
-        self.peers.values().copied().chain(self.own.map(|claim| claim.last)).max()
-    }
-
-    fn own_age(&self, now: Instant) -> Option<Duration> {
-        self.own.map(|claim| now.saturating_duration_since(claim.last))
-    }
-
-    /// Returns true if the entry `own` may start a trial at `waited` after trials are allowed.
-    ///
-    /// Every other turn goes to one of the entries that refuse requests now, so that they don't wait
-    /// for those that seldom get one; the rest go to all. A claim counts once all entries know of
-    /// it. The first and last quarters of a turn are left free, as entries learn of a ruling at
-    /// different times.
-    fn is_turn(&self, own: NameHash, waited: Duration, now: Instant) -> bool {
-        let Some(claim) = self.own else { return false };
-        let is_known = |since: Instant| since + MAX_REPORT_AGE <= now;
-        let turns = waited.div_duration_f64(TRIAL_TURN);
-        if self.peers.is_empty() {
-            return is_known(claim.first) && turns >= 0.25;
-        }
-        if !(0.25..0.75).contains(&turns.fract()) {
-            return false;
-        }
-        let index = turns as usize;
-        let is_for_active = index.is_multiple_of(2);
-        if !is_known(if is_for_active { claim.active_since } else { claim.first }) {
-            return false;
-        }
-        let takes_part = |last: Instant| !is_for_active || now < last + ACTIVE_TIME;
-        let peers = self.peers.iter().filter(|(_, last)| takes_part(**last));
-        let (before, after): (Vec<NameHash>, Vec<NameHash>) =
-            peers.map(|(peer, _)| *peer).partition(|peer| *peer < own);
-        takes_part(claim.last) && index / 2 % (before.len() + after.len() + 1) == before.len()
-    }
-}
-
 /// How runs without a suspect ended.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OtherRuns {
