--- a/review/bed-2/bed.rs
+++ b/review/bed-2/bed.rs
@@ -281,8 +281,15 @@
 }
 
 /// Returns a server's record in the store.
-pub fn listing(address: SocketAddr, state: &str, slots: u32, seq: u64, born: u64) -> String {
+pub fn listing(
+    address: SocketAddr,
+    version: &str,
+    state: &str,
+    slots: u32,
+    seq: u64,
+    born: u64,
+) -> String {
     format!(
-        r#"{{"backend":"desk","address":"{address}","zone":"boa-viagem","version":"v1","slots":{slots},"state":"{state}","coldRemainingMs":0,"seq":{seq},"born":{born}}}"#
+        r#"{{"backend":"desk","address":"{address}","zone":"boa-viagem","version":"{version}","slots":{slots},"state":"{state}","coldRemainingMs":0,"seq":{seq},"born":{born}}}"#
     )
 }
--- a/review/bed-2/leave.rs
+++ b/review/bed-2/leave.rs
@@ -1,5 +1,4 @@
-//! A server leaves, its record is removed, and later the store lists it once more: after a drill in
-//! which the store comes back from an older copy, or since one of its heartbeats is executed late.
+//! A server leaves and its record is removed; then one of its heartbeats is executed late.
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -17,25 +16,14 @@
 const DEADLINE_MS: u64 = 5_000;
 /// Times in seconds after the gateway is ready.
 const LEAVES_AT: f64 = 2.0;
-/// Time of the last record that the leaving server writes; a copy of the store is made then.
+/// Time of the last heartbeat of the leaving server.
 const LAST_BEAT_AT: f64 = 2.5;
 const UNLISTED_AT: f64 = 3.0;
-const AWAY_AT: f64 = 6.0;
-const BACK_AT: f64 = 6.4;
-/// Time at which the last heartbeat of the leaving server is executed once more or late.
+/// Time at which the store executes the heartbeat if it doesn't at once.
 const LATE_AT: f64 = 8.0;
 const ENDS_AT: f64 = 10.0;
 const STOP_AT: f64 = 13.0;
 
-/// Why the store lists the server once more.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Cause {
-    /// The store comes back from a copy.
-    Drill,
-    /// A heartbeat got no answer and is executed seconds later.
-    LateBeat,
-}
-
 /// A stream: its first event after 300 ms, then nine more, each after 200 ms.
 fn handler() -> Handler {
     Arc::new(|server, head, conn| {
@@ -72,7 +60,7 @@
     end: End,
 }
 
-pub fn run(bed: &Bed, cause: Cause) -> i32 {
+pub fn run(bed: &Bed) -> i32 {
     let store = Store::start(bed.listener(1));
     let route = r#"{"name":"note","host":"ficu95.example","pathPrefix":"/note/","kind":"streaming","timeoutMs":5000,"targetLatencyMs":400,"targetGapMs":400,"priority":0,"backend":"desk","maxAttempts":1,"streamResume":false}"#;
     store.put("keyed.op", "config", Some(config(3, &[route.to_owned()]).as_bytes()));
@@ -134,39 +122,23 @@
     bed.record.add("i-3 begins to leave: its answers say so");
     bed.record.until(zero + LAST_BEAT_AT);
     let last_beat = leaving.next_record("ready");
-    if cause == Cause::Drill || !bed.trouble {
-        store.put("keyed.servers", "i-3", Some(last_beat.as_bytes()));
-        bed.record.add("i-3 writes its record for the last time");
+    if bed.trouble {
+        bed.record.add("i-3 sends a heartbeat and gets no answer: it isn't executed yet");
     } else {
-        bed.record
-            .add("i-3 writes its record for the last time, and gets no answer: it isn't done yet");
+        store.put("keyed.servers", "i-3", Some(last_beat.as_bytes()));
+        bed.record.add("i-3 sends a heartbeat, which is executed");
     }
-    let copy = store.copy();
     bed.record.until(zero + UNLISTED_AT);
     store.put("keyed.servers", "i-3", None);
     bed.record.add("the record of i-3 is removed");
     if bed.trouble {
-        let remove_after = match cause {
-            Cause::Drill => {
-                bed.record.until(zero + AWAY_AT);
-                store.set_away(true);
-                bed.record.add("the store is away");
-                bed.record.until(zero + BACK_AT);
-                store.come_back_from(copy);
-                bed.record.add("the store is back from the copy made at the last record of i-3, in the next era");
-                HEARTBEAT * 3
-            }
-            Cause::LateBeat => {
-                bed.record.until(zero + LATE_AT);
-                store.put("keyed.servers", "i-3", Some(last_beat.as_bytes()));
-                bed.record.add("the last record of i-3 is written late");
-                HEARTBEAT * 3
-            }
-        };
+        bed.record.until(zero + LATE_AT);
+        store.put("keyed.servers", "i-3", Some(last_beat.as_bytes()));
+        bed.record.add("the heartbeat of i-3 is executed");
         let (store, record) = (store.clone(), bed.record.clone());
         thread::spawn(move || {
             // The record of a server that stays silent is removed after three intervals.
-            thread::sleep(remove_after);
+            thread::sleep(HEARTBEAT * 3);
             store.put("keyed.servers", "i-3", None);
             record.add("the record of i-3, which was silent for three intervals, is removed");
         });
--- a/review/bed-2/main.rs
+++ b/review/bed-2/main.rs
@@ -1,9 +1,10 @@
 //! The cases' programs: `bed-2 CASE` plays one case; see `claim.txt` in the case's folder.
 
 mod bed;
-mod early;
 mod http;
 mod leave;
+mod lost;
+mod order;
 mod poison;
 mod server;
 mod store;
@@ -12,10 +13,11 @@
     let case = std::env::args().nth(1).unwrap_or_default();
     let bed = bed::Bed::new();
     let result = match case.as_str() {
-        "drill" => leave::run(&bed, leave::Cause::Drill),
-        "late-beat" => leave::run(&bed, leave::Cause::LateBeat),
-        "early" => early::run(&bed),
-        "poison" => poison::run(&bed),
+        "lost-machines" => lost::run(&bed),
+        "late-beat" => leave::run(&bed),
+        "bad-later" => order::run(&bed, order::BAD_LATER),
+        "order-back" => order::run(&bed, order::ORDERED_BACK),
+        "dark-poison" => poison::run(&bed),
         _ => 2,
     };
     bed.record.say(match result {
--- a/review/bed-2/poison.rs
+++ b/review/bed-2/poison.rs
@@ -1,4 +1,5 @@
-//! A request crashes each server that runs it, and comes again; then all gateways are killed.
+//! A request crashes each server that runs it, and comes again. The crashes leave the servers' machines
+//! dark.
 
 use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -6,7 +7,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::bed::{Bed, Gateway, config, request};
+use crate::bed::{Bed, Gateway, Record, config, request};
 use crate::http::ask;
 use crate::server::{Handler, Server};
 use crate::store::Store;
@@ -18,20 +19,17 @@
 const BACK_AFTER: Duration = Duration::from_millis(2_500);
 /// Time between two tries of the client whose request crashes servers.
 const COMES_AGAIN: Duration = Duration::from_millis(1_300);
-/// The same after it has found no gateway.
-const COMES_AGAIN_LATER: Duration = Duration::from_millis(6_000);
 const DEADLINE_MS: u64 = 1_500;
 /// Retries that the rule allows.
 const MOST_RETRIES: usize = 3;
 const POISON: &[u8] = b"a request that crashes its server";
 const CLIENTS: usize = 6;
 /// Seconds after the gateways are ready.
-const KILLED_AT: f64 = 30.0;
-const STARTED_AT: f64 = 31.6;
 const STOP_AT: f64 = 66.0;
 
-/// Returns the behaviour of all servers: work takes 150 ms; the poison crashes its server then.
-fn handler(store: &Store, record: &crate::bed::Record) -> Handler {
+/// Returns the behaviour of all servers: work takes 150 ms; the poison crashes its server. With `is_silent`
+/// a crash leaves the machine dark, its connections open; otherwise it closes the port and connections.
+fn handler(store: &Store, record: &Record, is_silent: bool) -> Handler {
     let (store, record) = (store.clone(), record.clone());
     Arc::new(move |server, head, conn| {
         let id = head.id().to_owned();
@@ -39,18 +37,30 @@
         server.run(&id);
         if body == POISON {
             thread::sleep(Duration::from_millis(30));
-            server.end();
+            if is_silent {
+                server.go_dark();
+            } else {
+                server.end();
+            }
             record.add(&format!("{id} has crashed {}", server.id));
-            let (server, store, record) = (server.clone(), store.clone(), record.clone());
+            let (crashed, store, record) = (server.clone(), store.clone(), record.clone());
             thread::spawn(move || {
                 thread::sleep(BACK_AFTER);
-                server.start_again(handler(&store, &record));
-                server.beat(&store, "ready");
-                record.add(&format!("{} is back", server.id));
+                if crashed.is_up() {
+                    crashed.end();
+                }
+                crashed.start_again(handler(&store, &record, is_silent));
+                crashed.beat(&store, "ready");
+                record.add(&format!("{} is back", crashed.id));
             });
+            server.stay_dark();
             return false;
         }
         thread::sleep(Duration::from_millis(150));
+        if server.is_dark() {
+            server.stay_dark();
+            return false;
+        }
         let answer =
             format!("HTTP/1.1 200 OK\r\n{}content-length: 2\r\n\r\nok", server.signed(&id));
         server.is_up() && conn.send(answer.as_bytes()).is_ok()
@@ -70,7 +80,7 @@
                 bed.listener(10 + n),
                 6,
                 &bed.record,
-                handler(&store, &bed.record),
+                handler(&store, &bed.record, bed.trouble),
             )
         })
         .collect();
@@ -90,7 +100,7 @@
         let (server, store, stopped) = (server.clone(), store.clone(), Arc::clone(&stopped));
         thread::spawn(move || {
             while !stopped.load(Ordering::SeqCst) {
-                if server.is_up() {
+                if server.is_up() && !server.is_dark() {
                     server.beat(&store, "ready");
                 }
                 thread::sleep(HEARTBEAT);
@@ -117,7 +127,7 @@
                     if end.status() != 200 {
                         record.add(&format!("client gets for {id}: {}", end.text()));
                     }
-                    if end.status() == 502 {
+                    if end.status() == 502 || end.status() == 504 {
                         lost.lock().unwrap().push(id);
                     }
                     thread::sleep(Duration::from_millis(40));
@@ -141,21 +151,10 @@
                     Duration::from_millis(DEADLINE_MS),
                 );
                 record.add(&format!("client gets for {id}: {}", end.text()));
-                thread::sleep(if end.status() == 0 { COMES_AGAIN_LATER } else { COMES_AGAIN });
+                thread::sleep(COMES_AGAIN);
             }
         })
     });
-    // The machines are in touch but for the time from the kill to `STABLE_WINDOW` after the start.
-    let mut started = None;
-    if bed.trouble {
-        bed.record.until(zero + KILLED_AT);
-        gateways.iter_mut().for_each(Gateway::kill);
-        let killed = Instant::now();
-        bed.record.add("all gateways are killed");
-        bed.record.until(zero + STARTED_AT);
-        gateways.iter_mut().for_each(|gateway| gateway.spawn(bed));
-        started = Some((killed, Instant::now()));
-    }
     bed.record.until(zero + STOP_AT);
     stopped.store(true, Ordering::SeqCst);
     for client in clients {
@@ -175,11 +174,7 @@
         bed.record.say("the request has crashed fewer than three servers");
         return 2;
     };
-    let in_touch = |at: Instant| {
-        started.is_none_or(|(killed, started)| at < killed || at > started + STABLE_WINDOW)
-    };
-    let counted: Vec<_> =
-        runs.iter().filter(|run| run.at > third + STABLE_WINDOW && in_touch(run.at)).collect();
+    let counted: Vec<_> = runs.iter().filter(|run| run.at > third + STABLE_WINDOW).collect();
     for run in &counted {
         bed.record.say(&format!(
             "{} reached a server at {:.3} s",
@@ -189,7 +184,7 @@
     }
     let ids: HashSet<&str> = runs.iter().map(|run| run.id.as_str()).collect();
     bed.record.say(&format!(
-        "the request crashed its third server at {:.3} s; it reached servers {} times in all ({} tries), {} times later than 3 s after that and from machines in touch; other requests answered 502: {}",
+        "the request crashed its third server at {:.3} s; it reached servers {} times in all ({} tries), {} times later than 3 s after that; other requests answered 502 or 504: {}",
         bed.record.seconds(third), runs.len(), ids.len(), counted.len(), lost.lock().unwrap().len()
     ));
     i32::from(counted.len() > MOST_RETRIES)
--- a/review/bed-2/server.rs
+++ b/review/bed-2/server.rs
@@ -28,14 +28,15 @@
     pub id: String,
     pub address: SocketAddr,
     pub slots: u32,
+    pub version: String,
     pub arrivals: Arc<Mutex<Vec<Arrival>>>,
     /// It leaves: all its answers say so.
     pub leaves: Arc<AtomicBool>,
-    /// Requests that it works on.
-    pub running: Arc<AtomicU64>,
     seq: Arc<AtomicU64>,
     born: Arc<AtomicU64>,
     is_up: Arc<AtomicBool>,
+    /// Its machine is dark: nothing that it gets is read or answered, and nothing is closed.
+    is_dark: Arc<AtomicBool>,
     open: Arc<Mutex<HashMap<u64, TcpStream>>>,
     record: Record,
 }
@@ -55,12 +56,13 @@
             id: id.to_owned(),
             address: listener.local_addr().expect("an address"),
             slots,
+            version: "v1".to_owned(),
             arrivals: Arc::default(),
             leaves: Arc::default(),
-            running: Arc::default(),
             seq: Arc::default(),
             born: Arc::new(AtomicU64::new(FIRST_BORN)),
             is_up: Arc::new(AtomicBool::new(true)),
+            is_dark: Arc::default(),
             open: Arc::default(),
             record: record.clone(),
         };
@@ -73,6 +75,10 @@
         thread::spawn(move || {
             let mut number = 0;
             while self.is_up.load(Ordering::SeqCst) {
+                if self.is_dark() {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                }
                 let Ok((stream, _)) = listener.accept() else {
                     thread::sleep(Duration::from_millis(1));
                     continue;
@@ -98,6 +104,10 @@
     }
 
     fn take(&self, head: &Head, conn: &mut Conn, handler: &Handler) -> bool {
+        if self.is_dark() {
+            self.stay_dark();
+            return false;
+        }
         let id = head.id().to_owned();
         if head.get("egretgate-target-instance").is_some_and(|target| target != self.id) {
             let text = "HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n";
@@ -135,12 +145,20 @@
     /// Returns the server's next record, without writing it.
     pub fn next_record(&self, state: &str) -> String {
         let seq = self.seq.fetch_add(1, Ordering::SeqCst) + 1;
-        listing(self.address, state, self.slots, seq, self.born.load(Ordering::SeqCst))
+        listing(
+            self.address,
+            &self.version,
+            state,
+            self.slots,
+            seq,
+            self.born.load(Ordering::SeqCst),
+        )
     }
 
     /// Ends the server, or the process of it: its port is closed and its connections are cut.
     pub fn end(&self) {
         self.is_up.store(false, Ordering::SeqCst);
+        self.is_dark.store(false, Ordering::SeqCst);
         // The listener is closed by its own thread.
         thread::sleep(Duration::from_millis(5));
         for (_, stream) in self.open.lock().unwrap().drain() {
@@ -148,6 +166,22 @@
         }
     }
 
+    /// Makes its machine dark.
+    pub fn go_dark(&self) {
+        self.is_dark.store(true, Ordering::SeqCst);
+    }
+
+    pub fn is_dark(&self) -> bool {
+        self.is_dark.load(Ordering::SeqCst)
+    }
+
+    /// Returns once the machine is no longer dark.
+    pub fn stay_dark(&self) {
+        while self.is_dark() {
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+
     pub fn is_up(&self) -> bool {
         self.is_up.load(Ordering::SeqCst)
     }
--- a/review/bed-2/store.rs
+++ b/review/bed-2/store.rs
@@ -8,7 +8,6 @@
 
 use crate::http::{Conn, Head};
 
-/// What the store holds; a copy of it is what a drill brings back.
 #[derive(Clone, Default)]
 pub struct Content {
     topics: BTreeMap<String, Topic>,
@@ -24,7 +23,6 @@
 struct State {
     content: Content,
     era: u64,
-    is_away: bool,
 }
 
 #[derive(Clone)]
@@ -36,7 +34,7 @@
 impl Store {
     pub fn start(listener: TcpListener) -> Self {
         let address = listener.local_addr().expect("an address");
-        let state = State { content: Content::default(), era: 1, is_away: false };
+        let state = State { content: Content::default(), era: 1 };
         let store = Self { address, state: Arc::new((Mutex::new(state), Condvar::new())) };
         let serving = store.clone();
         thread::spawn(move || {
@@ -63,28 +61,11 @@
         offset
     }
 
-    pub fn has(&self, topic: &str, key: &str) -> bool {
+    /// Returns the newest value of a key as text.
+    pub fn text(&self, topic: &str, key: &str) -> Option<String> {
         let state = self.state.0.lock().unwrap();
-        state.content.topics.get(topic).is_some_and(|topic| topic.keys.contains_key(key))
-    }
-
-    pub fn copy(&self) -> Content {
-        self.state.0.lock().unwrap().content.clone()
-    }
-
-    /// While it is away, the store answers 503: nothing was done.
-    pub fn set_away(&self, is_away: bool) {
-        self.state.0.lock().unwrap().is_away = is_away;
-        self.state.1.notify_all();
-    }
-
-    /// Comes back from an older copy; the era rises by one.
-    pub fn come_back_from(&self, copy: Content) {
-        let mut state = self.state.0.lock().unwrap();
-        state.content = copy;
-        state.era += 1;
-        state.is_away = false;
-        self.state.1.notify_all();
+        let (value, _) = state.content.topics.get(topic)?.keys.get(key)?;
+        Some(String::from_utf8_lossy(value).into_owned())
     }
 
     fn serve(&self, mut conn: Conn) {
@@ -117,9 +98,6 @@
         let name = parameter("topic").unwrap_or_default();
         let (lock, changed) = &*self.state;
         let mut state = lock.lock().unwrap();
-        if state.is_away {
-            return (503, Vec::new());
-        }
         match path {
             "/log-newest" => {
                 let topic = state.content.topics.entry(name).or_default();
@@ -147,9 +125,6 @@
                 let until = Instant::now()
                     + Duration::from_millis(number("waitMs").unwrap_or(0).min(30_000));
                 loop {
-                    if state.is_away {
-                        return (503, Vec::new());
-                    }
                     let topic = state.content.topics.entry(name.clone()).or_default();
                     let end = topic.end;
                     if from > end {
