--- a/review/bed-2/order.rs
+++ b/review/bed-2/order.rs
@@ -34,7 +34,7 @@
 }
 
 /// The new version turns bad; with `TROUBLE=0` it stays good.
-pub const BAD_LATER: Play = Play { clients: 24, step_s: 30.0, bad_at: 13.0, back_at: None };
+pub const BAD_LATER: Play = Play { clients: 24, step_s: 40.0, bad_at: 18.0, back_at: None };
 /// The operator orders the service back; with `TROUBLE=0` there is no such order.
 pub const ORDERED_BACK: Play = Play { clients: 12, step_s: 20.0, bad_at: 10.0, back_at: Some(6.0) };
 
