--- a/review/bed-2/main.rs
+++ b/review/bed-2-main.rs
@@ -1,12 +1,20 @@
 //! The cases' programs: `bed-2 CASE` plays one case; see `claim.txt` in the case's folder.
 
+#[path = "bed-2-bed.rs"]
 mod bed;
+#[path = "bed-2-http.rs"]
 mod http;
+#[path = "bed-2-leave.rs"]
 mod leave;
+#[path = "bed-2-lost.rs"]
 mod lost;
+#[path = "bed-2-order.rs"]
 mod order;
+#[path = "bed-2-poison.rs"]
 mod poison;
+#[path = "bed-2-server.rs"]
 mod server;
+#[path = "bed-2-store.rs"]
 mod store;
 
 fn main() {
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-rustc --edition 2024 -O --crate-name bed_2 -o target/review-2/bed-2 review/bed-2/main.rs
+rustc --edition 2024 -O --crate-name bed_2 -o target/review-2/bed-2 review/bed-2-main.rs
--- a/review/bed-2/play.sh
+++ b/review/play-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# play.sh FOLDER CASE: plays a case and writes FOLDER/record.txt.
+# play-2.sh FOLDER CASE: plays a case and writes FOLDER/record.txt.
 set -u
 folder=$(cd "$1" && pwd) || exit 2
 cd "$folder/../.." || exit 2
